--- /dev/null
+++ b/crates/buckthornweir_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' client `buckthornweir`.
+
+fn main() {}
--- /dev/null
+++ b/crates/buckthornweir_daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon `buckthornweird`.
+
+fn main() {}
--- /dev/null
+++ b/crates/buckthornweir_load/src/main.rs
@@ -0,0 +1,3 @@
+//! The load and measuring tool `buckthornweir-load`.
+
+fn main() {}
