Add the request decisions: limit, admission, hand-off, refusals, messages

Cause: the daemon's agent needs the names of the request decisions. Ruled out: a queue before hand-off (a free slot elsewhere is closer than the own queue's end); accepting a doubled hand-over as a new request (it would run twice); ids of reservations that start at one after a restart (an old id would match a new reservation).

--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/config.rs
@@ -0,0 +1,106 @@
+//! Settings, own state and counters of admission.
+
+use std::time::Duration;
+
+use crate::{BudgetConfig, LimitConfig};
+
+/// Whether the agent takes work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ServingState {
+    /// It takes work.
+    #[default]
+    Ready,
+    /// It takes no new work; what runs goes on.
+    Draining,
+    /// Its failure domain is out.
+    Out,
+}
+
+/// Settings of [`Admission`](super::Admission).
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionConfig {
+    /// Settings of the concurrency limit.
+    pub limit: LimitConfig,
+    /// Settings of the retry budget.
+    pub budget: BudgetConfig,
+    /// Most requests in the queue.
+    pub queue: usize,
+    /// Longest time in the queue.
+    pub queue_wait: Duration,
+    /// Siblings that are asked for one try of a request.
+    pub candidates: usize,
+    /// Requests for which siblings may be asked at a time.
+    pub asks: usize,
+    /// Time in which a sibling must answer for its slot.
+    pub ask_wait: Duration,
+    /// Time for which a slot is held for a sibling.
+    pub hold: Duration,
+    /// Time for which an ended reservation is remembered.
+    pub memory: Duration,
+    /// Most tries of a request, the first included.
+    pub tries: u32,
+}
+
+impl Default for AdmissionConfig {
+    fn default() -> Self {
+        Self {
+            limit: LimitConfig::default(),
+            budget: BudgetConfig::default(),
+            queue: 10,
+            queue_wait: Duration::from_millis(500),
+            candidates: 2,
+            asks: 64,
+            ask_wait: Duration::from_millis(25),
+            hold: Duration::from_millis(100),
+            memory: Duration::from_secs(10),
+            tries: 3,
+        }
+    }
+}
+
+impl AdmissionConfig {
+    /// Sets the settings of the concurrency limit.
+    pub fn with_limit(mut self, limit: LimitConfig) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets the most requests in the queue.
+    pub fn with_queue(mut self, queue: usize) -> Self {
+        self.queue = queue;
+        self
+    }
+}
+
+/// What admission did since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests that came in the agent's own flows.
+    pub arrived: u64,
+    /// Requests that were taken over from siblings.
+    pub taken: u64,
+    /// Tries given to the own backend server.
+    pub run: u64,
+    /// Requests handed over to siblings.
+    pub handed: u64,
+    /// Answers that were whole.
+    pub done: u64,
+    /// Tries after the first.
+    pub retried: u64,
+    /// Refusals that said "not run".
+    pub refused: u64,
+    /// Refusals that could not say "not run".
+    pub unknown: u64,
+    /// Answers cut in the middle.
+    pub cut: u64,
+    /// Requests that the caller gave up.
+    pub cancelled: u64,
+    /// Slots granted to siblings.
+    pub granted: u64,
+    /// Slots not granted to siblings.
+    pub declined: u64,
+    /// Handed requests that came twice and were dropped.
+    pub doubled: u64,
+    /// Retries that the budget did not allow.
+    pub over_budget: u64,
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/ending.rs
@@ -0,0 +1,251 @@
+//! The end of a try: retry, final answer or refusal.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::request::Place;
+use super::{Action, Admission, RequestKey, queue_wait};
+use crate::{
+    Ending, NodeId, Outcome, ProblemKind, Progress, Refusal, ending_of, is_certainly_not_run,
+    may_retry,
+};
+
+/// Spread that keeps refused callers from coming back all at once.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_secs(2);
+
+impl Admission {
+    /// Handles the end of a try, at the own backend server or at a sibling.
+    ///
+    /// `latency` runs from the first byte written to the end of the answer.
+    pub fn finished(
+        &mut self,
+        now: Duration,
+        request: RequestKey,
+        progress: Progress,
+        outcome: Outcome,
+        latency: Duration,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        let Some(found) = self.requests.get(request) else {
+            return out;
+        };
+        match found.place {
+            Place::Waiting { .. } => return out,
+            Place::Running { since, .. } => {
+                let latency = latency.min(now.saturating_sub(since));
+                self.limit.release(outcome, latency, now);
+            }
+            Place::Handed { sibling, .. } => self.note_sibling(now, sibling, progress, outcome),
+        }
+        self.conclude(now, request, progress, outcome, &mut out);
+        self.fill(now, &mut out);
+        out
+    }
+
+    /// Notes that the head of the answer came, so that the deadline is met.
+    pub fn answering(&mut self, request: RequestKey) {
+        if let Some(found) = self.requests.get_mut(request) {
+            found.answering = true;
+        }
+    }
+
+    /// Handles a caller who gave the request up.
+    pub fn cancelled(&mut self, now: Duration, request: RequestKey) -> Vec<Action> {
+        let mut out = Vec::new();
+        let Some(found) = self.requests.get_mut(request) else {
+            return out;
+        };
+        self.counters.cancelled += 1;
+        match &mut found.place {
+            Place::Running { stopping, .. } => {
+                if !*stopping {
+                    *stopping = true;
+                    out.push(Action::Abort { request });
+                }
+                return out;
+            }
+            Place::Handed {
+                sibling,
+                reservation,
+            } => {
+                let (sibling, reservation) = (*sibling, *reservation);
+                out.push(Action::CancelHanded {
+                    request,
+                    sibling,
+                    reservation,
+                });
+            }
+            Place::Waiting { .. } => {}
+        }
+        self.remove(request);
+        self.fill(now, &mut out);
+        out
+    }
+
+    /// Acts on a request of which the deadline, the queue time or the wait for a sibling is over.
+    pub(super) fn act_on_due(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let is_late = request.arrival.deadline <= now;
+        match &mut request.place {
+            Place::Running { stopping, .. } => {
+                *stopping = true;
+                out.push(Action::Abort { request: key });
+            }
+            Place::Handed {
+                sibling,
+                reservation,
+            } => {
+                let (sibling, reservation) = (*sibling, *reservation);
+                out.push(Action::CancelHanded {
+                    request: key,
+                    sibling,
+                    reservation,
+                });
+                self.siblings.note_lost(sibling, now);
+                self.conclude(now, key, Progress::Written, Outcome::Silent, out);
+            }
+            Place::Waiting { ask } => {
+                let ask = *ask;
+                if let Some(ask) = ask.filter(|a| a.until <= now) {
+                    self.siblings.note_lost(ask.sibling, now);
+                }
+                if is_late {
+                    self.refuse(now, key, ProblemKind::DeadlinePassed, out);
+                } else if ask.is_some() {
+                    self.seek(now, key, out);
+                } else {
+                    self.refuse(now, key, ProblemKind::QueueFull, out);
+                }
+            }
+        }
+    }
+
+    /// Decides between retry and end for a try that no longer holds a slot.
+    pub(super) fn conclude(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        progress: Progress,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        if self.retry(now, key, progress, outcome, out) {
+            return;
+        }
+        match ending_of(progress, outcome) {
+            Ending::Answer if outcome == Outcome::Done => {
+                self.counters.done += 1;
+                self.remove(key);
+            }
+            Ending::Answer => {
+                out.push(Action::Deliver { request: key });
+                self.remove(key);
+            }
+            Ending::Refuse(problem) => self.refuse(now, key, problem, out),
+            Ending::CutAnswer => {
+                self.counters.cut += 1;
+                out.push(Action::CutAnswer { request: key });
+                self.remove(key);
+            }
+            Ending::Nothing => self.remove(key),
+        }
+    }
+
+    /// Ends the request with a refusal, sent at once.
+    pub(super) fn refuse(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        problem: ProblemKind,
+        out: &mut Vec<Action>,
+    ) {
+        let refusal = if self.requests[key].maybe_run {
+            self.counters.unknown += 1;
+            Refusal::unknown(unknown_kind(problem))
+        } else {
+            self.counters.refused += 1;
+            Refusal::not_run(problem)
+        };
+        let refusal = refusal.with_retry_after(self.retry_after(now));
+        out.push(Action::Refuse {
+            request: key,
+            refusal,
+        });
+        self.remove(key);
+    }
+
+    fn retry(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        progress: Progress,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let request = &mut self.requests[key];
+        request.maybe_run |= !is_certainly_not_run(progress, outcome);
+        request.tries += 1;
+        let allowed = may_retry(progress, outcome, request.arrival.repeatable)
+            && !request.is_guest
+            && request.tries < self.config.tries
+            && request.arrival.deadline > now;
+        if !allowed {
+            return false;
+        }
+        if !self.budget.take() {
+            self.counters.over_budget += 1;
+            return false;
+        }
+        self.counters.retried += 1;
+        let place = request.place;
+        request.place = Place::Waiting { ask: None };
+        request.asked.clear();
+        match place {
+            Place::Handed { sibling, .. } => {
+                request.asked.push(sibling);
+                self.admit(now, key, out);
+            }
+            _ => self.seek(now, key, out),
+        }
+        true
+    }
+
+    fn note_sibling(
+        &mut self,
+        now: Duration,
+        sibling: NodeId,
+        progress: Progress,
+        outcome: Outcome,
+    ) {
+        match outcome {
+            Outcome::Done => self.siblings.note_done(sibling),
+            Outcome::Refused => self.siblings.note_declined(sibling, now),
+            Outcome::Cut | Outcome::Silent if progress <= Progress::Written => {
+                self.siblings.note_lost(sibling, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn remove(&mut self, key: RequestKey) {
+        self.queue.retain(|&k| k != key);
+        self.requests.remove(key);
+    }
+
+    fn retry_after(&mut self, now: Duration) -> Duration {
+        let pause = self.limit.paused_until().saturating_sub(now);
+        let wait = queue_wait(&self.limit, self.queue.len()).max(pause);
+        wait + RETRY_AFTER_SPREAD.mul_f64(self.rng.random_range(0.0..1.0))
+    }
+}
+
+/// Returns the kind that says "unknown" in place of one that says "not run".
+fn unknown_kind(problem: ProblemKind) -> ProblemKind {
+    match problem {
+        ProblemKind::DeadlinePassed | ProblemKind::NoAnswer => ProblemKind::NoAnswer,
+        _ => ProblemKind::OutcomeUnknown,
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/handoff.rs
@@ -0,0 +1,175 @@
+//! Hand-off to siblings: reservation first, then the request.
+
+use std::time::Duration;
+
+use super::request::{Ask, Place};
+use super::{Action, Admission, RequestKey, ServingState};
+use crate::{NodeId, Outcome, ProblemKind, Progress, ReservationId};
+
+impl Admission {
+    /// Handles a sibling's grant of a slot.
+    ///
+    /// A grant that the request no longer needs is given back.
+    pub fn reserved(
+        &mut self,
+        now: Duration,
+        request: RequestKey,
+        sibling: NodeId,
+        reservation: ReservationId,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.siblings.note_granted(sibling);
+        if !self.is_asking(request, sibling) {
+            out.push(Action::Release {
+                sibling,
+                reservation,
+            });
+            return out;
+        }
+        if self.requests[request].arrival.deadline <= now {
+            out.push(Action::Release {
+                sibling,
+                reservation,
+            });
+            self.refuse(now, request, ProblemKind::DeadlinePassed, &mut out);
+            return out;
+        }
+        self.leave_queue(request);
+        self.counters.handed += 1;
+        self.requests[request].place = Place::Handed {
+            sibling,
+            reservation,
+        };
+        out.push(Action::HandOver {
+            request,
+            sibling,
+            reservation,
+        });
+        out
+    }
+
+    /// Handles a sibling's refusal to hold a slot.
+    pub fn sibling_refused(
+        &mut self,
+        now: Duration,
+        request: RequestKey,
+        sibling: NodeId,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.siblings.note_declined(sibling, now);
+        if self.is_asking(request, sibling) {
+            self.seek(now, request, &mut out);
+        }
+        out
+    }
+
+    /// Handles the loss of the link to a sibling, or the sibling's death.
+    ///
+    /// Requests that are there may have run. Slots that it reserved here are given back.
+    pub fn sibling_lost(&mut self, now: Duration, sibling: NodeId) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.siblings.note_lost(sibling, now);
+        for _ in 0..self.reservations.release_all(now, sibling) {
+            self.limit.give_back();
+        }
+        for key in self.keys_where(|r| r.ask().is_some_and(|a| a.sibling == sibling)) {
+            self.seek(now, key, &mut out);
+        }
+        for key in self.keys_where(|r| is_at(r.place, sibling)) {
+            let progress = match self.requests[key].answering {
+                true => Progress::HeadersSeen,
+                false => Progress::Written,
+            };
+            self.conclude(now, key, progress, Outcome::Cut, &mut out);
+        }
+        self.fill(now, &mut out);
+        out
+    }
+
+    /// Takes over the load that came along with a sibling's answer, in free slots and requests
+    /// a second.
+    pub fn note_load(&mut self, sibling: NodeId, free: u32, rate: f64) {
+        self.siblings.note_load(sibling, free, rate);
+    }
+
+    /// Returns the sibling and the reservation with which a request was handed over.
+    pub fn handed_to(&self, request: RequestKey) -> Option<(NodeId, ReservationId)> {
+        match self.requests.get(request)?.place {
+            Place::Handed {
+                sibling,
+                reservation,
+            } => Some((sibling, reservation)),
+            _ => None,
+        }
+    }
+
+    /// Looks for a place: the next sibling, a slot or the queue; refuses where there is none.
+    pub(super) fn seek(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
+        let is_queued = self.requests[key].queued_until.is_some();
+        if self.ask_next(now, key, out) {
+            if !is_queued {
+                self.enqueue(now, key);
+            }
+            return;
+        }
+        if is_queued {
+            return;
+        }
+        let takes_work = self.state == ServingState::Ready;
+        if takes_work && self.queue.is_empty() && self.limit.try_acquire(now) {
+            self.start(now, key, out);
+        } else if !self.enqueue(now, key) {
+            let problem = self.lack_of_place();
+            self.refuse(now, key, problem, out);
+        }
+    }
+
+    /// Asks one more sibling; returns false where none is left.
+    fn ask_next(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) -> bool {
+        let asks = self.requests.values().filter(|r| r.is_asking()).count();
+        let request = &mut self.requests[key];
+        request.place = Place::Waiting { ask: None };
+        if request.asked.len() >= self.config.candidates || asks >= self.config.asks {
+            return false;
+        }
+        let Some(sibling) = self.siblings.pick(&mut self.rng, now, &request.asked) else {
+            return false;
+        };
+        let until = now + self.config.ask_wait;
+        request.asked.push(sibling);
+        request.place = Place::Waiting {
+            ask: Some(Ask { sibling, until }),
+        };
+        let token = self.next_token;
+        self.next_token = self.next_token.wrapping_add(1);
+        let deadline = request.arrival.deadline;
+        out.push(Action::AskSibling {
+            request: key,
+            sibling,
+            token,
+            deadline,
+        });
+        true
+    }
+
+    fn lack_of_place(&self) -> ProblemKind {
+        match self.state {
+            ServingState::Out => ProblemKind::DomainOut,
+            ServingState::Draining => ProblemKind::Draining,
+            ServingState::Ready if self.queue.len() >= self.config.queue => ProblemKind::QueueFull,
+            ServingState::Ready => ProblemKind::NoSlot,
+        }
+    }
+
+    fn is_asking(&self, key: RequestKey, sibling: NodeId) -> bool {
+        let ask = self
+            .requests
+            .get(key)
+            .and_then(super::request::Request::ask);
+        ask.is_some_and(|a| a.sibling == sibling)
+    }
+}
+
+fn is_at(place: Place, node: NodeId) -> bool {
+    matches!(place, Place::Handed { sibling, .. } if sibling == node)
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/mod.rs
@@ -0,0 +1,226 @@
+//! Admission: where each request goes, at one agent.
+//!
+//! A request runs at the agent's own backend server, is handed over to a sibling that has
+//! reserved a slot for it, waits in a short queue, or is refused at once. The daemon reports events
+//! by calling methods and carries out the [`Action`]s that come back, in their order.
+
+mod action;
+mod config;
+mod ending;
+mod handoff;
+mod request;
+mod serving;
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slotmap::{SlotMap, new_key_type};
+
+pub use action::Action;
+pub use config::{AdmissionConfig, Counters, ServingState};
+pub use request::Arrival;
+
+use crate::budget::RetryBudget;
+use crate::reservation::Reservations;
+use crate::sibling::Siblings;
+use crate::{Limit, ProblemKind, Sibling, Token};
+use request::{Place, Request};
+
+new_key_type! {
+    /// Key of a request at one agent.
+    pub struct RequestKey;
+}
+
+/// Decides about the requests of one backend server.
+#[derive(Debug)]
+pub struct Admission {
+    config: AdmissionConfig,
+    state: ServingState,
+    limit: Limit,
+    budget: RetryBudget,
+    siblings: Siblings,
+    reservations: Reservations,
+    requests: SlotMap<RequestKey, Request>,
+    queue: Vec<RequestKey>,
+    next_token: Token,
+    counters: Counters,
+    rng: ChaCha8Rng,
+}
+
+impl Admission {
+    /// Returns the decisions for a cold backend server.
+    ///
+    /// `seed` must differ between processes and restarts, since ids of reservations come from it.
+    pub fn new(config: AdmissionConfig, seed: u64, now: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let salt = rng.next_u64();
+        Self {
+            state: ServingState::Ready,
+            limit: Limit::new(config.limit, now),
+            budget: RetryBudget::new(config.budget),
+            siblings: Siblings::default(),
+            reservations: Reservations::new(salt, config.hold, config.memory),
+            requests: SlotMap::with_key(),
+            queue: Vec::new(),
+            next_token: rng.next_u64(),
+            counters: Counters::default(),
+            config,
+            rng,
+        }
+    }
+
+    /// Returns the concurrency limit of the backend server.
+    pub fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns the agent's own state.
+    pub fn state(&self) -> ServingState {
+        self.state
+    }
+
+    /// Returns the number of requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the number of requests in the queue.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Replaces the siblings by those of a new report.
+    pub fn set_siblings(&mut self, siblings: &[Sibling]) {
+        self.siblings.set(siblings);
+    }
+
+    /// Notes that the backend server is known to have restarted.
+    pub fn turn_cold(&mut self, now: Duration) {
+        self.limit.turn_cold(now);
+    }
+
+    /// Decides about a request that came in a flow of this agent.
+    pub fn arrive(&mut self, now: Duration, arrival: Arrival) -> (RequestKey, Vec<Action>) {
+        let mut out = Vec::new();
+        self.counters.arrived += 1;
+        self.budget.earn();
+        let key = self.requests.insert(Request::new(arrival));
+        if arrival.deadline <= now {
+            self.refuse(now, key, ProblemKind::DeadlinePassed, &mut out);
+            return (key, out);
+        }
+        match self.state {
+            ServingState::Ready => self.admit(now, key, &mut out),
+            ServingState::Draining => self.seek(now, key, &mut out),
+            ServingState::Out => self.refuse(now, key, ProblemKind::DomainOut, &mut out),
+        }
+        (key, out)
+    }
+
+    /// Sets the agent's own state; requests that wait are handed over or refused.
+    pub fn set_state(&mut self, now: Duration, state: ServingState) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.state = state;
+        if state == ServingState::Ready {
+            self.fill(now, &mut out);
+            return out;
+        }
+        self.queue.clear();
+        for key in self.keys_where(Request::is_waiting) {
+            if state == ServingState::Out {
+                self.refuse(now, key, ProblemKind::DomainOut, &mut out);
+            } else if !self.requests[key].is_asking() {
+                self.seek(now, key, &mut out);
+            }
+        }
+        out
+    }
+
+    /// Acts on everything that is due at `now`.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut out = Vec::new();
+        for _ in 0..self.reservations.expire(now) {
+            self.limit.give_back();
+        }
+        for key in self.keys_where(|r| r.is_due(now)) {
+            self.act_on_due(now, key, &mut out);
+        }
+        self.fill(now, &mut out);
+        out
+    }
+
+    /// Returns when [`Admission::tick`] is to be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let requests = self.requests.values().filter_map(Request::next_due).min();
+        let pause = (!self.queue.is_empty()).then(|| self.limit.paused_until());
+        let pause = pause.filter(|p| !p.is_zero());
+        let reservations = self.reservations.next_expiry();
+        [requests, pause, reservations].into_iter().flatten().min()
+    }
+
+    /// Runs the request at the own backend server if a slot is free, else looks further.
+    fn admit(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
+        if self.queue.is_empty() && self.limit.try_acquire(now) {
+            self.start(now, key, out);
+        } else {
+            self.seek(now, key, out);
+        }
+    }
+
+    /// Gives the request the slot that was just taken.
+    fn start(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
+        self.leave_queue(key);
+        self.counters.run += 1;
+        self.requests[key].place = Place::Running {
+            since: now,
+            stopping: false,
+        };
+        out.push(Action::Run { request: key });
+    }
+
+    /// Gives free slots to requests that wait.
+    fn fill(&mut self, now: Duration, out: &mut Vec<Action>) {
+        while !self.queue.is_empty() && self.limit.try_acquire(now) {
+            let key = self.queue.remove(0);
+            self.start(now, key, out);
+        }
+    }
+
+    /// Puts the request in the queue if it can be run in time.
+    fn enqueue(&mut self, now: Duration, key: RequestKey) -> bool {
+        let request = &mut self.requests[key];
+        let until = request.arrival.deadline.min(now + self.config.queue_wait);
+        let fits = self.state == ServingState::Ready
+            && !self.limit.is_paused(now)
+            && self.queue.len() < self.config.queue
+            && now + queue_wait(&self.limit, self.queue.len()) <= until;
+        if fits {
+            request.queued_until = Some(until);
+            self.queue.push(key);
+        }
+        fits
+    }
+
+    fn leave_queue(&mut self, key: RequestKey) {
+        self.queue.retain(|&k| k != key);
+        self.requests[key].queued_until = None;
+    }
+
+    fn keys_where(&self, wanted: impl Fn(&Request) -> bool) -> Vec<RequestKey> {
+        let found = self.requests.iter().filter(|(_, r)| wanted(r));
+        found.map(|(key, _)| key).collect()
+    }
+}
+
+/// Returns the time that a request behind `ahead` others is expected to wait for a slot.
+fn queue_wait(limit: &Limit, ahead: usize) -> Duration {
+    let latency = limit.latency().unwrap_or_default();
+    let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+    latency.saturating_mul(turns) / limit.limit()
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/serving.rs
@@ -0,0 +1,122 @@
+//! Work for siblings: slots that are reserved and requests that come with them.
+
+use std::time::Duration;
+
+use super::request::Request;
+use super::{Action, Admission, Arrival, RequestKey, ServingState};
+use crate::reservation::Worth;
+use crate::{NodeId, ProblemKind, ReservationId, Token};
+
+impl Admission {
+    /// Decides about a sibling's question for a slot; the same question gets the same answer.
+    ///
+    /// `deadline` is that of the request, since this process started.
+    pub fn reserve_asked(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        token: Token,
+        deadline: Duration,
+    ) -> Vec<Action> {
+        let mut out = self.tick(now);
+        if let Some(reservation) = self.reservations.standing(from, token) {
+            out.push(Action::Grant {
+                to: from,
+                token,
+                reservation,
+            });
+            return out;
+        }
+        let is_free = self.state == ServingState::Ready
+            && deadline > now
+            && self.queue.is_empty()
+            && self.limit.try_acquire(now);
+        if is_free {
+            self.counters.granted += 1;
+            let reservation = self.reservations.grant(now, from, token);
+            out.push(Action::Grant {
+                to: from,
+                token,
+                reservation,
+            });
+        } else {
+            self.counters.declined += 1;
+            out.push(Action::Decline { to: from, token });
+        }
+        out
+    }
+
+    /// Handles a request that a sibling handed over.
+    ///
+    /// Returns no key for a request that came before with the same reservation: it is dropped.
+    /// Its refusals go to the sibling, which decides about retries.
+    pub fn reservation_used(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        reservation: ReservationId,
+        arrival: Arrival,
+    ) -> (Option<RequestKey>, Vec<Action>) {
+        let mut out = self.tick(now);
+        let worth = self.reservations.take(now, from, reservation);
+        if worth == Worth::Used {
+            self.counters.doubled += 1;
+            return (None, out);
+        }
+        let key = self.requests.insert(Request {
+            is_guest: true,
+            ..Request::new(arrival)
+        });
+        self.counters.taken += 1;
+        if let Some(problem) = self.refusal_of_guest(now, worth, arrival) {
+            if worth == Worth::Held {
+                self.limit.give_back();
+            }
+            // An earlier run of this process may have got the request.
+            self.requests[key].maybe_run = worth == Worth::Unknown;
+            self.refuse(now, key, problem, &mut out);
+        } else {
+            self.start(now, key, &mut out);
+        }
+        self.fill(now, &mut out);
+        (Some(key), out)
+    }
+
+    /// Handles a reservation that a sibling gives back.
+    pub fn reservation_released(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        reservation: ReservationId,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        if self.reservations.release(now, from, reservation) {
+            self.limit.give_back();
+        }
+        self.fill(now, &mut out);
+        out
+    }
+
+    /// Returns why the request can't run here, or none after its slot was secured.
+    fn refusal_of_guest(
+        &mut self,
+        now: Duration,
+        worth: Worth,
+        arrival: Arrival,
+    ) -> Option<ProblemKind> {
+        if worth == Worth::Unknown {
+            return Some(ProblemKind::OutcomeUnknown);
+        }
+        if self.state == ServingState::Out {
+            return Some(ProblemKind::DomainOut);
+        }
+        if arrival.deadline <= now {
+            return Some(ProblemKind::DeadlinePassed);
+        }
+        if worth == Worth::Held {
+            return None;
+        }
+        let is_free = self.state == ServingState::Ready && self.limit.try_acquire(now);
+        (!is_free).then_some(ProblemKind::NoSlot)
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/tests/admission.rs
@@ -0,0 +1,104 @@
+//! Steps of admission at one agent.
+
+use std::time::Duration;
+
+use buckthornweir_requests::prelude::*;
+
+const DEADLINE: Duration = Duration::from_secs(2);
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn arrival(flow: u64) -> Arrival {
+    Arrival {
+        deadline: DEADLINE,
+        repeatable: false,
+        flow,
+    }
+}
+
+fn admission(slots: u32) -> Admission {
+    let limit = LimitConfig::default().with_slots(slots).with_cold(slots);
+    Admission::new(AdmissionConfig::default().with_limit(limit), 7, ms(0))
+}
+
+#[test]
+fn request_runs_while_a_slot_is_free_and_then_waits() {
+    let mut admission = admission(1);
+    let (first, actions) = admission.arrive(ms(0), arrival(1));
+    assert_eq!(actions, [Action::Run { request: first }]);
+    let (second, actions) = admission.arrive(ms(1), arrival(2));
+    assert_eq!(actions, []);
+    let actions = admission.finished(ms(9), first, Progress::AnswerWhole, Outcome::Done, ms(9));
+    assert_eq!(actions, [Action::Run { request: second }]);
+}
+
+#[test]
+fn request_without_a_slot_goes_to_a_sibling_with_a_reservation() {
+    let mut admission = admission(1);
+    admission.set_siblings(&[Sibling::new(2, "b").with_free(3)]);
+    let _ = admission.arrive(ms(0), arrival(1));
+    let (request, actions) = admission.arrive(ms(1), arrival(2));
+    let [Action::AskSibling { sibling: 2, .. }] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    let actions = admission.reserved(ms(4), request, 2, 99);
+    assert_eq!(
+        actions,
+        [Action::HandOver {
+            request,
+            sibling: 2,
+            reservation: 99
+        }]
+    );
+    let actions = admission.finished(ms(9), request, Progress::AnswerWhole, Outcome::Done, ms(5));
+    assert_eq!(actions, []);
+    assert_eq!(admission.open(), 1);
+}
+
+#[test]
+fn full_queue_refuses_at_once_with_a_time_to_come_back() {
+    let limit = LimitConfig::default().with_slots(1);
+    let config = AdmissionConfig::default().with_limit(limit).with_queue(0);
+    let mut admission = Admission::new(config, 7, ms(0));
+    let _ = admission.arrive(ms(0), arrival(1));
+    let (_, actions) = admission.arrive(ms(1), arrival(2));
+    let [Action::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("{actions:?}")
+    };
+    assert!(refusal.not_run);
+    assert!(refusal.retry_after.is_some());
+    assert_eq!(refusal.status, 503);
+}
+
+#[test]
+fn slot_is_granted_once_for_a_question_asked_twice() {
+    let mut admission = admission(2);
+    let first = admission.reserve_asked(ms(0), 2, 5, DEADLINE);
+    let again = admission.reserve_asked(ms(1), 2, 5, DEADLINE);
+    assert_eq!(first, again);
+    assert_eq!(admission.limit().in_flight(), 1);
+    let [Action::Grant { reservation, .. }] = first[..] else {
+        panic!("{first:?}")
+    };
+    let (request, actions) = admission.reservation_used(ms(2), 2, reservation, arrival(1));
+    assert_eq!(
+        actions,
+        [Action::Run {
+            request: request.unwrap()
+        }]
+    );
+    let doubled = admission.reservation_used(ms(3), 2, reservation, arrival(1));
+    assert_eq!(doubled, (None, vec![]));
+}
+
+#[test]
+fn reservation_that_nobody_uses_expires() {
+    let mut admission = admission(1);
+    let _ = admission.reserve_asked(ms(0), 2, 5, DEADLINE);
+    let (request, actions) = admission.arrive(ms(1), arrival(1));
+    assert_eq!(actions, []);
+    assert_eq!(admission.next_wake(), Some(ms(100)));
+    assert_eq!(admission.tick(ms(100)), [Action::Run { request }]);
+}
