--- /dev/null
+++ b/crates/buckthornweir_requests/benches/model/book.rs
@@ -0,0 +1,120 @@
+//! What the callers and the backend servers of the model saw.
+
+use std::time::Duration;
+
+use buckthornweir_requests::Counters;
+
+use super::server::Summary;
+
+/// Length of a window for imbalance.
+const WINDOW: Duration = Duration::from_secs(60);
+/// Time at the start that isn't counted.
+pub(crate) const WARM_UP: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    arrived: Duration,
+    answered: Option<Duration>,
+    ran: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Book {
+    entries: Vec<Entry>,
+    /// Requests run by window and backend server.
+    windows: Vec<Vec<u64>>,
+    pub(crate) servers: Vec<Summary>,
+    pub(crate) counters: Vec<Counters>,
+    length: Duration,
+}
+
+impl Book {
+    pub(crate) fn new(servers: usize, length: Duration) -> Self {
+        let count = length.as_secs().div_ceil(WINDOW.as_secs()) + 1;
+        Self {
+            entries: Vec::new(),
+            windows: vec![vec![0; servers]; count as usize],
+            servers: Vec::new(),
+            counters: Vec::new(),
+            length,
+        }
+    }
+
+    pub(crate) fn arrived(&mut self, now: Duration) -> u64 {
+        self.entries.push(Entry {
+            arrived: now,
+            answered: None,
+            ran: false,
+        });
+        self.entries.len() as u64 - 1
+    }
+
+    pub(crate) fn arrival_of(&self, number: u64) -> Duration {
+        self.entries[number as usize].arrived
+    }
+
+    pub(crate) fn answered(&mut self, number: u64, now: Duration, ran: bool) {
+        let entry = &mut self.entries[number as usize];
+        assert!(
+            entry.answered.is_none(),
+            "request {number} was answered twice"
+        );
+        entry.answered = Some(now);
+        entry.ran = ran;
+    }
+
+    pub(crate) fn ran(&mut self, server: usize, now: Duration) {
+        if now < WARM_UP {
+            return;
+        }
+        let now = now - WARM_UP;
+        let window = (now.as_secs() / WINDOW.as_secs()) as usize;
+        self.windows[window][server] += 1;
+    }
+
+    /// Returns the greatest load over the mean load in the window with the most requests.
+    pub(crate) fn busiest_imbalance(&self) -> f64 {
+        let busiest = self.windows.iter().max_by_key(|w| w.iter().sum::<u64>());
+        busiest.map_or(0.0, |window| {
+            let most = window.iter().copied().max().unwrap_or(0) as f64;
+            most * window.len() as f64 / window.iter().sum::<u64>() as f64
+        })
+    }
+
+    fn counted(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().filter(|e| e.arrived >= WARM_UP)
+    }
+
+    /// Returns the requests that ran, a second.
+    pub(crate) fn goodput(&self) -> f64 {
+        let ran = self.counted().filter(|e| e.ran).count();
+        ran as f64 / (self.length - WARM_UP).as_secs_f64()
+    }
+
+    /// Returns the part of the requests that were refused or lost.
+    pub(crate) fn refused(&self) -> f64 {
+        let refused = self
+            .counted()
+            .filter(|e| e.answered.is_some() && !e.ran)
+            .count();
+        refused as f64 / self.counted().count() as f64
+    }
+
+    /// Returns a percentile of the time to the final answer, of requests that ran or were refused.
+    pub(crate) fn latency(&self, ran: bool, percentile: f64) -> Duration {
+        let wanted = self.counted().filter(|e| e.ran == ran);
+        let mut times: Vec<_> = wanted
+            .filter_map(|e| Some(e.answered? - e.arrived))
+            .collect();
+        times.sort_unstable();
+        let last = times.len().saturating_sub(1);
+        let index = (last as f64 * percentile / 100.0).round() as usize;
+        times.get(index).copied().unwrap_or_default()
+    }
+
+    /// Returns the part of the requests that were handed over.
+    pub(crate) fn handed(&self) -> f64 {
+        let handed: u64 = self.counters.iter().map(|c| c.handed).sum();
+        handed as f64 / self.entries.len() as f64
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/benches/model/mod.rs
@@ -0,0 +1,598 @@
+//! A small event-queue model of one service: agents with the real decisions, backend servers with
+//! slots, and links with a fixed delay. All randomness comes from one seed.
+
+mod book;
+mod server;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use buckthornweir_requests::{
+    Action, Admission, AdmissionConfig, Arrival, NodeId, Outcome, Progress, RequestKey,
+    ReservationId, Sibling, Token,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) use book::Book;
+pub(crate) use server::{Overload, Server};
+
+/// One way between two agents.
+const LINK: Duration = Duration::from_micros(1_500);
+/// Time between two reports of load.
+const REPORT: Duration = Duration::from_secs(1);
+/// Time that a caller gives a request.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// Flows of the service.
+const FLOWS: u64 = 500;
+
+/// How requests come in over time and flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shape {
+    /// Evenly over time and flows.
+    Steady,
+    /// Four times the rate in one second of five.
+    Bursty,
+    /// One flow carries a tenth of the requests.
+    Skewed,
+}
+
+/// One run of the model.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) servers: usize,
+    pub(crate) shape: Shape,
+    /// Load as a part of the capacity.
+    pub(crate) load: f64,
+    pub(crate) length: Duration,
+    pub(crate) config: AdmissionConfig,
+    pub(crate) hand_off: bool,
+    pub(crate) overload: Overload,
+    /// Time in which a cold backend server bears one request more.
+    pub(crate) warm_step: Duration,
+    /// When the first backend server restarts without warning.
+    pub(crate) restart: Option<Duration>,
+    /// Whether backend servers are warm at the start.
+    pub(crate) warm: bool,
+    pub(crate) seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Message {
+    Ask {
+        token: Token,
+        request: RequestKey,
+        deadline: Duration,
+    },
+    Granted {
+        request: RequestKey,
+        reservation: ReservationId,
+        free: u32,
+        rate: u32,
+    },
+    Declined {
+        request: RequestKey,
+        free: u32,
+        rate: u32,
+    },
+    Release {
+        reservation: ReservationId,
+    },
+    HandOver {
+        reservation: ReservationId,
+        flow: u64,
+        deadline: Duration,
+        number: u64,
+    },
+    Answer {
+        reservation: ReservationId,
+        ran: bool,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Message {
+        from: usize,
+        to: usize,
+        message: Message,
+    },
+    Served {
+        server: usize,
+        request: RequestKey,
+        epoch: u64,
+    },
+    Rejected {
+        server: usize,
+        request: RequestKey,
+        refused: bool,
+    },
+    Report,
+    Wake {
+        agent: usize,
+    },
+    Restart,
+}
+
+/// Where the answer to a request goes.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Caller {
+        number: u64,
+    },
+    Sibling {
+        from: usize,
+        reservation: ReservationId,
+        number: u64,
+    },
+}
+
+struct Agent {
+    admission: Admission,
+    origins: BTreeMap<RequestKey, Origin>,
+    /// Requests handed over by their reservation at the sibling.
+    handed: BTreeMap<(usize, ReservationId), (RequestKey, Duration)>,
+    tokens: BTreeMap<(usize, Token), RequestKey>,
+    started: BTreeMap<RequestKey, Duration>,
+    wake: Option<Duration>,
+}
+
+/// The running model.
+pub(crate) struct Model {
+    scenario: Scenario,
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    agents: Vec<Agent>,
+    servers: Vec<Server>,
+    homes: Vec<usize>,
+    rng: ChaCha8Rng,
+    book: Book,
+}
+
+/// Runs a scenario and returns what was seen.
+pub(crate) fn run(scenario: Scenario) -> Book {
+    let mut model = Model::new(scenario);
+    while let Some(Reverse((at, _, event))) = model.events.pop() {
+        if at > model.scenario.length {
+            break;
+        }
+        model.now = at;
+        model.handle(event);
+    }
+    model.book.servers = model.servers.iter().map(Server::summary).collect();
+    model.book.counters = model
+        .agents
+        .iter()
+        .map(|a| a.admission.counters())
+        .collect();
+    model.book
+}
+
+impl Model {
+    fn new(scenario: Scenario) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let count = scenario.servers;
+        let seeds: Vec<u64> = (0..count).map(|_| rng.random()).collect();
+        let agents = seeds
+            .iter()
+            .map(|&seed| new_agent(&scenario.config, seed))
+            .collect();
+        let servers = (0..count)
+            .map(|_| Server::new(scenario.warm, scenario.overload, scenario.warm_step))
+            .collect();
+        let homes = (0..FLOWS).map(|_| rng.random_range(0..count)).collect();
+        let book = Book::new(count, scenario.length);
+        let mut model = Self {
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            agents,
+            servers,
+            homes,
+            rng,
+            book,
+            scenario,
+        };
+        model.after(Duration::ZERO, Event::Report);
+        model.after(Duration::ZERO, Event::Arrive);
+        if let Some(at) = model.scenario.restart {
+            model.after(at, Event::Restart);
+        }
+        model
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        self.events
+            .push(Reverse((self.now + delay, self.sequence, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Message { from, to, message } => self.receive(from, to, message),
+            Event::Served {
+                server,
+                request,
+                epoch,
+            } => self.served(server, request, epoch),
+            Event::Rejected {
+                server,
+                request,
+                refused,
+            } => {
+                let (progress, outcome) = match refused {
+                    true => (Progress::AnswerWhole, Outcome::Refused),
+                    false => (Progress::NotWritten, Outcome::Cut),
+                };
+                self.finish(server, request, progress, outcome);
+            }
+            Event::Report => self.report(),
+            Event::Wake { agent } => {
+                self.agents[agent].wake = None;
+                let actions = self.agents[agent].admission.tick(self.now);
+                self.carry_out(agent, actions);
+            }
+            Event::Restart => {
+                let lost = self.servers[0].restart(self.now);
+                for request in lost {
+                    self.finish(0, request, Progress::Written, Outcome::Cut);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let gap = Duration::from_secs_f64(self.exponential() / self.rate());
+        self.after(gap, Event::Arrive);
+        let flow = self.draw_flow();
+        let home = self.homes[flow as usize];
+        let number = self.book.arrived(self.now);
+        let deadline = self.now + DEADLINE;
+        let arrival = Arrival {
+            deadline,
+            repeatable: false,
+            flow,
+        };
+        let (key, actions) = self.agents[home].admission.arrive(self.now, arrival);
+        self.agents[home]
+            .origins
+            .insert(key, Origin::Caller { number });
+        self.carry_out(home, actions);
+    }
+
+    /// Returns the requests a second at this time.
+    fn rate(&self) -> f64 {
+        let capacity = self.scenario.servers as f64 * server::SLOTS as f64 / server::MEAN_SERVICE;
+        let mean = capacity * self.scenario.load;
+        match self.scenario.shape {
+            // 4 x in one second of five and 1/4 x in the others give the same mean.
+            Shape::Bursty if self.now.as_secs().is_multiple_of(5) => mean * 4.0,
+            Shape::Bursty => mean * 0.25,
+            _ => mean,
+        }
+    }
+
+    fn draw_flow(&mut self) -> u64 {
+        if self.scenario.shape == Shape::Skewed && self.rng.random_bool(0.1) {
+            return 0;
+        }
+        self.rng.random_range(0..FLOWS)
+    }
+
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.rng.random_range(0.0..1.0f64)).ln()
+    }
+
+    fn carry_out(&mut self, agent: usize, actions: Vec<Action>) {
+        for action in actions {
+            self.carry_out_one(agent, &action);
+        }
+        self.plan_wake(agent);
+    }
+
+    fn carry_out_one(&mut self, agent: usize, action: &Action) {
+        match *action {
+            Action::Run { request } => self.start(agent, request),
+            Action::AskSibling {
+                request,
+                sibling,
+                token,
+                deadline,
+            } => {
+                self.send(
+                    agent,
+                    sibling as usize,
+                    Message::Ask {
+                        token,
+                        request,
+                        deadline,
+                    },
+                );
+            }
+            Action::HandOver {
+                request,
+                sibling,
+                reservation,
+            } => {
+                self.hand_over(agent, request, sibling as usize, reservation);
+            }
+            Action::Release {
+                sibling,
+                reservation,
+            } => {
+                self.send(agent, sibling as usize, Message::Release { reservation });
+            }
+            Action::Refuse { request, .. }
+            | Action::Deliver { request }
+            | Action::CutAnswer { request } => self.answer(agent, request, false),
+            Action::Abort { request } => {
+                self.servers[agent].cancel(request);
+                self.finish(agent, request, Progress::Written, Outcome::Cancelled);
+            }
+            Action::Grant {
+                to,
+                token,
+                reservation,
+            } => {
+                let request = self.agents[agent].tokens[&(to as usize, token)];
+                let load = self.agents[agent].admission.load(self.now);
+                let (free, rate) = (load.free, load.rate_milli);
+                let message = Message::Granted {
+                    request,
+                    reservation,
+                    free,
+                    rate,
+                };
+                self.send(agent, to as usize, message);
+            }
+            Action::Decline { to, token } => {
+                let request = self.agents[agent].tokens[&(to as usize, token)];
+                let load = self.agents[agent].admission.load(self.now);
+                let (free, rate) = (load.free, load.rate_milli);
+                self.send(
+                    agent,
+                    to as usize,
+                    Message::Declined {
+                        request,
+                        free,
+                        rate,
+                    },
+                );
+            }
+            Action::CancelHanded { .. } => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        self.after(LINK, Event::Message { from, to, message });
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: Message) {
+        let now = self.now;
+        let node = from as NodeId;
+        let agent = &mut self.agents[to];
+        let actions = match message {
+            Message::Ask {
+                token,
+                request,
+                deadline,
+            } => {
+                agent.tokens.insert((from, token), request);
+                agent.admission.reserve_asked(now, node, token, deadline)
+            }
+            Message::Granted {
+                request,
+                reservation,
+                free,
+                rate,
+            } => {
+                agent.admission.note_load(node, load(free, rate));
+                agent.admission.reserved(now, request, node, reservation)
+            }
+            Message::Declined {
+                request,
+                free,
+                rate,
+            } => {
+                agent.admission.note_load(node, load(free, rate));
+                agent.admission.sibling_refused(now, request, node)
+            }
+            Message::Release { reservation } => {
+                agent.admission.reservation_released(now, node, reservation)
+            }
+            Message::HandOver {
+                reservation,
+                flow,
+                deadline,
+                number,
+            } => {
+                let arrival = Arrival {
+                    deadline,
+                    repeatable: false,
+                    flow,
+                };
+                let (key, actions) =
+                    agent
+                        .admission
+                        .reservation_used(now, node, reservation, arrival);
+                if let Some(key) = key {
+                    agent.origins.insert(
+                        key,
+                        Origin::Sibling {
+                            from,
+                            reservation,
+                            number,
+                        },
+                    );
+                }
+                actions
+            }
+            Message::Answer { reservation, ran } => {
+                let Some((key, since)) = agent.handed.remove(&(from, reservation)) else {
+                    return;
+                };
+                let (progress, outcome) = match ran {
+                    true => (Progress::AnswerWhole, Outcome::Done),
+                    false => (Progress::NotWritten, Outcome::Refused),
+                };
+                let actions = agent
+                    .admission
+                    .finished(now, key, progress, outcome, now - since);
+                if ran {
+                    self.answer(to, key, true);
+                }
+                actions
+            }
+        };
+        self.carry_out(to, actions);
+    }
+
+    fn hand_over(
+        &mut self,
+        agent: usize,
+        request: RequestKey,
+        sibling: usize,
+        reservation: ReservationId,
+    ) {
+        let number = self.number_of(agent, request);
+        let deadline = self.book.arrival_of(number) + DEADLINE;
+        self.agents[agent]
+            .handed
+            .insert((sibling, reservation), (request, self.now));
+        let flow = number;
+        self.send(
+            agent,
+            sibling,
+            Message::HandOver {
+                reservation,
+                flow,
+                deadline,
+                number,
+            },
+        );
+    }
+
+    fn start(&mut self, agent: usize, request: RequestKey) {
+        let now = self.now;
+        self.agents[agent].started.insert(request, now);
+        let factor = 0.25 + 0.75 * self.exponential();
+        match self.servers[agent].start(now, request, factor) {
+            server::Start::Runs { time, epoch } => {
+                self.after(
+                    time,
+                    Event::Served {
+                        server: agent,
+                        request,
+                        epoch,
+                    },
+                );
+            }
+            server::Start::Refuses => {
+                let event = Event::Rejected {
+                    server: agent,
+                    request,
+                    refused: true,
+                };
+                self.after(Duration::from_millis(1), event);
+            }
+            server::Start::Down => {
+                let event = Event::Rejected {
+                    server: agent,
+                    request,
+                    refused: false,
+                };
+                self.after(Duration::from_millis(1), event);
+            }
+            server::Start::Falls { lost } => {
+                for request in lost {
+                    self.finish(agent, request, Progress::Written, Outcome::Cut);
+                }
+            }
+        }
+    }
+
+    fn served(&mut self, server: usize, request: RequestKey, epoch: u64) {
+        if !self.servers[server].end(request, epoch) {
+            return;
+        }
+        self.book.ran(server, self.now);
+        self.finish(server, request, Progress::AnswerWhole, Outcome::Done);
+        self.answer(server, request, true);
+    }
+
+    fn finish(&mut self, agent: usize, key: RequestKey, progress: Progress, outcome: Outcome) {
+        let since = self.agents[agent].started.remove(&key).unwrap_or(self.now);
+        let latency = self.now - since;
+        let admission = &mut self.agents[agent].admission;
+        let actions = admission.finished(self.now, key, progress, outcome, latency);
+        self.carry_out(agent, actions);
+    }
+
+    /// Sends the final answer where the request came from.
+    fn answer(&mut self, agent: usize, request: RequestKey, ran: bool) {
+        match self.agents[agent].origins.remove(&request) {
+            Some(Origin::Caller { number }) => self.book.answered(number, self.now, ran),
+            Some(Origin::Sibling {
+                from, reservation, ..
+            }) => {
+                self.send(agent, from, Message::Answer { reservation, ran });
+            }
+            None => {}
+        }
+    }
+
+    fn number_of(&self, agent: usize, request: RequestKey) -> u64 {
+        match self.agents[agent].origins[&request] {
+            Origin::Caller { number } | Origin::Sibling { number, .. } => number,
+        }
+    }
+
+    fn report(&mut self) {
+        self.after(REPORT, Event::Report);
+        if !self.scenario.hand_off {
+            return;
+        }
+        let now = self.now;
+        let loads: Vec<_> = self.agents.iter().map(|a| a.admission.load(now)).collect();
+        for (own, agent) in self.agents.iter_mut().enumerate() {
+            let others = loads.iter().enumerate().filter(|(node, _)| *node != own);
+            let siblings = others.map(|(node, load)| {
+                let rate = f64::from(load.rate_milli) / 1_000.0;
+                Sibling::new(node as NodeId, "")
+                    .with_free(load.free)
+                    .with_rate(rate)
+            });
+            agent.admission.set_siblings(&siblings.collect::<Vec<_>>());
+        }
+    }
+
+    fn plan_wake(&mut self, agent: usize) {
+        let Some(at) = self.agents[agent].admission.next_wake(self.now) else {
+            return;
+        };
+        let at = at.max(self.now);
+        if self.agents[agent].wake.is_none_or(|planned| at < planned) {
+            self.agents[agent].wake = Some(at);
+            self.after(at - self.now, Event::Wake { agent });
+        }
+    }
+}
+
+fn new_agent(config: &AdmissionConfig, seed: u64) -> Agent {
+    Agent {
+        admission: Admission::new(config.clone(), seed, Duration::ZERO),
+        origins: BTreeMap::new(),
+        handed: BTreeMap::new(),
+        tokens: BTreeMap::new(),
+        started: BTreeMap::new(),
+        wake: None,
+    }
+}
+
+fn load(free: u32, rate_milli: u32) -> buckthornweir_requests::messages::Load {
+    buckthornweir_requests::messages::Load { free, rate_milli }
+}
--- /dev/null
+++ b/crates/buckthornweir_requests/benches/policy.rs
@@ -0,0 +1,169 @@
+//! Prints how the policy fares in the model: imbalance, latency, cold start and goodput.
+
+mod model;
+
+use std::time::Duration;
+
+use buckthornweir_requests::{AdmissionConfig, LimitConfig};
+use model::{Book, Overload, Scenario, Shape, run};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+const LENGTH: Duration = Duration::from_secs(140);
+
+fn main() {
+    // Cargo passes filters and flags of its own harness, which mean nothing here.
+    imbalance();
+    goodput();
+    cold_start();
+}
+
+fn scenario(servers: usize, shape: Shape, load: f64) -> Scenario {
+    Scenario {
+        servers,
+        shape,
+        load,
+        length: LENGTH,
+        config: AdmissionConfig::default(),
+        hand_off: true,
+        overload: Overload::Sheds,
+        warm_step: Duration::from_secs(1),
+        restart: None,
+        warm: true,
+        seed: 0,
+    }
+}
+
+fn imbalance() {
+    println!(
+        "imbalance in the busiest 60 s (max over mean), load 0.6, 140 s without the first 20 s, mean of 3 seeds"
+    );
+    println!("servers shape   way           imbalance worst  refused handed  p50    p95    p99 ms");
+    for servers in [7, 3] {
+        for shape in [Shape::Steady, Shape::Bursty, Shape::Skewed] {
+            let base = scenario(servers, shape, 0.6);
+            let mut no_share = base.clone();
+            no_share.config.share_above = f64::INFINITY;
+            let mut alone = no_share.clone();
+            alone.hand_off = false;
+            print_imbalance("alone", &alone);
+            print_imbalance("when full", &no_share);
+            print_imbalance("with sharing", &base);
+        }
+    }
+}
+
+fn print_imbalance(way: &str, scenario: &Scenario) {
+    let books = run_seeds(scenario);
+    let worst = books
+        .iter()
+        .map(Book::busiest_imbalance)
+        .fold(0.0, f64::max);
+    println!(
+        "{:<7} {:<7} {way:<13} {:>9.3} {worst:>5.2} {:>8.4} {:>6.3} {:>6.1} {:>6.1} {:>6.1}",
+        scenario.servers,
+        format!("{:?}", scenario.shape),
+        mean(&books, Book::busiest_imbalance),
+        mean(&books, Book::refused),
+        mean(&books, Book::handed),
+        mean(&books, |b| millis(b.latency(true, 50.0))),
+        mean(&books, |b| millis(b.latency(true, 95.0))),
+        mean(&books, |b| millis(b.latency(true, 99.0))),
+    );
+}
+
+fn goodput() {
+    println!(
+        "\ngoodput, 7 backend servers, capacity 700 a second, 140 s without the first 20 s, mean of 3 seeds"
+    );
+    println!("load  way       goodput of-capacity refused refusal-p99 ms run-p99 ms");
+    for load in [0.5, 0.9, 1.2, 3.0] {
+        for (way, hand_off) in [("alone", false), ("hand-off", true)] {
+            let mut scenario = scenario(7, Shape::Steady, load);
+            scenario.hand_off = hand_off;
+            let books = run_seeds(&scenario);
+            let goodput = mean(&books, Book::goodput);
+            println!(
+                "{load:<5} {way:<9} {goodput:>7.1} {:>11.3} {:>7.3} {:>14.1} {:>10.1}",
+                goodput / 700.0,
+                mean(&books, Book::refused),
+                mean(&books, |b| millis(b.latency(false, 99.0))),
+                mean(&books, |b| millis(b.latency(true, 99.0))),
+            );
+        }
+    }
+}
+
+fn cold_start() {
+    println!(
+        "\ncold start: a backend server restarts at 30 s under load 0.9, 140 s without the first 20 s, worst of 3 seeds"
+    );
+    println!("one-more-each when-over limit     cold-most over-most over falls refused");
+    for step in [1, 2, 4] {
+        for overload in [Overload::Sheds, Overload::Falls] {
+            for (way, adaptive) in [("eager", false), ("adaptive", true)] {
+                let mut scenario = scenario(7, Shape::Steady, 0.9);
+                scenario.overload = overload;
+                scenario.warm_step = Duration::from_secs(step);
+                scenario.restart = Some(Duration::from_secs(30));
+                if !adaptive {
+                    scenario.config.limit = eager();
+                }
+                print_cold(way, &scenario);
+            }
+        }
+    }
+}
+
+/// Returns the settings of a limit that goes back to all slots as fast as answers come.
+fn eager() -> LimitConfig {
+    LimitConfig {
+        cold: 5,
+        raise_after: 1,
+        raise_gap: Duration::ZERO,
+        gap_most: Duration::ZERO,
+        pause: Duration::ZERO,
+        pause_most: Duration::ZERO,
+        ..LimitConfig::default()
+    }
+}
+
+fn print_cold(way: &str, scenario: &Scenario) {
+    let books = run_seeds(scenario);
+    let first = |f: fn(&Book) -> u64| books.iter().map(f).max().unwrap_or(0);
+    println!(
+        "{:<11} s {:<9} {way:<9} {:>9} {:>9} {:>4} {:>5} {:>7.3}",
+        scenario.warm_step.as_secs(),
+        format!("{:?}", scenario.overload),
+        first(|b| b.servers[0].cold_most as u64),
+        first(|b| b.servers[0].over_most as u64),
+        first(|b| b.servers[0].over),
+        first(|b| b.servers[0].falls),
+        mean(&books, Book::refused),
+    );
+}
+
+/// Runs the scenario with every seed, each in a thread.
+fn run_seeds(scenario: &Scenario) -> Vec<Book> {
+    std::thread::scope(|scope| {
+        let start = |&seed| {
+            let scenario = Scenario {
+                seed,
+                ..scenario.clone()
+            };
+            scope.spawn(move || run(scenario))
+        };
+        let threads: Vec<_> = SEEDS.iter().map(start).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("run ends"))
+            .collect()
+    })
+}
+
+fn mean(books: &[Book], value: impl Fn(&Book) -> f64) -> f64 {
+    books.iter().map(value).sum::<f64>() / books.len() as f64
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- a/crates/buckthornweir_requests/src/admission/config.rs
+++ b/crates/buckthornweir_requests/src/admission/config.rs
@@ -25,6 +25,8 @@
     pub budget: BudgetConfig,
     /// Most requests in the queue.
     pub queue: usize,
+    /// Most requests of one flow in the queue.
+    pub flow_queue: usize,
     /// Longest time in the queue.
     pub queue_wait: Duration,
     /// Siblings that are asked for one try of a request.
@@ -39,6 +41,8 @@
     pub memory: Duration,
     /// Most tries of a request, the first included.
     pub tries: u32,
+    /// Multiple of the service's mean rate above which load is shared; infinite for never.
+    pub share_above: f64,
 }
 
 impl Default for AdmissionConfig {
@@ -47,6 +51,7 @@
             limit: LimitConfig::default(),
             budget: BudgetConfig::default(),
             queue: 10,
+            flow_queue: 5,
             queue_wait: Duration::from_millis(500),
             candidates: 2,
             asks: 64,
@@ -54,6 +59,7 @@
             hold: Duration::from_millis(100),
             memory: Duration::from_secs(10),
             tries: 3,
+            share_above: 1.05,
         }
     }
 }
@@ -83,6 +89,8 @@
     pub run: u64,
     /// Requests handed over to siblings.
     pub handed: u64,
+    /// Requests for which a less loaded sibling was asked although a slot may have been free.
+    pub shared: u64,
     /// Answers that were whole.
     pub done: u64,
     /// Tries after the first.
--- a/crates/buckthornweir_requests/src/admission/ending.rs
+++ b/crates/buckthornweir_requests/src/admission/ending.rs
@@ -30,6 +30,7 @@
         let Some(found) = self.requests.get(request) else {
             return out;
         };
+        let outcome = settle_outcome(outcome, found.gone);
         match found.place {
             Place::Waiting { .. } => return out,
             Place::Running { since, .. } => {
@@ -56,7 +57,11 @@
         let Some(found) = self.requests.get_mut(request) else {
             return out;
         };
+        if found.gone {
+            return out;
+        }
         self.counters.cancelled += 1;
+        found.gone = true;
         match &mut found.place {
             Place::Running { stopping, .. } => {
                 if !*stopping {
@@ -115,7 +120,7 @@
                 if is_late {
                     self.refuse(now, key, ProblemKind::DeadlinePassed, out);
                 } else if ask.is_some() {
-                    self.seek(now, key, out);
+                    self.admit(now, key, out);
                 } else {
                     self.refuse(now, key, ProblemKind::QueueFull, out);
                 }
@@ -132,6 +137,10 @@
         outcome: Outcome,
         out: &mut Vec<Action>,
     ) {
+        if self.requests[key].gone {
+            self.remove(key);
+            return;
+        }
         if self.retry(now, key, progress, outcome, out) {
             return;
         }
@@ -222,7 +231,7 @@
     ) {
         match outcome {
             Outcome::Done => self.siblings.note_done(sibling),
-            Outcome::Refused => self.siblings.note_declined(sibling, now),
+            Outcome::Refused | Outcome::Failed => self.siblings.note_declined(sibling, now),
             Outcome::Cut | Outcome::Silent if progress <= Progress::Written => {
                 self.siblings.note_lost(sibling, now);
             }
@@ -242,6 +251,16 @@
     }
 }
 
+/// Returns the outcome with regard to who ended the try: a try that was cancelled for a caller who
+/// still waits was silent, and a caller who has gone needs no answer.
+fn settle_outcome(outcome: Outcome, gone: bool) -> Outcome {
+    match outcome {
+        Outcome::Cancelled if !gone => Outcome::Silent,
+        Outcome::Cut | Outcome::Silent if gone => Outcome::Cancelled,
+        outcome => outcome,
+    }
+}
+
 /// Returns the kind that says "unknown" in place of one that says "not run".
 fn unknown_kind(problem: ProblemKind) -> ProblemKind {
     match problem {
--- a/crates/buckthornweir_requests/src/admission/handoff.rs
+++ b/crates/buckthornweir_requests/src/admission/handoff.rs
@@ -36,6 +36,9 @@
         }
         self.leave_queue(request);
         self.counters.handed += 1;
+        if self.requests[request].shared {
+            self.kept_rate.note(now);
+        }
         self.requests[request].place = Place::Handed {
             sibling,
             reservation,
@@ -58,7 +61,7 @@
         let mut out = Vec::new();
         self.siblings.note_declined(sibling, now);
         if self.is_asking(request, sibling) {
-            self.seek(now, request, &mut out);
+            self.admit(now, request, &mut out);
         }
         out
     }
@@ -73,7 +76,7 @@
             self.limit.give_back();
         }
         for key in self.keys_where(|r| r.ask().is_some_and(|a| a.sibling == sibling)) {
-            self.seek(now, key, &mut out);
+            self.admit(now, key, &mut out);
         }
         for key in self.keys_where(|r| is_at(r.place, sibling)) {
             let progress = match self.requests[key].answering {
@@ -86,12 +89,6 @@
         out
     }
 
-    /// Takes over the load that came along with a sibling's answer, in free slots and requests
-    /// a second.
-    pub fn note_load(&mut self, sibling: NodeId, free: u32, rate: f64) {
-        self.siblings.note_load(sibling, free, rate);
-    }
-
     /// Returns the sibling and the reservation with which a request was handed over.
     pub fn handed_to(&self, request: RequestKey) -> Option<(NodeId, ReservationId)> {
         match self.requests.get(request)?.place {
@@ -106,7 +103,7 @@
     /// Looks for a place: the next sibling, a slot or the queue; refuses where there is none.
     pub(super) fn seek(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
         let is_queued = self.requests[key].queued_until.is_some();
-        if self.ask_next(now, key, out) {
+        if self.ask_next(now, key, None, out) {
             if !is_queued {
                 self.enqueue(now, key);
             }
@@ -115,8 +112,7 @@
         if is_queued {
             return;
         }
-        let takes_work = self.state == ServingState::Ready;
-        if takes_work && self.queue.is_empty() && self.limit.try_acquire(now) {
+        if self.takes_work() && self.queue.is_empty() && self.limit.try_acquire(now) {
             self.start(now, key, out);
         } else if !self.enqueue(now, key) {
             let problem = self.lack_of_place();
@@ -124,15 +120,25 @@
         }
     }
 
-    /// Asks one more sibling; returns false where none is left.
-    fn ask_next(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) -> bool {
+    /// Asks one more sibling, with `below` only one of a lower rate; returns false where none is
+    /// left.
+    pub(super) fn ask_next(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        below: Option<f64>,
+        out: &mut Vec<Action>,
+    ) -> bool {
         let asks = self.requests.values().filter(|r| r.is_asking()).count();
         let request = &mut self.requests[key];
         request.place = Place::Waiting { ask: None };
         if request.asked.len() >= self.config.candidates || asks >= self.config.asks {
             return false;
         }
-        let Some(sibling) = self.siblings.pick(&mut self.rng, now, &request.asked) else {
+        let Some(sibling) = self
+            .siblings
+            .pick(&mut self.rng, now, &request.asked, below)
+        else {
             return false;
         };
         let until = now + self.config.ask_wait;
--- a/crates/buckthornweir_requests/src/admission/mod.rs
+++ b/crates/buckthornweir_requests/src/admission/mod.rs
@@ -10,6 +10,7 @@
 mod handoff;
 mod request;
 mod serving;
+mod sharing;
 
 use std::time::Duration;
 
@@ -22,9 +23,11 @@
 pub use request::Arrival;
 
 use crate::budget::RetryBudget;
+use crate::flow_shares::FlowShares;
+use crate::rate::Rate;
 use crate::reservation::Reservations;
 use crate::sibling::Siblings;
-use crate::{Limit, ProblemKind, Sibling, Token};
+use crate::{FlowId, Limit, ProblemKind, Sibling, Token};
 use request::{Place, Request};
 
 new_key_type! {
@@ -39,6 +42,11 @@
     state: ServingState,
     limit: Limit,
     budget: RetryBudget,
+    /// Requests of own flows that ran here, or would have but for load sharing.
+    kept_rate: Rate,
+    run_rate: Rate,
+    taken_rate: Rate,
+    flow_shares: FlowShares,
     siblings: Siblings,
     reservations: Reservations,
     requests: SlotMap<RequestKey, Request>,
@@ -59,6 +67,10 @@
             state: ServingState::Ready,
             limit: Limit::new(config.limit, now),
             budget: RetryBudget::new(config.budget),
+            kept_rate: Rate::new(now),
+            run_rate: Rate::new(now),
+            taken_rate: Rate::new(now),
+            flow_shares: FlowShares::default(),
             siblings: Siblings::default(),
             reservations: Reservations::new(salt, config.hold, config.memory),
             requests: SlotMap::with_key(),
@@ -110,13 +122,18 @@
         let mut out = Vec::new();
         self.counters.arrived += 1;
         self.budget.earn();
+        self.flow_shares.note(arrival.flow);
         let key = self.requests.insert(Request::new(arrival));
         if arrival.deadline <= now {
             self.refuse(now, key, ProblemKind::DeadlinePassed, &mut out);
             return (key, out);
         }
         match self.state {
-            ServingState::Ready => self.admit(now, key, &mut out),
+            ServingState::Ready => {
+                if !self.share(now, key, &mut out) {
+                    self.admit(now, key, &mut out);
+                }
+            }
             ServingState::Draining => self.seek(now, key, &mut out),
             ServingState::Out => self.refuse(now, key, ProblemKind::DomainOut, &mut out),
         }
@@ -131,8 +148,8 @@
             self.fill(now, &mut out);
             return out;
         }
-        self.queue.clear();
         for key in self.keys_where(Request::is_waiting) {
+            self.leave_queue(key);
             if state == ServingState::Out {
                 self.refuse(now, key, ProblemKind::DomainOut, &mut out);
             } else if !self.requests[key].is_asking() {
@@ -155,18 +172,18 @@
         out
     }
 
-    /// Returns when [`Admission::tick`] is to be called next.
-    pub fn next_wake(&self) -> Option<Duration> {
+    /// Returns when [`Admission::tick`] is to be called next, if no event comes before.
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
         let requests = self.requests.values().filter_map(Request::next_due).min();
-        let pause = (!self.queue.is_empty()).then(|| self.limit.paused_until());
-        let pause = pause.filter(|p| !p.is_zero());
+        let pause = Some(self.limit.paused_until());
+        let pause = pause.filter(|&p| p > now && !self.queue.is_empty());
         let reservations = self.reservations.next_expiry();
         [requests, pause, reservations].into_iter().flatten().min()
     }
 
     /// Runs the request at the own backend server if a slot is free, else looks further.
     fn admit(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
-        if self.queue.is_empty() && self.limit.try_acquire(now) {
+        if self.takes_work() && self.queue.is_empty() && self.limit.try_acquire(now) {
             self.start(now, key, out);
         } else {
             self.seek(now, key, out);
@@ -177,6 +194,10 @@
     fn start(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
         self.leave_queue(key);
         self.counters.run += 1;
+        self.run_rate.note(now);
+        if !self.requests[key].is_guest {
+            self.kept_rate.note(now);
+        }
         self.requests[key].place = Place::Running {
             since: now,
             stopping: false,
@@ -187,18 +208,39 @@
     /// Gives free slots to requests that wait.
     fn fill(&mut self, now: Duration, out: &mut Vec<Action>) {
         while !self.queue.is_empty() && self.limit.try_acquire(now) {
-            let key = self.queue.remove(0);
+            let key = self.next_queued();
             self.start(now, key, out);
         }
     }
 
+    /// Returns the first request of those whose flow has the fewest requests running here.
+    fn next_queued(&self) -> RequestKey {
+        let running = |flow| self.count_of(flow, |r| matches!(r.place, Place::Running { .. }));
+        let by_load = |key: &&RequestKey| running(self.requests[**key].arrival.flow);
+        let first = self.queue.iter().min_by_key(by_load);
+        first.copied().unwrap_or_default()
+    }
+
+    fn count_of(&self, flow: FlowId, wanted: impl Fn(&Request) -> bool) -> usize {
+        let of_flow = self.requests.values().filter(|r| r.arrival.flow == flow);
+        of_flow.filter(|r| wanted(r)).count()
+    }
+
+    fn takes_work(&self) -> bool {
+        self.state == ServingState::Ready
+    }
+
     /// Puts the request in the queue if it can be run in time.
     fn enqueue(&mut self, now: Duration, key: RequestKey) -> bool {
+        let flow = self.requests[key].arrival.flow;
+        let of_flow = self.count_of(flow, |r| r.queued_until.is_some());
+        let takes_work = self.takes_work();
         let request = &mut self.requests[key];
         let until = request.arrival.deadline.min(now + self.config.queue_wait);
-        let fits = self.state == ServingState::Ready
+        let fits = takes_work
             && !self.limit.is_paused(now)
             && self.queue.len() < self.config.queue
+            && of_flow < self.config.flow_queue
             && now + queue_wait(&self.limit, self.queue.len()) <= until;
         if fits {
             request.queued_until = Some(until);
--- a/crates/buckthornweir_requests/src/admission/request.rs
+++ b/crates/buckthornweir_requests/src/admission/request.rs
@@ -47,10 +47,14 @@
     pub(crate) tries: u32,
     /// Whether the request came from a sibling, which decides about retries.
     pub(crate) is_guest: bool,
+    /// Whether a sibling was asked to share load, not for want of a slot.
+    pub(crate) shared: bool,
     /// Whether an earlier try may have run.
     pub(crate) maybe_run: bool,
     /// Whether the answer's head was seen, so that the deadline is met.
     pub(crate) answering: bool,
+    /// Whether the caller gave the request up.
+    pub(crate) gone: bool,
 }
 
 impl Request {
@@ -62,8 +66,10 @@
             asked: Vec::new(),
             tries: 0,
             is_guest: false,
+            shared: false,
             maybe_run: false,
             answering: false,
+            gone: false,
         }
     }
 
--- a/crates/buckthornweir_requests/src/admission/serving.rs
+++ b/crates/buckthornweir_requests/src/admission/serving.rs
@@ -27,7 +27,7 @@
             });
             return out;
         }
-        let is_free = self.state == ServingState::Ready
+        let is_free = self.takes_work()
             && deadline > now
             && self.queue.is_empty()
             && self.limit.try_acquire(now);
@@ -68,6 +68,7 @@
             ..Request::new(arrival)
         });
         self.counters.taken += 1;
+        self.taken_rate.note(now);
         if let Some(problem) = self.refusal_of_guest(now, worth, arrival) {
             if worth == Worth::Held {
                 self.limit.give_back();
@@ -116,7 +117,7 @@
         if worth == Worth::Held {
             return None;
         }
-        let is_free = self.state == ServingState::Ready && self.limit.try_acquire(now);
+        let is_free = self.takes_work() && self.limit.try_acquire(now);
         (!is_free).then_some(ProblemKind::NoSlot)
     }
 }
--- /dev/null
+++ b/crates/buckthornweir_requests/src/admission/sharing.rs
@@ -0,0 +1,66 @@
+//! Load sharing: an agent that gets more than its part hands the excess over, also while it has
+//! free slots of its own.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::{Action, Admission, RequestKey};
+use crate::FlowId;
+use crate::messages::Load;
+
+/// Thousandths in one, for rates in messages.
+const MILLI: f64 = 1_000.0;
+
+impl Admission {
+    /// Returns the load of the backend server, to be told to siblings.
+    pub fn load(&self, now: Duration) -> Load {
+        let free = if self.takes_work() {
+            self.limit.free_at(now)
+        } else {
+            0
+        };
+        let rate_milli = (self.run_rate.get(now) * MILLI) as u32;
+        Load { free, rate_milli }
+    }
+
+    /// Takes over the load that came along with a sibling's answer.
+    pub fn note_load(&mut self, sibling: crate::NodeId, load: Load) {
+        let rate = f64::from(load.rate_milli) / MILLI;
+        self.siblings.note_load(sibling, load.free, rate);
+    }
+
+    /// Asks a less loaded sibling first if this agent gets more than its part.
+    pub(super) fn share(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) -> bool {
+        let flow = self.requests[key].arrival.flow;
+        let part = self.part_to_share(now, flow);
+        if part <= 0.0 || self.rng.random_range(0.0..1.0) >= part {
+            return false;
+        }
+        let mean = self.siblings.mean_rate(self.run_rate.get(now));
+        let asked = self.ask_next(now, key, mean, out);
+        self.requests[key].shared = asked;
+        self.counters.shared += u64::from(asked);
+        asked
+    }
+
+    /// Returns the part of a flow's requests that is to be handed over, from 0 to 1.
+    ///
+    /// The excess is taken from heavy flows first, so that few flows pay the detour.
+    fn part_to_share(&self, now: Duration, flow: FlowId) -> f64 {
+        let Some(mean) = self.siblings.mean_rate(self.run_rate.get(now)) else {
+            return 0.0;
+        };
+        let kept = self.kept_rate.get(now);
+        let potential = kept + self.taken_rate.get(now);
+        if kept <= 0.0 || potential <= mean * self.config.share_above {
+            return 0.0;
+        }
+        let excess = ((potential - mean) / kept).min(1.0);
+        let heavy = self.flow_shares.heavy_total();
+        if self.flow_shares.heavy(flow).is_some() {
+            return (excess / heavy).min(1.0);
+        }
+        ((excess - heavy) / (1.0 - heavy).max(f64::EPSILON)).clamp(0.0, 1.0)
+    }
+}
--- a/crates/buckthornweir_requests/src/lib.rs
+++ b/crates/buckthornweir_requests/src/lib.rs
@@ -17,9 +17,11 @@
 
 mod admission;
 mod budget;
+mod flow_shares;
 mod limit;
 pub mod messages;
 mod outcome;
+mod rate;
 mod refusal;
 mod reservation;
 mod sibling;
--- a/crates/buckthornweir_requests/src/limit.rs
+++ b/crates/buckthornweir_requests/src/limit.rs
@@ -6,8 +6,12 @@
 
 /// Weight of one sample in the fast average of latencies.
 const FAST_WEIGHT: f64 = 0.25;
-/// Weight of one sample in the slow average of latencies.
-const SLOW_WEIGHT: f64 = 0.02;
+/// Least weight of one sample in the usual latency.
+const USUAL_WEIGHT: f64 = 0.01;
+/// Most by which the time to warm up is lengthened.
+const WARM_UP_FACTOR: u32 = 8;
+/// Samples from which on the usual latency is trusted.
+const USUAL_SAMPLES: u32 = 16;
 
 /// Settings of a [`Limit`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,17 +20,25 @@
     pub slots: u32,
     /// First limit of a cold backend server.
     pub cold: u32,
+    /// Time in which a cold backend server may reach all of its slots, at the earliest.
+    pub warm_up: Duration,
     /// Good outcomes at the limit that raise it by one.
     pub raise_after: u32,
     /// Shortest time between two raises.
     pub raise_gap: Duration,
+    /// Longest time between two raises, reached when raises keep failing.
+    pub gap_most: Duration,
     /// Bad outcomes in a row that mean the backend server turned cold.
     pub cold_after: u32,
-    /// Slow answers in a row that lower the limit by one.
+    /// Answers in a row with a slow recent mean that halve the limit.
     pub slow_after: u32,
-    /// An answer is slow from this multiple of the usual latency on.
+    /// Errors of the backend server's own in a row after which it gets a pause.
+    pub fail_after: u32,
+    /// Time without a request after which half of the limit is trusted.
+    pub idle_after: Duration,
+    /// The recent mean latency is slow from this multiple of the usual latency on.
     pub slow_factor: f64,
-    /// An answer faster than this is never slow.
+    /// A latency below this is never slow.
     pub slow_floor: Duration,
     /// First pause after a backend server turned cold or was lost at a limit of one.
     pub pause: Duration,
@@ -39,10 +51,14 @@
         Self {
             slots: 5,
             cold: 1,
+            warm_up: Duration::from_secs(10),
             raise_after: 4,
-            raise_gap: Duration::from_millis(250),
+            raise_gap: Duration::from_secs(1),
+            gap_most: Duration::from_secs(8),
             cold_after: 2,
             slow_after: 3,
+            fail_after: 8,
+            idle_after: Duration::from_secs(60),
             slow_factor: 3.0,
             slow_floor: Duration::from_millis(20),
             pause: Duration::from_millis(50),
@@ -68,22 +84,52 @@
 /// Limit on the requests that one backend server runs at a time.
 ///
 /// The limit starts at `cold`, rises by one after a run of good outcomes while it was used up,
-/// falls on refusals, losses and slow answers, and never passes `slots`.
+/// falls on refusals, losses and slow answers, and never passes `slots`. Losses in a row show that
+/// the backend server restarted: the limit falls to `cold`, and after further losses the backend
+/// server gets pauses that double.
+///
+/// ```
+/// use std::time::Duration;
+/// use buckthornweir_requests::{Limit, LimitConfig, Outcome};
+///
+/// let now = Duration::ZERO;
+/// let mut limit = Limit::new(LimitConfig::default(), now);
+/// assert!(limit.try_acquire(now));
+/// assert!(!limit.try_acquire(now));
+/// limit.release(Outcome::Done, Duration::from_millis(20), now);
+/// assert_eq!(limit.free(), 1);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Limit {
     config: LimitConfig,
     limit: u32,
+    /// Highest limit since the backend server turned cold.
+    peak: u32,
     in_flight: u32,
+    /// Good outcomes since the last change.
     good: u32,
+    /// Refusals and losses in a row.
     bad: u32,
+    /// Errors of the backend server's own in a row.
+    failed: u32,
+    /// Answers in a row with a slow recent mean.
     slow: u32,
+    /// Whether the limit was used up since the last change.
     full: bool,
     raised: Duration,
     lowered: Duration,
+    used: Duration,
+    cold_since: Duration,
+    warm_up: Duration,
+    gap: Duration,
     paused: Duration,
     pause: Duration,
+    /// Mean latency of late, in seconds.
     fast: Option<f64>,
-    usual: Option<f64>,
+    /// Usual latency, in seconds.
+    usual: f64,
+    /// Samples of the usual latency.
+    samples: u32,
 }
 
 impl Limit {
@@ -93,17 +139,24 @@
         Self {
             config,
             limit: config.cold.min(config.slots),
+            peak: config.cold.min(config.slots),
             in_flight: 0,
             good: 0,
             bad: 0,
+            failed: 0,
             slow: 0,
             full: false,
             raised: now,
             lowered: now,
+            used: now,
+            cold_since: now,
+            warm_up: config.warm_up,
+            gap: config.raise_gap,
             paused: Duration::ZERO,
             pause: config.pause,
             fast: None,
-            usual: None,
+            usual: 0.0,
+            samples: 0,
         }
     }
 
@@ -144,12 +197,14 @@
 
     /// Takes a slot; returns false where none is free.
     pub fn try_acquire(&mut self, now: Duration) -> bool {
+        self.distrust_after_idle(now);
         if self.free_at(now) == 0 {
             self.full = true;
             return false;
         }
         self.in_flight += 1;
         self.full |= self.in_flight >= self.limit;
+        self.used = now;
         true
     }
 
@@ -161,33 +216,35 @@
     /// Gives a slot back and learns from the outcome that its request had.
     pub fn release(&mut self, outcome: Outcome, latency: Duration, now: Duration) {
         self.give_back();
+        self.used = now;
         let started = now.saturating_sub(latency);
         match outcome {
             Outcome::Done => self.note_good(latency, now),
-            Outcome::Refused | Outcome::Cut | Outcome::Silent => self.note_bad(started, now),
+            Outcome::Refused => self.note_refused(started, now),
+            Outcome::Cut => self.note_lost(started, now),
+            Outcome::Silent if self.is_long(latency) => self.note_lost(started, now),
             Outcome::Failed => self.note_failed(started, now),
-            Outcome::Cancelled => {}
+            // A deadline shorter than usual answers take tells nothing about the backend server.
+            Outcome::Silent | Outcome::Cancelled => {}
         }
     }
 
     /// Sets the limit back to that of a cold backend server.
     pub fn turn_cold(&mut self, now: Duration) {
-        self.limit = self.config.cold.min(self.config.slots);
-        self.good = 0;
-        self.bad = 0;
-        self.slow = 0;
-        self.full = false;
-        self.raised = now;
-        self.lowered = now;
+        self.learn_warm_up(now);
+        self.set_lower(self.config.cold.min(self.limit), now);
+        self.cold_since = now;
+        self.peak = self.limit;
+        self.gap = self.config.raise_gap;
         self.fast = None;
     }
 
     fn note_good(&mut self, latency: Duration, now: Duration) {
         self.bad = 0;
+        self.failed = 0;
         self.pause = self.config.pause;
-        let is_slow = self.is_slow(latency);
         self.learn(latency);
-        if is_slow {
+        if self.is_slow() {
             self.note_slow(now.saturating_sub(latency), now);
             return;
         }
@@ -195,90 +252,143 @@
         self.good += 1;
         if self.may_raise(now) {
             self.limit += 1;
+            self.peak = self.peak.max(self.limit);
             self.good = 0;
             self.full = false;
             self.raised = now;
+            self.gap = (self.gap / 2).max(self.config.raise_gap);
         }
     }
 
     fn may_raise(&self, now: Duration) -> bool {
-        self.limit < self.config.slots
+        self.limit < self.ceiling(now)
             && self.full
             && self.good >= self.config.raise_after
-            && now >= self.raised + self.config.raise_gap
+            && now >= self.raised + self.gap
+    }
+
+    /// Doubles the time to warm up if the backend server fell while it was warming up.
+    fn learn_warm_up(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.cold_since);
+        if age >= self.warm_up * 2 {
+            self.warm_up = self.config.warm_up;
+        } else if self.peak > self.config.cold {
+            self.warm_up = (self.warm_up * 2).min(self.config.warm_up * WARM_UP_FACTOR);
+        }
+    }
+
+    /// Returns the most that a backend server may get so long after it turned cold.
+    fn ceiling(&self, now: Duration) -> u32 {
+        let age = now.saturating_sub(self.cold_since);
+        if age >= self.warm_up {
+            return self.config.slots;
+        }
+        let cold = self.config.cold.min(self.config.slots);
+        let part = age.div_duration_f64(self.warm_up);
+        cold + (f64::from(self.config.slots - cold) * part) as u32
     }
 
     fn note_slow(&mut self, started: Duration, now: Duration) {
         self.good = 0;
         self.slow += 1;
         if self.slow >= self.config.slow_after && started >= self.lowered {
-            self.lower(now);
+            self.set_lower(self.limit / 2, now);
+            self.lengthen_gap();
+            self.fast = None;
         }
     }
 
     /// Errors of the backend server's own lower the limit only when they come in a row.
     fn note_failed(&mut self, started: Duration, now: Duration) {
         self.good = 0;
-        self.bad += 1;
-        if self.bad > self.config.cold_after && started >= self.lowered {
-            self.lower(now);
+        self.failed += 1;
+        if self.failed <= self.config.cold_after || started < self.lowered {
+            return;
+        }
+        self.set_lower(self.limit - 1, now);
+        if self.failed >= self.config.fail_after {
+            self.take_pause(now);
         }
     }
 
-    fn note_bad(&mut self, started: Duration, now: Duration) {
+    /// Requests that started before the limit was last lowered tell nothing about it.
+    fn note_refused(&mut self, started: Duration, now: Duration) {
         self.good = 0;
-        self.bad += 1;
-        // Requests that started before the last change tell nothing about the limit of today.
         if started < self.lowered {
             return;
         }
+        self.bad += 1;
+        self.lengthen_gap();
         if self.limit <= self.config.cold {
-            self.lower(now);
+            self.set_lower(self.limit - 1, now);
             self.take_pause(now);
-        } else if self.bad >= self.config.cold_after {
+        } else if self.bad > self.config.cold_after {
             self.turn_cold(now);
-            self.take_pause(now);
         } else {
-            self.lower_keeping_run(now);
+            self.set_lower(self.limit - 1, now);
         }
     }
 
-    fn lower(&mut self, now: Duration) {
-        self.lower_keeping_run(now);
-        self.bad = 0;
-        self.slow = 0;
+    fn note_lost(&mut self, started: Duration, now: Duration) {
+        self.good = 0;
+        self.bad += 1;
+        let is_news = started >= self.lowered;
+        if self.bad >= self.config.cold_after && (is_news || self.limit > self.config.cold) {
+            self.turn_cold(now);
+            self.take_pause(now);
+        } else if is_news {
+            self.set_lower(self.limit - 1, now);
+            if self.limit <= self.config.cold {
+                self.take_pause(now);
+            }
+        }
+    }
+
+    /// Lets more time pass before the next raise.
+    fn lengthen_gap(&mut self) {
+        self.gap = (self.gap * 2).min(self.config.gap_most);
     }
 
-    fn lower_keeping_run(&mut self, now: Duration) {
-        self.limit = (self.limit - 1).max(1);
+    /// Lowers the limit, to one at least.
+    fn set_lower(&mut self, limit: u32, now: Duration) {
+        self.limit = limit.max(1);
+        self.good = 0;
+        self.slow = 0;
         self.full = false;
         self.raised = now;
         self.lowered = now;
     }
 
+    fn distrust_after_idle(&mut self, now: Duration) {
+        let is_idle = self.in_flight == 0 && now >= self.used + self.config.idle_after;
+        if is_idle {
+            self.limit = (self.limit / 2).max(self.config.cold.min(self.config.slots));
+            self.used = now;
+        }
+    }
+
     fn take_pause(&mut self, now: Duration) {
         self.paused = now + self.pause;
         self.pause = (self.pause * 2).min(self.config.pause_most);
     }
 
-    fn is_slow(&self, latency: Duration) -> bool {
-        let Some(usual) = self.usual else {
-            return false;
-        };
-        latency >= self.config.slow_floor && latency.as_secs_f64() > usual * self.config.slow_factor
+    fn is_slow(&self) -> bool {
+        let recent = Duration::from_secs_f64(self.fast.unwrap_or_default());
+        self.samples >= USUAL_SAMPLES && self.is_long(recent)
+    }
+
+    /// Returns whether the latency is well above the usual one, as far as that is known.
+    fn is_long(&self, latency: Duration) -> bool {
+        latency >= self.config.slow_floor
+            && latency.as_secs_f64() > self.usual * self.config.slow_factor
     }
 
     fn learn(&mut self, latency: Duration) {
         let sample = latency.as_secs_f64();
         let fast = self.fast.unwrap_or(sample);
-        let usual = self.usual.unwrap_or(sample);
         self.fast = Some(fast + (sample - fast) * FAST_WEIGHT);
-        // Falls at once to a faster answer's level, rises slowly.
-        let weight = if sample < usual {
-            FAST_WEIGHT
-        } else {
-            SLOW_WEIGHT
-        };
-        self.usual = Some(usual + (sample - usual) * weight);
+        self.samples = self.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(self.samples)).max(USUAL_WEIGHT);
+        self.usual += (sample - self.usual) * weight;
     }
 }
--- a/crates/buckthornweir_requests/src/sibling.rs
+++ b/crates/buckthornweir_requests/src/sibling.rs
@@ -1,5 +1,6 @@
 //! The other agents of a service, as far as their reports and outcomes tell.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -40,8 +41,8 @@
     pub state: SiblingState,
     /// Free slots of its backend server.
     pub free: u32,
-    /// Requests a second that its backend server ran lately.
-    pub rate: f64,
+    /// Requests a second that its backend server ran lately, if reported.
+    pub rate: Option<f64>,
 }
 
 impl Sibling {
@@ -62,7 +63,7 @@
 
     /// Sets the requests a second.
     pub fn with_rate(mut self, rate: f64) -> Self {
-        self.rate = rate;
+        self.rate = Some(rate);
         self
     }
 
@@ -109,15 +110,20 @@
     /// Returns the better of two siblings drawn at random, leaving out those in `tried`.
     ///
     /// Siblings whose outcomes were bad lately aren't drawn. A report of no free slot counts
-    /// only in the comparison, since reports lag.
+    /// only in the comparison, since reports lag. With `below`, only siblings that reported a
+    /// lower rate are drawn.
     pub(crate) fn pick(
         &self,
         rng: &mut ChaCha8Rng,
         now: Duration,
         tried: &[NodeId],
+        below: Option<f64>,
     ) -> Option<NodeId> {
         let fits = |k: &&Known| {
-            k.sibling.takes_work() && k.avoided <= now && !tried.contains(&k.sibling.node)
+            k.sibling.takes_work()
+                && k.avoided <= now
+                && !tried.contains(&k.sibling.node)
+                && below.is_none_or(|most| k.sibling.rate.is_some_and(|r| r < most))
         };
         let count = self.known.iter().filter(fits).count();
         let first = pick_nth(self.known.iter().filter(fits), rng, count)?;
@@ -130,7 +136,15 @@
             .filter(fits)
             .filter(|k| k.sibling.node != first.sibling.node);
         let second = pick_nth(others, rng, count - 1)?;
-        Some(better(first, second).sibling.node)
+        Some(better(first, second, below.is_some()).sibling.node)
+    }
+
+    /// Returns the mean of the reported rates, counting `own` as one more.
+    pub(crate) fn mean_rate(&self, own: f64) -> Option<f64> {
+        let working = self.known.iter().filter(|k| k.sibling.takes_work());
+        let rates = working.filter_map(|k| k.sibling.rate);
+        let (sum, count) = rates.fold((0.0, 0.0), |(s, n), rate| (s + rate, n + 1.0));
+        (count > 0.0).then(|| (sum + own) / (count + 1.0))
     }
 
     /// Notes that a sibling granted a slot.
@@ -168,7 +182,7 @@
     pub(crate) fn note_load(&mut self, node: NodeId, free: u32, rate: f64) {
         if let Some(known) = self.find(node) {
             known.sibling.free = free;
-            known.sibling.rate = rate;
+            known.sibling.rate = Some(rate);
         }
     }
 
@@ -196,13 +210,18 @@
     siblings.nth(rng.random_range(0..count))
 }
 
-/// Prefers free slots, then the lower rate.
-fn better<'a>(a: &'a Known, b: &'a Known) -> &'a Known {
+/// Prefers free slots, then the lower rate; the other way round for load sharing.
+fn better<'a>(a: &'a Known, b: &'a Known, by_rate: bool) -> &'a Known {
     let (x, y) = (&a.sibling, &b.sibling);
-    match x.free.cmp(&y.free) {
-        std::cmp::Ordering::Greater => a,
-        std::cmp::Ordering::Less => b,
-        std::cmp::Ordering::Equal if x.rate <= y.rate => a,
-        std::cmp::Ordering::Equal => b,
-    }
+    let slots = y.free.cmp(&x.free);
+    let rates = x
+        .rate
+        .unwrap_or_default()
+        .total_cmp(&y.rate.unwrap_or_default());
+    let order = if by_rate {
+        rates.then(slots)
+    } else {
+        slots.then(rates)
+    };
+    if order == Ordering::Greater { b } else { a }
 }
--- a/crates/buckthornweir_requests/tests/admission.rs
+++ b/crates/buckthornweir_requests/tests/admission.rs
@@ -99,6 +99,6 @@
     let _ = admission.reserve_asked(ms(0), 2, 5, DEADLINE);
     let (request, actions) = admission.arrive(ms(1), arrival(1));
     assert_eq!(actions, []);
-    assert_eq!(admission.next_wake(), Some(ms(100)));
+    assert_eq!(admission.next_wake(ms(1)), Some(ms(100)));
     assert_eq!(admission.tick(ms(100)), [Action::Run { request }]);
 }
