Add the stand-ins: fabric with callers, backend servers, books

Cause: the contract test of the whole path needs callers behind a fabric that sprays packets, and backend servers that misbehave and keep their own books.

Change: one smoltcp stack per connection, in 64 shards under their own locks, each driven by its own timer task, so no poll scans other connections. The backend server is hyper over kernel TCP; its faults are one enum.

Conclusion: bytes come back whole through three balancers with 3 % loss and 30 % duplicates (tests/fabric.rs). The backend server's faults have no tests yet; they follow.

--- /dev/null
+++ b/crates/buckthornweir_standins/src/caller.rs
@@ -0,0 +1,149 @@
+//! A caller that speaks HTTP over the fabric.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::backend::{AnswerBody, headers};
+use crate::fabric::{self, Fabric};
+
+/// The result of calls on a caller.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Says why a caller got no whole answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The connection could not be established.
+        Connect(err: fabric::Error) {
+            from()
+            source(err)
+            display("connect: {err}")
+        }
+        /// The connection broke before the answer's headers had arrived.
+        Broken(err: hyper::Error) {
+            source(err)
+            display("connection broken before the answer: {err}")
+        }
+        /// The connection broke in the middle of the answer.
+        Short(status: StatusCode, err: hyper::Error) {
+            source(err)
+            display("connection broken in the middle of an answer with status {status}: {err}")
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct CallerAnswer {
+    /// The answer's status.
+    pub status: StatusCode,
+    /// The answer's headers.
+    pub headers: HeaderMap,
+    /// The answer's body, as long as its headers say.
+    pub body: Bytes,
+}
+
+impl CallerAnswer {
+    /// Returns the body that a backend server wrote, or nothing when it is not such a body.
+    #[must_use]
+    pub fn echo(&self) -> Option<AnswerBody> {
+        serde_json::from_slice(&self.body).ok()
+    }
+
+    /// Tells whether the answer says that the request was not run.
+    #[must_use]
+    pub fn says_not_run(&self) -> bool {
+        let header = self.headers.get(headers::NOT_RUN);
+        header.is_some_and(|value| value == "yes") || self.has_not_run_problem()
+    }
+
+    fn has_not_run_problem(&self) -> bool {
+        let kind = self.headers.get(http::header::CONTENT_TYPE);
+        let problem = kind.is_some_and(|kind| kind == "application/problem+json");
+        problem && String::from_utf8_lossy(&self.body).contains("not run")
+    }
+}
+
+/// A caller with one connection, which sends one request at a time and never retries.
+///
+/// Dropping it closes the connection, and with it abandons a request that is on its way.
+pub struct HttpCaller {
+    sender: SendRequest<Full<Bytes>>,
+    service: SocketAddr,
+    local: SocketAddr,
+    _driver: AbortOnDropHandle<()>,
+}
+
+impl HttpCaller {
+    /// Connects to a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection can't be established.
+    pub async fn connect(fabric: &Fabric, service: SocketAddr) -> Result<Self> {
+        let stream = fabric.connect(service).await?;
+        let local = stream.local_addr();
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(Error::Broken)?;
+        let driver = tokio::spawn(async move {
+            // The request that was under way reports the same failure.
+            drop(connection.await);
+        });
+        Ok(Self {
+            sender,
+            service,
+            local,
+            _driver: AbortOnDropHandle::new(driver),
+        })
+    }
+
+    /// Returns the caller's own address and port.
+    #[must_use]
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Tells whether the connection has been closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection breaks before the answer is whole.
+    pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> Result<CallerAnswer> {
+        if let Ok(host) = http::HeaderValue::try_from(self.service.to_string()) {
+            request
+                .headers_mut()
+                .entry(http::header::HOST)
+                .or_insert(host);
+        }
+        self.sender.ready().await.map_err(Error::Broken)?;
+        let response = self
+            .sender
+            .send_request(request)
+            .await
+            .map_err(Error::Broken)?;
+        let (parts, body) = response.into_parts();
+        let whole = body
+            .collect()
+            .await
+            .map_err(|err| Error::Short(parts.status, err))?;
+        Ok(CallerAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body: whole.to_bytes(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_standins/src/fabric/mod.rs
@@ -0,0 +1,211 @@
+//! A fabric that sprays the packets of its callers over all balancers.
+
+mod config;
+mod connection;
+mod outlet;
+mod packet;
+mod shards;
+mod stack;
+mod stream;
+
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use quick_error::quick_error;
+use tokio::net::UdpSocket;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use connection::Connection;
+use outlet::Outlet;
+use shards::Shards;
+
+pub use config::FabricConfig;
+pub use outlet::FabricCounters;
+pub use stream::CallerStream;
+
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_LIMIT: usize = 65_536;
+/// Caller addresses are 10.200.x.y; this many are used before a port is used twice.
+const ADDRESSES: u64 = 250 * 250;
+const FIRST_PORT: u64 = 10_000;
+const PORTS: u64 = 50_000;
+
+/// The result of calls on the fabric.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Says why the fabric or a connection on it failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The fabric's socket failed.
+        Socket(err: io::Error) {
+            from()
+            source(err)
+            display("fabric socket: {err}")
+        }
+        /// The other end answered the first packet with a reset.
+        Refused(service: SocketAddr) {
+            display("{service} refused the connection")
+        }
+        /// No connection was established within the time limit.
+        TimedOut(service: SocketAddr) {
+            display("no connection to {service} within the time limit")
+        }
+        /// All caller addresses are in use.
+        NoAddress {
+            display("all caller addresses are in use")
+        }
+        /// The caller's TCP stack could not be set up.
+        Stack {
+            display("the caller's TCP stack could not be set up")
+        }
+    }
+}
+
+/// A UDP socket that plays the fabric, with callers behind it.
+///
+/// Clones share the socket; the fabric ends when the last clone is dropped.
+#[derive(Clone)]
+pub struct Fabric {
+    inner: Arc<Inner>,
+    _guard: Arc<DropGuard>,
+}
+
+struct Inner {
+    config: FabricConfig,
+    addr: SocketAddr,
+    outlet: Arc<Outlet>,
+    shards: Arc<Shards>,
+    next: AtomicU64,
+    token: CancellationToken,
+}
+
+impl Fabric {
+    /// Binds the fabric's socket and starts to deliver what arrives on it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the socket can't be bound.
+    pub async fn start(config: FabricConfig) -> Result<Self> {
+        let socket = std::net::UdpSocket::bind(config.bind)?;
+        socket.set_nonblocking(true)?;
+        let addr = socket.local_addr()?;
+        let outlet = Arc::new(Outlet::new(socket.try_clone()?, &config));
+        let shards = Arc::new(Shards::default());
+        let token = CancellationToken::new();
+        let reader = deliver(UdpSocket::from_std(socket)?, shards.clone(), outlet.clone());
+        tokio::spawn(token.clone().run_until_cancelled_owned(reader));
+        let guard = Arc::new(token.clone().drop_guard());
+        let next = AtomicU64::new(0);
+        let inner = Inner {
+            config,
+            addr,
+            outlet,
+            shards,
+            next,
+            token,
+        };
+        Ok(Self {
+            inner: Arc::new(inner),
+            _guard: guard,
+        })
+    }
+
+    /// Returns the address of the fabric's socket.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.inner.addr
+    }
+
+    /// Replaces the balancers that packets are sprayed over.
+    pub fn set_balancers(&self, balancers: Vec<SocketAddr>) {
+        self.inner.outlet.set_balancers(balancers);
+    }
+
+    /// Replaces the share of packets that are lost, in each direction.
+    pub fn set_loss(&self, loss: f64) {
+        self.inner.outlet.set_loss(loss);
+    }
+
+    /// Returns how many packets went out, came in and were dropped so far.
+    #[must_use]
+    pub fn counters(&self) -> FabricCounters {
+        self.inner.outlet.counters()
+    }
+
+    /// Returns the number of connections that the fabric holds.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.inner.shards.len()
+    }
+
+    /// Connects a fresh caller to a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection is refused, when it isn't established within the
+    /// time limit, or when no caller address is free.
+    pub async fn connect(&self, service: SocketAddr) -> Result<CallerStream> {
+        let inner = &self.inner;
+        let number = inner.next.fetch_add(1, Ordering::Relaxed);
+        let local = caller_address(number, service.is_ipv6());
+        let connection = Connection::open(local, service, number, &inner.config, &inner.outlet)?;
+        if !inner.shards.insert(local, connection.clone()) {
+            return Err(Error::NoAddress);
+        }
+        let drive = connection::drive(connection.clone(), local, inner.shards.clone());
+        tokio::spawn(inner.token.clone().run_until_cancelled_owned(drive));
+        let stream = CallerStream::new(connection, local, service);
+        let established = stream.established();
+        match tokio::time::timeout(inner.config.connect_limit, established).await {
+            Ok(true) => Ok(stream),
+            Ok(false) => Err(Error::Refused(service)),
+            Err(_) => {
+                stream.abort();
+                Err(Error::TimedOut(service))
+            }
+        }
+    }
+}
+
+/// Returns the address and port of the caller with this number.
+fn caller_address(number: u64, six: bool) -> SocketAddr {
+    let host = number % ADDRESSES;
+    let port = (FIRST_PORT + (number / ADDRESSES + host * 7) % PORTS) as u16;
+    let (high, low) = ((host / 250) as u8, (host % 250) as u8 + 1);
+    let ip = if six {
+        IpAddr::V6(Ipv6Addr::new(
+            0xfd00,
+            0xc8,
+            0,
+            0,
+            0,
+            0,
+            high.into(),
+            low.into(),
+        ))
+    } else {
+        IpAddr::V4(Ipv4Addr::new(10, 200, high, low))
+    };
+    SocketAddr::new(ip, port)
+}
+
+/// Gives each datagram that arrives to the caller that it is addressed to.
+async fn deliver(socket: UdpSocket, shards: Arc<Shards>, outlet: Arc<Outlet>) {
+    let mut buf = vec![0; DATAGRAM_LIMIT];
+    loop {
+        let Ok((len, _)) = socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        let Some(target) = packet::target(&buf[..len]) else {
+            outlet.count_malformed();
+            continue;
+        };
+        match shards.get(target.to) {
+            Some(connection) => connection.receive(&buf[..len], target.reset),
+            None => outlet.count_unknown(),
+        }
+    }
+}
