--- a/crates/buckthornweir_standins/src/backend/endpoints.rs
+++ b/crates/buckthornweir_standins/src/backend/endpoints.rs
@@ -1,28 +1,24 @@
 //! What a backend server answers.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::time::{Sleep, sleep};
+use tokio::time::sleep;
 
+use super::answer::{Answer, AnswerBody, json, plain, refusal};
 use super::book::{Book, BookEntry, End};
 use super::slots::{SlotGuard, Slots, Verdict};
 use super::{BackendConfig, Fault};
 use crate::clock::uptime;
 
-/// How long a connection that is about to be cut stays open after its last bytes.
-const CUT_DELAY: Duration = Duration::from_millis(20);
 /// Largest padding of an answer, in bytes.
 const PADDING_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -38,21 +34,6 @@
     pub const NOT_RUN: &str = "x-not-run";
 }
 
-/// The body of an answer, by which a caller can check that it is its own, and whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnswerBody {
-    /// The service of the backend server.
-    pub service: SmolStr,
-    /// The backend server's name.
-    pub backend: SmolStr,
-    /// The request's id.
-    pub request_id: SmolStr,
-    /// The request's path and query.
-    pub path: SmolStr,
-    /// As many bytes as the query's `bytes` asked for.
-    pub padding: String,
-}
-
 /// What the load endpoint says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -77,8 +58,6 @@
     draining: bool,
 }
 
-type Answer = Response<AnswerStream>;
-
 impl Endpoints {
     pub(crate) fn new(config: BackendConfig) -> Self {
         let slots = Slots::new(config.slots, config.cold_slots, config.cold_time, uptime());
@@ -196,14 +175,14 @@
             .collect()
             .await
             .map_err(io::Error::other)?;
-        if deadline.is_some_and(|deadline| deadline < self.config.work) {
-            sleep(deadline.unwrap_or_default()).await;
+        let time = deadline.map_or(self.config.work, |deadline| deadline.min(self.config.work));
+        if !time.is_zero() {
+            sleep(time).await;
+        }
+        if time < self.config.work {
             run.end(End::Expired);
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "deadline"));
         }
-        if !self.config.work.is_zero() {
-            sleep(self.config.work).await;
-        }
         match fault {
             Fault::LyingHealth => {
                 run.end(End::Failed);
@@ -311,90 +290,3 @@
     let bytes = bytes.and_then(|bytes| bytes.parse().ok()).unwrap_or(0);
     bytes.min(PADDING_LIMIT)
 }
-
-fn refusal() -> Answer {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "not run");
-    response
-        .headers_mut()
-        .insert(headers::NOT_RUN, HeaderValue::from_static("yes"));
-    response
-        .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    response
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Answer {
-    answer(status, "text/plain", Bytes::from_static(text.as_bytes()))
-}
-
-fn json<T: Serialize>(value: &T) -> Answer {
-    match serde_json::to_vec(value) {
-        Ok(bytes) => answer(StatusCode::OK, "application/json", bytes.into()),
-        Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "not encodable"),
-    }
-}
-
-fn answer(status: StatusCode, kind: &'static str, bytes: Bytes) -> Answer {
-    let length = HeaderValue::from(bytes.len());
-    let mut response = Response::new(AnswerStream::whole(bytes));
-    *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
-    response.headers_mut().insert(CONTENT_LENGTH, length);
-    response
-}
-
-/// The bytes of an answer, which can break off before the end.
-pub(crate) struct AnswerStream {
-    bytes: Bytes,
-    cut: Option<Pin<Box<Sleep>>>,
-    length: u64,
-}
-
-impl AnswerStream {
-    fn whole(bytes: Bytes) -> Self {
-        Self {
-            length: bytes.len() as u64,
-            bytes,
-            cut: None,
-        }
-    }
-
-    fn cut_at(&mut self, len: usize) {
-        self.bytes.truncate(len);
-        self.cut = Some(Box::pin(sleep(CUT_DELAY)));
-    }
-
-    fn cut_in_middle(&mut self) {
-        self.cut_at(self.bytes.len() / 2);
-    }
-}
-
-impl Body for AnswerStream {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if !self.bytes.is_empty() {
-            let bytes = std::mem::take(&mut self.bytes);
-            return Poll::Ready(Some(Ok(Frame::data(bytes))));
-        }
-        let Some(cut) = &mut self.cut else {
-            return Poll::Ready(None);
-        };
-        ready!(cut.as_mut().poll(cx));
-        Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty() && self.cut.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.length)
-    }
-}
--- a/crates/buckthornweir_standins/src/backend/mod.rs
+++ b/crates/buckthornweir_standins/src/backend/mod.rs
@@ -1,5 +1,6 @@
 //! A backend server with slots, a cold start, faults, and its own books.
 
+mod answer;
 mod book;
 mod config;
 mod connection;
@@ -20,9 +21,10 @@
 use connection::Connections;
 use endpoints::Endpoints;
 
+pub use answer::AnswerBody;
 pub use book::{BookEntry, End};
 pub use config::BackendConfig;
-pub use endpoints::{AnswerBody, LoadReport, headers};
+pub use endpoints::{LoadReport, headers};
 pub use fault::Fault;
 
 /// The result of calls on a backend server.
--- /dev/null
+++ b/crates/buckthornweir_standins/tests/callers/answers.rs
@@ -0,0 +1,66 @@
+//! HTTP callers on the fabric, and what they report of answers whole and broken.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::peer::{self, Peer};
+use buckthornweir_standins::{CallerError, Fabric, FabricConfig, HttpCaller, Outcome};
+use expect_test::expect;
+use http::Request;
+
+const OWN: &str = "HTTP/1.1 200 OK\r\ncontent-length: 77\r\n\r\n\
+    {\"service\":\"orders\",\"backend\":\"o1\",\"request_id\":\"a1\",\"path\":\"/\",\"padding\":\"\"}";
+const SHORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 77\r\n\r\n{\"service\"";
+const STRANGE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi";
+const HEADER: &str = "HTTP/1.1 503 Busy\r\nx-not-run: yes\r\ncontent-length: 0\r\n\r\n";
+const PROBLEM: &str = "HTTP/1.1 503 Busy\r\ncontent-type: application/problem+json\r\n\
+    content-length: 19\r\n\r\n{\"title\":\"not run\"}";
+const GATEWAY: &str = "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n";
+
+async fn outcome(peer: Peer) -> Outcome {
+    let peer = peer::start(peer, 2).await;
+    let config = FabricConfig::new("127.0.0.1:0".parse().unwrap(), 3)
+        .with_balancers(peer.addrs.clone())
+        .with_connect_limit(Duration::from_millis(200));
+    let fabric = Fabric::start(config).await.unwrap();
+    let result = match HttpCaller::connect(&fabric, "10.100.0.1:80".parse().unwrap()).await {
+        Ok(mut caller) => {
+            let request = Request::get("/").body(Default::default()).unwrap();
+            caller.send(request).await
+        }
+        Err(error) => {
+            assert!(matches!(error, CallerError::Connect(_)));
+            Err(error)
+        }
+    };
+    Outcome::of(&result)
+}
+
+#[tokio::test]
+async fn each_answer_has_its_outcome() {
+    let cases = [
+        ("own", Peer::Say(OWN)),
+        ("short", Peer::Say(SHORT)),
+        ("strange", Peer::Say(STRANGE)),
+        ("refused by header", Peer::Say(HEADER)),
+        ("refused by problem document", Peer::Say(PROBLEM)),
+        ("gateway", Peer::Say(GATEWAY)),
+        ("reset", Peer::Reset),
+        ("deaf", Peer::Deaf),
+    ];
+    let mut table = String::new();
+    for (case, peer) in cases {
+        writeln!(table, "{case}: {:?}", outcome(peer).await).unwrap();
+    }
+    expect![[r#"
+        own: Answered { service: "orders", request_id: "a1" }
+        short: Short
+        strange: Strange(200)
+        refused by header: NotRun
+        refused by problem document: NotRun
+        gateway: Unknown(502)
+        reset: Broken
+        deaf: Broken
+    "#]]
+    .assert_eq(&table);
+}
--- a/crates/buckthornweir_standins/tests/common/mod.rs
+++ b/crates/buckthornweir_standins/tests/callers/peer.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Peer {
     /// Sends every byte back, and closes when the caller does.
     Echo,
+    /// Sends these bytes at the caller's first byte, then closes.
+    Say(&'static str),
     /// Resets each connection at its first byte.
     Reset,
     /// Answers no packet at all.
@@ -148,8 +150,18 @@
         State::Closed => socket.listen(PORT).unwrap(),
         State::CloseWait if !socket.can_recv() => socket.close(),
         _ if !socket.can_recv() => {}
-        _ if peer == Peer::Reset => socket.abort(),
-        _ => {
+        _ => act_on_bytes(peer, socket),
+    }
+}
+
+fn act_on_bytes(peer: Peer, socket: &mut Socket<'static>) {
+    match peer {
+        Peer::Reset => socket.abort(),
+        Peer::Say(text) => {
+            socket.send_slice(text.as_bytes()).unwrap();
+            socket.close();
+        }
+        Peer::Echo | Peer::Deaf => {
             let room = socket.send_capacity() - socket.send_queue();
             let bytes = socket
                 .recv(|bytes| {
--- a/crates/buckthornweir_standins/tests/fabric.rs
+++ b/crates/buckthornweir_standins/tests/callers/streams.rs
@@ -1,15 +1,11 @@
 //! Callers on the fabric against an echo peer, with the fabric's faults in a table.
 
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-mod common;
-
 use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::peer::{self, Peer};
 use buckthornweir_standins::{Fabric, FabricConfig, FabricError};
-use common::Peer;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const SEED: u64 = 11;
@@ -44,7 +40,7 @@
     ];
     let sent: Vec<u8> = (0..40_000u32).map(|index| (index % 251) as u8).collect();
     for (case, loss, duplicates, service, balancers) in cases {
-        let peer = common::start(Peer::Echo, balancers).await;
+        let peer = peer::start(Peer::Echo, balancers).await;
         let config = config().with_balancers(peer.addrs.clone());
         let fabric = Fabric::start(config.with_loss(loss).with_duplicates(duplicates)).await;
         let fabric = fabric.unwrap();
@@ -67,7 +63,7 @@
 
 #[tokio::test]
 async fn many_callers_get_their_own_bytes() {
-    let peer = common::start(Peer::Echo, 2).await;
+    let peer = peer::start(Peer::Echo, 2).await;
     let fabric = Fabric::start(config().with_balancers(peer.addrs.clone()))
         .await
         .unwrap();
@@ -86,7 +82,7 @@
 
 #[tokio::test]
 async fn callers_have_addresses_of_their_own() {
-    let peer = common::start(Peer::Echo, 1).await;
+    let peer = peer::start(Peer::Echo, 1).await;
     let fabric = Fabric::start(config().with_balancers(peer.addrs.clone()))
         .await
         .unwrap();
@@ -99,7 +95,7 @@
 
 #[tokio::test]
 async fn a_reset_is_seen_as_one() {
-    let peer = common::start(Peer::Reset, 1).await;
+    let peer = peer::start(Peer::Reset, 1).await;
     let fabric = Fabric::start(config().with_balancers(peer.addrs.clone()))
         .await
         .unwrap();
@@ -116,7 +112,7 @@
 async fn failures_to_connect_have_a_type() {
     let limit = Duration::from_millis(50);
     for (peer, port, refused) in [(Peer::Echo, 81, true), (Peer::Deaf, 80, false)] {
-        let peer = common::start(peer, 1).await;
+        let peer = peer::start(peer, 1).await;
         let config = config().with_balancers(peer.addrs.clone());
         let config = if refused {
             config
@@ -136,7 +132,7 @@
 
 #[tokio::test]
 async fn unacknowledged_bytes_time_out() {
-    let peer = common::start(Peer::Echo, 1).await;
+    let peer = peer::start(Peer::Echo, 1).await;
     let config = config().with_balancers(peer.addrs.clone());
     let fabric = Fabric::start(config.with_ack_limit(Duration::from_millis(200)))
         .await
