Read INI text with checked faults, and the bundle's model, canonical form and signature

Cause: the daemon, the client and the load tool all need settings whose faults name file, line, key and what is allowed; every process needs the same bundle. Ruled out: rust-ini, which keeps no line numbers; one error struct with all fields inline, which the linter refuses as too large for a Result.

--- a/crates/buckthornweir_bundle/src/lib.rs
+++ b/crates/buckthornweir_bundle/src/lib.rs
@@ -1,4 +1,47 @@
-//! The configuration bundle: its model, checks, canonical form, digest and signatures.
+//! The configuration bundle: services, their addresses and limits, and the failure domains that
+//! are in or out. Operators write it as INI text, sign it off with an Ed25519 key and push it;
+//! every process holds the same version.
+//!
+//! ```
+//! use buckthornweir_bundle::prelude::*;
+//!
+//! let text = "
+//! [bundle]
+//! version = 1
+//! [domain fj-west-a]
+//! region = fj-west
+//! [service orders]
+//! addresses = 10.1.0.1:80
+//! domains = fj-west-a
+//! ";
+//! let bundle = Bundle::parse("bundle.ini", text)?;
+//! assert_eq!(bundle.services[0].name, "orders");
+//!
+//! let key = SigningKey::generate();
+//! let signed = SignedBundle::sign(bundle, &key);
+//! let trust = Trust::new().with_key(key.public());
+//! let read = SignedBundle::parse("signed.ini", &signed.to_text())?;
+//! read.verify(&trust)?;
+//! assert_eq!(read.digest(), signed.digest());
+//! # Ok::<(), Fault>(())
+//! ```
+
+mod canonical;
+mod difference;
+mod fault;
+mod model;
+mod parse;
+mod signature;
+
+pub use canonical::{Digest, canonical_text, digest_of};
+pub use difference::{Change, differences};
+pub use fault::{Fault, Result};
+pub use model::{Bundle, Domain, DomainName, Protocol, Service, ServiceName, Version};
+pub use signature::{PublicKey, SignedBundle, SigningKey, Trust};
 
 /// Names that most users of this crate import.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::{
+        Bundle, Digest, Domain, Fault, Protocol, Service, SignedBundle, SigningKey, Trust, Version,
+    };
+}
