--- /dev/null
+++ b/crates/buckthornweir_events/src/log.rs
@@ -0,0 +1,61 @@
+//! The set-up of logs.
+
+use std::io;
+
+use quick_error::quick_error;
+use smol_str::SmolStr;
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::util::SubscriberInitExt;
+
+/// The result of setting up logs.
+pub(crate) type Result<T> = std::result::Result<T, LogError>;
+
+quick_error! {
+    /// Logs could not be set up.
+    #[derive(Debug)]
+    #[allow(missing_docs, reason = "quick_error takes no docs on fields")]
+    pub enum LogError {
+        /// The filter is not understood.
+        Filter { filter: SmolStr, source: tracing_subscriber::filter::ParseError } {
+            display("log filter \"{filter}\" is not understood: {source}")
+            source(source)
+        }
+        /// Logs were set up before.
+        Twice(source: tracing_subscriber::util::TryInitError) {
+            from()
+            display("logs are set up already: {source}")
+            source(source)
+        }
+    }
+}
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text.
+    #[default]
+    Text,
+    /// One JSON object on a line.
+    Json,
+}
+
+/// Starts logs to standard error; `filter` is a level such as `info`, or directives for modules.
+///
+/// # Errors
+///
+/// Returns [`LogError::Filter`] for a filter that is not understood, and [`LogError::Twice`] on a
+/// second call in one process.
+pub fn start_logs(format: LogFormat, filter: &str) -> Result<()> {
+    let parsed = EnvFilter::try_new(filter).map_err(|source| LogError::Filter {
+        filter: filter.into(),
+        source,
+    })?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(parsed)
+        .with_writer(io::stderr);
+    match format {
+        LogFormat::Text => builder.with_ansi(false).finish().try_init()?,
+        LogFormat::Json => builder.json().finish().try_init()?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -0,0 +1,208 @@
+//! Counters and gauges of one process, written out for Prometheus.
+
+use prometheus::{IntCounter, IntGauge, Opts, Registry, TextEncoder};
+use quick_error::quick_error;
+
+/// The result of making or writing metrics.
+pub(crate) type Result<T> = std::result::Result<T, MetricsError>;
+
+quick_error! {
+    /// Metrics could not be made or written.
+    #[derive(Debug)]
+    pub enum MetricsError {
+        /// The library refused.
+        Library(source: prometheus::Error) {
+            from()
+            display("metrics: {source}")
+            source(source)
+        }
+    }
+}
+
+macro_rules! named {
+    ($(#[$doc:meta])* $kind:ident { $($(#[$variant_doc:meta])* $name:ident = $text:literal, $help:literal;)* }) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum $kind {
+            $($(#[$variant_doc])* $name,)*
+        }
+
+        impl $kind {
+            const ALL: &'static [$kind] = &[$($kind::$name),*];
+
+            /// Returns the name that Prometheus shows.
+            pub fn name(self) -> &'static str {
+                match self { $($kind::$name => $text),* }
+            }
+
+            /// Returns what is counted.
+            pub fn help(self) -> &'static str {
+                match self { $($kind::$name => $help),* }
+            }
+        }
+    };
+}
+
+named! {
+    /// What is counted.
+    Count {
+        /// Packets that came from the fabric.
+        PacketsIn = "packets_in_total", "Packets that came from the fabric";
+        /// Packets forwarded to an agent.
+        PacketsForwarded = "packets_forwarded_total", "Packets forwarded to an agent";
+        /// Packets that are no well-formed TCP packet.
+        PacketsMalformed = "packets_malformed_total", "Packets that are not well-formed TCP";
+        /// Packets over the size limit.
+        PacketsOversize = "packets_oversize_total", "Packets over the size limit";
+        /// Packets for an address of no service.
+        PacketsUnknownAddress = "packets_unknown_address_total", "Packets for an address of no service";
+        /// Packets of a service without any agent to send to.
+        PacketsNoAgent = "packets_no_agent_total", "Packets of a service that has no agent";
+        /// Packets sent to the fabric.
+        PacketsOut = "packets_out_total", "Packets sent to the fabric";
+        /// Packets dropped by an agent until a lookup is answered.
+        PacketsAwaitingOwner = "packets_awaiting_owner_total", "Packets dropped while the owner of their flow is looked up";
+        /// Packets whose hop limit was reached.
+        PacketsHopLimit = "packets_hop_limit_total", "Packets dropped at the hop limit";
+        /// Packets dropped by an agent for any other reason.
+        PacketsDropped = "packets_dropped_total", "Packets dropped by an agent";
+        /// Datagrams that failed authentication.
+        DatagramsForged = "datagrams_forged_total", "Datagrams that failed authentication";
+        /// Datagrams that could not be decoded.
+        DatagramsMalformed = "datagrams_malformed_total", "Datagrams that could not be decoded";
+        /// Datagrams that could not be sent.
+        DatagramsUnsent = "datagrams_unsent_total", "Datagrams that could not be sent";
+        /// Links refused because they failed authentication.
+        LinksForged = "links_forged_total", "Links that failed authentication";
+        /// Links replaced because they were silent or lost.
+        LinksReplaced = "links_replaced_total", "Links replaced because they were silent or lost";
+        /// Flows that started.
+        FlowsStarted = "flows_started_total", "Flows that started at this agent";
+        /// Flows that ended.
+        FlowsEnded = "flows_ended_total", "Flows that ended at this agent";
+        /// Flows given up with a reset.
+        FlowsReset = "flows_reset_total", "Flows given up with a reset";
+        /// Flows handed to another agent.
+        FlowsMovedOut = "flows_moved_out_total", "Flows handed to another agent";
+        /// Flows taken over from another agent.
+        FlowsMovedIn = "flows_moved_in_total", "Flows taken over from another agent";
+        /// Requests that came.
+        RequestsIn = "requests_in_total", "Requests that came from callers";
+        /// Requests answered by the backend server.
+        RequestsDone = "requests_done_total", "Requests whose answer was passed on whole";
+        /// Requests refused as not run.
+        RequestsRefused = "requests_refused_total", "Requests refused as not run";
+        /// Requests with an unknown outcome.
+        RequestsUnknown = "requests_unknown_total", "Requests that ended with an unknown outcome";
+        /// Requests handed to a sibling agent.
+        RequestsHandedOver = "requests_handed_over_total", "Requests handed to a sibling agent";
+        /// Requests taken from a sibling agent.
+        RequestsTakenOver = "requests_taken_over_total", "Requests taken from a sibling agent";
+        /// Tries that were repeated.
+        RequestsRetried = "requests_retried_total", "Requests that were tried again";
+        /// Backend connections that were opened.
+        BackendConnections = "backend_connections_total", "Connections opened to the backend server";
+        /// Backend connections closed because a request on them was abandoned.
+        BackendAbandoned = "backend_abandoned_total", "Backend connections closed with an abandoned request";
+        /// Bundles put in force.
+        BundlesApplied = "bundles_applied_total", "Bundles put in force";
+        /// Bundles refused.
+        BundlesRefused = "bundles_refused_total", "Bundles refused";
+        /// Bytes of control messages sent.
+        ControlBytesOut = "control_bytes_out_total", "Bytes of control messages sent";
+        /// Bytes of control messages received.
+        ControlBytesIn = "control_bytes_in_total", "Bytes of control messages received";
+    }
+}
+
+named! {
+    /// What is shown as it stands.
+    Gauge {
+        /// Flows that are open.
+        FlowsOpen = "flows_open", "Flows open at this agent";
+        /// Requests that run at the backend server.
+        RequestsRunning = "requests_running", "Requests that run at the backend server";
+        /// Requests that wait.
+        RequestsWaiting = "requests_waiting", "Requests that wait for a slot";
+        /// The admission limit.
+        AdmissionLimit = "admission_limit", "Requests that the backend server may run at a time";
+        /// The version of the bundle in force.
+        BundleVersion = "bundle_version", "Version of the bundle in force";
+        /// Members that are alive.
+        MembersAlive = "members_alive", "Members that are alive";
+        /// The term of the control log.
+        QuorumTerm = "quorum_term", "Term of the control log";
+        /// Whether this control VM leads.
+        QuorumLeader = "quorum_leader", "1 when this control VM leads";
+    }
+}
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    counts: Vec<IntCounter>,
+    gauges: Vec<IntGauge>,
+}
+
+impl Metrics {
+    /// Makes all counters and gauges at zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Library`] when the library refuses a name.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new_custom(Some("buckthornweir".into()), None)?;
+        let mut counts = Vec::new();
+        for count in Count::ALL {
+            let counter = IntCounter::with_opts(Opts::new(count.name(), count.help()))?;
+            registry.register(Box::new(counter.clone()))?;
+            counts.push(counter);
+        }
+        let mut gauges = Vec::new();
+        for gauge in Gauge::ALL {
+            let made = IntGauge::with_opts(Opts::new(gauge.name(), gauge.help()))?;
+            registry.register(Box::new(made.clone()))?;
+            gauges.push(made);
+        }
+        Ok(Self {
+            registry,
+            counts,
+            gauges,
+        })
+    }
+
+    /// Counts one.
+    pub fn count(&self, count: Count) {
+        self.counts[count as usize].inc();
+    }
+
+    /// Counts `amount`.
+    pub fn count_by(&self, count: Count, amount: u64) {
+        self.counts[count as usize].inc_by(amount);
+    }
+
+    /// Returns what has been counted.
+    pub fn counted(&self, count: Count) -> u64 {
+        self.counts[count as usize].get()
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, gauge: Gauge, value: i64) {
+        self.gauges[gauge as usize].set(value);
+    }
+
+    /// Returns the value of a gauge.
+    pub fn gauge(&self, gauge: Gauge) -> i64 {
+        self.gauges[gauge as usize].get()
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MetricsError::Library`] when the library cannot write them.
+    pub fn to_text(&self) -> Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
