Add packets, placement, one TCP stack per flow and their messages

Cause: the daemon needs agreed interfaces of the flows crate to be wired against. Change: parsing and resets with etherparse, placement by weighted rendezvous hashing over buckets, one smoltcp stack per flow, prost messages for forwarded packets, queries, answers, hints and refusals. The seed of the initial sequence number is a keyed hash of the 5-tuple and of the caller's sequence number, so agents answer a duplicated SYN alike and a later flow of the same ports differs. Ruled out: a 5-tuple alone as seed, because it repeats the sequence number when ports are reused.

--- /dev/null
+++ b/crates/buckthornweir_flows/src/hash.rs
@@ -0,0 +1,46 @@
+//! Keyed hashes of flows.
+
+use std::net::{IpAddr, SocketAddr};
+
+use siphasher::sip::SipHasher13;
+
+use crate::packet::FiveTuple;
+
+/// Length of one address and port in the hashed bytes.
+const END_LENGTH: usize = 18;
+
+/// Says what a hash is used for, so that one use tells nothing about another.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Purpose {
+    /// The bucket of a flow.
+    Bucket = 1,
+    /// The initial sequence number of a flow.
+    Sequence = 2,
+}
+
+/// Returns the keyed hash of a flow and a number.
+pub(crate) fn flow_hash(key: &[u8; 16], purpose: Purpose, tuple: &FiveTuple, number: u32) -> u64 {
+    let mut bytes = [0; 2 * END_LENGTH + 5];
+    write_end(&mut bytes[..END_LENGTH], tuple.caller);
+    write_end(&mut bytes[END_LENGTH..2 * END_LENGTH], tuple.service);
+    bytes[2 * END_LENGTH] = purpose as u8;
+    bytes[2 * END_LENGTH + 1..].copy_from_slice(&number.to_be_bytes());
+    SipHasher13::new_with_key(key).hash(&bytes)
+}
+
+fn write_end(bytes: &mut [u8], end: SocketAddr) {
+    let address = match end.ip() {
+        IpAddr::V4(address) => address.to_ipv6_mapped(),
+        IpAddr::V6(address) => address,
+    };
+    bytes[..16].copy_from_slice(&address.octets());
+    bytes[16..].copy_from_slice(&end.port().to_be_bytes());
+}
+
+/// Returns a well mixed number for two numbers.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/messages.rs
@@ -0,0 +1,246 @@
+//! Messages about flows between balancers and agents.
+
+use std::net::{IpAddr, SocketAddr};
+
+use prost::{Message, Oneof};
+use quick_error::quick_error;
+
+use crate::packet::FiveTuple;
+
+/// Longest encoded message that is decoded, in bytes.
+pub const MAX_MESSAGE: usize = 64 * 1024;
+
+/// A result of reading a message.
+pub type Result<T> = std::result::Result<T, MessageError>;
+
+quick_error! {
+    /// Says why a message can't be read.
+    #[derive(Clone, Debug, PartialEq)]
+    pub enum MessageError {
+        /// The message is longer than [`MAX_MESSAGE`].
+        TooLong(length: usize) {
+            display("message of {length} bytes is too long")
+        }
+        /// The bytes are no message.
+        Decode(source: prost::DecodeError) {
+            display("bad message: {source}")
+            source(source)
+            from()
+        }
+        /// The message has no body, or one that this version doesn't know.
+        NoBody {
+            display("message has no known body")
+        }
+        /// A field that the body needs is missing.
+        MissingField(field: &'static str) {
+            display("message has no {field}")
+        }
+        /// The bytes of an address have the wrong length.
+        AddressLength(length: usize) {
+            display("address of {length} bytes is neither IPv4 nor IPv6 with a port")
+        }
+    }
+}
+
+/// A message between balancers and agents.
+#[derive(Clone, PartialEq, Message)]
+pub struct FlowMessage {
+    /// What the message is about.
+    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5")]
+    pub body: Option<FlowBody>,
+}
+
+/// What a message is about.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum FlowBody {
+    /// A packet on its way to the agent that owns its flow.
+    #[prost(message, tag = "1")]
+    Forward(Forward),
+    /// The question whether an agent owns a flow.
+    #[prost(message, tag = "2")]
+    Query(Query),
+    /// The answer to a query.
+    #[prost(message, tag = "3")]
+    Answer(Answer),
+    /// The owner of a flow, told to a balancer.
+    #[prost(message, tag = "4")]
+    Hint(Hint),
+    /// The refusal of a forwarded packet.
+    #[prost(message, tag = "5")]
+    Refusal(Refusal),
+}
+
+/// A packet on its way to the agent that owns its flow.
+#[derive(Clone, PartialEq, Message)]
+pub struct Forward {
+    /// Name of the service that the packet is for.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Version of the bundle that the sender decided by.
+    #[prost(uint64, tag = "2")]
+    pub bundle_version: u64,
+    /// Number of agents that have passed the packet on.
+    #[prost(uint32, tag = "3")]
+    pub hops: u32,
+    /// The balancer that got the packet from the fabric.
+    #[prost(uint64, tag = "4")]
+    pub balancer: u64,
+    /// The IP packet.
+    #[prost(bytes = "vec", tag = "5")]
+    pub packet: Vec<u8>,
+}
+
+/// The question whether an agent owns a flow.
+#[derive(Clone, PartialEq, Message)]
+pub struct Query {
+    /// Name of the service that the flow belongs to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The agent that asks.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// The flow.
+    #[prost(message, optional, tag = "3")]
+    pub flow: Option<FlowKey>,
+    /// Number of the question, which its answer repeats.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+}
+
+/// The answer to a query.
+#[derive(Clone, PartialEq, Message)]
+pub struct Answer {
+    /// Name of the service that the flow belongs to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The agent that answers.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// The flow.
+    #[prost(message, optional, tag = "3")]
+    pub flow: Option<FlowKey>,
+    /// Number of the question.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// What the agent knows about the flow.
+    #[prost(enumeration = "Ownership", tag = "5")]
+    pub ownership: i32,
+}
+
+/// What an agent knows about a flow.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
+#[repr(i32)]
+pub enum Ownership {
+    /// The agent can't say now, so the question stays open.
+    Unknown = 0,
+    /// The agent owns the flow.
+    Owner = 1,
+    /// The agent doesn't own the flow.
+    NotOwner = 2,
+}
+
+/// The owner of a flow, told to a balancer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hint {
+    /// Name of the service that the flow belongs to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The flow.
+    #[prost(message, optional, tag = "2")]
+    pub flow: Option<FlowKey>,
+    /// The agent that owns the flow.
+    #[prost(uint64, tag = "3")]
+    pub owner: u64,
+}
+
+/// The refusal of a forwarded packet by an agent that knows a newer bundle.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refusal {
+    /// Name of the service that the packet was for.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The agent that refuses.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// Version of the bundle that the agent decided by.
+    #[prost(uint64, tag = "3")]
+    pub bundle_version: u64,
+}
+
+/// The two ends of a flow.
+#[derive(Clone, PartialEq, Message)]
+pub struct FlowKey {
+    /// Address and port of the caller, 6 bytes for IPv4 and 18 for IPv6.
+    #[prost(bytes = "vec", tag = "1")]
+    pub caller: Vec<u8>,
+    /// Address and port of the service, 6 bytes for IPv4 and 18 for IPv6.
+    #[prost(bytes = "vec", tag = "2")]
+    pub service: Vec<u8>,
+}
+
+impl From<FlowBody> for FlowMessage {
+    fn from(body: FlowBody) -> Self {
+        Self { body: Some(body) }
+    }
+}
+
+impl From<&FiveTuple> for FlowKey {
+    fn from(tuple: &FiveTuple) -> Self {
+        Self {
+            caller: encode_address(tuple.caller),
+            service: encode_address(tuple.service),
+        }
+    }
+}
+
+impl TryFrom<&FlowKey> for FiveTuple {
+    type Error = MessageError;
+
+    fn try_from(key: &FlowKey) -> Result<Self> {
+        Ok(Self {
+            caller: decode_address(&key.caller)?,
+            service: decode_address(&key.service)?,
+        })
+    }
+}
+
+/// Reads a message from its bytes.
+///
+/// # Errors
+///
+/// Returns an error for bytes that are too long, no message, or without a known body.
+pub fn decode(bytes: &[u8]) -> Result<FlowBody> {
+    if bytes.len() > MAX_MESSAGE {
+        return Err(MessageError::TooLong(bytes.len()));
+    }
+    FlowMessage::decode(bytes)?.body.ok_or(MessageError::NoBody)
+}
+
+/// Returns the flow of a message.
+///
+/// # Errors
+///
+/// Returns an error when the flow is missing or one of its addresses is damaged.
+pub fn decode_flow(flow: Option<&FlowKey>) -> Result<FiveTuple> {
+    flow.ok_or(MessageError::MissingField("flow"))?.try_into()
+}
+
+fn encode_address(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend_from_slice(&address.port().to_be_bytes());
+    bytes
+}
+
+fn decode_address(bytes: &[u8]) -> Result<SocketAddr> {
+    let wrong = || MessageError::AddressLength(bytes.len());
+    let (ip, port) = bytes.split_last_chunk::<2>().ok_or_else(wrong)?;
+    let port = u16::from_be_bytes(*port);
+    if let Ok(octets) = <[u8; 4]>::try_from(ip) {
+        return Ok(SocketAddr::new(octets.into(), port));
+    }
+    let octets = <[u8; 16]>::try_from(ip).map_err(|_| wrong())?;
+    Ok(SocketAddr::new(octets.into(), port))
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/stack.rs
@@ -0,0 +1,251 @@
+//! The server's end of one TCP flow.
+//!
+//! Each flow has a stack of its own with one socket. The stack does no I/O: packets of the caller go
+//! in with [`FlowStack::input`], packets for the caller come out of [`FlowStack::poll`].
+
+mod device;
+mod limits;
+
+use std::net::{IpAddr, SocketAddr};
+use std::task::Waker;
+use std::time::Duration;
+
+use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
+use smoltcp::socket::tcp::{RecvError, Socket, SocketBuffer, State};
+use smoltcp::time::Instant;
+use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr, IpListenEndpoint};
+
+use crate::hash::{Purpose, flow_hash};
+use crate::packet::PacketInfo;
+use device::PacketDevice;
+
+pub use limits::StackLimits;
+
+/// Parts of the idle limit after which a silent flow is probed.
+const PROBES_PER_IDLE: u32 = 4;
+
+/// Tells what reading from a flow gave.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadState {
+    /// This many bytes were read.
+    Data(usize),
+    /// Nothing has arrived yet.
+    Empty,
+    /// The caller has ended its side.
+    End,
+    /// The flow was reset or has timed out.
+    Reset,
+}
+
+/// Tells what writing to a flow gave.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteState {
+    /// This many bytes were taken.
+    Accepted(usize),
+    /// The send buffer is full, or the handshake isn't over.
+    Full,
+    /// This side was closed, or the flow was reset.
+    Closed,
+}
+
+/// The server's end of one TCP flow.
+///
+/// After `input`, `read`, `write`, `close` and `abort` the owner calls `poll`, which gives the packets
+/// for the caller and the time of the next timer.
+pub struct FlowStack {
+    iface: Interface,
+    sockets: SocketSet<'static>,
+    handle: SocketHandle,
+    deadline: Duration,
+    started: bool,
+}
+
+impl std::fmt::Debug for FlowStack {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let socket = self.sockets.get::<Socket<'_>>(self.handle);
+        formatter
+            .debug_struct("FlowStack")
+            .field("state", &socket.state())
+            .field("remote", &socket.remote_endpoint())
+            .finish_non_exhaustive()
+    }
+}
+
+impl FlowStack {
+    /// Returns a stack that waits for the SYN described by `info`, which goes in with `input`.
+    ///
+    /// The initial sequence number is a keyed hash of the flow and of the caller's sequence number,
+    /// so all agents with the same key answer a duplicated SYN alike.
+    pub fn accept(info: &PacketInfo, key: &[u8; 16], limits: &StackLimits, now: Duration) -> Self {
+        let seed = flow_hash(key, Purpose::Sequence, &info.tuple, info.seq);
+        Self::listen(info.tuple.service, seed, limits, now)
+    }
+
+    fn listen(service: SocketAddr, seed: u64, limits: &StackLimits, now: Duration) -> Self {
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut unsent = Vec::new();
+        let mut device = PacketDevice::new(None, &mut unsent);
+        let mut iface = Interface::new(config, &mut device, instant(now));
+        iface.update_ip_addrs(|addresses| {
+            let everything = IpCidr::new(ip_address(service.ip()), 0);
+            // The list of a fresh interface is empty, so the only address fits.
+            let _ = addresses.push(everything);
+        });
+        let mut sockets = SocketSet::new(Vec::with_capacity(1));
+        let handle = sockets.add(listening_socket(service, limits));
+        Self {
+            iface,
+            sockets,
+            handle,
+            deadline: now.saturating_add(limits.handshake),
+            started: false,
+        }
+    }
+
+    /// Takes a packet of the caller, and adds the packets that answer it to `out`.
+    pub fn input(&mut self, packet: &[u8], now: Duration, out: &mut Vec<Vec<u8>>) {
+        if self.started && !self.is_open() {
+            return;
+        }
+        let mut device = PacketDevice::new(Some(packet), out);
+        self.iface
+            .poll(instant(now), &mut device, &mut self.sockets);
+        self.started = true;
+    }
+
+    /// Runs the timers, adds the packets for the caller to `out`, and returns the time of the next
+    /// timer.
+    pub fn poll(&mut self, now: Duration, out: &mut Vec<Vec<u8>>) -> Option<Duration> {
+        if self.handshake_failed(now) {
+            self.give_up();
+            return None;
+        }
+        let mut device = PacketDevice::new(None, out);
+        self.iface
+            .poll(instant(now), &mut device, &mut self.sockets);
+        if !self.is_open() {
+            return None;
+        }
+        let timer = self.iface.poll_at(instant(now), &self.sockets);
+        let timer = timer.map(|at| Duration::from_micros(at.total_micros().max(0) as u64));
+        if self.is_handshaking() {
+            return Some(timer.map_or(self.deadline, |at| at.min(self.deadline)));
+        }
+        timer
+    }
+
+    /// Reads bytes of the caller.
+    pub fn read(&mut self, buf: &mut [u8]) -> ReadState {
+        if self.is_handshaking() {
+            return ReadState::Empty;
+        }
+        match self.socket_mut().recv_slice(buf) {
+            Ok(0) => ReadState::Empty,
+            Ok(length) => ReadState::Data(length),
+            Err(RecvError::Finished) => ReadState::End,
+            Err(RecvError::InvalidState) => ReadState::Reset,
+        }
+    }
+
+    /// Writes bytes for the caller.
+    pub fn write(&mut self, data: &[u8]) -> WriteState {
+        if self.is_handshaking() {
+            return WriteState::Full;
+        }
+        match self.socket_mut().send_slice(data) {
+            Ok(0) if !data.is_empty() => WriteState::Full,
+            Ok(length) => WriteState::Accepted(length),
+            Err(_) => WriteState::Closed,
+        }
+    }
+
+    /// Ends this side after the bytes that were written.
+    pub fn close(&mut self) {
+        self.socket_mut().close();
+    }
+
+    /// Resets the flow.
+    pub fn abort(&mut self) {
+        self.socket_mut().abort();
+    }
+
+    /// Returns whether the handshake is over and the flow was not closed by either side.
+    pub fn is_established(&self) -> bool {
+        self.socket().state() == State::Established
+    }
+
+    /// Returns whether anything of the flow is left to do.
+    ///
+    /// A flow that only waits out stray packets (TIME-WAIT) has nothing left to do.
+    pub fn is_open(&self) -> bool {
+        match self.socket().state() {
+            State::Closed | State::TimeWait => false,
+            State::Listen => !self.started,
+            _ => true,
+        }
+    }
+
+    /// Wakes `waker` once when there is something to read or the flow has ended.
+    pub fn register_reader(&mut self, waker: &Waker) {
+        self.socket_mut().register_recv_waker(waker);
+    }
+
+    /// Wakes `waker` once when there is room to write or the flow has ended.
+    pub fn register_writer(&mut self, waker: &Waker) {
+        self.socket_mut().register_send_waker(waker);
+    }
+
+    fn is_handshaking(&self) -> bool {
+        match self.socket().state() {
+            State::SynReceived => true,
+            State::Listen => !self.started,
+            _ => false,
+        }
+    }
+
+    fn handshake_failed(&self, now: Duration) -> bool {
+        self.is_handshaking() && now >= self.deadline
+    }
+
+    /// Forgets a flow whose handshake failed, without a packet: its caller's address may be forged.
+    fn give_up(&mut self) {
+        self.socket_mut().abort();
+        let mut unsent = Vec::new();
+        let mut device = PacketDevice::new(None, &mut unsent);
+        self.iface
+            .poll(Instant::ZERO, &mut device, &mut self.sockets);
+    }
+
+    fn socket(&self) -> &Socket<'static> {
+        self.sockets.get(self.handle)
+    }
+
+    fn socket_mut(&mut self) -> &mut Socket<'static> {
+        self.sockets.get_mut(self.handle)
+    }
+}
+
+fn listening_socket(service: SocketAddr, limits: &StackLimits) -> Socket<'static> {
+    let receive = SocketBuffer::new(vec![0; limits.receive]);
+    let send = SocketBuffer::new(vec![0; limits.send]);
+    let mut socket = Socket::new(receive, send);
+    socket.set_nagle_enabled(false);
+    socket.set_timeout(Some(limits.idle.into()));
+    socket.set_keep_alive(Some((limits.idle / PROBES_PER_IDLE).into()));
+    let endpoint = IpListenEndpoint {
+        addr: Some(ip_address(service.ip())),
+        port: service.port(),
+    };
+    // A fresh socket listens on any port but 0, and packets with port 0 were refused before.
+    let _ = socket.listen(endpoint);
+    socket
+}
+
+fn instant(now: Duration) -> Instant {
+    Instant::from_micros(i64::try_from(now.as_micros()).unwrap_or(i64::MAX))
+}
+
+fn ip_address(address: IpAddr) -> IpAddress {
+    address.into()
+}
