Tell a close between requests from a broken connection

Cause: a caller could not tell a connection that the service closed between two requests from one that broke, so broken flows could not be counted honestly.

Change: a request of which nothing was sent has its own error and outcome, and a caller tells whether its connection ended by anything but such a close.

--- a/crates/buckthornweir_standins/src/books.rs
+++ b/crates/buckthornweir_standins/src/books.rs
@@ -47,6 +47,8 @@
     Strange(StatusCode),
     /// An answer that broke off.
     Short,
+    /// The connection was closed before anything of the request was sent.
+    Unsent,
     /// The connection broke, or never stood, before any answer.
     Broken,
     /// The caller gave up waiting.
@@ -60,6 +62,7 @@
         match result {
             Ok(answer) => Self::of_answer(answer),
             Err(Error::Short(..)) => Self::Short,
+            Err(Error::Unsent(_)) => Self::Unsent,
             Err(_) => Self::Broken,
         }
     }
@@ -110,6 +113,8 @@
     pub answered: usize,
     /// Refusals that say that the request was not run.
     pub refused: usize,
+    /// Requests that were never sent, because the connection was closed between two requests.
+    pub unsent: usize,
     /// Honest errors: a whole answer that claims neither success nor "not run".
     pub unknown: usize,
     /// Requests whose caller got no whole answer at all.
@@ -160,6 +165,7 @@
             Outcome::Strange(_) => self.unfounded += 1,
             Outcome::NotRun if runs > 0 => self.false_refusals += 1,
             Outcome::NotRun => self.refused += 1,
+            Outcome::Unsent => self.unsent += 1,
             Outcome::Unknown(_) => self.unknown += 1,
             Outcome::Short => {
                 self.short += 1;
--- a/crates/buckthornweir_standins/src/caller.rs
+++ b/crates/buckthornweir_standins/src/caller.rs
@@ -1,8 +1,11 @@
 //! A caller that speaks HTTP over the fabric.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
+use http::header::HOST;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -26,6 +29,11 @@
             source(err)
             display("connect: {err}")
         }
+        /// The connection was closed before anything of the request was sent.
+        Unsent(err: hyper::Error) {
+            source(err)
+            display("connection closed before the request was sent: {err}")
+        }
         /// The connection broke before the answer's headers had arrived.
         Broken(err: hyper::Error) {
             source(err)
@@ -78,6 +86,7 @@
     sender: SendRequest<Full<Bytes>>,
     service: SocketAddr,
     local: SocketAddr,
+    broken: Arc<AtomicBool>,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -93,14 +102,18 @@
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(Error::Broken)?;
+        let broken = Arc::new(AtomicBool::new(false));
+        let flag = broken.clone();
         let driver = tokio::spawn(async move {
-            // The request that was under way reports the same failure.
-            drop(connection.await);
+            if connection.await.is_err() {
+                flag.store(true, Ordering::Relaxed);
+            }
         });
         Ok(Self {
             sender,
             service,
             local,
+            broken,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -117,29 +130,34 @@
         self.sender.is_closed()
     }
 
+    /// Tells whether the connection ended by anything but a close between two requests.
+    #[must_use]
+    pub fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for its whole answer.
     ///
     /// # Errors
     ///
     /// Returns an error when the connection breaks before the answer is whole.
-    pub async fn send(&mut self, mut request: Request<Full<Bytes>>) -> Result<CallerAnswer> {
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<CallerAnswer> {
+        let result = self.exchange(request).await;
+        if matches!(result, Err(Error::Broken(_) | Error::Short(..))) {
+            self.broken.store(true, Ordering::Relaxed);
+        }
+        result
+    }
+
+    async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<CallerAnswer> {
         if let Ok(host) = http::HeaderValue::try_from(self.service.to_string()) {
-            request
-                .headers_mut()
-                .entry(http::header::HOST)
-                .or_insert(host);
+            request.headers_mut().entry(HOST).or_insert(host);
         }
-        self.sender.ready().await.map_err(Error::Broken)?;
-        let response = self
-            .sender
-            .send_request(request)
-            .await
-            .map_err(Error::Broken)?;
+        self.sender.ready().await.map_err(Error::Unsent)?;
+        let response = self.sender.send_request(request).await.map_err(failure)?;
         let (parts, body) = response.into_parts();
-        let whole = body
-            .collect()
-            .await
-            .map_err(|err| Error::Short(parts.status, err))?;
+        let short = |err| Error::Short(parts.status, err);
+        let whole = body.collect().await.map_err(short)?;
         Ok(CallerAnswer {
             status: parts.status,
             headers: parts.headers,
@@ -147,3 +165,11 @@
         })
     }
 }
+
+fn failure(err: hyper::Error) -> Error {
+    if err.is_canceled() {
+        Error::Unsent(err)
+    } else {
+        Error::Broken(err)
+    }
+}
--- a/crates/buckthornweir_standins/tests/books.rs
+++ b/crates/buckthornweir_standins/tests/books.rs
@@ -95,6 +95,7 @@
         ),
         ("unknown", gateway, false, vec![(orders, cut)]),
         ("short", Outcome::Short, false, vec![(orders, cut)]),
+        ("unsent", Outcome::Unsent, false, vec![]),
         ("broken", Outcome::Broken, false, vec![]),
         ("timed out", Outcome::TimedOut, false, vec![]),
         (
@@ -143,6 +144,7 @@
         refused falsely: sent: 1, false_refusals: 1
         unknown: sent: 1, unknown: 1
         short: sent: 1, lost: 1, short: 1
+        unsent: sent: 1, unsent: 1
         broken: sent: 1, lost: 1
         timed out: sent: 1, lost: 1
         strange: sent: 1, unfounded: 1
--- a/crates/buckthornweir_standins/tests/callers/answers.rs
+++ b/crates/buckthornweir_standins/tests/callers/answers.rs
@@ -64,3 +64,21 @@
     "#]]
     .assert_eq(&table);
 }
+
+#[tokio::test]
+async fn a_close_between_requests_is_not_a_break() {
+    for (peer, broken) in [(Peer::Say(STRANGE), false), (Peer::Say(SHORT), true)] {
+        let peer = peer::start(peer, 1).await;
+        let config = FabricConfig::new("127.0.0.1:0".parse().unwrap(), 3);
+        let fabric = Fabric::start(config.with_balancers(peer.addrs.clone()))
+            .await
+            .unwrap();
+        let service = "10.100.0.1:80".parse().unwrap();
+        let mut caller = HttpCaller::connect(&fabric, service).await.unwrap();
+        let request = || Request::get("/").body(Default::default()).unwrap();
+        assert_eq!(caller.send(request()).await.is_err(), broken);
+        let again = caller.send(request()).await.unwrap_err();
+        assert!(matches!(again, CallerError::Unsent(_)), "{again}");
+        assert_eq!(caller.is_broken(), broken);
+    }
+}
