Add the load tool: scenarios, seeded load, real processes, figures, report

Ruled out: reserving ports by binding and releasing them; connections of the pool under load can take such a port before its process starts again. Each process has a loopback IP number of its own instead, with fixed ports.

Change: scenarios in INI, seeded callers, processes of the daemon with generated settings, events at given times, figures from the books of both ends, tables, JSON lines and an HTML page with plots.

A table showed 0.0 ms for every latency before the histogram had bounds; its test has 25.0 ms now.

Not run: a scenario against the daemon, which is not there yet; the arguments of the operators' client are a guess until it stands.

--- /dev/null
+++ b/crates/buckthornweir_load/src/figures/service.rs
@@ -0,0 +1,246 @@
+//! The figures of one service.
+
+use std::time::Duration;
+
+use buckthornweir_standins::{BackendBooks, CallerRecord, End, Tally, tally};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::load::{Imbalance, LoadSeries, imbalance, series};
+use super::timeline::{WindowFigures, windows};
+use super::{BackendEvidence, Evidence};
+use crate::callers::FlowEnd;
+
+/// Significant decimal digits of a latency.
+const DIGITS: u8 = 3;
+/// The longest latency that is told apart from longer ones, in microseconds.
+const LONGEST: u64 = 3_600_000_000;
+
+/// All figures of one service.
+#[derive(Clone, Debug, Serialize)]
+pub struct ServiceFigures {
+    /// The service.
+    pub service: SmolStr,
+    /// What became of its requests.
+    pub outcomes: Outcomes,
+    /// What became of its flows.
+    pub flows: FlowFigures,
+    /// The latency of whole answers after the warm-up.
+    pub latency: Latency,
+    /// How uneven the load was in the busiest window.
+    pub imbalance: Imbalance,
+    /// The figures of each backend server.
+    pub backends: Vec<BackendFigures>,
+    /// The load of each backend server over time.
+    pub load: Vec<LoadSeries>,
+    /// What the callers saw over time.
+    pub windows: Vec<WindowFigures>,
+}
+
+/// What became of requests, from the books of both sides.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Outcomes {
+    /// Requests that were due.
+    pub sent: usize,
+    /// Whole answers of the right service to the caller's own request.
+    pub answered: usize,
+    /// Refusals that say that the request was not run.
+    pub refused: usize,
+    /// Honest errors.
+    pub unknown: usize,
+    /// Requests whose caller got no whole answer at all.
+    pub lost: usize,
+    /// Answers that broke off; they are among the lost ones.
+    pub short: usize,
+    /// Requests that may not be repeated, and ran more than once.
+    pub doubled: usize,
+    /// Requests that may be repeated, and ran more than once.
+    pub repeated: usize,
+    /// Answers of, and runs at, another service.
+    pub wrong_service: usize,
+    /// Answers for another request.
+    pub crossed: usize,
+    /// Refusals that say "not run" of a request that ran.
+    pub false_refusals: usize,
+    /// Successes that no backend server has in its books.
+    pub unfounded: usize,
+}
+
+impl From<Tally> for Outcomes {
+    fn from(tally: Tally) -> Self {
+        Self {
+            sent: tally.sent,
+            answered: tally.answered,
+            refused: tally.refused,
+            unknown: tally.unknown,
+            lost: tally.lost + tally.unsent,
+            short: tally.short,
+            doubled: tally.doubled,
+            repeated: tally.repeated,
+            wrong_service: tally.wrong_service,
+            crossed: tally.crossed,
+            false_refusals: tally.false_refusals,
+            unfounded: tally.unfounded,
+        }
+    }
+}
+
+/// What became of flows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct FlowFigures {
+    /// Flows that callers began to open.
+    pub opened: usize,
+    /// Flows that were established, and broke.
+    pub broken: usize,
+    /// Flows that the service closed between two requests.
+    pub closed: usize,
+    /// Flows whose caller gave up waiting for an answer.
+    pub abandoned: usize,
+    /// Flows that were never established.
+    pub not_opened: usize,
+}
+
+/// Percentiles of latency, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Latency {
+    /// The median.
+    pub p50: f64,
+    /// Nine in ten are no slower.
+    pub p90: f64,
+    /// 99 in 100 are no slower.
+    pub p99: f64,
+    /// 999 in 1,000 are no slower.
+    pub p999: f64,
+    /// The slowest.
+    pub max: f64,
+}
+
+/// The figures of one backend server.
+#[derive(Clone, Debug, Serialize)]
+pub struct BackendFigures {
+    /// The backend server.
+    pub backend: SmolStr,
+    /// Its failure domain.
+    pub domain: SmolStr,
+    /// Requests that it ran.
+    pub ran: usize,
+    /// Requests that it refused because all slots were busy, or it shed load.
+    pub refused: usize,
+    /// Requests that were more than it bore when cold.
+    pub fell_over: usize,
+    /// Requests that it stopped because the connection was closed or the deadline passed.
+    pub stopped: usize,
+    /// The most requests that ran or asked for a slot at the same time.
+    pub most: usize,
+    /// The same while it was cold.
+    pub most_cold: usize,
+}
+
+/// Works out the figures of all services.
+pub(crate) fn all(evidence: &Evidence<'_>) -> Vec<ServiceFigures> {
+    let books: Vec<_> = evidence
+        .backends
+        .iter()
+        .map(|backend| backend.books.clone())
+        .collect();
+    let services = evidence.scenario.services.iter();
+    services
+        .map(|service| one(evidence, &service.name, &books))
+        .collect()
+}
+
+fn one(evidence: &Evidence<'_>, service: &SmolStr, books: &[BackendBooks]) -> ServiceFigures {
+    let scenario = evidence.scenario;
+    let requests = || {
+        evidence
+            .requests
+            .iter()
+            .filter(|request| request.record.service == *service)
+    };
+    let records: Vec<CallerRecord> = requests().map(|request| request.record.clone()).collect();
+    let warm = evidence.start + scenario.warm_up;
+    let measured = requests().filter(|request| request.is_answered() && request.due >= warm);
+    let latencies: Vec<_> = measured
+        .map(crate::callers::RequestRecord::latency)
+        .collect();
+    let load = series(evidence, service);
+    let (window, warm_up) = (
+        scenario.window.as_secs_f64(),
+        scenario.warm_up.as_secs_f64(),
+    );
+    let backends = evidence
+        .backends
+        .iter()
+        .filter(|backend| backend.books.service == *service);
+    ServiceFigures {
+        service: service.clone(),
+        outcomes: tally(&records, books).into(),
+        flows: FlowFigures::of(evidence, service),
+        latency: Latency::of(&latencies),
+        imbalance: imbalance(&load, window, warm_up),
+        backends: backends.map(BackendFigures::of).collect(),
+        load,
+        windows: windows(evidence, service),
+    }
+}
+
+impl FlowFigures {
+    fn of(evidence: &Evidence<'_>, service: &str) -> Self {
+        let mut figures = Self::default();
+        for flow in evidence.flows.iter().filter(|flow| flow.service == service) {
+            figures.opened += 1;
+            match flow.end {
+                FlowEnd::Finished => {}
+                FlowEnd::Closed => figures.closed += 1,
+                FlowEnd::Broken => figures.broken += 1,
+                FlowEnd::Abandoned => figures.abandoned += 1,
+                FlowEnd::NotOpened => figures.not_opened += 1,
+            }
+        }
+        figures
+    }
+}
+
+impl Latency {
+    /// Returns the percentiles of these latencies, or zeros when there are none.
+    #[must_use]
+    pub fn of(latencies: &[Duration]) -> Self {
+        let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, LONGEST, DIGITS) else {
+            return Self::default();
+        };
+        for latency in latencies {
+            histogram.saturating_record(latency.as_micros() as u64);
+        }
+        let value = |share| histogram.value_at_quantile(share) as f64 / 1000.0;
+        Self {
+            p50: value(0.5),
+            p90: value(0.9),
+            p99: value(0.99),
+            p999: value(0.999),
+            max: histogram.max() as f64 / 1000.0,
+        }
+    }
+}
+
+impl BackendFigures {
+    fn of(backend: &BackendEvidence) -> Self {
+        let entries = &backend.books.entries;
+        let count = |ends: &[End]| {
+            entries
+                .iter()
+                .filter(|entry| ends.contains(&entry.end))
+                .count()
+        };
+        Self {
+            backend: backend.books.backend.clone(),
+            domain: backend.domain.clone(),
+            ran: entries.iter().filter(|entry| entry.end.ran()).count(),
+            refused: count(&[End::Refused]),
+            fell_over: count(&[End::FellOver]),
+            stopped: count(&[End::Cancelled, End::Expired]),
+            most: backend.most,
+            most_cold: backend.most_cold,
+        }
+    }
+}
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -1,4 +1,56 @@
 //! The load and measuring tool: scenarios, processes, figures and reports.
+//!
+//! A scenario in INI text names the services, their backend servers, the load and what happens at
+//! which time. A run starts the real daemon as separate processes on loopback, with the stand-ins
+//! of the fabric, the callers and the backend servers in its own process, and works out figures
+//! from the books of both ends.
+//!
+//! ```
+//! use buckthornweir_load::Scenario;
+//!
+//! let text = "
+//! [scenario]
+//! name = small
+//! time = 10s
+//! region = fj-west
+//! domains = fj-west-a, fj-west-b
+//! [service orders]
+//! address = 10.100.0.1:80
+//! backends = 2
+//! flows = 10
+//! rate = 20
+//! [event 1]
+//! at = 5s
+//! do = kill
+//! to = balancer-2
+//! ";
+//! let scenario = Scenario::parse("small.ini", text)?;
+//! assert_eq!(scenario.events[0].action.to_string(), "kill balancer-2");
+//! # Ok::<(), buckthornweir_load::Fault>(())
+//! ```
+
+mod callers;
+mod deployment;
+mod fault;
+mod figures;
+mod options;
+mod output;
+mod run;
+mod scenario;
+
+pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, draft};
+pub use deployment::{Deployment, PlacedBackend, Programs};
+pub use fault::{Fault, Result};
+pub use figures::{
+    BackendEvidence, BackendFigures, DomainFigures, EventMark, Evidence, Figures, FlowFigures,
+    Imbalance, Latency, LoadSeries, Outcomes, ServiceFigures, WindowFigures, figures, imbalance,
+};
+pub use options::LoadOptions;
+pub use output::{Line, Plot, draw, page, tables, write_lines};
+pub use run::{Progress, run};
+pub use scenario::{Action, Event, Load, Name, Placed, Scenario, Service, Share};
 
 /// Names that most users of this crate import.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::{Fault, Figures, Programs, Scenario, run};
+}
--- a/crates/buckthornweir_load/src/main.rs
+++ b/crates/buckthornweir_load/src/main.rs
@@ -1,3 +1,122 @@
 //! The load and measuring tool `buckthornweir-load`.
 
-fn main() {}
+use std::fs::{self, File};
+use std::io::{self, BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use buckthornweir_load::{
+    Fault, Figures, LoadOptions, Progress, Result, Scenario, page, run, tables, write_lines,
+};
+use gumdrop::Options;
+use indicatif::{ProgressBar, ProgressStyle};
+
+/// The command line or the scenario is faulty.
+const BAD_INPUT: u8 = 2;
+/// The run itself failed, as against what it measures.
+const FAILED: u8 = 1;
+
+fn main() -> ExitCode {
+    let options = LoadOptions::parse_args_default_or_exit();
+    match load(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("buckthornweir-load: {fault}");
+            ExitCode::from(match fault {
+                Fault::Scenario(_) | Fault::Bundle(_) | Fault::NoProgram(_) => BAD_INPUT,
+                _ => FAILED,
+            })
+        }
+    }
+}
+
+fn load(options: &LoadOptions) -> Result<()> {
+    let mut scenario = Scenario::read(&options.scenario)?;
+    if let Some(seed) = options.seed {
+        scenario.seed = seed;
+    }
+    if options.check {
+        println!("{}: {} processes", scenario.name, scenario.processes());
+        return Ok(());
+    }
+    let folder = Folder::open(options.keep.as_deref())?;
+    let bar = progress_bar(&scenario);
+    let runtime = tokio::runtime::Runtime::new().map_err(Fault::Runtime)?;
+    let figures = runtime.block_on(run(
+        &scenario,
+        &options.programs(),
+        folder.path(),
+        |progress| {
+            show(&bar, progress);
+        },
+    ));
+    bar.finish_and_clear();
+    let figures = figures?;
+    write_files(options, &figures)?;
+    println!("{}", tables(&figures));
+    Ok(())
+}
+
+fn progress_bar(scenario: &Scenario) -> ProgressBar {
+    let bar = ProgressBar::new(scenario.time.as_secs());
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {pos}/{len} s  {msg}") {
+        bar.set_style(style);
+    }
+    bar.set_message("starting the processes");
+    bar
+}
+
+fn show(bar: &ProgressBar, progress: &Progress) {
+    let counts = progress.counts;
+    bar.set_position(progress.elapsed.as_secs());
+    bar.set_message(format!(
+        "{} flows open, {} answered, {} failed, {} flows broken  {}",
+        counts.open, counts.answered, counts.failed, counts.broken, progress.last
+    ));
+}
+
+fn write_files(options: &LoadOptions, figures: &Figures) -> Result<()> {
+    if let Some(path) = &options.json {
+        let file = |err: io::Error| Fault::File(path.clone(), err);
+        let mut out = BufWriter::new(File::create(path).map_err(file)?);
+        write_lines(figures, &mut out)?;
+        out.flush().map_err(file)?;
+    }
+    if let Some(path) = &options.report {
+        fs::write(path, page(figures)?).map_err(|err| Fault::File(path.clone(), err))?;
+    }
+    Ok(())
+}
+
+/// The folder of the processes' files, removed at the end unless it is kept.
+struct Folder {
+    path: PathBuf,
+    kept: bool,
+}
+
+impl Folder {
+    fn open(keep: Option<&Path>) -> Result<Self> {
+        let name = format!("buckthornweir-load-{}", std::process::id());
+        let path = keep.map_or_else(|| std::env::temp_dir().join(name), Path::to_owned);
+        fs::create_dir_all(&path).map_err(|err| Fault::File(path.clone(), err))?;
+        Ok(Self {
+            path,
+            kept: keep.is_some(),
+        })
+    }
+
+    fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.kept && fs::remove_dir_all(&self.path).is_err() {
+            eprintln!(
+                "buckthornweir-load: {} could not be removed",
+                self.path.display()
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_load/src/options.rs
@@ -0,0 +1,66 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+use crate::deployment::Programs;
+
+/// What the command line asks for.
+#[derive(Debug, Options)]
+pub struct LoadOptions {
+    /// The scenario's file.
+    #[options(free, required, help = "scenario to run, an INI file")]
+    pub scenario: PathBuf,
+    /// Whether to show the help and end.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Whether to check the scenario and end.
+    #[options(no_short, help = "check the scenario, and run nothing")]
+    pub check: bool,
+    /// The daemon.
+    #[options(
+        no_short,
+        help = "the daemon buckthornweird; default: beside this program",
+        meta = "PATH"
+    )]
+    pub daemon: Option<PathBuf>,
+    /// The operators' client.
+    #[options(
+        no_short,
+        help = "the client buckthornweir; default: beside this program",
+        meta = "PATH"
+    )]
+    pub client: Option<PathBuf>,
+    /// The seed, in place of the scenario's.
+    #[options(no_short, help = "seed in place of the scenario's", meta = "NUMBER")]
+    pub seed: Option<u64>,
+    /// Where to write JSON lines.
+    #[options(no_short, help = "write the figures as JSON lines", meta = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Where to write the report.
+    #[options(no_short, help = "write a report with plots", meta = "FILE.html")]
+    pub report: Option<PathBuf>,
+    /// Where settings, logs and data folders of the processes are kept.
+    #[options(
+        no_short,
+        help = "keep settings and logs of the processes here",
+        meta = "FOLDER"
+    )]
+    pub keep: Option<PathBuf>,
+}
+
+impl LoadOptions {
+    /// Returns the paths of the programs to run.
+    #[must_use]
+    pub fn programs(&self) -> Programs {
+        let own = std::env::current_exe().unwrap_or_default();
+        let beside = |given: &Option<PathBuf>, name: &str| {
+            given.clone().unwrap_or_else(|| own.with_file_name(name))
+        };
+        Programs {
+            daemon: beside(&self.daemon, "buckthornweird"),
+            client: beside(&self.client, "buckthornweir"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_load/src/output/table.rs
@@ -0,0 +1,196 @@
+//! Figures as tables on the terminal.
+
+use comfy_table::presets::UTF8_FULL_CONDENSED;
+use comfy_table::{CellAlignment, Table};
+
+use crate::figures::{DomainFigures, EventMark, Figures, ServiceFigures};
+
+/// Returns all tables as one text.
+#[must_use]
+pub fn tables(figures: &Figures) -> String {
+    let mut parts = vec![
+        format!(
+            "Scenario {}, seed {}, {} s, windows of {} s",
+            figures.scenario, figures.seed, figures.seconds, figures.window
+        ),
+        measures(&figures.services).to_string(),
+        outcomes(&figures.services).to_string(),
+        backends(&figures.services).to_string(),
+    ];
+    if !figures.domains.is_empty() {
+        parts.push(domains(&figures.domains).to_string());
+    }
+    if !figures.events.is_empty() {
+        parts.push(events(&figures.events).to_string());
+    }
+    parts.join("\n\n")
+}
+
+fn table<const N: usize>(head: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_FULL_CONDENSED).set_header(head);
+    for column in table.column_iter_mut().skip(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+/// The brief's measures, by name.
+fn measures(services: &[ServiceFigures]) -> Table {
+    let mut table = table([
+        "service",
+        "flows",
+        "broken flows",
+        "closed",
+        "lost",
+        "doubled",
+        "imbalance",
+        "busiest window",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms",
+        "max ms",
+    ]);
+    for figures in services {
+        let imbalance = &figures.imbalance;
+        table.add_row([
+            figures.service.to_string(),
+            figures.flows.opened.to_string(),
+            figures.flows.broken.to_string(),
+            figures.flows.closed.to_string(),
+            figures.outcomes.lost.to_string(),
+            figures.outcomes.doubled.to_string(),
+            format!("{:.2}", imbalance.ratio),
+            format!(
+                "{} / {:.1} at {} s",
+                imbalance.most, imbalance.mean, imbalance.at
+            ),
+            format!("{:.1}", figures.latency.p50),
+            format!("{:.1}", figures.latency.p90),
+            format!("{:.1}", figures.latency.p99),
+            format!("{:.1}", figures.latency.max),
+        ]);
+    }
+    table
+}
+
+fn outcomes(services: &[ServiceFigures]) -> Table {
+    let mut table = table([
+        "requests",
+        "sent",
+        "answered",
+        "refused",
+        "unknown",
+        "lost",
+        "short",
+        "doubled",
+        "repeated",
+        "wrong service",
+        "crossed",
+        "false refusals",
+        "unfounded",
+    ]);
+    for figures in services {
+        let outcomes = &figures.outcomes;
+        let counts = [
+            outcomes.sent,
+            outcomes.answered,
+            outcomes.refused,
+            outcomes.unknown,
+            outcomes.lost,
+            outcomes.short,
+            outcomes.doubled,
+            outcomes.repeated,
+            outcomes.wrong_service,
+            outcomes.crossed,
+            outcomes.false_refusals,
+            outcomes.unfounded,
+        ];
+        let counts = counts.iter().map(ToString::to_string);
+        table.add_row(std::iter::once(figures.service.to_string()).chain(counts));
+    }
+    table
+}
+
+fn backends(services: &[ServiceFigures]) -> Table {
+    let mut table = table([
+        "backend server",
+        "failure domain",
+        "ran",
+        "refused",
+        "fell over",
+        "stopped",
+        "most at once",
+        "most when cold",
+    ]);
+    for backend in services.iter().flat_map(|figures| &figures.backends) {
+        table.add_row([
+            backend.backend.to_string(),
+            backend.domain.to_string(),
+            backend.ran.to_string(),
+            backend.refused.to_string(),
+            backend.fell_over.to_string(),
+            backend.stopped.to_string(),
+            backend.most.to_string(),
+            backend.most_cold.to_string(),
+        ]);
+    }
+    table
+}
+
+fn domains(domains: &[DomainFigures]) -> Table {
+    let mut table = table([
+        "failure domain",
+        "out at s",
+        "back at s",
+        "last request after out s",
+        "first request after back s",
+        "sent",
+        "answered",
+        "broken flows",
+        "broken after back",
+    ]);
+    for domain in domains {
+        table.add_row([
+            domain.domain.to_string(),
+            format!("{:.1}", domain.out),
+            format!("{:.1}", domain.back),
+            optional(domain.last_run),
+            optional(domain.first_run),
+            domain.sent.to_string(),
+            format!(
+                "{} ({:.2} %)",
+                domain.answered,
+                percent(domain.answered, domain.sent)
+            ),
+            domain.broken.to_string(),
+            domain.broken_return.to_string(),
+        ]);
+    }
+    table
+}
+
+fn events(events: &[EventMark]) -> Table {
+    let mut table = table(["event", "at s", "done after s", "failed"]);
+    for event in events {
+        table.add_row([
+            event.what.to_string(),
+            format!("{:.1}", event.at),
+            format!("{:.2}", event.done - event.at),
+            event.failed.clone().unwrap_or_default(),
+        ]);
+    }
+    table
+}
+
+fn optional(seconds: Option<f64>) -> String {
+    seconds.map_or("none".into(), |seconds| format!("{seconds:.2}"))
+}
+
+fn percent(part: usize, whole: usize) -> f64 {
+    if whole == 0 {
+        100.0
+    } else {
+        100.0 * part as f64 / whole as f64
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_load/src/scenario/event.rs
@@ -0,0 +1,105 @@
+//! What happens at given times.
+
+use std::fmt;
+use std::time::Duration;
+
+use buckthornweir_standins::Fault;
+use smol_str::SmolStr;
+
+use super::Name;
+
+/// Something that happens at a given time of the load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// When it happens, from the start of the load.
+    pub at: Duration,
+    /// What happens.
+    pub action: Action,
+}
+
+/// What an event does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Ends a process at once.
+    Kill(Name),
+    /// Asks a process to end (SIGTERM).
+    Stop(Name),
+    /// Starts a process that has ended.
+    Start(Name),
+    /// Asks a process to end, and starts it again when it has.
+    Restart(Name),
+    /// Suspends a process (SIGSTOP).
+    Freeze(Name),
+    /// Resumes a process (SIGCONT).
+    Thaw(Name),
+    /// Takes a failure domain out.
+    DomainOut(SmolStr),
+    /// Brings a failure domain back.
+    DomainBack(SmolStr),
+    /// Pushes the next version of the bundle with the same content.
+    Push,
+    /// Makes a backend server misbehave.
+    Fault(Name, Fault),
+}
+
+impl Action {
+    /// Returns the word that stands for the action in a scenario.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Kill(_) => "kill",
+            Self::Stop(_) => "stop",
+            Self::Start(_) => "start",
+            Self::Restart(_) => "restart",
+            Self::Freeze(_) => "freeze",
+            Self::Thaw(_) => "thaw",
+            Self::DomainOut(_) => "domain-out",
+            Self::DomainBack(_) => "domain-back",
+            Self::Push => "push",
+            Self::Fault(_, fault) => fault_word(*fault),
+        }
+    }
+
+    /// Returns what the action is done to, or an empty text.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        match self {
+            Self::Kill(name)
+            | Self::Stop(name)
+            | Self::Start(name)
+            | Self::Restart(name)
+            | Self::Freeze(name)
+            | Self::Thaw(name)
+            | Self::DomainOut(name)
+            | Self::DomainBack(name)
+            | Self::Fault(name, _) => name,
+            Self::Push => "",
+        }
+    }
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())?;
+        if self.target().is_empty() {
+            return Ok(());
+        }
+        write!(f, " {}", self.target())
+    }
+}
+
+fn fault_word(fault: Fault) -> &'static str {
+    match fault {
+        Fault::None => "heal",
+        Fault::Shed => "shed",
+        Fault::Drain => "drain",
+        Fault::TurnCold => "cold",
+        Fault::Late(_) => "late",
+        Fault::Silent => "silent",
+        Fault::CutBeforeAnswer => "cut-before-answer",
+        Fault::CutAfterHeaders => "cut-after-headers",
+        Fault::CutMidBody => "cut-mid-body",
+        Fault::LyingHealth => "lying-health",
+        Fault::LyingLoad => "lying-load",
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -0,0 +1,262 @@
+//! Figures from made-up books, and what is shown of them.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use buckthornweir_load::{
+    BackendEvidence, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance, LoadSeries,
+    RequestRecord, Scenario, figures, imbalance, page, tables, write_lines,
+};
+use buckthornweir_standins::{
+    BackendBooks, BookEntry, CallerRecord, End, FabricCounters, Outcome, Traits,
+};
+use expect_test::expect;
+
+/// When the load began, on the clock of the stand-ins.
+const START: Duration = Duration::from_secs(100);
+
+const SCENARIO: &str = "\
+[scenario]
+name = made-up
+time = 40s
+window = 10s
+region = fj-west
+domains = fj-west-a, fj-west-b
+[service orders]
+address = 10.100.0.1:80
+backends = 2
+flows = 1
+rate = 1
+[event 1]
+at = 10s
+do = domain-out
+to = fj-west-b
+[event 2]
+at = 20s
+do = domain-back
+to = fj-west-b
+";
+
+fn at(seconds: f64) -> Duration {
+    START + Duration::from_secs_f64(seconds)
+}
+
+/// A request that was due at a time, ran at a backend server and was answered after 25 ms.
+fn request(id: &str, seconds: f64, outcome: Outcome) -> RequestRecord {
+    RequestRecord {
+        record: CallerRecord {
+            request_id: id.into(),
+            service: "orders".into(),
+            traits: Traits::default(),
+            outcome,
+        },
+        due: at(seconds),
+        ended: at(seconds) + Duration::from_millis(25),
+    }
+}
+
+fn run(id: &str, seconds: f64) -> BookEntry {
+    BookEntry {
+        request_id: id.into(),
+        idempotency_key: None,
+        method: "GET".into(),
+        path: "/".into(),
+        started: at(seconds),
+        ended: Some(at(seconds)),
+        end: End::Done,
+        concurrent: 1,
+        cold: false,
+    }
+}
+
+fn backend(name: &str, domain: &str, runs: &[(&str, f64)]) -> BackendEvidence {
+    BackendEvidence {
+        books: BackendBooks {
+            backend: name.into(),
+            service: "orders".into(),
+            entries: runs.iter().map(|(id, seconds)| run(id, *seconds)).collect(),
+        },
+        domain: domain.into(),
+        most: 1,
+        most_cold: 0,
+    }
+}
+
+fn flow(seconds: f64, end: FlowEnd) -> FlowRecord {
+    FlowRecord {
+        service: "orders".into(),
+        opened: START,
+        ended: at(seconds),
+        end,
+    }
+}
+
+fn made_up() -> Figures {
+    let scenario = Scenario::parse("s.ini", SCENARIO).unwrap();
+    let own = |id: &str| Outcome::Answered {
+        service: "orders".into(),
+        request_id: id.into(),
+    };
+    let requests = [
+        request("a", 1.0, own("a")),
+        request("b", 9.0, own("b")),
+        request("c", 10.5, own("c")),
+        request("d", 12.0, Outcome::Broken),
+        request("e", 21.0, own("e")),
+        request("f", 31.0, own("f")),
+    ];
+    let backends = [
+        backend(
+            "orders-1",
+            "fj-west-a",
+            &[("a", 1.0), ("e", 21.0), ("f", 31.0), ("f", 31.5)],
+        ),
+        backend(
+            "orders-2",
+            "fj-west-b",
+            &[("b", 9.0), ("c", 10.5), ("d", 12.0), ("g", 23.0)],
+        ),
+    ];
+    let flows = [flow(12.0, FlowEnd::Broken), flow(40.0, FlowEnd::Finished)];
+    let events: Vec<_> = scenario
+        .events
+        .iter()
+        .map(|event| EventMark {
+            at: event.at.as_secs_f64(),
+            done: event.at.as_secs_f64() + 0.5,
+            what: event.action.to_string().into(),
+            failed: None,
+            action: Some(event.action.clone()),
+        })
+        .collect();
+    figures(&Evidence {
+        scenario: &scenario,
+        start: START,
+        requests: &requests,
+        flows: &flows,
+        backends: &backends,
+        events: &events,
+        fabric: FabricCounters {
+            sent: 9,
+            received: 8,
+            dropped: 1,
+            ..FabricCounters::default()
+        },
+    })
+}
+
+#[test]
+fn tables_name_the_measures() {
+    expect![[r#"
+        Scenario made-up, seed 1, 40 s, windows of 10 s
+
+        ┌─────────┬───────┬──────────────┬────────┬──────┬─────────┬───────────┬─────────────────┬────────┬────────┬────────┬────────┐
+        │ service ┆ flows ┆ broken flows ┆ closed ┆ lost ┆ doubled ┆ imbalance ┆  busiest window ┆ p50 ms ┆ p90 ms ┆ p99 ms ┆ max ms │
+        ╞═════════╪═══════╪══════════════╪════════╪══════╪═════════╪═══════════╪═════════════════╪════════╪════════╪════════╪════════╡
+        │ orders  ┆     2 ┆            1 ┆      0 ┆    1 ┆       1 ┆      2.00 ┆ 2 / 1.0 at 30 s ┆   25.0 ┆   25.0 ┆   25.0 ┆   25.0 │
+        └─────────┴───────┴──────────────┴────────┴──────┴─────────┴───────────┴─────────────────┴────────┴────────┴────────┴────────┘
+
+        ┌──────────┬──────┬──────────┬─────────┬─────────┬──────┬───────┬─────────┬──────────┬───────────────┬─────────┬────────────────┬───────────┐
+        │ requests ┆ sent ┆ answered ┆ refused ┆ unknown ┆ lost ┆ short ┆ doubled ┆ repeated ┆ wrong service ┆ crossed ┆ false refusals ┆ unfounded │
+        ╞══════════╪══════╪══════════╪═════════╪═════════╪══════╪═══════╪═════════╪══════════╪═══════════════╪═════════╪════════════════╪═══════════╡
+        │ orders   ┆    6 ┆        5 ┆       0 ┆       0 ┆    1 ┆     0 ┆       1 ┆        0 ┆             0 ┆       0 ┆              0 ┆         0 │
+        └──────────┴──────┴──────────┴─────────┴─────────┴──────┴───────┴─────────┴──────────┴───────────────┴─────────┴────────────────┴───────────┘
+
+        ┌────────────────┬────────────────┬─────┬─────────┬───────────┬─────────┬──────────────┬────────────────┐
+        │ backend server ┆ failure domain ┆ ran ┆ refused ┆ fell over ┆ stopped ┆ most at once ┆ most when cold │
+        ╞════════════════╪════════════════╪═════╪═════════╪═══════════╪═════════╪══════════════╪════════════════╡
+        │ orders-1       ┆      fj-west-a ┆   4 ┆       0 ┆         0 ┆       0 ┆            1 ┆              0 │
+        │ orders-2       ┆      fj-west-b ┆   4 ┆       0 ┆         0 ┆       0 ┆            1 ┆              0 │
+        └────────────────┴────────────────┴─────┴─────────┴───────────┴─────────┴──────────────┴────────────────┘
+
+        ┌────────────────┬──────────┬───────────┬──────────────────────────┬────────────────────────────┬──────┬─────────────┬──────────────┬───────────────────┐
+        │ failure domain ┆ out at s ┆ back at s ┆ last request after out s ┆ first request after back s ┆ sent ┆    answered ┆ broken flows ┆ broken after back │
+        ╞════════════════╪══════════╪═══════════╪══════════════════════════╪════════════════════════════╪══════╪═════════════╪══════════════╪═══════════════════╡
+        │ fj-west-b      ┆     10.0 ┆      20.0 ┆                     2.00 ┆                       3.00 ┆    3 ┆ 2 (66.67 %) ┆            1 ┆                 0 │
+        └────────────────┴──────────┴───────────┴──────────────────────────┴────────────────────────────┴──────┴─────────────┴──────────────┴───────────────────┘
+
+        ┌───────────────────────┬──────┬──────────────┬────────┐
+        │ event                 ┆ at s ┆ done after s ┆ failed │
+        ╞═══════════════════════╪══════╪══════════════╪════════╡
+        │ domain-out fj-west-b  ┆ 10.0 ┆         0.50 ┆        │
+        │ domain-back fj-west-b ┆ 20.0 ┆         0.50 ┆        │
+        └───────────────────────┴──────┴──────────────┴────────┘"#]]
+    .assert_eq(&tables(&made_up()));
+}
+
+#[test]
+fn lines_are_json() {
+    let mut lines = Vec::new();
+    write_lines(&made_up(), &mut lines).unwrap();
+    let text = String::from_utf8(lines).unwrap();
+    let kinds: Vec<_> = text
+        .lines()
+        .map(|line| {
+            let value: serde_json::Value = serde_json::from_str(line).unwrap();
+            value["kind"].as_str().unwrap().to_owned()
+        })
+        .collect();
+    let expected = "run event event domain service backend backend window window window window";
+    assert_eq!(kinds.join(" "), expected);
+}
+
+#[test]
+fn the_page_has_three_plots_a_service() {
+    let html = page(&made_up()).unwrap();
+    assert_eq!(html.matches("<svg").count(), 3);
+    assert!(html.contains("domain-out fj-west-b"));
+}
+
+#[test]
+fn imbalance_is_that_of_the_busiest_window() {
+    let series = |ran: &[usize], away: &[bool]| LoadSeries {
+        backend: "b".into(),
+        domain: "d".into(),
+        ran: ran.to_vec(),
+        away: away.to_vec(),
+    };
+    let none = [false; 3];
+    let away = [false, true, false];
+    let cases = [
+        (
+            "even",
+            vec![series(&[1, 5, 2], &none), series(&[1, 5, 2], &none)],
+            0.0,
+            (1, 5, 1.0),
+        ),
+        (
+            "uneven",
+            vec![series(&[9, 6, 2], &none), series(&[0, 4, 2], &none)],
+            0.0,
+            (1, 6, 1.2),
+        ),
+        (
+            "warm-up",
+            vec![series(&[1, 5, 6], &none), series(&[9, 5, 2], &none)],
+            15.0,
+            (2, 6, 1.5),
+        ),
+        (
+            "away",
+            vec![series(&[1, 9, 2], &none), series(&[1, 1, 2], &away)],
+            0.0,
+            (1, 9, 1.0),
+        ),
+        ("idle", vec![series(&[0, 0, 0], &none)], 0.0, (2, 0, 0.0)),
+    ];
+    for (case, series, warm_up, (window, most, ratio)) in cases {
+        let Imbalance {
+            at,
+            most: found,
+            ratio: found_ratio,
+            ..
+        } = imbalance(&series, 10.0, warm_up);
+        assert_eq!(
+            (at, found, found_ratio),
+            (f64::from(window) * 10.0, most, ratio),
+            "{case}"
+        );
+    }
+    assert_eq!(imbalance(&[], 10.0, 0.0), Imbalance::default());
+}
