Empty the fabric's socket in a thread of its own

Cause: one task read the socket, ran the callers' stacks and woke the callers; a burst could overflow the socket's buffer meanwhile, and each packet lost that way costs a retransmission timeout of a second that no balancer caused.

Found on the way: with packets that truly overtake each other, an echo of 40,000 bytes through three sockets took 3.0 s instead of 11 ms. smoltcp 0.14 returns early, payload and all, on a segment whose acknowledgement number is below the latest (socket/tcp.rs, 'duplicate ACK'), so a segment sent before and delivered after a newer acknowledgement is lost and waits for a timeout of 1 s. Ruled out by a trace of both ends: loss at the socket, a full window, too many holes. This concerns every receiver that uses smoltcp behind a fabric that sprays: bytes that go both ways at once stall; requests and answers that take turns don't.

Change: a thread reads, four tasks deliver, the packets of one caller stay in order. The test's peer echoes when the caller has closed its half, so that the tests don't wait for the above. Plots: one label a decade, whole seconds.

--- a/crates/buckthornweir_load/src/output/plot.rs
+++ b/crates/buckthornweir_load/src/output/plot.rs
@@ -12,6 +12,7 @@
 /// Space to the right of the plot that the legend stands in, in pixels.
 const LEGEND_MARGIN: u32 = 130;
 const MARK_COLOUR: RGBColor = RGBColor(200, 60, 40);
+const LABELS: usize = 8;
 /// The smallest value that a logarithmic plot shows.
 const LOG_FLOOR: f64 = 0.1;
 /// Colours that stay apart for most kinds of colour blindness.
@@ -79,9 +80,11 @@
     chart
         .configure_mesh()
         .disable_x_mesh()
-        .light_line_style(WHITE)
+        .max_light_lines(0)
         .x_desc("seconds from the start of the load")
         .y_desc(&plot.unit)
+        .x_label_formatter(&|seconds| format!("{seconds:.0}"))
+        .y_labels(plot.label_count())
         .y_label_formatter(&|value| plot.label(*value))
         .label_style((FONT, LABEL_SIZE))
         .draw()?;
@@ -148,6 +151,16 @@
         }
     }
 
+    /// Returns how many labels the value axis has; a logarithmic one has a label a decade.
+    fn label_count(&self) -> usize {
+        let range = self.range();
+        if self.log {
+            (range.end - range.start).round() as usize + 1
+        } else {
+            LABELS
+        }
+    }
+
     fn scaled(&self, value: f64) -> f64 {
         if self.log {
             value.max(LOG_FLOOR).log10()
--- a/crates/buckthornweir_standins/src/fabric/mod.rs
+++ b/crates/buckthornweir_standins/src/fabric/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod connection;
+mod delivery;
 mod outlet;
 mod packet;
 mod shards;
@@ -9,12 +10,11 @@
 mod stream;
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use quick_error::quick_error;
-use tokio::net::UdpSocket;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use connection::Connection;
@@ -25,8 +25,6 @@
 pub use outlet::FabricCounters;
 pub use stream::CallerStream;
 
-/// Largest datagram that is read, in bytes.
-const DATAGRAM_LIMIT: usize = 65_536;
 /// Caller addresses are 10.200.x.y; this many are used before a port is used twice.
 const ADDRESSES: u64 = 250 * 250;
 const FIRST_PORT: u64 = 10_000;
@@ -89,14 +87,12 @@
     ///
     /// Returns an error when the socket can't be bound.
     pub async fn start(config: FabricConfig) -> Result<Self> {
-        let socket = std::net::UdpSocket::bind(config.bind)?;
-        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::bind(config.bind)?;
         let addr = socket.local_addr()?;
         let outlet = Arc::new(Outlet::new(socket.try_clone()?, &config));
         let shards = Arc::new(Shards::default());
         let token = CancellationToken::new();
-        let reader = deliver(UdpSocket::from_std(socket)?, shards.clone(), outlet.clone());
-        tokio::spawn(token.clone().run_until_cancelled_owned(reader));
+        delivery::start(socket, &shards, &outlet, &token)?;
         let guard = Arc::new(token.clone().drop_guard());
         let next = AtomicU64::new(0);
         let inner = Inner {
@@ -191,21 +187,3 @@
     };
     SocketAddr::new(ip, port)
 }
-
-/// Gives each datagram that arrives to the caller that it is addressed to.
-async fn deliver(socket: UdpSocket, shards: Arc<Shards>, outlet: Arc<Outlet>) {
-    let mut buf = vec![0; DATAGRAM_LIMIT];
-    loop {
-        let Ok((len, _)) = socket.recv_from(&mut buf).await else {
-            continue;
-        };
-        let Some(target) = packet::target(&buf[..len]) else {
-            outlet.count_malformed();
-            continue;
-        };
-        match shards.get(target.to) {
-            Some(connection) => connection.receive(&buf[..len], target.reset),
-            None => outlet.count_unknown(),
-        }
-    }
-}
--- a/crates/buckthornweir_standins/src/fabric/outlet.rs
+++ b/crates/buckthornweir_standins/src/fabric/outlet.rs
@@ -17,7 +17,7 @@
     pub sent: u64,
     /// Packets received and given to a caller.
     pub received: u64,
-    /// Packets lost on purpose, or that the socket did not take.
+    /// Packets lost on purpose, that the socket did not take, or that no queue had room for.
     pub dropped: u64,
     /// Packets received for a caller that is no more.
     pub unknown: u64,
@@ -87,6 +87,10 @@
         add(&self.received);
     }
 
+    pub(crate) fn count_dropped(&self) {
+        add(&self.dropped);
+    }
+
     pub(crate) fn count_unknown(&self) {
         add(&self.unknown);
     }
--- a/crates/buckthornweir_standins/tests/callers/peer.rs
+++ b/crates/buckthornweir_standins/tests/callers/peer.rs
@@ -21,7 +21,10 @@
 /// What the peer does with a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Peer {
-    /// Sends every byte back, and closes when the caller does.
+    /// Sends all bytes back once the caller has closed its half, then closes.
+    ///
+    /// Not sooner: smoltcp drops data whose acknowledgement is older than the latest, so bytes
+    /// that go both ways at once would wait for retransmissions when packets overtake each other.
     Echo,
     /// Sends these bytes at the caller's first byte, then closes.
     Say(&'static str),
@@ -97,7 +100,8 @@
     iface: Interface,
     device: Queues,
     sockets: SocketSet<'static>,
-    handles: Vec<SocketHandle>,
+    /// Sockets, with the bytes that each has received and not sent back.
+    connections: Vec<(SocketHandle, Vec<u8>)>,
 }
 
 impl PeerStack {
@@ -112,14 +116,16 @@
             ]);
         });
         let mut sockets = SocketSet::new(Vec::new());
-        let handles = (0..SOCKETS).map(|_| sockets.add(listener())).collect();
+        let connections = (0..SOCKETS)
+            .map(|_| (sockets.add(listener()), Vec::new()))
+            .collect();
         Self {
             peer,
             epoch: Instant::now(),
             iface,
             device,
             sockets,
-            handles,
+            connections,
         }
     }
 
@@ -130,8 +136,9 @@
         }
         let now = smoltcp::time::Instant::from_micros(self.epoch.elapsed().as_micros() as i64);
         self.iface.poll(now, &mut self.device, &mut self.sockets);
-        for handle in &self.handles {
-            act(self.peer, self.sockets.get_mut::<Socket<'_>>(*handle));
+        for (handle, held) in &mut self.connections {
+            let socket = self.sockets.get_mut::<Socket<'_>>(*handle);
+            act(self.peer, socket, held);
         }
         self.iface.poll(now, &mut self.device, &mut self.sockets);
         std::mem::take(&mut self.device.ready)
@@ -145,16 +152,19 @@
     socket
 }
 
-fn act(peer: Peer, socket: &mut Socket<'static>) {
+fn act(peer: Peer, socket: &mut Socket<'static>, held: &mut Vec<u8>) {
     match socket.state() {
-        State::Closed => socket.listen(PORT).unwrap(),
-        State::CloseWait if !socket.can_recv() => socket.close(),
-        _ if !socket.can_recv() => {}
-        _ => act_on_bytes(peer, socket),
+        State::Closed => {
+            held.clear();
+            socket.listen(PORT).unwrap();
+        }
+        _ if socket.can_recv() => act_on_bytes(peer, socket, held),
+        State::CloseWait => give_back(socket, held),
+        _ => {}
     }
 }
 
-fn act_on_bytes(peer: Peer, socket: &mut Socket<'static>) {
+fn act_on_bytes(peer: Peer, socket: &mut Socket<'static>, held: &mut Vec<u8>) {
     match peer {
         Peer::Reset => socket.abort(),
         Peer::Say(text) => {
@@ -162,18 +172,21 @@
             socket.close();
         }
         Peer::Echo | Peer::Deaf => {
-            let room = socket.send_capacity() - socket.send_queue();
-            let bytes = socket
-                .recv(|bytes| {
-                    let len = bytes.len().min(room);
-                    (len, bytes[..len].to_vec())
-                })
-                .unwrap();
-            socket.send_slice(&bytes).unwrap();
+            let bytes = socket.recv(|bytes| (bytes.len(), bytes.to_vec()));
+            held.extend(bytes.unwrap());
         }
     }
 }
 
+/// Sends held bytes as there is room, and closes after the last.
+fn give_back(socket: &mut Socket<'static>, held: &mut Vec<u8>) {
+    let sent = socket.send_slice(held).unwrap();
+    held.drain(..sent);
+    if held.is_empty() {
+        socket.close();
+    }
+}
+
 #[derive(Default)]
 struct Queues {
     received: VecDeque<Vec<u8>>,
