members: probes, suspicion, rumours, anti-entropy and typed messages

Cause: the daemon needs the membership core's interface. Change: a core without I/O that probes three fixed successors on a hashed ring and one random member, suspects, declares dead and revives members, spreads changes at once to four members and on probes within a byte budget, and compares tables by digests. Greeted seeds answer with a few members. Ruled out: answering greetings with an acknowledgement alone.

--- /dev/null
+++ b/crates/buckthornweir_members/src/config.rs
@@ -0,0 +1,144 @@
+//! Periods, timeouts and budgets of the membership.
+
+use std::time::Duration;
+
+/// Periods, timeouts and budgets of [`Members`](crate::Members).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    pub(crate) probe_period: Duration,
+    pub(crate) probe_timeout: Duration,
+    pub(crate) indirect_timeout: Duration,
+    pub(crate) suspicion: Duration,
+    pub(crate) heard_suspicion: Duration,
+    pub(crate) deaf_limit: Duration,
+    pub(crate) pause_limit: Duration,
+    pub(crate) monitors: usize,
+    pub(crate) helpers: usize,
+    pub(crate) fan_out: u32,
+    pub(crate) gossip_interval: Duration,
+    pub(crate) sync_interval: Duration,
+    pub(crate) catch_up: u32,
+    pub(crate) contact_interval: Duration,
+    pub(crate) forget_after: Duration,
+    pub(crate) pull_timeout: Duration,
+    pub(crate) byte_budget: u32,
+    pub(crate) datagram_size: usize,
+    pub(crate) envelope: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_millis(1_000),
+            probe_timeout: Duration::from_millis(300),
+            indirect_timeout: Duration::from_millis(400),
+            suspicion: Duration::from_millis(2_000),
+            heard_suspicion: Duration::from_secs(10),
+            deaf_limit: Duration::from_secs(10),
+            pause_limit: Duration::from_secs(1),
+            monitors: 3,
+            helpers: 3,
+            fan_out: 4,
+            gossip_interval: Duration::from_millis(50),
+            sync_interval: Duration::from_secs(3),
+            catch_up: 64,
+            contact_interval: Duration::from_secs(5),
+            forget_after: Duration::from_secs(2 * 60 * 60),
+            pull_timeout: Duration::from_secs(2),
+            byte_budget: 3_000,
+            datagram_size: 1_200,
+            envelope: 64,
+        }
+    }
+}
+
+impl Config {
+    /// Sets the period in which each monitored member is probed once.
+    pub fn with_probe_period(mut self, period: Duration) -> Self {
+        self.probe_period = period;
+        self
+    }
+
+    /// Sets how long a direct probe may take before other members are asked to probe.
+    pub fn with_probe_timeout(mut self, timeout: Duration) -> Self {
+        self.probe_timeout = timeout;
+        self
+    }
+
+    /// Sets how long indirect probes may take before the member is suspected.
+    pub fn with_indirect_timeout(mut self, timeout: Duration) -> Self {
+        self.indirect_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a suspect that the node probed itself may refute before it is declared dead.
+    pub fn with_suspicion(mut self, suspicion: Duration) -> Self {
+        self.suspicion = suspicion;
+        self
+    }
+
+    /// Sets the number of members that each node probes in each period.
+    pub fn with_monitors(mut self, monitors: usize) -> Self {
+        self.monitors = monitors.max(1);
+        self
+    }
+
+    /// Sets the number of members that are asked to probe indirectly.
+    pub fn with_helpers(mut self, helpers: usize) -> Self {
+        self.helpers = helpers;
+        self
+    }
+
+    /// Sets to how many members a change is sent at once.
+    pub fn with_fan_out(mut self, fan_out: u32) -> Self {
+        self.fan_out = fan_out;
+        self
+    }
+
+    /// Sets the shortest time between two exchanges of digests.
+    pub fn with_sync_interval(mut self, interval: Duration) -> Self {
+        self.sync_interval = interval;
+        self
+    }
+
+    /// Sets how often a dead member or a seed is contacted.
+    pub fn with_contact_interval(mut self, interval: Duration) -> Self {
+        self.contact_interval = interval;
+        self
+    }
+
+    /// Sets how long dead members are remembered.
+    pub fn with_forget_after(mut self, age: Duration) -> Self {
+        self.forget_after = age;
+        self
+    }
+
+    /// Sets the time after which a bundle that has not arrived is pulled again.
+    pub fn with_pull_timeout(mut self, timeout: Duration) -> Self {
+        self.pull_timeout = timeout;
+        self
+    }
+
+    /// Sets the bytes a second that the node sends at most in the long run.
+    pub fn with_byte_budget(mut self, bytes: u32) -> Self {
+        self.byte_budget = bytes;
+        self
+    }
+
+    /// Sets the size in bytes that a datagram has at most, its envelope included.
+    pub fn with_datagram_size(mut self, bytes: usize) -> Self {
+        self.datagram_size = bytes;
+        self
+    }
+
+    /// Sets the bytes that IP, UDP and authentication add to each message.
+    pub fn with_envelope(mut self, bytes: usize) -> Self {
+        self.envelope = bytes;
+        self
+    }
+
+    /// Returns the size in bytes that an encoded message has at most.
+    pub(crate) fn message_size(&self) -> usize {
+        self.datagram_size.saturating_sub(self.envelope)
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_members/src/members/probing.rs
@@ -0,0 +1,423 @@
+//! Probes of other members, direct and through helpers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::Members;
+use crate::messages::Body;
+use crate::{Config, Health, MemberState, NodeId};
+
+/// The most probes of other members' behalf in flight.
+const MAX_RELAYS: usize = 64;
+
+/// The worst local health.
+const MAX_STRAIN: u32 = 3;
+
+/// The periods from one probe of a random member to the next.
+const RANDOM_PERIODS: u32 = 2;
+
+/// The seeds that are contacted at once by a process that knows no other.
+const SEEDS_AT_ONCE: usize = 3;
+
+#[derive(Debug)]
+struct Probe {
+    target: NodeId,
+    sequence: u32,
+    started: Duration,
+    resent: bool,
+    asked: usize,
+    replies: usize,
+    indirect: bool,
+}
+
+/// A probe on another member's behalf.
+#[derive(Debug)]
+struct Relay {
+    target: NodeId,
+    sequence: u32,
+    requester: SocketAddr,
+    request: u32,
+    started: Duration,
+    resent: bool,
+}
+
+/// The probes in flight and the state of their schedule.
+#[derive(Debug, Default)]
+pub(super) struct Probing {
+    sequence: u32,
+    next_probe: Duration,
+    cursor: u32,
+    targets: Vec<NodeId>,
+    generation: Option<u64>,
+    probes: Vec<Probe>,
+    relays: Vec<Relay>,
+    /// How much of the failures seems to be due to this process, from 0 to [`MAX_STRAIN`].
+    strain: u32,
+}
+
+impl Probing {
+    pub(super) fn start(&mut self, now: Duration) {
+        self.next_probe = now;
+    }
+
+    /// Drops all probes in flight.
+    pub(super) fn clear(&mut self, now: Duration) {
+        self.probes.clear();
+        self.relays.clear();
+        self.next_probe = now;
+    }
+
+    /// Returns a timeout that is longer when this process seems to be slow itself.
+    pub(super) fn scale(&self, timeout: Duration) -> Duration {
+        timeout + timeout * self.strain / 2
+    }
+
+    pub(super) fn worsen(&mut self) {
+        self.strain = (self.strain + 1).min(MAX_STRAIN);
+    }
+
+    fn improve(&mut self) {
+        self.strain = self.strain.saturating_sub(1);
+    }
+
+    /// Returns when the next probe has something due.
+    pub(super) fn next_due(&self, config: &Config) -> Duration {
+        let timeout = self.scale(config.probe_timeout);
+        let probes = self.probes.iter().map(|probe| {
+            let wait = match (probe.resent, probe.indirect) {
+                (false, _) => timeout / 2,
+                (true, false) => timeout,
+                (true, true) => timeout + self.scale(config.indirect_timeout),
+            };
+            probe.started + wait
+        });
+        let relays = self
+            .relays
+            .iter()
+            .map(|relay| relay.started + relay_timeout(config) / 2);
+        probes
+            .chain(relays)
+            .min()
+            .map_or(self.next_probe, |at| at.min(self.next_probe))
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1).max(1);
+        self.sequence
+    }
+}
+
+fn relay_timeout(config: &Config) -> Duration {
+    config.indirect_timeout * 3 / 4
+}
+
+impl Members {
+    pub(super) fn tick_probes(&mut self) {
+        self.continue_probes();
+        self.continue_relays();
+        if self.now < self.probing.next_probe {
+            return;
+        }
+        self.refresh_targets();
+        let period = self.config.probe_period;
+        let slots = self.probing.targets.len().max(1) as u32;
+        if self.table.live().is_empty() {
+            self.probing.next_probe = self.now + period;
+            self.contact_seeds();
+            return;
+        }
+        let jitter = self.rng.random_range(0.9..1.1);
+        self.probing.next_probe = self.now + (period / slots).mul_f64(jitter);
+        self.probe_next(slots);
+    }
+
+    fn probe_next(&mut self, slots: u32) {
+        let cursor = self.probing.cursor;
+        self.probing.cursor = cursor.wrapping_add(1);
+        if let Some(&target) = self.probing.targets.get((cursor % slots) as usize) {
+            self.probe(target);
+        }
+        if cursor.is_multiple_of(slots * RANDOM_PERIODS)
+            && let Some(target) = self.random_live()
+        {
+            self.probe(target);
+        }
+    }
+
+    /// Chooses the members after this one in ring order, with suspects between them.
+    fn refresh_targets(&mut self) {
+        if self.probing.generation == Some(self.table.generation()) {
+            return;
+        }
+        self.probing.generation = Some(self.table.generation());
+        let mut alive = 0;
+        let monitors = self.config.monitors;
+        let successors = self
+            .table
+            .successors()
+            .filter(|entry| entry.health != Health::Dead);
+        let near = successors.take_while(|entry| {
+            let wanted = alive < monitors;
+            alive += usize::from(entry.health == Health::Alive);
+            wanted
+        });
+        self.probing.targets = near.map(|entry| entry.record.node).collect();
+    }
+
+    fn probe(&mut self, target: NodeId) {
+        if self
+            .probing
+            .probes
+            .iter()
+            .any(|probe| probe.target == target)
+        {
+            return;
+        }
+        self.counters.probes += 1;
+        let sequence = self.probing.next_sequence();
+        let started = self.now;
+        self.probing.probes.push(Probe {
+            target,
+            sequence,
+            started,
+            resent: false,
+            asked: 0,
+            replies: 0,
+            indirect: false,
+        });
+        self.send_to(target, Body::Ping { sequence });
+    }
+
+    /// Repeats probes, asks helpers, and suspects the members that nobody reached.
+    fn continue_probes(&mut self) {
+        let timeout = self.probing.scale(self.config.probe_timeout);
+        let limit = timeout + self.probing.scale(self.config.indirect_timeout);
+        let mut probes = std::mem::take(&mut self.probing.probes);
+        for probe in &mut probes {
+            let age = self.now - probe.started;
+            if !probe.resent && age >= timeout / 2 {
+                probe.resent = true;
+                self.send_to(
+                    probe.target,
+                    Body::Ping {
+                        sequence: probe.sequence,
+                    },
+                );
+            }
+            if !probe.indirect && age >= timeout {
+                probe.indirect = true;
+                self.ask_helpers(probe);
+                self.send_to(
+                    probe.target,
+                    Body::Ping {
+                        sequence: probe.sequence,
+                    },
+                );
+            }
+        }
+        let failed = probes.extract_if(.., |probe| self.now - probe.started >= limit);
+        let failed: Vec<_> = failed.collect();
+        self.probing.probes = probes;
+        for probe in failed {
+            self.fail(&probe);
+        }
+    }
+
+    fn ask_helpers(&mut self, probe: &mut Probe) {
+        let body = Body::IndirectPing {
+            sequence: probe.sequence,
+            target: probe.target,
+        };
+        for helper in self.random_members(self.config.helpers, Some(probe.target)) {
+            probe.asked += 1;
+            self.send_to(helper, body.clone());
+        }
+    }
+
+    fn fail(&mut self, probe: &Probe) {
+        self.counters.failed_probes += 1;
+        if probe.asked > 0 && probe.replies == 0 {
+            self.probing.worsen();
+        }
+        self.suspect(probe.target);
+    }
+
+    pub(super) fn handle_ack(&mut self, sender: NodeId, sequence: u32) {
+        let matches = |target, other| target == sender && other == sequence;
+        let probes = &mut self.probing.probes;
+        if probes
+            .extract_if(.., |probe| matches(probe.target, probe.sequence))
+            .count()
+            > 0
+        {
+            self.probing.improve();
+        }
+        let relays = &mut self.probing.relays;
+        let done = relays.extract_if(.., |relay| matches(relay.target, relay.sequence));
+        for relay in done.collect::<Vec<_>>() {
+            self.answer_relay(&relay, true);
+        }
+    }
+
+    /// Pings a member on another one's behalf.
+    pub(super) fn handle_indirect_ping(
+        &mut self,
+        requester: SocketAddr,
+        request: u32,
+        target: NodeId,
+    ) {
+        let known = self
+            .table
+            .get(target)
+            .is_some_and(|entry| entry.health != Health::Dead);
+        if !known || target == self.own || self.probing.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let sequence = self.probing.next_sequence();
+        let started = self.now;
+        let relay = Relay {
+            target,
+            sequence,
+            requester,
+            request,
+            started,
+            resent: false,
+        };
+        self.probing.relays.push(relay);
+        self.send_to(target, Body::Ping { sequence });
+    }
+
+    fn continue_relays(&mut self) {
+        let timeout = relay_timeout(&self.config);
+        let mut relays = std::mem::take(&mut self.probing.relays);
+        for relay in &mut relays {
+            if !relay.resent && self.now - relay.started >= timeout / 2 {
+                relay.resent = true;
+                self.send_to(
+                    relay.target,
+                    Body::Ping {
+                        sequence: relay.sequence,
+                    },
+                );
+            }
+        }
+        let failed = relays.extract_if(.., |relay| self.now - relay.started >= timeout);
+        let failed: Vec<_> = failed.collect();
+        self.probing.relays = relays;
+        for relay in failed {
+            self.answer_relay(&relay, false);
+        }
+    }
+
+    fn answer_relay(&mut self, relay: &Relay, reached: bool) {
+        let (sequence, target) = (relay.request, relay.target);
+        self.send(
+            relay.requester,
+            None,
+            Body::IndirectAck {
+                sequence,
+                target,
+                reached,
+            },
+        );
+    }
+
+    pub(super) fn handle_indirect_ack(&mut self, sequence: u32, target: NodeId, reached: bool) {
+        let matches = |probe: &Probe| probe.target == target && probe.sequence == sequence;
+        let probes = &mut self.probing.probes;
+        if reached {
+            probes.retain(|probe| !matches(probe));
+        } else if let Some(probe) = probes.iter_mut().find(|probe| matches(probe)) {
+            probe.replies += 1;
+        }
+    }
+
+    /// Looks for members beyond a cut: dead ones, and seeds that are no members.
+    pub(super) fn tick_contacts(&mut self) {
+        if self.now < self.next_contact {
+            return;
+        }
+        self.next_contact = self.now + self.config.contact_interval;
+        let table = &self.table;
+        let dead = table.dead().iter().copied();
+        let gone: Vec<_> = dead
+            .filter(|&node| table.get(node).is_some_and(|entry| !entry.has_left()))
+            .collect();
+        if let Some(node) = self.choose(&gone) {
+            self.send_to(node, Body::Ping { sequence: 0 });
+        }
+        let seeds = self.lost_seeds();
+        if let Some(seed) = self.choose(&seeds) {
+            self.greet(seed);
+        }
+    }
+
+    fn contact_seeds(&mut self) {
+        let mut seeds = self.lost_seeds();
+        for _ in 0..SEEDS_AT_ONCE.min(seeds.len()) {
+            let index = self.rng.random_range(0..seeds.len());
+            self.greet(seeds.swap_remove(index));
+        }
+    }
+
+    /// Returns the seeds at which no live member is known.
+    fn lost_seeds(&self) -> Vec<SocketAddr> {
+        let own = self.own().gossip;
+        let live = self
+            .table
+            .live()
+            .iter()
+            .filter_map(|&node| self.table.get(node));
+        let used: Vec<_> = live
+            .map(|entry| entry.record.gossip)
+            .filter(|address| self.seeds.contains(address))
+            .collect();
+        let seeds = self.seeds.iter().copied();
+        seeds
+            .filter(|seed| *seed != own && !used.contains(seed))
+            .collect()
+    }
+
+    pub(super) fn choose<T: Copy>(&mut self, items: &[T]) -> Option<T> {
+        if items.is_empty() {
+            return None;
+        }
+        Some(items[self.rng.random_range(0..items.len())])
+    }
+
+    pub(super) fn random_live(&mut self) -> Option<NodeId> {
+        let index = match self.table.live().len() {
+            0 => return None,
+            members => self.rng.random_range(0..members),
+        };
+        Some(self.table.live()[index])
+    }
+
+    /// Returns up to `count` different members that are alive.
+    pub(super) fn random_members(&mut self, count: usize, except: Option<NodeId>) -> Vec<NodeId> {
+        let mut chosen = Vec::with_capacity(count);
+        for _ in 0..count * 4 {
+            let Some(node) = self.random_live() else {
+                break;
+            };
+            let alive = self
+                .table
+                .get(node)
+                .is_some_and(|entry| entry.health == Health::Alive);
+            if alive && Some(node) != except && !chosen.contains(&node) {
+                chosen.push(node);
+            }
+            if chosen.len() == count {
+                break;
+            }
+        }
+        chosen
+    }
+
+    /// Returns whether the own record says that the node takes part.
+    pub(super) fn takes_part(&self) -> bool {
+        self.own().state != MemberState::Left
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_members/src/members/spreading.rs
@@ -0,0 +1,211 @@
+//! Sends messages and spreads changes within the byte budget.
+
+use std::net::SocketAddr;
+
+use super::Members;
+use crate::messages::{Body, Header, Message, Rumour};
+use crate::{Action, Health, NodeId};
+
+/// How many members are sent each round of fresh changes.
+const PUSH_COPIES: u32 = 2;
+
+/// How many members a leaving node tells.
+const FAREWELLS: usize = 8;
+
+/// How many other members a process learns of when it greets a seed.
+const WELCOMED: usize = 3;
+
+/// The copies of each change that ride on messages beyond the logarithm of the members.
+const EXTRA_COPIES: u32 = 4;
+
+impl Members {
+    /// Answers what a message asks for.
+    pub(super) fn handle_body(&mut self, from: SocketAddr, sender: NodeId, body: Body) {
+        match body {
+            Body::Ping { sequence } => self.send(from, Some(sender), Body::Ack { sequence }),
+            Body::Ack { sequence } => self.handle_ack(sender, sequence),
+            Body::IndirectPing { sequence, target } => {
+                self.handle_indirect_ping(from, sequence, target);
+            }
+            Body::IndirectAck {
+                sequence,
+                target,
+                reached,
+            } => {
+                self.handle_indirect_ack(sequence, target, reached);
+            }
+            Body::Gossip => {}
+            Body::Want { nodes } => self.send_records(from, &nodes),
+            Body::Digest { buckets } => self.handle_digest(from, &buckets),
+            Body::Differ { buckets } => self.handle_differ(&buckets),
+            Body::Fetch { bucket, held } => self.handle_fetch(from, bucket, &held),
+            Body::Chunk { bucket, more } => self.handle_chunk(bucket, more),
+        }
+    }
+
+    /// Sends what the answer to a message has left over: remarks and requests for records.
+    pub(super) fn answer_rest(&mut self, from: SocketAddr) {
+        if !self.remarks.is_empty() {
+            self.send(from, None, Body::Gossip);
+        }
+        let nodes = std::mem::take(&mut self.wanted);
+        if !nodes.is_empty() && self.takes_part() {
+            self.send_optional(from, Body::Want { nodes }, Vec::new());
+        }
+    }
+
+    /// Sends a message to a member, together with any doubt about that member.
+    pub(super) fn send_to(&mut self, node: NodeId, body: Body) {
+        if let Some(to) = self.table.get(node).map(|entry| entry.record.gossip) {
+            self.send(to, Some(node), body);
+        }
+    }
+
+    /// Sends a message with any doubt about its receiver, the remarks at hand, and what is queued.
+    pub(super) fn send(&mut self, to: SocketAddr, node: Option<NodeId>, body: Body) {
+        let mut rumours = std::mem::take(&mut self.remarks);
+        let entry = node.and_then(|node| self.table.get(node));
+        if let Some(entry) = entry.filter(|entry| entry.health != Health::Alive) {
+            rumours.push(entry.rumour(false));
+        }
+        let mut message = self.message(body, rumours);
+        let queued = self.take_rumours(&message);
+        message.rumours.extend(queued);
+        self.transmit(to, message);
+    }
+
+    /// Sends a ping with the own record to an address at which no member is known.
+    pub(super) fn greet(&mut self, to: SocketAddr) {
+        let own = self.own_entry().rumour(true);
+        let message = self.message(Body::Ping { sequence: 0 }, vec![own]);
+        self.transmit(to, message);
+    }
+
+    /// Lets the answer to a greeting name this node and a few other members.
+    pub(super) fn welcome(&mut self, sender: NodeId) {
+        let own = self.own_entry().rumour(true);
+        let others = self.random_members(WELCOMED, Some(sender));
+        let others = others.into_iter().filter_map(|node| self.table.get(node));
+        let known: Vec<_> = others.map(|entry| entry.rumour(true)).collect();
+        self.remarks.push(own);
+        self.remarks.extend(known);
+    }
+
+    /// Sends a message unless the byte budget is used up. Returns whether it was sent.
+    pub(super) fn send_optional(
+        &mut self,
+        to: SocketAddr,
+        body: Body,
+        rumours: Vec<Rumour>,
+    ) -> bool {
+        let message = self.message(body, rumours);
+        if message.encoded_len() + self.config.envelope > self.budget.available() {
+            self.counters.over_budget += 1;
+            return false;
+        }
+        self.transmit(to, message);
+        true
+    }
+
+    /// Sends full records, as many as fit into one message.
+    fn send_records(&mut self, to: SocketAddr, nodes: &[NodeId]) {
+        let entries = nodes.iter().filter_map(|&node| self.table.get(node));
+        let rumours: Vec<_> = entries.map(|entry| entry.rumour(true)).collect();
+        let (rumours, _) = self.cut(&Body::Gossip, rumours);
+        if !rumours.is_empty() {
+            self.send_optional(to, Body::Gossip, rumours);
+        }
+    }
+
+    /// Returns the rumours that fit into one message, and whether that is all of them.
+    pub(super) fn cut(&self, body: &Body, mut rumours: Vec<Rumour>) -> (Vec<Rumour>, bool) {
+        let mut room = self.room(&self.message(body.clone(), Vec::new()));
+        let fits = |rumour: &Rumour| {
+            let length = rumour.encoded_len();
+            let fits = length <= room;
+            room = room.saturating_sub(length);
+            fits
+        };
+        let count = rumours.iter().map(fits).take_while(|fits| *fits).count();
+        let all = count == rumours.len();
+        rumours.truncate(count);
+        (rumours, all)
+    }
+
+    /// Sends fresh changes to random members at once.
+    pub(super) fn push_fresh(&mut self) {
+        let fan_out = self.config.fan_out;
+        let fresh = self.rumours.is_fresh(fan_out) || self.bundles.is_fresh(fan_out);
+        if !fresh || self.now < self.next_gossip || self.table.live().is_empty() {
+            return;
+        }
+        if self.budget.available() < PUSH_COPIES as usize * self.config.datagram_size {
+            self.counters.over_budget += 1;
+            return;
+        }
+        self.next_gossip = self.now + self.config.gossip_interval;
+        self.push(PUSH_COPIES as usize);
+    }
+
+    /// Tells several members at once that this node leaves.
+    pub(super) fn push_farewell(&mut self) {
+        self.push(FAREWELLS);
+    }
+
+    fn push(&mut self, copies: usize) {
+        let peers = self.random_members(copies, None);
+        let copies = u32::try_from(peers.len()).unwrap_or(u32::MAX);
+        let mut message = self.message(Body::Gossip, Vec::new());
+        message.rumours = self.take_rumours(&message);
+        self.rumours.count_push(&message.rumours, copies.max(1));
+        self.bundles.count_push(copies.max(1));
+        for peer in peers {
+            if let Some(to) = self.table.get(peer).map(|entry| entry.record.gossip) {
+                self.transmit(to, message.clone());
+            }
+        }
+    }
+
+    fn take_rumours(&mut self, message: &Message) -> Vec<Rumour> {
+        let room = self.room(message).min(self.budget.available());
+        let members = self.table.live().len() + 1;
+        let limit = EXTRA_COPIES + members.ilog2();
+        self.rumours.take(&self.table, room, limit)
+    }
+
+    fn room(&self, message: &Message) -> usize {
+        self.config
+            .message_size()
+            .saturating_sub(message.encoded_len())
+    }
+
+    pub(super) fn message(&self, body: Body, rumours: Vec<Rumour>) -> Message {
+        Message {
+            header: self.header(),
+            rumours,
+            body,
+        }
+    }
+
+    fn header(&self) -> Header {
+        let record = self.own();
+        Header {
+            node: self.own,
+            instance: self.instance,
+            incarnation: record.incarnation,
+            state: record.state,
+            weight: record.weight,
+            free: record.free,
+            bundle: record.bundle,
+            table: self.table.digest(),
+        }
+    }
+
+    pub(super) fn transmit(&mut self, to: SocketAddr, message: Message) {
+        let bytes = message.encoded_len() + self.config.envelope;
+        self.budget.spend(bytes);
+        self.counters.sent_messages += 1;
+        self.counters.sent_bytes += bytes as u64;
+        self.actions.push(Action::Send { to, message });
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_members/src/messages/wire.rs
@@ -0,0 +1,186 @@
+//! The encoding of messages, as `prost` types.
+
+/// A datagram.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Datagram {
+    /// What the sender says about itself.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<Header>,
+    /// Statements about members.
+    #[prost(message, repeated, tag = "2")]
+    pub rumours: Vec<Rumour>,
+    /// What the message is for.
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    pub body: Option<Body>,
+}
+
+/// What the sender says about itself.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Header {
+    /// The sender.
+    #[prost(fixed64, tag = "1")]
+    pub node: u64,
+    /// The sender's start.
+    #[prost(fixed32, tag = "2")]
+    pub instance: u32,
+    /// The incarnation of the sender's record.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Health, state and weight, packed.
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+    /// Free slots.
+    #[prost(uint32, tag = "5")]
+    pub free: u32,
+    /// The version of the sender's bundle.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
+    /// The digest of the sender's bundle, empty without a bundle.
+    #[prost(bytes = "vec", tag = "7")]
+    pub digest: Vec<u8>,
+    /// The digest of the sender's table.
+    #[prost(fixed32, tag = "8")]
+    pub table: u32,
+}
+
+/// A statement about one member.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Rumour {
+    /// The member.
+    #[prost(fixed64, tag = "1")]
+    pub node: u64,
+    /// The member's start.
+    #[prost(fixed32, tag = "2")]
+    pub instance: u32,
+    /// Orders statements about the member.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Health, state and weight, packed.
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+    /// Free slots.
+    #[prost(uint32, tag = "5")]
+    pub free: u32,
+    /// The lasting part of the record.
+    #[prost(message, optional, tag = "6")]
+    pub profile: Option<Profile>,
+}
+
+/// The lasting part of a record.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Profile {
+    /// The name that operators read.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The roles, a bit each.
+    #[prost(uint32, tag = "2")]
+    pub roles: u32,
+    /// The failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// The service of an agent.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// The UDP address for membership: 4 or 16 bytes of IP, 2 bytes of port.
+    #[prost(bytes = "vec", tag = "5")]
+    pub gossip: Vec<u8>,
+    /// The UDP address for packets, empty when equal to `gossip`.
+    #[prost(bytes = "vec", tag = "6")]
+    pub flows: Vec<u8>,
+    /// The TCP address for links, empty when equal to `gossip`.
+    #[prost(bytes = "vec", tag = "7")]
+    pub control: Vec<u8>,
+}
+
+/// What a message is for.
+#[derive(Clone, PartialEq, ::prost::Oneof)]
+pub enum Body {
+    /// Asks for an answer, with a sequence number.
+    #[prost(uint32, tag = "3")]
+    Ping(u32),
+    /// Answers a ping.
+    #[prost(uint32, tag = "4")]
+    Ack(u32),
+    /// Asks a helper to ping.
+    #[prost(message, tag = "5")]
+    IndirectPing(Indirect),
+    /// Tells what became of an indirect ping.
+    #[prost(message, tag = "6")]
+    IndirectAck(Indirect),
+    /// Carries rumours only.
+    #[prost(bool, tag = "7")]
+    Gossip(bool),
+    /// Asks for records.
+    #[prost(message, tag = "8")]
+    Want(Want),
+    /// Asks which buckets differ.
+    #[prost(message, tag = "9")]
+    Digest(Digest),
+    /// Answers a digest, a byte per bucket.
+    #[prost(bytes, tag = "10")]
+    Differ(Vec<u8>),
+    /// Asks for the records of a bucket.
+    #[prost(message, tag = "11")]
+    Fetch(Fetch),
+    /// Answers a fetch.
+    #[prost(message, tag = "12")]
+    Chunk(Chunk),
+}
+
+/// An indirect ping or its answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Indirect {
+    /// Matches the answer to the request.
+    #[prost(uint32, tag = "1")]
+    pub sequence: u32,
+    /// The member to ping.
+    #[prost(fixed64, tag = "2")]
+    pub target: u64,
+    /// Whether the member answered.
+    #[prost(bool, tag = "3")]
+    pub reached: bool,
+}
+
+/// A request for records.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Want {
+    /// The nodes.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub nodes: Vec<u64>,
+}
+
+/// Digests of all buckets.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Digest {
+    /// The digest of each bucket.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub buckets: Vec<u32>,
+}
+
+/// A request for the records of a bucket.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Fetch {
+    /// The number of the bucket.
+    #[prost(uint32, tag = "1")]
+    pub bucket: u32,
+    /// The nodes held in the bucket.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub nodes: Vec<u64>,
+    /// The incarnation of each node.
+    #[prost(uint64, repeated, tag = "3")]
+    pub incarnations: Vec<u64>,
+    /// Whether each node is held as dead.
+    #[prost(bool, repeated, tag = "4")]
+    pub dead: Vec<bool>,
+}
+
+/// An answer to a fetch.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Chunk {
+    /// The number of the bucket.
+    #[prost(uint32, tag = "1")]
+    pub bucket: u32,
+    /// Whether more is to be fetched.
+    #[prost(bool, tag = "2")]
+    pub more: bool,
+}
--- /dev/null
+++ b/crates/buckthornweir_members/tests/members/join.rs
@@ -0,0 +1,25 @@
+//! Members find each other.
+
+use crate::queue::{Queue, record, seconds};
+
+#[test]
+fn members_find_each_other_through_seeds() {
+    for (count, limit) in [(2, 3.0), (10, 5.0), (50, 20.0)] {
+        let mut queue = Queue::new(buckthornweir_members::Config::default(), count);
+        for index in 1..=count {
+            queue.start(record(index, 3));
+        }
+        let took = queue.run_until(seconds(limit), Queue::is_complete);
+        assert!(took.is_some(), "{count} members did not join");
+    }
+}
+
+#[test]
+fn quiet_members_exchange_no_digests_and_suspect_nobody() {
+    let mut queue = Queue::joined(20, 5);
+    let before = queue.total(|counters| counters.digests);
+    queue.run(seconds(60.0));
+    assert!(queue.is_complete());
+    assert_eq!(queue.total(|counters| counters.digests), before);
+    assert_eq!(queue.total(|counters| counters.suspicions), 0);
+}
--- /dev/null
+++ b/crates/buckthornweir_members/tests/members/queue.rs
@@ -0,0 +1,338 @@
+//! A queue of messages between cores, with loss, delay, cuts and pauses.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use buckthornweir_members::Counters;
+use buckthornweir_members::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The bytes that IP, UDP and authentication add to each message.
+pub(crate) const ENVELOPE: usize = 64;
+
+/// The most messages that wait for a paused process, as in a socket's buffer.
+const INBOX: usize = 200;
+
+/// How long it takes to pull a bundle.
+const PULL_TIME: Duration = Duration::from_millis(20);
+
+type Cut = Box<dyn Fn(SocketAddr, SocketAddr) -> bool>;
+
+enum Event {
+    Datagram { from: SocketAddr, bytes: Vec<u8> },
+    Pulled { stamp: BundleStamp },
+}
+
+pub(crate) struct Process {
+    pub(crate) members: Members,
+    pub(crate) received_bytes: u64,
+    pub(crate) conflicts: Vec<bool>,
+    pub(crate) pulls: Vec<u64>,
+    pub(crate) busy: Duration,
+    started: Duration,
+    next_tick: Duration,
+    paused_until: Duration,
+    inbox: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+/// Runs cores against each other in simulated time.
+pub(crate) struct Queue {
+    pub(crate) now: Duration,
+    pub(crate) loss: f64,
+    pub(crate) cuts: Vec<Cut>,
+    pub(crate) processes: BTreeMap<SocketAddr, Process>,
+    config: Config,
+    rng: ChaCha8Rng,
+    events: BTreeMap<(Duration, u64), (SocketAddr, Event)>,
+    count: u64,
+    /// Measures the time spent in cores.
+    pub(crate) timed: bool,
+}
+
+pub(crate) fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+pub(crate) fn address(index: u64) -> SocketAddr {
+    let [.., a, b, c] = index.to_be_bytes();
+    SocketAddr::from(([10, a, b, c], 7_000))
+}
+
+/// Returns the record of an agent in the failure domain `index % domains`.
+pub(crate) fn record(index: u64, domains: u64) -> Record {
+    Record::new(index, &format!("agent-{index}"), address(index))
+        .with_roles(Roles::AGENT)
+        .with_domain(&format!("domain-{}", index % domains))
+        .with_service("orders")
+        .with_state(MemberState::Ready)
+        .with_weight(16)
+        .with_incarnation(100)
+}
+
+pub(crate) fn stamp(version: u64) -> BundleStamp {
+    BundleStamp {
+        version,
+        digest: [version as u8; 32],
+    }
+}
+
+impl Queue {
+    pub(crate) fn new(config: Config, seed: u64) -> Self {
+        Self {
+            now: Duration::ZERO,
+            loss: 0.0,
+            cuts: Vec::new(),
+            processes: BTreeMap::new(),
+            config,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            count: 0,
+            timed: false,
+        }
+    }
+
+    /// Starts members 1 to `count` in three failure domains, and runs until all know each other.
+    pub(crate) fn joined(count: u64, seed: u64) -> Self {
+        let mut queue = Self::new(Config::default(), seed);
+        for index in 1..=count {
+            queue.start(record(index, 3));
+        }
+        queue.run(seconds(20.0));
+        queue
+    }
+
+    /// Starts a process with the first three members as its seeds.
+    pub(crate) fn start(&mut self, record: Record) {
+        let seeds = (1..=3).map(address).collect();
+        let seed = self.rng.random();
+        let config = self.config.clone();
+        let address = record.gossip;
+        self.insert(address, Members::new(config, record, seeds, seed));
+    }
+
+    pub(crate) fn insert(&mut self, address: SocketAddr, members: Members) {
+        let process = Process {
+            members,
+            received_bytes: 0,
+            conflicts: Vec::new(),
+            pulls: Vec::new(),
+            busy: Duration::ZERO,
+            started: self.now,
+            next_tick: self.now,
+            paused_until: Duration::ZERO,
+            inbox: Vec::new(),
+        };
+        self.processes.insert(address, process);
+    }
+
+    pub(crate) fn kill(&mut self, index: u64) -> Option<Process> {
+        self.processes.remove(&address(index))
+    }
+
+    pub(crate) fn pause(&mut self, index: u64, length: Duration) {
+        let until = self.now + length;
+        let process = self.process(address(index));
+        process.paused_until = until;
+        process.next_tick = until;
+    }
+
+    pub(crate) fn members(&self, index: u64) -> &Members {
+        &self.processes[&address(index)].members
+    }
+
+    pub(crate) fn process(&mut self, at: SocketAddr) -> &mut Process {
+        self.processes.get_mut(&at).expect("the process runs")
+    }
+
+    /// Calls into one core and carries out its actions.
+    pub(crate) fn act(
+        &mut self,
+        at: SocketAddr,
+        call: impl FnOnce(&mut Members, Duration) -> Vec<Action>,
+    ) {
+        let Some(process) = self.processes.get_mut(&at) else {
+            return;
+        };
+        let began = self.timed.then(std::time::Instant::now);
+        let actions = call(&mut process.members, self.now - process.started);
+        if let Some(began) = began {
+            process.busy += began.elapsed();
+        }
+        for action in actions {
+            self.carry_out(at, action);
+        }
+    }
+
+    pub(crate) fn announce(&mut self, index: u64, change: Announcement) {
+        self.act(address(index), |members, now| members.announce(now, change));
+    }
+
+    pub(crate) fn run(&mut self, length: Duration) {
+        self.run_until(length, |_| false);
+    }
+
+    /// Runs until `done` holds, which is checked every 50 ms. Returns the time that took.
+    pub(crate) fn run_until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let began = self.now;
+        while self.now < began + limit {
+            self.step();
+            if done(self) {
+                return Some(self.now - began);
+            }
+        }
+        None
+    }
+
+    /// Runs for 50 ms: delivers what is due, then calls the ticks that are due.
+    fn step(&mut self) {
+        let end = self.now + Duration::from_millis(50);
+        while let Some(entry) = self.events.first_entry()
+            && entry.key().0 <= end
+        {
+            let ((at, _), (to, event)) = entry.remove_entry();
+            self.now = at;
+            self.deliver(to, event);
+        }
+        self.now = end;
+        let due = self
+            .processes
+            .iter()
+            .filter(|(_, process)| process.next_tick <= end);
+        for at in due.map(|(&at, _)| at).collect::<Vec<_>>() {
+            self.wake(at);
+            self.act(at, Members::tick);
+            let process = self.process(at);
+            process.next_tick = process.started + process.members.next_tick();
+        }
+    }
+
+    fn wake(&mut self, at: SocketAddr) {
+        let inbox = std::mem::take(&mut self.process(at).inbox);
+        for (from, bytes) in inbox {
+            self.receive(at, from, &bytes);
+        }
+    }
+
+    fn deliver(&mut self, to: SocketAddr, event: Event) {
+        let Some(process) = self.processes.get_mut(&to) else {
+            return;
+        };
+        match event {
+            Event::Datagram { from, bytes } if self.now < process.paused_until => {
+                if process.inbox.len() < INBOX {
+                    process.inbox.push((from, bytes));
+                }
+            }
+            Event::Datagram { from, bytes } => self.receive(to, from, &bytes),
+            Event::Pulled { stamp } => {
+                self.act(to, |members, now| {
+                    members.announce(now, Announcement::Bundle(stamp))
+                });
+            }
+        }
+    }
+
+    fn receive(&mut self, to: SocketAddr, from: SocketAddr, bytes: &[u8]) {
+        self.process(to).received_bytes += (bytes.len() + ENVELOPE) as u64;
+        self.act(to, |members, now| {
+            let message = Message::decode(bytes).expect("a core sends valid messages");
+            members.handle(now, from, message)
+        });
+    }
+
+    fn carry_out(&mut self, from: SocketAddr, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(from, to, &message),
+            Action::PullBundle { stamp, .. } => {
+                self.process(from).pulls.push(stamp.version);
+                self.push(PULL_TIME, from, Event::Pulled { stamp });
+            }
+            Action::Conflict { keeps, .. } => {
+                self.process(from).conflicts.push(keeps);
+            }
+            Action::Updated { .. } | Action::Removed { .. } => {}
+        }
+    }
+
+    fn send(&mut self, from: SocketAddr, to: SocketAddr, message: &Message) {
+        let began = self.timed.then(std::time::Instant::now);
+        let bytes = message.encode();
+        if let Some(began) = began {
+            self.process(from).busy += began.elapsed();
+        }
+        assert!(
+            bytes.len() + ENVELOPE <= 1_200,
+            "datagram of {} bytes",
+            bytes.len() + ENVELOPE
+        );
+        if self.cuts.iter().any(|cut| cut(from, to)) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = Duration::from_micros(self.rng.random_range(300..3_000));
+        self.push(delay, to, Event::Datagram { from, bytes });
+    }
+
+    fn push(&mut self, delay: Duration, to: SocketAddr, event: Event) {
+        self.count += 1;
+        self.events
+            .insert((self.now + delay, self.count), (to, event));
+    }
+
+    /// Returns whether all running processes hold `node` with this health.
+    pub(crate) fn all_hold(&self, node: NodeId, health: Health) -> bool {
+        let others = self
+            .processes
+            .values()
+            .filter(|process| process.members.own().node != node);
+        others
+            .map(|process| process.members.get(node))
+            .all(|held| held.is_some_and(|(_, held)| held == health))
+    }
+
+    /// Returns how many of the running processes hold `node` with this health.
+    pub(crate) fn count_holding(&self, node: NodeId, health: Health) -> usize {
+        let held = self
+            .processes
+            .values()
+            .filter_map(|process| process.members.get(node));
+        held.filter(|(_, held)| *held == health).count()
+    }
+
+    /// Returns whether all running processes hold exactly each other as alive.
+    pub(crate) fn is_complete(&self) -> bool {
+        let running = self.processes.len();
+        self.processes.values().all(|process| {
+            let alive = process
+                .members
+                .iter()
+                .filter(|(_, health)| *health == Health::Alive);
+            alive.count() == running
+        })
+    }
+
+    /// Returns whether all running processes hold the same own record of each of them.
+    pub(crate) fn is_equal(&self) -> bool {
+        self.processes.values().all(|process| {
+            let own = process.members.own();
+            self.processes.values().all(|other| {
+                other.members.get(own.node).is_some_and(|(record, _)| {
+                    (record.incarnation, record.state, record.weight)
+                        == (own.incarnation, own.state, own.weight)
+                })
+            })
+        })
+    }
+
+    pub(crate) fn total(&self, count: impl Fn(Counters) -> u64) -> u64 {
+        self.processes
+            .values()
+            .map(|process| count(process.members.counters()))
+            .sum()
+    }
+}
