Serve a request from end to end through separate processes

Ruled out: one shared link for handed requests (a slow caller would hold up all others), so each handed request has a link of its own while it runs; backend connections from the pool for requests that may not be repeated (a connection being closed leaves the outcome unknown), so these run on a new connection. Change: the daemon's settings, blackboard, membership, links, bundles on disk, balancer, agent with one stack per flow, HTTP and relay, hand-over, health, operators' messages, planned stop; contract test with 2 balancers, 3 agents, 1 control process and sprayed packets.

--- /dev/null
+++ b/crates/buckthornweir_daemon/src/agent/hand_links.rs
@@ -0,0 +1,304 @@
+//! Handing requests to siblings. Each handed request has a link of its own while it runs, so that
+//! its answer cannot be crossed with another's and a slow caller holds up nobody else.
+
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use buckthornweir_requests::messages::{
+    BodyPart, HandedAnswer, HandedRequest, Header, RequestBody, RequestMessage,
+};
+use buckthornweir_requests::{Outcome, Progress, ReservationId};
+use buckthornweir_wire::{Body as WireBody, NodeId};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame};
+use parking_lot::Mutex;
+use tokio::runtime::Handle;
+
+use super::body::{AnswerBody, BodyEnd, whole};
+use super::request::{ReadRequest, RequestGuard, Tried, outcome_of, strip_connection_headers};
+use crate::board::Blackboard;
+use crate::links::{HandLink, open_hand_link};
+
+/// The largest body in bytes of a request that is handed over.
+const HANDED_BODY_LIMIT: usize = 192 << 10;
+
+/// How many idle links to one sibling are kept.
+const IDLE_LINKS: usize = 8;
+
+/// Links over which requests are handed to siblings.
+pub(crate) struct HandLinks {
+    board: Arc<Blackboard>,
+    runtime: Handle,
+    idle: Mutex<HashMap<NodeId, Vec<HandLink>>>,
+}
+
+impl HandLinks {
+    pub(crate) fn new(board: Arc<Blackboard>, runtime: Handle) -> Self {
+        Self {
+            board,
+            runtime,
+            idle: Mutex::default(),
+        }
+    }
+
+    async fn take(&self, sibling: NodeId) -> Option<HandLink> {
+        if let Some(link) = self.take_idle(sibling) {
+            return Some(link);
+        }
+        let member = self.board.member(sibling)?;
+        open_hand_link(&self.board, &self.runtime, member.record.control).await
+    }
+
+    fn take_idle(&self, sibling: NodeId) -> Option<HandLink> {
+        let mut idle = self.idle.lock();
+        let links = idle.get_mut(&sibling)?;
+        links.retain(HandLink::is_open);
+        links.pop()
+    }
+
+    fn give_back(&self, sibling: NodeId, link: HandLink) {
+        let mut idle = self.idle.lock();
+        let links = idle.entry(sibling).or_default();
+        if link.is_open() && links.len() < IDLE_LINKS {
+            links.push(link);
+        }
+    }
+}
+
+/// Hands a request to a sibling that holds a slot for it.
+pub(crate) async fn hand_over(
+    guard: &RequestGuard,
+    request: &ReadRequest,
+    sibling: NodeId,
+    reservation: ReservationId,
+) -> Tried {
+    guard.begin();
+    if request.body.len() > HANDED_BODY_LIMIT {
+        return ended(guard, Outcome::Refused);
+    }
+    let Some(mut link) = guard.desk().hands().take(sibling).await else {
+        return ended(guard, Outcome::Cut);
+    };
+    guard.note(Progress::Written);
+    let message = handed_request(guard, request, reservation);
+    let envelope = envelope(guard, RequestBody::HandedRequest(message));
+    if !link.send(envelope).await {
+        return ended(guard, Outcome::Cut);
+    }
+    match link.receive().await {
+        Some(RequestBody::HandedAnswer(answer)) if answer.reservation == reservation => {
+            take_answer(guard, sibling, link, answer).await
+        }
+        _ => ended(guard, Outcome::Cut),
+    }
+}
+
+fn ended(guard: &RequestGuard, outcome: Outcome) -> Tried {
+    guard.finish(outcome);
+    Tried::Ended(None)
+}
+
+fn envelope(guard: &RequestGuard, body: RequestBody) -> buckthornweir_wire::Envelope {
+    let message = RequestMessage::new(body);
+    guard
+        .desk()
+        .board()
+        .envelope(WireBody::Request(Box::new(message)))
+}
+
+async fn take_answer(
+    guard: &RequestGuard,
+    sibling: NodeId,
+    link: HandLink,
+    answer: HandedAnswer,
+) -> Tried {
+    if answer.refused {
+        guard.desk().hands().give_back(sibling, link);
+        return ended(guard, refused_outcome(&answer));
+    }
+    guard.note(Progress::HeadersSeen);
+    let Some((status, headers)) = read_head(&answer) else {
+        return ended(guard, Outcome::Cut);
+    };
+    let outcome = outcome_of(status, &headers);
+    if outcome == Outcome::Done {
+        let body = answer_body(guard, sibling, link, answer);
+        return Tried::Answer(response(status, headers, body));
+    }
+    if answer.body_follows {
+        return ended(guard, Outcome::Cut);
+    }
+    guard.note(Progress::AnswerWhole);
+    guard.desk().hands().give_back(sibling, link);
+    guard.finish(outcome);
+    Tried::Ended(Some(response(status, headers, whole(answer.body))))
+}
+
+fn refused_outcome(answer: &HandedAnswer) -> Outcome {
+    match (answer.not_run, answer.status) {
+        (true, _) => Outcome::Refused,
+        (false, 504) => Outcome::Silent,
+        (false, _) => Outcome::Cut,
+    }
+}
+
+fn read_head(answer: &HandedAnswer) -> Option<(StatusCode, HeaderMap)> {
+    let status = u16::try_from(answer.status).ok()?;
+    let status = StatusCode::from_u16(status).ok()?;
+    Some((status, read_headers(&answer.headers)?))
+}
+
+fn response(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Reads headers from a message, or returns `None` when one is malformed.
+pub(crate) fn read_headers(headers: &[Header]) -> Option<HeaderMap> {
+    let mut read = HeaderMap::new();
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&header.value).ok()?;
+        read.append(name, value);
+    }
+    Some(read)
+}
+
+/// Writes headers for a message, without those that concern one connection only.
+pub(crate) fn write_headers(headers: &HeaderMap) -> Vec<Header> {
+    let mut kept = headers.clone();
+    strip_connection_headers(&mut kept);
+    let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    };
+    kept.iter().map(header).collect()
+}
+
+fn handed_request(
+    guard: &RequestGuard,
+    request: &ReadRequest,
+    reservation: ReservationId,
+) -> HandedRequest {
+    let now = guard.desk().board().now();
+    let left = request.arrival.deadline.saturating_sub(now);
+    HandedRequest {
+        reservation,
+        remaining_us: micros(left),
+        repeatable: request.arrival.repeatable,
+        flow: request.arrival.flow,
+        method: request.head.method.to_string(),
+        uri: request.head.uri.to_string(),
+        headers: write_headers(&request.head.headers),
+        body: request.body.to_vec(),
+        body_follows: false,
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn answer_body(
+    guard: &RequestGuard,
+    sibling: NodeId,
+    link: HandLink,
+    answer: HandedAnswer,
+) -> AnswerBody {
+    let report = guard.report_body();
+    let desk = guard.desk().clone();
+    let done = move |end, link: Option<HandLink>| {
+        report(end);
+        if let Some(link) = link.filter(|_| end == BodyEnd::Whole) {
+            desk.hands().give_back(sibling, link);
+        }
+    };
+    HandedBody {
+        first: Some(Bytes::from(answer.body)),
+        follows: answer.body_follows,
+        link: Some(link),
+        done: Some(done),
+    }
+    .boxed_unsync()
+}
+
+/// The body of an answer that comes from a sibling in parts.
+struct HandedBody<F: FnOnce(BodyEnd, Option<HandLink>)> {
+    first: Option<Bytes>,
+    follows: bool,
+    link: Option<HandLink>,
+    done: Option<F>,
+}
+
+impl<F: FnOnce(BodyEnd, Option<HandLink>)> HandedBody<F> {
+    fn end(&mut self, end: BodyEnd) {
+        if let Some(done) = self.done.take() {
+            done(end, self.link.take());
+        }
+    }
+
+    fn take_part(&mut self, part: Option<RequestBody>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let Some(RequestBody::BodyPart(BodyPart {
+            data,
+            last,
+            cut: false,
+            ..
+        })) = part
+        else {
+            self.end(BodyEnd::Cut);
+            return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
+        };
+        if last {
+            self.follows = false;
+            self.end(BodyEnd::Whole);
+        }
+        Poll::Ready(Some(Ok(Frame::data(data.into()))))
+    }
+}
+
+impl<F> Body for HandedBody<F>
+where
+    F: FnOnce(BodyEnd, Option<HandLink>) + Unpin,
+{
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(first) = self.first.take()
+            && !first.is_empty()
+        {
+            if !self.follows {
+                self.end(BodyEnd::Whole);
+            }
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        if !self.follows {
+            self.end(BodyEnd::Whole);
+            return Poll::Ready(None);
+        }
+        let Some(link) = &mut self.link else {
+            return Poll::Ready(None);
+        };
+        match link.poll_receive(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(part) => self.take_part(part),
+        }
+    }
+}
+
+impl<F: FnOnce(BodyEnd, Option<HandLink>)> Drop for HandedBody<F> {
+    fn drop(&mut self) {
+        self.end(BodyEnd::Dropped);
+    }
+}
--- a/crates/buckthornweir_daemon/src/lib.rs
+++ b/crates/buckthornweir_daemon/src/lib.rs
@@ -1,4 +1,44 @@
-//! The daemon: its roles, blackboard, controllers and sockets.
+//! The daemon: its roles, the blackboard that they share, and the sockets that feed them.
+//!
+//! A process is a [`Node`] with one or more roles. A `balancer` forwards the fabric's packets, an
+//! `agent` owns the flows of one backend server, and `control` keeps the bundles. All state that
+//! roles share stands on the [`Blackboard`].
+//!
+//! ```no_run
+//! use buckthornweir_daemon::prelude::*;
+//!
+//! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = Settings::read("examples/settings/balancer-1.ini".as_ref())?;
+//! let node = Node::start(settings).await?;
+//! node.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod agent;
+mod balancer;
+mod board;
+mod bundles;
+mod control;
+mod dispatch;
+mod fault;
+mod gossip;
+mod links;
+mod metrics_page;
+mod node;
+mod operators;
+mod pull;
+mod settings;
+mod threads;
+
+pub use board::{Blackboard, Member, OwnState, QuorumState};
+pub use fault::{DaemonError, Result};
+pub use node::Node;
+pub use settings::{
+    AgentSettings, BalancerSettings, ControlSettings, LogSettings, NodeSettings, Settings, node_id,
+};
 
 /// Names that most users of this crate import.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::{Blackboard, DaemonError, Node, Settings};
+}
--- /dev/null
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -0,0 +1,294 @@
+//! The daemon's settings, read from INI text and checked before anything starts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use buckthornweir_bundle::{PublicKey, Trust};
+use buckthornweir_events::LogFormat;
+use buckthornweir_settings::{Document, Fault, Section, value};
+use buckthornweir_wire::{ClusterKey, NodeId};
+use smol_str::SmolStr;
+
+/// The result of reading settings.
+pub(crate) type Result<T> = std::result::Result<T, Fault>;
+
+/// The sections of the settings, as faults list them.
+const SECTIONS: &str = "[node], [balancer], [agent], [control], [trust], [log]";
+
+/// The settings of one process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What every process has.
+    pub node: NodeSettings,
+    /// The balancer role, if the process has it.
+    pub balancer: Option<BalancerSettings>,
+    /// The agent role, if the process has it.
+    pub agent: Option<AgentSettings>,
+    /// The control role, if the process has it.
+    pub control: Option<ControlSettings>,
+    /// The keys whose signatures on bundles count.
+    pub trust: Trust,
+    /// How logs are written.
+    pub log: LogSettings,
+}
+
+/// What every process has.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The name, unique among all processes.
+    pub name: SmolStr,
+    /// The failure domain of the VM.
+    pub domain: SmolStr,
+    /// UDP address for membership.
+    pub gossip: SocketAddr,
+    /// UDP address for packets between balancers and agents.
+    pub packets: SocketAddr,
+    /// TCP address for links and operators.
+    pub control: SocketAddr,
+    /// TCP address where metrics are read over HTTP.
+    pub metrics: Option<SocketAddr>,
+    /// Membership addresses of some other processes.
+    pub seeds: Vec<SocketAddr>,
+    /// The key that all processes share.
+    pub key: ClusterKey,
+    /// The folder for durable state.
+    pub data: Option<PathBuf>,
+    /// How long a planned stop may take.
+    pub stop_limit: Duration,
+}
+
+/// The balancer role.
+#[derive(Clone, Debug)]
+pub struct BalancerSettings {
+    /// UDP address where the fabric delivers callers' packets.
+    pub fabric: SocketAddr,
+    /// Threads that read packets.
+    pub threads: usize,
+}
+
+/// The agent role.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// UDP address of the fabric, where answers go.
+    pub fabric: SocketAddr,
+    /// The service of the backend server.
+    pub service: SmolStr,
+    /// TCP address of the backend server.
+    pub backend: SocketAddr,
+    /// The path of the backend server's health endpoint.
+    pub health: SmolStr,
+    /// Threads that read packets.
+    pub threads: usize,
+    /// How long a flow may be silent.
+    pub idle: Duration,
+    /// The most open flows.
+    pub flows: usize,
+}
+
+/// The control role.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Names of the control processes that found the cluster, this one among them.
+    pub founders: Vec<SmolStr>,
+}
+
+/// How logs are written.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Text or JSON.
+    pub format: LogFormat,
+    /// A level, or directives for modules.
+    pub filter: SmolStr,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Balancer,
+    Agent,
+    Control,
+}
+
+impl Settings {
+    /// Reads the settings in the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with file, line, key and what is allowed.
+    pub fn read(path: &Path) -> Result<Self> {
+        Self::take_from(Document::read(path)?)
+    }
+
+    /// Reads settings from `text`; `file` is the name used in faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with file, line, key and what is allowed.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        Self::take_from(Document::parse(file, text)?)
+    }
+
+    fn take_from(mut document: Document) -> Result<Self> {
+        let mut section = document.take("node")?;
+        let roles = read_roles(&mut section)?;
+        let durable = roles.contains(&Role::Control);
+        let node = read_node(section, durable)?;
+        let settings = Self {
+            balancer: read_role(&mut document, &roles, Role::Balancer, read_balancer)?,
+            agent: read_role(&mut document, &roles, Role::Agent, read_agent)?,
+            control: read_role(&mut document, &roles, Role::Control, read_control)?,
+            trust: read_trust(document.take("trust")?)?,
+            log: read_log(document.take_optional("log"))?,
+            node,
+        };
+        document.finish(SECTIONS)?;
+        Ok(settings)
+    }
+}
+
+/// Returns the id of the process called `name`.
+pub fn node_id(name: &str) -> NodeId {
+    let digest = buckthornweir_bundle::digest_of(name);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    NodeId::from_be_bytes(bytes)
+}
+
+impl Role {
+    const WORDS: [(&'static str, Self); 3] = [
+        ("balancer", Self::Balancer),
+        ("agent", Self::Agent),
+        ("control", Self::Control),
+    ];
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Balancer => "balancer",
+            Self::Agent => "agent",
+            Self::Control => "control",
+        }
+    }
+}
+
+fn read_roles(section: &mut Section) -> Result<Vec<Role>> {
+    let role = |item: &str| value::one_of(&Role::WORDS)(item);
+    section.required("roles", value::list(role))
+}
+
+fn read_node(mut section: Section, durable: bool) -> Result<NodeSettings> {
+    let stop_range = Duration::ZERO..=Duration::from_secs(3_600);
+    let data = if durable {
+        Some(section.required("data", value::text::<PathBuf>)?)
+    } else {
+        section.optional("data", value::text::<PathBuf>)?
+    };
+    let node = NodeSettings {
+        name: section.required("name", value::name)?,
+        domain: section.required("domain", value::name)?,
+        gossip: section.required("gossip", value::address)?,
+        packets: section.required("packets", value::address)?,
+        control: section.required("control", value::address)?,
+        metrics: section.optional("metrics", value::address)?,
+        seeds: section.or("seeds", Vec::new(), value::list(value::address))?,
+        key: ClusterKey::new(section.required("key", value::hex)?),
+        data,
+        stop_limit: section.or(
+            "stop-limit",
+            Duration::from_secs(30),
+            value::duration(stop_range),
+        )?,
+    };
+    check_distinct(&section, &node)?;
+    section.finish()?;
+    Ok(node)
+}
+
+fn check_distinct(section: &Section, node: &NodeSettings) -> Result<()> {
+    if node.gossip == node.packets {
+        let allowed = "an address other than gossip's";
+        return Err(section.rejects("packets", &node.packets.to_string(), allowed));
+    }
+    if node.metrics == Some(node.control) {
+        let allowed = "an address other than control's";
+        return Err(section.rejects("metrics", &node.control.to_string(), allowed));
+    }
+    Ok(())
+}
+
+fn read_role<T>(
+    document: &mut Document,
+    roles: &[Role],
+    role: Role,
+    read: impl FnOnce(Section) -> Result<T>,
+) -> Result<Option<T>> {
+    if !roles.contains(&role) {
+        return Ok(None);
+    }
+    Ok(Some(read(document.take(role.word())?)?))
+}
+
+fn read_threads(section: &mut Section) -> Result<usize> {
+    section.or("threads", 2, value::number(1..=64))
+}
+
+fn read_balancer(mut section: Section) -> Result<BalancerSettings> {
+    let balancer = BalancerSettings {
+        fabric: section.required("fabric", value::address)?,
+        threads: read_threads(&mut section)?,
+    };
+    section.finish()?;
+    Ok(balancer)
+}
+
+fn read_agent(mut section: Section) -> Result<AgentSettings> {
+    let idle_range = Duration::from_secs(1)..=Duration::from_secs(24 * 3_600);
+    let agent = AgentSettings {
+        fabric: section.required("fabric", value::address)?,
+        service: section.required("service", value::name)?,
+        backend: section.required("backend", value::address)?,
+        health: section.or("health", SmolStr::new("/-/health"), value::text)?,
+        threads: read_threads(&mut section)?,
+        idle: section.or(
+            "idle",
+            Duration::from_secs(600),
+            value::duration(idle_range),
+        )?,
+        flows: section.or("flows", 20_000, value::number(1..=1_000_000))?,
+    };
+    section.finish()?;
+    Ok(agent)
+}
+
+fn read_control(mut section: Section) -> Result<ControlSettings> {
+    let founders: Vec<SmolStr> = section.required("founders", value::list(value::name))?;
+    if founders.len() > 7 || founders.len().is_multiple_of(2) {
+        let allowed = "1, 3, 5 or 7 names";
+        return Err(section.rejects("founders", &founders.join(", "), allowed));
+    }
+    section.finish()?;
+    Ok(ControlSettings { founders })
+}
+
+fn read_trust(mut section: Section) -> Result<Trust> {
+    let keys: Vec<PublicKey> = section.required("keys", value::list(value::hex))?;
+    let revoked: Vec<PublicKey> = section.or("revoked", Vec::new(), value::list(value::hex))?;
+    section.finish()?;
+    let trust = keys.into_iter().fold(Trust::new(), Trust::with_key);
+    Ok(revoked.into_iter().fold(trust, Trust::with_revoked))
+}
+
+fn read_log(section: Option<Section>) -> Result<LogSettings> {
+    let Some(mut section) = section else {
+        return Ok(LogSettings {
+            format: LogFormat::Text,
+            filter: "info".into(),
+        });
+    };
+    let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+    let log = LogSettings {
+        format: section.or("format", LogFormat::Text, value::one_of(&formats))?,
+        filter: section.or("filter", SmolStr::new("info"), value::text)?,
+    };
+    section.finish()?;
+    Ok(log)
+}
--- /dev/null
+++ b/crates/buckthornweir_daemon/tests/support/mod.rs
@@ -0,0 +1,167 @@
+//! What the tests with whole deployments share.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use buckthornweir_bundle::prelude::*;
+use buckthornweir_settings::value;
+use buckthornweir_standins::prelude::*;
+use buckthornweir_wire::{
+    Body, ClusterKey, Envelope, Link, MembersRequest, OperatorMessage, PushReply, PushRequest,
+    Reply, Request, StatusReply, StatusRequest,
+};
+use tempfile::TempDir;
+
+/// How long a test waits for anything before it fails.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// Returns the key that signs the bundles of tests.
+pub(crate) fn signing_key() -> SigningKey {
+    SigningKey::from_secret(&[7; 32])
+}
+
+/// Returns a plan that trusts the signing key.
+pub(crate) fn plan() -> Plan {
+    Plan::new(value::to_hex(&signing_key().public()))
+}
+
+/// Returns the signed text of a bundle.
+pub(crate) fn signed(text: &str) -> String {
+    let bundle = Bundle::parse("bundle.ini", text).unwrap();
+    SignedBundle::sign(bundle, &signing_key()).to_text()
+}
+
+/// Asks one process and returns its answer.
+pub(crate) async fn ask(control: SocketAddr, key: &str, request: Request) -> Option<Reply> {
+    let key = ClusterKey::new(value::hex(key).unwrap());
+    let mut link = Link::dial(control, &key, LIMIT).await.ok()?;
+    let message = OperatorMessage::ask(1, request);
+    let envelope = Envelope::new(0, Body::Operator(Box::new(message)));
+    link.send(&envelope).await.ok()?;
+    loop {
+        let reply = link.receive(LIMIT).await.ok()?;
+        if let Some(Body::Operator(message)) = reply.body {
+            return message.reply;
+        }
+    }
+}
+
+/// Pushes a signed bundle.
+pub(crate) async fn push(control: SocketAddr, key: &str, text: String) -> PushReply {
+    match ask(control, key, Request::Push(PushRequest { text })).await {
+        Some(Reply::Push(reply)) => reply,
+        other => panic!("push was answered by {other:?}"),
+    }
+}
+
+/// Returns how a process stands, or `None` when it does not answer.
+pub(crate) async fn status(control: SocketAddr, key: &str) -> Option<StatusReply> {
+    match ask(control, key, Request::Status(StatusRequest {})).await {
+        Some(Reply::Status(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
+/// Returns how many members a process knows to be alive.
+pub(crate) async fn alive(control: SocketAddr, key: &str) -> usize {
+    match ask(control, key, Request::Members(MembersRequest {})).await {
+        Some(Reply::Members(reply)) => {
+            let is_alive = |h: &str| !matches!(h, "dead" | "left");
+            reply.rows.iter().filter(|r| is_alive(&r.health)).count()
+        }
+        _ => 0,
+    }
+}
+
+/// Waits until `done` holds.
+pub(crate) async fn wait_for(what: &str, mut done: impl AsyncFnMut() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !done().await {
+        assert!(Instant::now() < limit, "{what} did not happen in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Connects a caller, trying again while the deployment comes up.
+pub(crate) async fn connect(fabric: &Fabric, service: SocketAddr) -> HttpCaller {
+    let limit = Instant::now() + LIMIT;
+    loop {
+        match HttpCaller::connect(fabric, service).await {
+            Ok(caller) => return caller,
+            Err(error) => assert!(Instant::now() < limit, "{error}"),
+        }
+    }
+}
+
+/// One process of the daemon, ended when it is dropped.
+pub(crate) struct Process {
+    /// Where it is reached.
+    pub(crate) planned: PlannedNode,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Process {
+    /// Starts the daemon with the planned settings, written to `folder`.
+    pub(crate) fn start(planned: PlannedNode, folder: &TempDir) -> Self {
+        let settings = folder.path().join(format!("{}.ini", planned.name));
+        std::fs::write(&settings, &planned.settings).unwrap();
+        let child = spawn(&settings);
+        Self {
+            planned,
+            child,
+            settings,
+        }
+    }
+
+    /// Ends the process at once, as a crash would.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Starts the process anew with the same settings.
+    pub(crate) fn restart(&mut self) {
+        self.child = spawn(&self.settings);
+    }
+
+    /// Sends the process a signal by its name.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Waits until the process has ended and returns its exit code.
+    pub(crate) async fn ended(&mut self) -> Option<i32> {
+        let mut code = None;
+        let child = &mut self.child;
+        wait_for("the end of a process", async || {
+            let ended = child.try_wait().unwrap();
+            code = ended.and_then(|status| status.code());
+            ended.is_some()
+        })
+        .await;
+        code
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_buckthornweird"))
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .spawn()
+        .unwrap()
+}
--- a/crates/buckthornweir_standins/src/lib.rs
+++ b/crates/buckthornweir_standins/src/lib.rs
@@ -25,6 +25,7 @@
 mod clock;
 mod echo;
 mod fabric;
+mod plan;
 
 pub use backend::{
     AnswerBody, Backend, BackendConfig, BookEntry, End, Error as BackendError, Fault, LoadReport,
@@ -38,11 +39,13 @@
     CallerStream, Error as FabricError, Fabric, FabricConfig, FabricCounters,
     Result as FabricResult,
 };
+pub use plan::{Plan, PlannedNode, free_tcp, free_udp};
 
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::{
         AnswerBody, Backend, BackendBooks, BackendConfig, BookEntry, CallerAnswer, CallerRecord,
-        CallerStream, EchoBackend, End, Fabric, FabricConfig, Fault, HttpCaller, Outcome, tally,
+        CallerStream, EchoBackend, End, Fabric, FabricConfig, Fault, HttpCaller, Outcome, Plan,
+        PlannedNode, tally,
     };
 }
--- /dev/null
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -0,0 +1,153 @@
+//! The settings of a small deployment on loopback.
+
+use std::fmt::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+
+/// The shared key of every deployment on loopback, in hexadecimal digits.
+const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
+
+/// Writes the settings of processes that know one another. Every process gets ports of its own.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    trusted: String,
+    seeds: Vec<SocketAddr>,
+    founders: Vec<String>,
+    log: String,
+}
+
+/// Where one planned process is reached.
+#[derive(Clone, Debug)]
+pub struct PlannedNode {
+    /// Its name.
+    pub name: String,
+    /// Its settings, as INI text.
+    pub settings: String,
+    /// Where it takes links and operators.
+    pub control: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    /// Where a balancer takes packets of the fabric.
+    pub fabric: Option<SocketAddr>,
+}
+
+impl Plan {
+    /// Returns a plan whose processes trust the signing key `trusted`, in hexadecimal digits.
+    pub fn new(trusted: impl Into<String>) -> Self {
+        Self {
+            trusted: trusted.into(),
+            seeds: Vec::new(),
+            founders: vec!["control-1".into()],
+            log: "warn".into(),
+        }
+    }
+
+    /// Sets the control processes that found the cluster.
+    #[must_use]
+    pub fn with_founders(mut self, founders: &[&str]) -> Self {
+        self.founders = founders.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    /// Sets the filter of the logs.
+    #[must_use]
+    pub fn with_log(mut self, filter: &str) -> Self {
+        self.log = filter.into();
+        self
+    }
+
+    /// Returns the key that all processes share, in hexadecimal digits.
+    pub fn cluster_key(&self) -> &'static str {
+        CLUSTER_KEY
+    }
+
+    /// Plans a balancer.
+    pub fn balancer(&mut self, name: &str, domain: &str) -> PlannedNode {
+        let fabric = free_udp();
+        let role = format!("[balancer]\nfabric = {fabric}\n");
+        let mut node = self.node(name, domain, "balancer", &role, None);
+        node.fabric = Some(fabric);
+        node
+    }
+
+    /// Plans an agent beside the backend server at `backend`, whose answers go to `fabric`.
+    pub fn agent(
+        &mut self,
+        name: &str,
+        domain: &str,
+        service: &str,
+        backend: SocketAddr,
+        fabric: SocketAddr,
+    ) -> PlannedNode {
+        let role =
+            format!("[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\n");
+        self.node(name, domain, "agent", &role, None)
+    }
+
+    /// Plans a control process that keeps its state in `data`.
+    pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
+        let role = format!("[control]\nfounders = {}\n", self.founders.join(", "));
+        self.node(name, domain, "control", &role, Some(data))
+    }
+
+    fn node(
+        &mut self,
+        name: &str,
+        domain: &str,
+        roles: &str,
+        role: &str,
+        data: Option<&Path>,
+    ) -> PlannedNode {
+        let gossip = free_udp();
+        let control = free_tcp();
+        let metrics = free_tcp();
+        let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
+        // Writing to a `String` cannot fail.
+        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
+        let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
+        let _ = writeln!(text, "key = {CLUSTER_KEY}");
+        if !self.seeds.is_empty() {
+            let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+            let _ = writeln!(text, "seeds = {}", seeds.join(", "));
+        }
+        if let Some(data) = data {
+            let _ = writeln!(text, "data = {}", data.display());
+        }
+        let _ = writeln!(text, "\n{role}\n[trust]\nkeys = {}", self.trusted);
+        let _ = writeln!(text, "\n[log]\nfilter = {}", self.log);
+        if self.seeds.len() < 3 {
+            self.seeds.push(gossip);
+        }
+        PlannedNode {
+            name: name.into(),
+            settings: text,
+            control,
+            metrics,
+            fabric: None,
+        }
+    }
+}
+
+/// Returns a loopback address whose UDP port was free a moment ago.
+///
+/// # Panics
+///
+/// Panics when the machine has no free port left.
+pub fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind(any_port()).and_then(|s| s.local_addr());
+    socket.expect("a free UDP port")
+}
+
+/// Returns a loopback address whose TCP port was free a moment ago.
+///
+/// # Panics
+///
+/// Panics when the machine has no free port left.
+pub fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).and_then(|l| l.local_addr());
+    listener.expect("a free TCP port")
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)
+}
--- a/crates/buckthornweir_wire/src/envelope.rs
+++ b/crates/buckthornweir_wire/src/envelope.rs
@@ -1,6 +1,8 @@
 //! The envelope around every message between processes.
 
 use buckthornweir_events::Stamp;
+use buckthornweir_flows::messages::FlowMessage;
+use buckthornweir_requests::messages::RequestMessage;
 use prost::Message;
 
 use crate::fault::{Result, WireError};
@@ -33,6 +35,18 @@
     /// Shows that a link is alive.
     #[prost(message, tag = "10")]
     Heartbeat(Heartbeat),
+    /// Between balancers and agents.
+    #[prost(message, tag = "11")]
+    Flow(FlowMessage),
+    /// Between members, as the members crate encodes it.
+    #[prost(bytes = "vec", tag = "12")]
+    Members(Vec<u8>),
+    /// Between control VMs, as the quorum crate encodes it.
+    #[prost(bytes = "vec", tag = "13")]
+    Quorum(Vec<u8>),
+    /// Between the agents of a service.
+    #[prost(message, boxed, tag = "14")]
+    Request(Box<RequestMessage>),
     /// Between an operator's client and a process.
     #[prost(message, boxed, tag = "15")]
     Operator(Box<OperatorMessage>),
