--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -0,0 +1,229 @@
+//! Changes of members: one at a time, and the repair of a member that lost its data folder.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::replication::Progress;
+use super::{Action, Core, Reject, State, Token};
+use crate::entry::{ClusterId, Payload};
+use crate::members::{MemberChange, Members, NodeId, Standing};
+use crate::messages::{Join, Kind};
+
+/// Time between two requests to join.
+const JOIN_RETRY: Duration = Duration::from_secs(1);
+/// Largest number of members that don't vote.
+const LEARNER_LIMIT: usize = 8;
+
+/// The request of a blank member to join.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct JoinState {
+    via: Option<NodeId>,
+    next: Duration,
+}
+
+impl Core {
+    /// Changes the members by one step; the answer comes as [`Action::Changed`] or
+    /// [`Action::Rejected`].
+    pub fn change_members(
+        &mut self,
+        now: Duration,
+        token: Token,
+        change: MemberChange,
+    ) -> Vec<Action> {
+        match self.plan_change(now, change) {
+            Ok(members) => self.propose_payload(now, token, &Payload::Members(members)),
+            Err(reason) => self.reject(token, reason),
+        }
+        self.finish()
+    }
+
+    /// Asks, through a member of a running log, to be added as a learner.
+    ///
+    /// The request is repeated until this member has become one.
+    pub fn join(&mut self, now: Duration, via: NodeId) -> Vec<Action> {
+        self.join.via = Some(via);
+        self.tick_join(now);
+        self.finish()
+    }
+
+    pub(super) fn tick_join(&mut self, now: Duration) {
+        let Some(via) = self.join.via else { return };
+        if self.members.get(self.id).is_some() {
+            self.join.via = None;
+            return;
+        }
+        if now >= self.join.next {
+            self.join.next = now + JOIN_RETRY;
+            let address = self.config.address.to_string();
+            self.send(
+                via,
+                Kind::Join(Join {
+                    id: self.id,
+                    address,
+                }),
+            );
+        }
+    }
+
+    /// Tells whether a message of another log is meant for a member without one.
+    pub(super) fn is_blank_join(&self, kind: &Kind, cluster: ClusterId) -> bool {
+        match kind {
+            Kind::Append(_) | Kind::Snapshot(_) | Kind::PreVote(_) | Kind::Vote(_) => {
+                self.cluster() == 0
+            }
+            Kind::Join(_) | Kind::AppendReply(_) | Kind::SnapshotReply(_) => cluster == 0,
+            Kind::PreVoteReply(_) | Kind::VoteReply(_) | Kind::Campaign(_) => false,
+        }
+    }
+
+    pub(super) fn on_join(&mut self, now: Duration, join: Join) {
+        if let Some(leader) = self.leader.filter(|leader| *leader != self.id) {
+            self.send(leader, Kind::Join(join));
+            return;
+        }
+        if self.members.get(join.id).is_some() {
+            return;
+        }
+        let address = SmolStr::from(join.address);
+        let waiting = |m: &&crate::members::Member| m.standing != Standing::Voter;
+        let older = self
+            .members
+            .iter()
+            .filter(waiting)
+            .find(|m| m.address == address);
+        let change = match older {
+            Some(older) => MemberChange::Remove { id: older.id },
+            None => MemberChange::AddLearner {
+                id: join.id,
+                address,
+            },
+        };
+        let full = self.members.iter().filter(waiting).count() >= LEARNER_LIMIT;
+        if older.is_some() || !full {
+            self.change_quietly(now, change);
+        }
+    }
+
+    /// Carries on repairs: replaces a lost voter, then promotes its successor.
+    pub(super) fn tick_changes(&mut self, now: Duration) {
+        if let Some(change) = self.next_repair(now) {
+            self.change_quietly(now, change);
+        }
+    }
+
+    fn next_repair(&self, now: Duration) -> Option<MemberChange> {
+        let mut caught_up = self.members.iter().filter(|m| {
+            m.standing != Standing::Voter && self.is_caught_up(m.id) && self.hears(m.id, now)
+        });
+        caught_up.find_map(|member| match member.standing {
+            Standing::Pending => Some(MemberChange::Promote { id: member.id }),
+            Standing::Learner | Standing::Voter => {
+                let mut voters = self.members.voters();
+                let lost = voters.find(|v| v.address == member.address && v.id != self.id)?;
+                let silent = !self.hears(lost.id, now);
+                silent.then_some(MemberChange::Replace {
+                    id: lost.id,
+                    by: member.id,
+                })
+            }
+        })
+    }
+
+    fn change_quietly(&mut self, now: Duration, change: MemberChange) {
+        if let Ok(members) = self.plan_change(now, change) {
+            self.append_own(now, &Payload::Members(members));
+        }
+    }
+
+    /// Returns the members after the change, or the reason against it.
+    fn plan_change(&self, now: Duration, change: MemberChange) -> Result<Members, Reject> {
+        if let Some(reason) = self.refusal(now) {
+            return Err(reason);
+        }
+        let State::Leader(lead) = &self.state else {
+            return Err(Reject::NoQuorum);
+        };
+        if self.members_index > self.commit || self.commit < lead.first_index {
+            return Err(Reject::Busy {
+                retry: self.config.heartbeat,
+            });
+        }
+        let promoted = match change {
+            MemberChange::Promote { id } | MemberChange::Replace { by: id, .. } => Some(id),
+            MemberChange::AddLearner { .. } | MemberChange::Remove { .. } => None,
+        };
+        let members = self.members.after(change).ok_or(Reject::Unfit)?;
+        if let Some(id) = promoted {
+            let matched = lead.peers.get(&id).map_or(0, |p| p.matched);
+            let behind = self.log.last_index() - matched;
+            if behind > 0 {
+                return Err(Reject::NotCaughtUp { behind });
+            }
+        }
+        if !members.has_quorum(|id| id == self.id || self.hears(id, now)) {
+            return Err(Reject::NoQuorum);
+        }
+        Ok(members)
+    }
+
+    fn is_caught_up(&self, id: NodeId) -> bool {
+        let State::Leader(lead) = &self.state else {
+            return false;
+        };
+        lead.peers
+            .get(&id)
+            .is_some_and(|p| p.matched >= self.log.last_index())
+    }
+
+    fn hears(&self, id: NodeId, now: Duration) -> bool {
+        let State::Leader(lead) = &self.state else {
+            return false;
+        };
+        let limit = self.config.election;
+        lead.peers
+            .get(&id)
+            .is_some_and(|p| p.heard > Duration::ZERO && now < p.heard + limit)
+    }
+
+    /// Makes the leader's peers those of the newest members.
+    pub(super) fn follow_members(&mut self, now: Duration) {
+        let next = self.log.last_index() + 1;
+        let (own, members) = (self.id, &self.members);
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        lead.peers.retain(|id, _| members.get(*id).is_some());
+        for member in members.iter().filter(|m| m.id != own) {
+            lead.peers
+                .entry(member.id)
+                .or_insert_with(|| Progress::new(next, now));
+        }
+    }
+
+    /// Steps down once the removal of this leader is committed.
+    pub(super) fn leave_if_removed(&mut self, now: Duration) {
+        let leads = matches!(self.state, State::Leader(_));
+        let settled = self.members_index <= self.commit;
+        if leads && settled && !self.members.is_voter(self.id) {
+            self.step_down(now, self.term, None);
+        }
+    }
+
+    /// Returns whether a change of members waits to be committed.
+    #[must_use]
+    pub fn is_changing(&self) -> bool {
+        self.members_index > self.commit
+    }
+
+    /// Returns how many entries a member misses, as far as this leader knows.
+    #[must_use]
+    pub fn behind(&self, id: NodeId) -> Option<u64> {
+        let State::Leader(lead) = &self.state else {
+            return None;
+        };
+        lead.peers
+            .get(&id)
+            .map(|p| self.log.last_index().saturating_sub(p.matched))
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/election.rs
@@ -0,0 +1,297 @@
+//! Elections: pre-vote, vote, check-quorum and leader transfer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::replication::Progress;
+use super::{Action, Core, Leadership, State, Transfer};
+use crate::entry::{Payload, Snapshot, Term};
+use crate::members::NodeId;
+use crate::messages::{Campaign, Kind, VoteReply, VoteRequest};
+use crate::storage::Record;
+
+/// Members that granted a vote or pre-vote.
+pub(super) type Votes = BTreeSet<NodeId>;
+
+impl Core {
+    /// Hands the leadership to the voter that is most caught up, for a planned stop.
+    pub fn transfer(&mut self, now: Duration) -> Vec<Action> {
+        let members = &self.members;
+        if let State::Leader(lead) = &mut self.state {
+            let voters = lead.peers.iter().filter(|(id, _)| members.is_voter(**id));
+            let best = voters.max_by_key(|(_, p)| (p.matched, p.heard));
+            let deadline = now + self.config.election;
+            lead.transfer = best.map(|(id, _)| Transfer { to: *id, deadline });
+        }
+        self.drive_transfer();
+        self.finish()
+    }
+
+    /// Sends the request to campaign once the receiver holds the whole log.
+    pub(super) fn drive_transfer(&mut self) {
+        let last = self.log.last_index();
+        let State::Leader(lead) = &self.state else {
+            return;
+        };
+        let Some(transfer) = lead.transfer else {
+            return;
+        };
+        let caught_up = lead
+            .peers
+            .get(&transfer.to)
+            .is_some_and(|p| p.matched >= last);
+        if caught_up {
+            self.send(transfer.to, Kind::Campaign(Campaign {}));
+        }
+    }
+
+    pub(super) fn on_campaign(&mut self, now: Duration, from: NodeId, term: Term) {
+        let asked = self.leader == Some(from) && term == self.term;
+        if asked && self.members.is_voter(self.id) {
+            self.start_election(now, true);
+        }
+    }
+
+    /// Asks whether an election would be won; a member without a vote only waits on.
+    pub(super) fn start_prevote(&mut self, now: Duration) {
+        self.reset_deadline(now);
+        let had_leader = self.leader.take().is_some();
+        if !self.members.is_voter(self.id) {
+            if had_leader {
+                self.announce();
+            }
+            return;
+        }
+        let was_candidate = matches!(self.state, State::PreCandidate(_));
+        self.state = State::PreCandidate(Votes::from([self.id]));
+        if had_leader || !was_candidate {
+            self.announce();
+        }
+        if self.members.has_quorum(|id| id == self.id) {
+            self.start_election(now, false);
+            return;
+        }
+        let request = self.vote_request(false);
+        for to in self.other_voters() {
+            self.send_term(to, self.term + 1, Kind::PreVote(request.clone()));
+        }
+    }
+
+    pub(super) fn on_prevote(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        request: &VoteRequest,
+    ) {
+        self.adopt_founding(&request.founding);
+        let granted = term > self.term && !self.hears_leader(now) && self.is_current(request);
+        let reply_term = if granted { term } else { self.term };
+        self.send_term(from, reply_term, Kind::PreVoteReply(VoteReply { granted }));
+    }
+
+    pub(super) fn on_prevote_reply(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        reply: VoteReply,
+    ) {
+        if !reply.granted {
+            if term > self.term {
+                self.step_down(now, term, None);
+            }
+            return;
+        }
+        if term != self.term + 1 {
+            return;
+        }
+        let State::PreCandidate(votes) = &mut self.state else {
+            return;
+        };
+        votes.insert(from);
+        if self.members.has_quorum(|id| votes.contains(&id)) {
+            self.start_election(now, false);
+        }
+    }
+
+    /// Starts an election in the next term.
+    pub(super) fn start_election(&mut self, now: Duration, transfer: bool) {
+        self.term += 1;
+        self.vote = Some(self.id);
+        self.records.push(Record::Vote {
+            term: self.term,
+            vote: self.vote,
+        });
+        self.leader = None;
+        self.reset_deadline(now);
+        self.state = State::Candidate(Votes::from([self.id]));
+        self.announce();
+        if self.members.has_quorum(|id| id == self.id) {
+            self.become_leader(now);
+            return;
+        }
+        let request = self.vote_request(transfer);
+        for to in self.other_voters() {
+            self.send(to, Kind::Vote(request.clone()));
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        request: &VoteRequest,
+    ) {
+        self.adopt_founding(&request.founding);
+        if term > self.term && (request.transfer || !self.hears_leader(now)) {
+            self.step_down(now, term, None);
+        }
+        let free = self.vote.is_none_or(|vote| vote == from);
+        let granted = term == self.term && free && self.is_current(request);
+        if granted && self.vote.is_none() {
+            self.vote = Some(from);
+            self.records.push(Record::Vote {
+                term,
+                vote: self.vote,
+            });
+            self.reset_deadline(now);
+        }
+        self.send(from, Kind::VoteReply(VoteReply { granted }));
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        reply: VoteReply,
+    ) {
+        if term > self.term {
+            self.step_down(now, term, None);
+            return;
+        }
+        if term < self.term || !reply.granted {
+            return;
+        }
+        let State::Candidate(votes) = &mut self.state else {
+            return;
+        };
+        votes.insert(from);
+        if self.members.has_quorum(|id| votes.contains(&id)) {
+            self.become_leader(now);
+        }
+    }
+
+    fn become_leader(&mut self, now: Duration) {
+        let next = self.log.last_index() + 1;
+        let others = self.members.iter().filter(|m| m.id != self.id);
+        let peers: BTreeMap<_, _> = others.map(|m| (m.id, Progress::new(next, now))).collect();
+        self.state = State::Leader(Box::new(Leadership {
+            first_index: next,
+            since: now,
+            round: 0,
+            peers,
+            proposals: BTreeMap::new(),
+            reads: Vec::new(),
+            transfer: None,
+            encoded: None,
+        }));
+        self.leader = Some(self.id);
+        self.announce();
+        self.append_own(now, &Payload::Empty);
+    }
+
+    /// Becomes a follower in `term`, which is not below the current one.
+    pub(super) fn step_down(&mut self, now: Duration, term: Term, leader: Option<NodeId>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.records.push(Record::Vote { term, vote: None });
+        }
+        let state = std::mem::replace(&mut self.state, State::Follower);
+        let changed = !matches!(state, State::Follower) || self.leader != leader;
+        if let State::Leader(lead) = state {
+            self.interrupt(*lead);
+        }
+        self.leader = leader;
+        self.reset_deadline(now);
+        if changed {
+            self.announce();
+        }
+    }
+
+    /// Steps down when no quorum was heard for an election timeout.
+    pub(super) fn check_quorum(&mut self, now: Duration) -> bool {
+        if self.hears_quorum(now) {
+            return true;
+        }
+        self.step_down(now, self.term, None);
+        false
+    }
+
+    /// Tells whether this leader heard a quorum within the last election timeout.
+    pub(super) fn hears_quorum(&self, now: Duration) -> bool {
+        let State::Leader(lead) = &self.state else {
+            return false;
+        };
+        let limit = self.config.election;
+        let hears = |id| {
+            let peer = lead.peers.get(&id).map(|p| p.heard.max(lead.since));
+            id == self.id || peer.is_some_and(|heard| now < heard + limit)
+        };
+        self.members.has_quorum(hears)
+    }
+
+    /// Takes the founding snapshot of a log that names this blank member as a voter.
+    fn adopt_founding(&mut self, founding: &Bytes) {
+        if self.cluster() != 0 || founding.is_empty() {
+            return;
+        }
+        let Ok(snapshot) = Snapshot::decode(founding.clone()) else {
+            return;
+        };
+        if snapshot.members.is_voter(self.id) {
+            self.install(snapshot);
+        }
+    }
+
+    /// Tells whether a leader was heard so lately that its followers ignore candidates.
+    fn hears_leader(&self, now: Duration) -> bool {
+        match self.state {
+            State::Leader(_) => self.hears_quorum(now),
+            _ => {
+                let limit = self.config.election;
+                self.leader.is_some() && self.heard.is_some_and(|heard| now < heard + limit)
+            }
+        }
+    }
+
+    /// Tells whether the candidate's log holds at least what this log holds.
+    fn is_current(&self, request: &VoteRequest) -> bool {
+        let own = (self.log.last_term(), self.log.last_index());
+        self.cluster() != 0 && (request.last_term, request.last_index) >= own
+    }
+
+    fn vote_request(&self, transfer: bool) -> VoteRequest {
+        let founding = match self.log.last_index() {
+            1 => self.log.snapshot.encode(),
+            _ => Bytes::new(),
+        };
+        VoteRequest {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+            founding,
+        }
+    }
+
+    pub(super) fn announce(&mut self) {
+        let (role, term, leader) = (self.role(), self.term, self.leader);
+        self.actions
+            .push(Action::RoleChanged { role, term, leader });
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/proposals.rs
@@ -0,0 +1,233 @@
+//! Proposals: pushes, their answers, and reads.
+
+use std::time::Duration;
+
+use super::{Action, Core, Leadership, Reject, State, Token};
+use crate::bundles::Command;
+use crate::entry::{BUNDLE_LIMIT, Entry, Index, Payload};
+use crate::members::{Members, NodeId};
+use crate::storage::Record;
+
+/// A proposal that waits to be committed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Proposal {
+    pub(super) token: Token,
+    pub(super) deadline: Duration,
+}
+
+/// A read that waits until a quorum has confirmed the leader.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Read {
+    pub(super) token: Token,
+    pub(super) round: u64,
+    pub(super) deadline: Duration,
+}
+
+impl Core {
+    /// Proposes a command; its answer comes as [`Action::Applied`] or [`Action::Rejected`].
+    pub fn propose(&mut self, now: Duration, token: Token, command: Command) -> Vec<Action> {
+        let Command::Push(bundle) = &command;
+        let too_large = bundle.bytes.len() > BUNDLE_LIMIT;
+        match self.refusal(now) {
+            Some(reason) => self.reject(token, reason),
+            None if too_large => self.reject(
+                token,
+                Reject::TooLarge {
+                    limit: BUNDLE_LIMIT,
+                },
+            ),
+            None => self.propose_payload(now, token, &Payload::Command(command)),
+        }
+        self.finish()
+    }
+
+    /// Asks for a read that sees every push answered before; [`Action::ReadReady`] follows.
+    pub fn read(&mut self, now: Duration, token: Token) -> Vec<Action> {
+        match self.refusal(now) {
+            Some(reason) => self.reject(token, reason),
+            None => self.start_read(now, token),
+        }
+        self.finish()
+    }
+
+    fn start_read(&mut self, now: Duration, token: Token) {
+        let deadline = now + self.config.proposal;
+        if let State::Leader(lead) = &mut self.state {
+            let round = lead.round + 1;
+            lead.reads.push(Read {
+                token,
+                round,
+                deadline,
+            });
+        }
+        self.send_all(now);
+        self.answer_reads();
+    }
+
+    /// Answers the reads that a quorum has confirmed since they were asked for.
+    pub(super) fn answer_reads(&mut self) {
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        if self.commit < lead.first_index {
+            return;
+        }
+        let (own, members, peers) = (self.id, &self.members, &lead.peers);
+        let confirmed = |read: &Read| {
+            members.has_quorum(|id| {
+                id == own || peers.get(&id).is_some_and(|p| p.confirmed >= read.round)
+            })
+        };
+        let ready: Vec<_> = lead
+            .reads
+            .iter()
+            .filter(|r| confirmed(r))
+            .copied()
+            .collect();
+        lead.reads
+            .retain(|r| !ready.iter().any(|done| done.token == r.token));
+        for read in ready {
+            let commit = self.commit;
+            self.actions.push(Action::ReadReady {
+                token: read.token,
+                commit,
+            });
+        }
+    }
+
+    /// Returns the reason for which this member takes no proposal now.
+    pub(super) fn refusal(&self, now: Duration) -> Option<Reject> {
+        let State::Leader(lead) = &self.state else {
+            let leader = self.leader.filter(|_| now < self.deadline);
+            return Some(leader.map_or(Reject::NoQuorum, |leader| Reject::NotLeader { leader }));
+        };
+        if !self.hears_quorum(now) {
+            return Some(Reject::NoQuorum);
+        }
+        let waiting = lead.proposals.len() + lead.reads.len();
+        let large = self.log.bytes() >= self.config.compact_bytes.saturating_mul(2);
+        if lead.transfer.is_some() || waiting >= self.config.proposals || large {
+            return Some(Reject::Busy {
+                retry: self.config.heartbeat,
+            });
+        }
+        None
+    }
+
+    pub(super) fn propose_payload(&mut self, now: Duration, token: Token, payload: &Payload) {
+        let index = self.log.last_index() + 1;
+        let deadline = now + self.config.proposal;
+        if let State::Leader(lead) = &mut self.state {
+            lead.proposals.insert(index, Proposal { token, deadline });
+        }
+        self.append_own(now, payload);
+    }
+
+    /// Appends an entry as the leader and sends it to all members.
+    pub(super) fn append_own(&mut self, now: Duration, payload: &Payload) {
+        let index = self.log.last_index() + 1;
+        let entry = Entry {
+            index,
+            term: self.term,
+            data: payload.encode(),
+        };
+        self.append_entry(entry);
+        if let Payload::Members(members) = payload {
+            self.members = members.clone();
+            self.members_index = index;
+            self.follow_members(now);
+        }
+        self.advance_commit(now);
+        self.send_idle(now);
+    }
+
+    pub(super) fn append_entry(&mut self, entry: Entry) {
+        self.records.push(Record::Entry(entry.clone()));
+        self.log.push(entry);
+    }
+
+    /// Applies all entries up to `commit`.
+    pub(super) fn apply_to(&mut self, commit: Index) {
+        while self.commit < commit {
+            let Some(entry) = self.log.get(self.commit + 1) else {
+                return;
+            };
+            let payload = Payload::decode(&entry.data);
+            self.commit += 1;
+            let token = self.take_proposal(self.commit);
+            match payload {
+                Ok(Payload::Command(command)) => self.apply_command(token, &command),
+                Ok(Payload::Members(members)) => self.apply_members(token, members),
+                Ok(Payload::Empty) | Err(_) => {}
+            }
+        }
+    }
+
+    fn apply_command(&mut self, token: Option<Token>, command: &Command) {
+        let index = self.commit;
+        let result = self.bundles.apply(index, command);
+        self.actions.push(Action::Applied {
+            index,
+            token,
+            result,
+        });
+    }
+
+    fn apply_members(&mut self, token: Option<Token>, members: Members) {
+        let index = self.commit;
+        self.actions.push(Action::Changed {
+            index,
+            token,
+            members,
+        });
+    }
+
+    fn take_proposal(&mut self, index: Index) -> Option<Token> {
+        let State::Leader(lead) = &mut self.state else {
+            return None;
+        };
+        lead.proposals.remove(&index).map(|p| p.token)
+    }
+
+    /// Answers proposals and reads that waited too long.
+    pub(super) fn expire_proposals(&mut self, now: Duration) {
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        let mut late = Vec::new();
+        lead.proposals
+            .retain(|_, p| keep_until(now, p.deadline, p.token, &mut late));
+        lead.reads
+            .retain(|r| keep_until(now, r.deadline, r.token, &mut late));
+        for token in late {
+            self.reject(token, Reject::TimedOut);
+        }
+    }
+
+    /// Answers everything that waits at a leader that steps down.
+    pub(super) fn interrupt(&mut self, lead: Leadership) {
+        for proposal in lead.proposals.into_values() {
+            self.reject(proposal.token, Reject::Interrupted);
+        }
+        for read in lead.reads {
+            self.reject(read.token, Reject::NoQuorum);
+        }
+    }
+
+    pub(super) fn reject(&mut self, token: Token, reason: Reject) {
+        self.actions.push(Action::Rejected { token, reason });
+    }
+
+    /// Returns the address of a member, as text.
+    #[must_use]
+    pub fn address(&self, id: NodeId) -> Option<&str> {
+        self.members.get(id).map(|m| m.address.as_str())
+    }
+}
+
+fn keep_until(now: Duration, deadline: Duration, token: Token, late: &mut Vec<Token>) -> bool {
+    if now >= deadline {
+        late.push(token);
+    }
+    now < deadline
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -0,0 +1,376 @@
+//! Replication: one outstanding message to each peer, repeated at each heartbeat.
+
+use std::time::Duration;
+
+use super::{Core, State};
+use crate::entry::{Entry, Index, Payload, Term};
+use crate::members::NodeId;
+use crate::messages::{Append, AppendReply, ENTRIES_LIMIT, EntryPart, Fragment, Kind, PART_LIMIT};
+use crate::storage::Record;
+
+/// What a leader knows of one peer.
+#[derive(Debug, Clone)]
+pub(super) struct Progress {
+    /// Index of the next entry to send.
+    pub(super) next: Index,
+    /// Last index known to be stored by the peer.
+    pub(super) matched: Index,
+    /// Bytes that the peer holds of the entry or snapshot being sent.
+    pub(super) offset: u64,
+    /// Index of the snapshot being sent; zero while entries are sent.
+    pub(super) snapshot: Index,
+    /// Round whose reply is awaited.
+    pub(super) outstanding: Option<u64>,
+    /// Highest round that the peer has answered.
+    pub(super) confirmed: u64,
+    /// Time of the last message to the peer.
+    pub(super) sent: Duration,
+    /// Time of the last message from the peer.
+    pub(super) heard: Duration,
+}
+
+impl Progress {
+    pub(super) fn new(next: Index, now: Duration) -> Self {
+        Self {
+            next,
+            matched: 0,
+            offset: 0,
+            snapshot: 0,
+            outstanding: None,
+            confirmed: 0,
+            sent: now,
+            heard: Duration::ZERO,
+        }
+    }
+
+    /// Notes a reply; tells whether it answers the outstanding message.
+    pub(super) fn note_reply(&mut self, now: Duration, round: u64) -> bool {
+        self.heard = now;
+        self.confirmed = self.confirmed.max(round);
+        let answers = self.outstanding == Some(round);
+        if answers {
+            self.outstanding = None;
+        }
+        answers
+    }
+
+    pub(super) fn note_match(&mut self, index: Index) {
+        self.matched = self.matched.max(index);
+        if self.next <= self.matched {
+            self.next = self.matched + 1;
+            self.offset = 0;
+        }
+    }
+}
+
+/// An entry of which parts have arrived.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(super) struct EntryBuffer {
+    index: Index,
+    term: Term,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl EntryBuffer {
+    /// Adds a part; returns the entry once it is whole.
+    fn add(&mut self, index: Index, part: &Fragment) -> Option<Entry> {
+        let same = (self.index, self.term, self.total) == (index, part.term, part.total);
+        if !same || part.offset == 0 {
+            *self = Self {
+                index,
+                term: part.term,
+                total: part.total,
+                data: Vec::new(),
+            };
+        }
+        if part.offset != self.data.len() as u64 {
+            return None;
+        }
+        self.data.extend_from_slice(&part.data);
+        if (self.data.len() as u64) < self.total {
+            return None;
+        }
+        let data = std::mem::take(self).data.into();
+        Some(Entry {
+            index,
+            term: part.term,
+            data,
+        })
+    }
+
+    /// Returns the bytes held of the entry at `index`.
+    fn held(&self, index: Index) -> u64 {
+        if self.index == index {
+            self.data.len() as u64
+        } else {
+            0
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn tick_leader(&mut self, now: Duration) {
+        if !self.check_quorum(now) {
+            return;
+        }
+        self.expire_proposals(now);
+        let heartbeat = self.config.heartbeat;
+        if let State::Leader(lead) = &mut self.state {
+            lead.transfer = lead.transfer.filter(|t| now < t.deadline);
+            let due = lead.peers.iter().filter(|(_, p)| now >= p.sent + heartbeat);
+            let due: Vec<_> = due.map(|(id, _)| *id).collect();
+            self.send_to(now, &due);
+        }
+        self.tick_changes(now);
+    }
+
+    /// Sends to all peers, also where a reply is outstanding.
+    pub(super) fn send_all(&mut self, now: Duration) {
+        let State::Leader(lead) = &self.state else {
+            return;
+        };
+        let all: Vec<_> = lead.peers.keys().copied().collect();
+        self.send_to(now, &all);
+    }
+
+    /// Sends to the peers that wait for nothing.
+    pub(super) fn send_idle(&mut self, now: Duration) {
+        let State::Leader(lead) = &self.state else {
+            return;
+        };
+        let idle = lead.peers.iter().filter(|(_, p)| p.outstanding.is_none());
+        let idle: Vec<_> = idle.map(|(id, _)| *id).collect();
+        self.send_to(now, &idle);
+    }
+
+    fn send_to(&mut self, now: Duration, peers: &[NodeId]) {
+        for id in peers {
+            self.send_peer(now, *id);
+        }
+    }
+
+    pub(super) fn send_peer(&mut self, now: Duration, id: NodeId) {
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        let Some(peer) = lead.peers.get_mut(&id) else {
+            return;
+        };
+        lead.round += 1;
+        peer.outstanding = Some(lead.round);
+        peer.sent = now;
+        let (round, next, offset) = (lead.round, peer.next, peer.offset);
+        let kind = match next <= self.log.snapshot.index {
+            true => self.snapshot_part(id, round),
+            false => Some(Kind::Append(self.append_after(next - 1, round, offset))),
+        };
+        if let Some(kind) = kind {
+            self.send(id, kind);
+        }
+    }
+
+    fn append_after(&self, prev_index: Index, round: u64, offset: u64) -> Append {
+        let prev_term = self.log.term_at(prev_index).unwrap_or_default();
+        let mut append = Append {
+            round,
+            prev_index,
+            prev_term,
+            commit: self.commit,
+            entries: Vec::new(),
+            fragment: None,
+        };
+        let Some(first) = self.log.get(prev_index + 1) else {
+            return append;
+        };
+        if first.data.len() > PART_LIMIT {
+            append.fragment = Some(fragment_of(first, offset));
+            return append;
+        }
+        let mut size = 0;
+        for index in prev_index + 1..=self.log.last_index() {
+            let Some(entry) = self.log.get(index) else {
+                break;
+            };
+            size += entry.data.len();
+            if size > PART_LIMIT || append.entries.len() == ENTRIES_LIMIT {
+                break;
+            }
+            append.entries.push(EntryPart {
+                term: entry.term,
+                data: entry.data.clone(),
+            });
+        }
+        append
+    }
+
+    pub(super) fn on_append(&mut self, now: Duration, from: NodeId, term: Term, append: &Append) {
+        let round = append.round;
+        if term < self.term {
+            self.reply_append(from, round, false, self.commit + 1, 0);
+            return;
+        }
+        self.follow(now, from, term);
+        if !self.matches(append.prev_index, append.prev_term) {
+            self.reply_append(from, round, false, self.commit + 1, 0);
+            return;
+        }
+        let Ok(mut entries) = append.whole_entries() else {
+            return;
+        };
+        let start = append.prev_index + 1;
+        if let Some(part) = &append.fragment {
+            match self.entry_buffer.add(start, part) {
+                Some(entry) if Payload::decode(&entry.data).is_ok() => entries.push(entry),
+                Some(_) | None => {}
+            }
+        }
+        let matched = append.prev_index + entries.len() as Index;
+        self.store_entries(entries);
+        self.apply_to(append.commit.min(matched));
+        self.maybe_compact();
+        let held = self.entry_buffer.held(matched + 1);
+        self.reply_append(from, round, true, matched, held);
+    }
+
+    /// Follows the leader of `term`, which is not below the current one.
+    pub(super) fn follow(&mut self, now: Duration, leader: NodeId, term: Term) {
+        let follows = matches!(self.state, State::Follower) && self.leader == Some(leader);
+        if term > self.term || !follows {
+            self.step_down(now, term, Some(leader));
+        }
+        self.heard = Some(now);
+        self.reset_deadline(now);
+    }
+
+    fn matches(&self, index: Index, term: Term) -> bool {
+        let covered = index < self.log.snapshot.index;
+        self.cluster() != 0 && (covered || self.log.term_at(index) == Some(term))
+    }
+
+    fn store_entries(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            if entry.index <= self.commit || self.log.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            self.truncate(entry.index);
+            let sets_members = matches!(Payload::decode(&entry.data), Ok(Payload::Members(_)));
+            self.append_entry(entry);
+            if sets_members {
+                self.reload_members();
+            }
+        }
+    }
+
+    fn truncate(&mut self, from: Index) {
+        if from > self.log.last_index() {
+            return;
+        }
+        self.records.push(Record::Truncate { from });
+        self.log.truncate(from);
+        if self.members_index >= from {
+            self.reload_members();
+        }
+    }
+
+    fn reply_append(&mut self, to: NodeId, round: u64, success: bool, index: Index, offset: u64) {
+        self.send(
+            to,
+            Kind::AppendReply(AppendReply {
+                round,
+                success,
+                index,
+                offset,
+            }),
+        );
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        reply: AppendReply,
+    ) {
+        if term > self.term {
+            self.step_down(now, term, None);
+            return;
+        }
+        let last = self.log.last_index();
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        let Some(peer) = lead.peers.get_mut(&from) else {
+            return;
+        };
+        if term < self.term {
+            return;
+        }
+        let before = (peer.next, peer.offset);
+        let answers = peer.note_reply(now, reply.round);
+        if reply.success {
+            peer.note_match(reply.index.min(last));
+        }
+        if answers && reply.success {
+            peer.offset = reply.offset;
+        } else if answers {
+            peer.next = reply.index.clamp(peer.matched + 1, last + 1);
+            peer.offset = 0;
+        }
+        let moved = before != (peer.next, peer.offset);
+        let more = answers && moved && peer.next <= last;
+        self.after_reply(now, from, more);
+    }
+
+    /// Commits what can be committed and goes on sending.
+    pub(super) fn after_reply(&mut self, now: Duration, from: NodeId, more: bool) {
+        let committed = self.advance_commit(now);
+        self.answer_reads();
+        if more {
+            self.send_peer(now, from);
+        }
+        if committed {
+            self.send_idle(now);
+        }
+        self.drive_transfer();
+    }
+
+    /// Commits the entries of this term that a quorum holds; tells whether there were any.
+    pub(super) fn advance_commit(&mut self, now: Duration) -> bool {
+        let State::Leader(lead) = &self.state else {
+            return false;
+        };
+        let (own, last) = (self.id, self.log.last_index());
+        let holds = |id, index| {
+            id == own
+                || lead
+                    .peers
+                    .get(&id)
+                    .is_some_and(|p: &Progress| p.matched >= index)
+        };
+        let lowest = lead.first_index.max(self.commit + 1);
+        let committed = (lowest..=last)
+            .rev()
+            .find(|i| self.members.has_quorum(|id| holds(id, *i)));
+        let Some(commit) = committed else {
+            return false;
+        };
+        self.apply_to(commit);
+        self.answer_reads();
+        self.leave_if_removed(now);
+        self.maybe_compact();
+        true
+    }
+}
+
+fn fragment_of(entry: &Entry, offset: u64) -> Fragment {
+    let len = entry.data.len();
+    let start = usize::try_from(offset).map_or(0, |offset| if offset < len { offset } else { 0 });
+    let end = len.min(start + PART_LIMIT);
+    Fragment {
+        term: entry.term,
+        total: len as u64,
+        offset: start as u64,
+        data: entry.data.slice(start..end),
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/snapshots.rs
@@ -0,0 +1,199 @@
+//! Snapshots: taking them, sending them in parts, and installing them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::{Action, Core, State};
+use crate::bundles::Bundles;
+use crate::entry::{Index, Snapshot, Term};
+use crate::members::NodeId;
+use crate::messages::{Kind, PART_LIMIT, SnapshotPart, SnapshotReply};
+use crate::storage::{Record, Reset};
+
+/// A snapshot of which parts have arrived.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(super) struct SnapshotBuffer {
+    index: Index,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl SnapshotBuffer {
+    /// Adds a part; returns the encoded snapshot once it is whole.
+    fn add(&mut self, part: &SnapshotPart) -> Option<Bytes> {
+        if (self.index, self.total) != (part.index, part.total) || part.offset == 0 {
+            *self = Self {
+                index: part.index,
+                total: part.total,
+                data: Vec::new(),
+            };
+        }
+        if part.offset != self.data.len() as u64 {
+            return None;
+        }
+        self.data.extend_from_slice(&part.data);
+        if (self.data.len() as u64) < self.total {
+            return None;
+        }
+        Some(std::mem::take(self).data.into())
+    }
+
+    fn held(&self, index: Index) -> u64 {
+        if self.index == index {
+            self.data.len() as u64
+        } else {
+            0
+        }
+    }
+}
+
+impl Core {
+    /// Puts a snapshot in place of the applied entries once they are many or large.
+    pub(super) fn maybe_compact(&mut self) {
+        let covered = self.commit - self.log.snapshot.index;
+        let many = covered >= self.config.compact_entries as Index;
+        let large = self.log.bytes() >= self.config.compact_bytes;
+        if covered == 0 || !(many || large) {
+            return;
+        }
+        let snapshot = Snapshot {
+            cluster: self.cluster(),
+            index: self.commit,
+            term: self.log.term_at(self.commit).unwrap_or_default(),
+            members: self.log.members_at(self.commit).1,
+            state: self.bundles.encode(),
+        };
+        self.log.compact(snapshot);
+        self.record_reset();
+    }
+
+    /// Takes a snapshot in place of the state; tells whether the state covers it now.
+    pub(super) fn install(&mut self, snapshot: Snapshot) -> bool {
+        if snapshot.index <= self.commit {
+            return true;
+        }
+        let Ok(bundles) = Bundles::decode(snapshot.state.clone()) else {
+            return false;
+        };
+        let index = snapshot.index;
+        match self.log.term_at(index) == Some(snapshot.term) {
+            true => self.log.compact(snapshot),
+            false => self.log.replace(snapshot),
+        }
+        self.bundles = bundles;
+        self.commit = index;
+        self.reload_members();
+        self.record_reset();
+        self.actions.push(Action::Installed { index });
+        true
+    }
+
+    fn record_reset(&mut self) {
+        let reset = Reset {
+            term: self.term,
+            vote: self.vote,
+            snapshot: self.log.snapshot.clone(),
+            entries: self.log.entries().cloned().collect(),
+        };
+        self.records.push(Record::Reset(Box::new(reset)));
+    }
+
+    pub(super) fn snapshot_part(&mut self, to: NodeId, round: u64) -> Option<Kind> {
+        let index = self.log.snapshot.index;
+        let State::Leader(lead) = &mut self.state else {
+            return None;
+        };
+        let encoded = match &lead.encoded {
+            Some((at, encoded)) if *at == index => encoded.clone(),
+            Some(_) | None => self.log.snapshot.encode(),
+        };
+        lead.encoded = Some((index, encoded.clone()));
+        let peer = lead.peers.get_mut(&to)?;
+        if peer.snapshot != index {
+            peer.snapshot = index;
+            peer.offset = 0;
+        }
+        let start = usize::try_from(peer.offset).ok()?.min(encoded.len());
+        let end = encoded.len().min(start + PART_LIMIT);
+        let data = encoded.slice(start..end);
+        let (total, offset) = (encoded.len() as u64, start as u64);
+        Some(Kind::Snapshot(SnapshotPart {
+            round,
+            index,
+            total,
+            offset,
+            data,
+        }))
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        part: &SnapshotPart,
+    ) {
+        let (round, index) = (part.round, part.index);
+        if term >= self.term {
+            self.follow(now, from, term);
+        }
+        let done = term == self.term && self.take_part(part);
+        let offset = self.snapshot_buffer.held(index);
+        self.send(
+            from,
+            Kind::SnapshotReply(SnapshotReply {
+                round,
+                index,
+                offset,
+                done,
+            }),
+        );
+    }
+
+    fn take_part(&mut self, part: &SnapshotPart) -> bool {
+        if part.index <= self.commit {
+            return true;
+        }
+        let Some(data) = self.snapshot_buffer.add(part) else {
+            return false;
+        };
+        let Ok(snapshot) = Snapshot::decode(data) else {
+            return false;
+        };
+        let fits = self.cluster() == 0 || self.cluster() == snapshot.cluster;
+        fits && snapshot.index == part.index && self.install(snapshot)
+    }
+
+    pub(super) fn on_snapshot_reply(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+        reply: SnapshotReply,
+    ) {
+        if term > self.term {
+            self.step_down(now, term, None);
+            return;
+        }
+        let last = self.log.last_index();
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        let Some(peer) = lead.peers.get_mut(&from) else {
+            return;
+        };
+        if term < self.term {
+            return;
+        }
+        let answers = peer.note_reply(now, reply.round);
+        let before = (peer.next, peer.offset);
+        if reply.done {
+            peer.note_match(reply.index.min(last));
+        } else if answers && reply.index == peer.snapshot {
+            peer.offset = reply.offset;
+        }
+        let more = answers && before != (peer.next, peer.offset) && peer.next <= last;
+        self.after_reply(now, from, more);
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/entry.rs
@@ -0,0 +1,290 @@
+//! Entries of the log and snapshots, with their encoded forms.
+
+use bytes::Bytes;
+use prost::Message as _;
+use quick_error::quick_error;
+use smol_str::SmolStr;
+
+use crate::bundles::{Bundle, Command, Digest};
+use crate::members::{Member, Members, NodeId, Standing};
+
+/// Counts elections; each has one leader at most.
+pub type Term = u64;
+/// Position of an entry in the log; the first is 1.
+pub type Index = u64;
+/// Names one founded log; members of another one are not talked to.
+pub type ClusterId = u64;
+
+/// Largest bundle text that is taken, in bytes.
+pub const BUNDLE_LIMIT: usize = 1024 * 1024;
+/// Largest encoded entry, in bytes.
+pub const ENTRY_LIMIT: usize = BUNDLE_LIMIT + 1024;
+/// Largest encoded snapshot, in bytes.
+pub const SNAPSHOT_LIMIT: usize = 8 * 1024 * 1024;
+/// Largest number of members in an entry or a snapshot.
+pub const MEMBER_LIMIT: usize = 32;
+/// Largest text of a socket address, in bytes.
+pub const ADDRESS_LIMIT: usize = 64;
+
+quick_error! {
+    /// Tells why encoded bytes were refused.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum DecodeError {
+        /// The bytes are no valid message.
+        Malformed(err: prost::DecodeError) {
+            from()
+            source(err)
+            display("malformed message: {err}")
+        }
+        /// A part that must be there is missing.
+        Missing(part: &'static str) {
+            display("missing {part}")
+        }
+        /// A part has a size or value out of range.
+        OutOfRange(part: &'static str, size: u64) {
+            display("{part} out of range: {size}")
+        }
+    }
+}
+
+/// Result of decoding an entry, a snapshot or a message.
+pub(crate) type Result<T, E = DecodeError> = std::result::Result<T, E>;
+
+/// One entry of the log; `data` is an encoded [`Payload`].
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Entry {
+    /// Position in the log.
+    pub index: Index,
+    /// Term of the leader that appended it.
+    pub term: Term,
+    /// Encoded payload.
+    pub data: Bytes,
+}
+
+/// What an entry holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Payload {
+    /// Nothing; a new leader commits it to learn what is committed.
+    Empty,
+    /// A command for the state machine.
+    Command(Command),
+    /// The members from this entry on.
+    Members(Members),
+}
+
+impl Payload {
+    /// Returns the encoded payload.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        let body = match self {
+            Self::Empty => PayloadBody::Empty(EmptyRecord {}),
+            Self::Command(Command::Push(bundle)) => PayloadBody::Push(bundle.into()),
+            Self::Members(members) => PayloadBody::Members(members.into()),
+        };
+        PayloadRecord { body: Some(body) }.encode_to_vec().into()
+    }
+
+    /// Returns the payload that `data` holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are malformed, incomplete or above a limit.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        check_size("entry", data.len(), ENTRY_LIMIT)?;
+        let record = PayloadRecord::decode(data)?;
+        match record.body.ok_or(DecodeError::Missing("payload"))? {
+            PayloadBody::Empty(_) => Ok(Self::Empty),
+            PayloadBody::Push(bundle) => Ok(Self::Command(Command::Push(bundle.try_into()?))),
+            PayloadBody::Members(members) => Ok(Self::Members(members.try_into()?)),
+        }
+    }
+}
+
+/// The state at one position of the log, in place of all entries up to it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Hash)]
+pub struct Snapshot {
+    /// The log that the snapshot belongs to.
+    pub cluster: ClusterId,
+    /// Position of the last entry that the snapshot covers.
+    pub index: Index,
+    /// Term of that entry.
+    pub term: Term,
+    /// Members as of that entry.
+    pub members: Members,
+    /// Encoded state machine.
+    pub state: Bytes,
+}
+
+impl Snapshot {
+    /// Returns the encoded snapshot.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        let record = SnapshotRecord {
+            cluster: self.cluster,
+            index: self.index,
+            term: self.term,
+            members: Some((&self.members).into()),
+            state: self.state.clone(),
+        };
+        record.encode_to_vec().into()
+    }
+
+    /// Returns the snapshot that `data` holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are malformed, incomplete or above a limit.
+    pub fn decode(data: Bytes) -> Result<Self> {
+        check_size("snapshot", data.len(), SNAPSHOT_LIMIT)?;
+        let record = SnapshotRecord::decode(data)?;
+        if record.cluster == 0 || record.index == 0 {
+            return Err(DecodeError::Missing("cluster or index"));
+        }
+        Ok(Self {
+            cluster: record.cluster,
+            index: record.index,
+            term: record.term,
+            members: record
+                .members
+                .ok_or(DecodeError::Missing("members"))?
+                .try_into()?,
+            state: record.state,
+        })
+    }
+}
+
+pub(crate) fn check_size(part: &'static str, size: usize, limit: usize) -> Result<()> {
+    if size > limit {
+        return Err(DecodeError::OutOfRange(part, size as u64));
+    }
+    Ok(())
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct PayloadRecord {
+    #[prost(oneof = "PayloadBody", tags = "1, 2, 3")]
+    body: Option<PayloadBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum PayloadBody {
+    #[prost(message, tag = "1")]
+    Empty(EmptyRecord),
+    #[prost(message, tag = "2")]
+    Push(BundleRecord),
+    #[prost(message, tag = "3")]
+    Members(MembersRecord),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EmptyRecord {}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct BundleRecord {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    digest: Bytes,
+    #[prost(bytes = "vec", tag = "3")]
+    bytes: Vec<u8>,
+}
+
+impl From<&Bundle> for BundleRecord {
+    fn from(bundle: &Bundle) -> Self {
+        Self {
+            version: bundle.version,
+            digest: Bytes::copy_from_slice(&bundle.digest),
+            bytes: bundle.bytes.clone(),
+        }
+    }
+}
+
+impl TryFrom<BundleRecord> for Bundle {
+    type Error = DecodeError;
+
+    fn try_from(record: BundleRecord) -> Result<Self> {
+        check_size("bundle", record.bytes.len(), BUNDLE_LIMIT)?;
+        let digest = decode_digest(&record.digest)?;
+        Ok(Self {
+            version: record.version,
+            digest,
+            bytes: record.bytes,
+        })
+    }
+}
+
+pub(crate) fn decode_digest(data: &[u8]) -> Result<Digest> {
+    Digest::try_from(data).map_err(|_| DecodeError::OutOfRange("digest", data.len() as u64))
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct MembersRecord {
+    #[prost(message, repeated, tag = "1")]
+    list: Vec<MemberRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct MemberRecord {
+    #[prost(fixed64, tag = "1")]
+    id: NodeId,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(uint32, tag = "3")]
+    standing: u32,
+}
+
+impl From<&Members> for MembersRecord {
+    fn from(members: &Members) -> Self {
+        let list = members.iter().map(|m| MemberRecord {
+            id: m.id,
+            address: m.address.to_string(),
+            standing: m.standing as u32,
+        });
+        Self {
+            list: list.collect(),
+        }
+    }
+}
+
+impl TryFrom<MembersRecord> for Members {
+    type Error = DecodeError;
+
+    fn try_from(record: MembersRecord) -> Result<Self> {
+        check_size("members", record.list.len(), MEMBER_LIMIT)?;
+        let list: Result<Vec<_>> = record.list.into_iter().map(Member::try_from).collect();
+        Ok(Self::new(list?))
+    }
+}
+
+impl TryFrom<MemberRecord> for Member {
+    type Error = DecodeError;
+
+    fn try_from(record: MemberRecord) -> Result<Self> {
+        check_size("address", record.address.len(), ADDRESS_LIMIT)?;
+        let standing = match record.standing {
+            0 => Standing::Learner,
+            1 => Standing::Pending,
+            2 => Standing::Voter,
+            other => return Err(DecodeError::OutOfRange("standing", u64::from(other))),
+        };
+        Ok(Self {
+            id: record.id,
+            address: SmolStr::from(record.address),
+            standing,
+        })
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SnapshotRecord {
+    #[prost(fixed64, tag = "1")]
+    cluster: u64,
+    #[prost(uint64, tag = "2")]
+    index: u64,
+    #[prost(uint64, tag = "3")]
+    term: u64,
+    #[prost(message, optional, tag = "4")]
+    members: Option<MembersRecord>,
+    #[prost(bytes = "bytes", tag = "5")]
+    state: Bytes,
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/storage/recovery.rs
@@ -0,0 +1,203 @@
+//! Opening a data folder: cutting torn writes, finding damage, setting damaged files aside.
+
+use bytes::Bytes;
+
+use super::files::{DAMAGED_PREFIX, DRAFT_SUFFIX, FileName, IDENTITY};
+use super::frame::{later_batch, next_frame};
+use super::record::{Identity, RecordBody};
+use super::{Damage, Error, Origin, Restored, Result, Storage};
+use crate::entry::{Entry, Index, Snapshot};
+use crate::members::NodeId;
+
+/// What was read of a segment so far.
+struct Replay {
+    restored: Restored,
+    end: u64,
+}
+
+type Checked<T> = std::result::Result<T, Damage>;
+
+impl Storage {
+    /// Reads the folder and leaves it ready to be written.
+    pub(super) fn recover(&mut self, fresh: NodeId) -> Result<Restored> {
+        let names = self.disk.list().map_err(|e| Error::at("list", e))?;
+        let files: Vec<_> = names
+            .iter()
+            .filter_map(|name| FileName::parse(name))
+            .collect();
+        if files.is_empty() {
+            return self.start_fresh(fresh, Origin::Empty, &names);
+        }
+        match self.read_files(&files)? {
+            Ok(restored) => {
+                self.clean(&names)?;
+                Ok(restored)
+            }
+            Err(damage) => {
+                self.set_aside(&files)?;
+                self.start_fresh(fresh, Origin::Damaged(damage), &[])
+            }
+        }
+    }
+
+    fn start_fresh(&mut self, id: NodeId, origin: Origin, drafts: &[String]) -> Result<Restored> {
+        self.snapshot = 0;
+        for name in drafts.iter().filter(|name| name.ends_with(DRAFT_SUFFIX)) {
+            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
+        }
+        self.start_segment(1, 0, (0, None), &[])?;
+        self.write_identity(id)?;
+        Ok(Restored {
+            origin,
+            ..Restored::blank(id)
+        })
+    }
+
+    /// Reads the newest segment and its snapshot, and writes the segment anew.
+    ///
+    /// After a failed sync the system may show bytes that aren't on the disk, and another sync
+    /// of the same file wouldn't write them. A new file does.
+    fn read_files(&mut self, files: &[FileName]) -> Result<Checked<Restored>> {
+        if !files.contains(&IDENTITY) {
+            return Ok(Err(Damage::Identity));
+        }
+        let segments = files.iter().filter_map(|file| match file {
+            FileName::Segment(number) => Some(*number),
+            FileName::Identity | FileName::Snapshot(_) => None,
+        });
+        let Some(segment) = segments.max() else {
+            return Ok(Err(Damage::Segment));
+        };
+        let identity = self.read(IDENTITY)?;
+        let data = self.read(FileName::Segment(segment))?;
+        let replay = read_identity(&identity).and_then(|id| replay(id, &data));
+        let (mut replay, base) = match replay {
+            Ok(replay) => replay,
+            Err(damage) => return Ok(Err(damage)),
+        };
+        if base != 0 {
+            match self.read_snapshot(base, files)? {
+                Ok(snapshot) => replay.restored.snapshot = Some(snapshot),
+                Err(damage) => return Ok(Err(damage)),
+            }
+        }
+        self.snapshot = base;
+        let torn = data.len() as u64 - replay.end;
+        let restored = Restored {
+            origin: Origin::Whole { torn },
+            ..replay.restored
+        };
+        let vote = (restored.term, restored.vote);
+        self.start_segment(segment + 1, base, vote, &restored.entries)?;
+        Ok(Ok(restored))
+    }
+
+    fn read_snapshot(&mut self, index: Index, files: &[FileName]) -> Result<Checked<Snapshot>> {
+        let name = FileName::Snapshot(index);
+        if !files.contains(&name) {
+            return Ok(Err(Damage::Snapshot(index)));
+        }
+        let data = self.read(name)?;
+        let payload = next_frame(&data).map(|f| Bytes::copy_from_slice(f.payload));
+        let snapshot = payload.and_then(|payload| Snapshot::decode(payload).ok());
+        let snapshot = snapshot.filter(|s| s.index == index);
+        Ok(snapshot.ok_or(Damage::Snapshot(index)))
+    }
+
+    /// Removes drafts and the older segment or snapshot.
+    fn clean(&mut self, names: &[String]) -> Result<()> {
+        let (segment, snapshot) = (self.segment, self.snapshot);
+        let obsolete = |name: &String| match FileName::parse(name) {
+            Some(FileName::Segment(number)) => number != segment,
+            Some(FileName::Snapshot(index)) => index != snapshot,
+            Some(FileName::Identity) => false,
+            None => name.ends_with(DRAFT_SUFFIX),
+        };
+        for name in names.iter().filter(|name| obsolete(name)) {
+            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
+        }
+        self.disk
+            .sync_dir()
+            .map_err(|e| Error::at("sync folder", e))
+    }
+
+    /// Renames all files, the identity first and for good, so that it is never used again.
+    fn set_aside(&mut self, files: &[FileName]) -> Result<()> {
+        let (identity, others): (Vec<_>, Vec<_>) = files.iter().partition(|f| **f == IDENTITY);
+        for group in [identity, others] {
+            for name in group.into_iter().map(FileName::to_string) {
+                let aside = format!("{DAMAGED_PREFIX}{name}");
+                self.disk
+                    .rename(&name, &aside)
+                    .map_err(|e| Error::at("rename", e))?;
+            }
+            self.disk
+                .sync_dir()
+                .map_err(|e| Error::at("sync folder", e))?;
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, name: FileName) -> Result<Vec<u8>> {
+        self.disk
+            .read(&name.to_string())
+            .map_err(|e| Error::at("read", e))
+    }
+}
+
+fn read_identity(data: &[u8]) -> Checked<NodeId> {
+    let frame = next_frame(data).ok_or(Damage::Identity)?;
+    Identity::from_bytes(frame.payload)
+        .map(|i| i.id)
+        .map_err(|_| Damage::Identity)
+}
+
+/// Reads all whole records of a segment; returns them with the index of its snapshot.
+fn replay(id: NodeId, data: &[u8]) -> Checked<(Replay, Index)> {
+    let mut replay = Replay {
+        restored: Restored::blank(id),
+        end: 0,
+    };
+    let mut base = None;
+    let mut at = 0;
+    while let Some(frame) = data.get(at..).and_then(next_frame) {
+        let damage = || Damage::Record(at as u64);
+        let body = RecordBody::decode(frame.payload).map_err(|_| damage())?;
+        match (base, body) {
+            (None, RecordBody::Start(start)) => base = Some(start.snapshot),
+            (Some(base), body) => replay.restored.add(base, body)?,
+            (None, _) => return Err(damage()),
+        }
+        at += frame.size();
+    }
+    replay.end = at as u64;
+    let base = base.ok_or(Damage::Record(0))?;
+    if later_batch(data, at).is_some() {
+        return Err(Damage::Record(at as u64));
+    }
+    Ok((replay, base))
+}
+
+impl Restored {
+    fn add(&mut self, base: Index, body: RecordBody) -> Checked<()> {
+        let next = base + self.entries.len() as Index + 1;
+        match body {
+            RecordBody::Vote(vote) => {
+                self.term = vote.term;
+                self.vote = vote.vote;
+            }
+            RecordBody::Entry(entry) if entry.index == next => {
+                let (index, term, data) = (entry.index, entry.term, entry.data);
+                self.entries.push(Entry { index, term, data });
+            }
+            RecordBody::Truncate(truncate) if truncate.from > base => {
+                self.entries.retain(|e| e.index < truncate.from);
+            }
+            RecordBody::Synced(_) => {}
+            RecordBody::Entry(entry) => return Err(Damage::Sequence(entry.index)),
+            RecordBody::Truncate(truncate) => return Err(Damage::Sequence(truncate.from)),
+            RecordBody::Start(start) => return Err(Damage::Sequence(start.snapshot)),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/bench.rs
@@ -0,0 +1,317 @@
+//! A few members in one process: cores, disks in memory, and a queue of messages.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use buckthornweir_quorum::messages::Message;
+use buckthornweir_quorum::prelude::*;
+use buckthornweir_quorum::{NodeId, Term, Token, Version};
+
+use crate::disk::FakeDisk;
+
+pub(crate) const STEP: Duration = Duration::from_millis(100);
+
+/// Decides how often a message arrives.
+pub(crate) type Copies = Box<dyn FnMut(&Message) -> usize>;
+
+/// One control VM.
+pub(crate) struct Vm {
+    pub(crate) address: String,
+    pub(crate) disk: FakeDisk,
+    pub(crate) core: Option<Core>,
+    pub(crate) storage: Option<Storage>,
+    pub(crate) id: NodeId,
+}
+
+/// All control VMs, the messages between them, and what the tests check all along.
+#[derive(Default)]
+pub(crate) struct Bench {
+    pub(crate) now: Duration,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) queue: VecDeque<(NodeId, NodeId, Message)>,
+    /// Addresses that hear nothing and are not heard.
+    pub(crate) cut: BTreeSet<usize>,
+    /// Decides whether a message is lost, once or twice delivered.
+    pub(crate) copies: Option<Copies>,
+    pub(crate) answers: BTreeMap<Token, Vec<Answer>>,
+    pub(crate) leaders: BTreeMap<Term, NodeId>,
+    pub(crate) accepted: BTreeMap<Version, [u8; 32]>,
+    pub(crate) config: Config,
+    next_id: NodeId,
+}
+
+/// Answer to a proposal, a change or a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Answer {
+    Push(PushResult),
+    Changed,
+    Ready,
+    Rejected(Reject),
+}
+
+pub(crate) fn bundle(version: Version, mark: u8) -> Bundle {
+    Bundle {
+        version,
+        digest: [mark; 32],
+        bytes: vec![mark; 100],
+    }
+}
+
+pub(crate) fn push(version: Version, mark: u8) -> Command {
+    Command::Push(bundle(version, mark))
+}
+
+impl Bench {
+    /// Returns `count` founded VMs without a leader yet.
+    pub(crate) fn founded(count: usize) -> Self {
+        Self::with_config(count, Config::default())
+    }
+
+    pub(crate) fn with_config(count: usize, config: Config) -> Self {
+        let mut bench = Self {
+            config,
+            ..Self::default()
+        };
+        for _ in 0..count {
+            bench.add_vm();
+        }
+        let members = bench
+            .vms
+            .iter()
+            .map(|vm| Member::voter(vm.id, vm.address.as_str()));
+        let members = Members::new(members);
+        let founding = Founding {
+            cluster: 77,
+            members,
+            floor: 0,
+        };
+        bench.act(0, |core, now| core.found(now, founding));
+        bench
+    }
+
+    /// Adds a VM with an empty folder; returns its position.
+    pub(crate) fn add_vm(&mut self) -> usize {
+        let at = self.vms.len();
+        let address = format!("192.0.2.{}:7000", at + 1);
+        let disk = FakeDisk::default();
+        self.vms.push(Vm {
+            address,
+            disk,
+            core: None,
+            storage: None,
+            id: 0,
+        });
+        self.start(at);
+        at
+    }
+
+    /// Starts the process of a VM; returns whether its folder opened.
+    pub(crate) fn start(&mut self, at: usize) -> bool {
+        self.next_id += 1;
+        let fresh = self.next_id;
+        let vm = &mut self.vms[at];
+        let Ok((storage, restored)) = Storage::open_on(Box::new(vm.disk.clone()), fresh) else {
+            return false;
+        };
+        vm.id = restored.id;
+        let config = self.config.clone().with_address(vm.address.as_str());
+        vm.core = Some(Core::new(config, restored, 1000 + fresh, self.now));
+        vm.storage = Some(storage);
+        true
+    }
+
+    /// Ends the process of a VM; what was not synced is lost.
+    pub(crate) fn kill(&mut self, at: usize) {
+        self.vms[at].core = None;
+        self.vms[at].storage = None;
+        self.vms[at].disk.crash(|_| 0);
+    }
+
+    pub(crate) fn restart(&mut self, at: usize) {
+        self.kill(at);
+        assert!(self.start(at));
+    }
+
+    /// Empties the folder of a VM, starts it and lets it join through `via`.
+    pub(crate) fn lose_disk(&mut self, at: usize, via: usize) {
+        self.kill(at);
+        self.vms[at].disk.wipe();
+        assert!(self.start(at));
+        self.join(at, via);
+    }
+
+    pub(crate) fn join(&mut self, at: usize, via: usize) {
+        let via = self.vms[via].id;
+        self.act(at, |core, now| core.join(now, via));
+    }
+
+    pub(crate) fn core(&self, at: usize) -> &Core {
+        self.vms[at].core.as_ref().expect("a running VM")
+    }
+
+    /// Calls the core of a VM and carries out its actions.
+    pub(crate) fn act(&mut self, at: usize, call: impl FnOnce(&mut Core, Duration) -> Vec<Action>) {
+        let now = self.now;
+        let Some(core) = self.vms[at].core.as_mut() else {
+            return;
+        };
+        let actions = call(core, now);
+        for action in actions {
+            if !self.carry_out(at, action) {
+                self.kill(at);
+                return;
+            }
+        }
+        self.check(at);
+    }
+
+    fn carry_out(&mut self, at: usize, action: Action) -> bool {
+        let vm = &mut self.vms[at];
+        match action {
+            Action::Persist(records) => {
+                return vm
+                    .storage
+                    .as_mut()
+                    .is_some_and(|s| s.persist(&records).is_ok());
+            }
+            Action::Send { to, message } => {
+                let from = vm.id;
+                let data = message.to_bytes();
+                let message = Message::from_bytes(data).expect("own message");
+                self.queue.push_back((from, to, message));
+            }
+            Action::Applied {
+                index: _,
+                token,
+                result,
+            } => {
+                if let Some(token) = token {
+                    self.answer(token, Answer::Push(result));
+                }
+            }
+            Action::Changed {
+                token: Some(token), ..
+            } => self.answer(token, Answer::Changed),
+            Action::ReadReady { token, .. } => self.answer(token, Answer::Ready),
+            Action::Rejected { token, reason } => self.answer(token, Answer::Rejected(reason)),
+            Action::RoleChanged {
+                role: Role::Leader,
+                term,
+                ..
+            } => {
+                let first = *self.leaders.entry(term).or_insert(vm.id);
+                assert_eq!(first, vm.id, "two leaders in term {term}");
+            }
+            Action::Changed { .. } | Action::RoleChanged { .. } | Action::Installed { .. } => {}
+        }
+        true
+    }
+
+    fn answer(&mut self, token: Token, answer: Answer) {
+        self.answers.entry(token).or_default().push(answer);
+    }
+
+    /// Checks that accepted bundles agree with what was accepted anywhere before.
+    fn check(&mut self, at: usize) {
+        let Some(core) = self.vms[at].core.as_ref() else {
+            return;
+        };
+        for (version, digest) in core.bundles().history() {
+            let first = *self.accepted.entry(version).or_insert(digest);
+            assert_eq!(first, digest, "two bundles under version {version}");
+        }
+    }
+
+    /// Delivers messages until none is left.
+    pub(crate) fn deliver(&mut self) {
+        let mut budget = 100_000;
+        while let Some((from, to, message)) = self.queue.pop_front() {
+            budget -= 1;
+            assert!(budget > 0, "messages without end");
+            let copies = self.copies.as_mut().map_or(1, |copies| copies(&message));
+            for _ in 0..copies {
+                self.deliver_one(from, to, message.clone());
+            }
+        }
+    }
+
+    fn deliver_one(&mut self, from: NodeId, to: NodeId, message: Message) {
+        let find = |id| {
+            self.vms
+                .iter()
+                .position(|vm| vm.id == id && vm.core.is_some())
+        };
+        let (Some(source), Some(target)) = (find(from), find(to)) else {
+            return;
+        };
+        if !self.cut.contains(&source) && !self.cut.contains(&target) {
+            self.act(target, |core, now| core.handle(now, from, message));
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for at in 0..self.vms.len() {
+                self.act(at, Core::tick);
+                self.deliver();
+            }
+        }
+    }
+
+    /// Lets time pass until there is a leader that a quorum follows; returns its position.
+    pub(crate) fn elect(&mut self) -> usize {
+        for _ in 0..200 {
+            self.run(STEP);
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+        }
+        panic!("no leader");
+    }
+
+    /// Returns the position of the leader of the highest term that isn't cut off.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |at: &usize| {
+            let core = self.vms[*at].core.as_ref();
+            !self.cut.contains(at) && core.is_some_and(|core| core.role() == Role::Leader)
+        };
+        let leaders = (0..self.vms.len()).filter(leads);
+        leaders.max_by_key(|at| self.core(*at).term())
+    }
+
+    /// Proposes at a VM, delivers, and returns the answers so far.
+    pub(crate) fn push_at(&mut self, at: usize, token: Token, command: Command) -> Vec<Answer> {
+        self.act(at, |core, now| core.propose(now, token, command));
+        self.deliver();
+        self.answers.get(&token).cloned().unwrap_or_default()
+    }
+
+    /// Pushes at the leader, again after a lost answer, and expects an acceptance.
+    pub(crate) fn accept(&mut self, version: Version, mark: u8) {
+        let accepted = |a: &Answer| matches!(a, Answer::Push(r) if r.is_accepted());
+        for _ in 0..20 {
+            let leader = self.elect();
+            let answers = self.push_at(leader, 1_000_000 + version, push(version, mark));
+            if answers.iter().any(accepted) {
+                return;
+            }
+        }
+        panic!("version {version} was not accepted");
+    }
+
+    pub(crate) fn newest(&self, at: usize) -> Version {
+        self.core(at).bundles().newest_version()
+    }
+
+    /// Asserts that all running VMs that aren't cut off hold `version`.
+    pub(crate) fn assert_all(&self, version: Version) {
+        for at in (0..self.vms.len()).filter(|at| !self.cut.contains(at)) {
+            if self.vms[at].core.is_some() {
+                assert_eq!(self.newest(at), version, "VM {at}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/crashes.rs
@@ -0,0 +1,327 @@
+//! Crash points, failing disks and damaged folders.
+
+use std::time::Duration;
+
+use buckthornweir_quorum::prelude::*;
+use buckthornweir_quorum::storage::{Damage, Error, Origin, Reset};
+use buckthornweir_quorum::{Entry, Payload, Snapshot};
+
+use crate::bench::{Bench, bundle};
+use crate::disk::{FakeDisk, Fault};
+
+/// Returns batches of records that use every kind of record.
+fn batches() -> Vec<Vec<Record>> {
+    vec![
+        vec![Record::Vote {
+            term: 1,
+            vote: Some(1),
+        }],
+        vec![Record::Reset(Box::new(reset(1, vec![])))],
+        vec![entry(2, 1), entry(3, 1)],
+        vec![
+            Record::Vote {
+                term: 2,
+                vote: None,
+            },
+            Record::Truncate { from: 3 },
+            entry(3, 2),
+        ],
+        vec![Record::Reset(Box::new(reset(3, vec![plain(4, 2)])))],
+        vec![entry(5, 2)],
+    ]
+}
+
+fn plain(index: u64, term: u64) -> Entry {
+    let payload = Payload::Command(Command::Push(bundle(index, 1)));
+    Entry {
+        index,
+        term,
+        data: payload.encode(),
+    }
+}
+
+fn entry(index: u64, term: u64) -> Record {
+    Record::Entry(plain(index, term))
+}
+
+fn reset(index: u64, entries: Vec<Entry>) -> Reset {
+    let members = Members::new([Member::voter(1, "192.0.2.1:7000")]);
+    let state = Bundles::default().encode();
+    let snapshot = Snapshot {
+        cluster: 7,
+        index,
+        term: 1,
+        members,
+        state,
+    };
+    Reset {
+        term: 2,
+        vote: None,
+        snapshot,
+        entries,
+    }
+}
+
+fn open(disk: &FakeDisk, fresh: u64) -> Result<(Storage, Restored), Error> {
+    Storage::open_on(Box::new(disk.clone()), fresh)
+}
+
+fn whole(restored: Restored) -> Restored {
+    Restored {
+        origin: Origin::Whole { torn: 0 },
+        ..restored
+    }
+}
+
+/// Returns what the folder holds after each number of records.
+fn states() -> Vec<Restored> {
+    let records = batches().concat();
+    let state_after = |done: usize| {
+        let disk = FakeDisk::default();
+        let (mut storage, _) = open(&disk, 1).expect("empty folder");
+        for record in &records[..done] {
+            storage
+                .persist(std::slice::from_ref(record))
+                .expect("working disk");
+        }
+        let (_, restored) = open(&disk, 9).expect("whole folder");
+        whole(restored)
+    };
+    (0..=records.len()).map(state_after).collect()
+}
+
+/// Returns the number of records in the first `done` batches.
+fn records_in(done: usize) -> usize {
+    batches().iter().take(done).map(Vec::len).sum()
+}
+
+/// Runs all batches with a fault at `step`; returns the disk and the number of whole batches.
+fn run_until(step: usize, fault: Fault) -> (FakeDisk, Option<usize>, usize) {
+    let disk = FakeDisk::default();
+    disk.fail_at(step, fault);
+    let Ok((mut storage, _)) = open(&disk, 1) else {
+        return (disk, None, step);
+    };
+    let mut done = 0;
+    for batch in batches() {
+        if storage.persist(&batch).is_err() {
+            assert!(matches!(storage.persist(&batch), Err(Error::Stopped)));
+            break;
+        }
+        done += 1;
+    }
+    let steps = disk.steps();
+    (disk, Some(done), steps)
+}
+
+#[test]
+fn crash_at_every_write_and_sync_keeps_what_was_acknowledged() {
+    let states = states();
+    let (_, _, steps) = run_until(usize::MAX, Fault::Kill);
+    for fault in [Fault::Kill, Fault::Tear, Fault::Fail] {
+        for keep in [0, 1, 37, usize::MAX] {
+            for step in 0..steps {
+                let (disk, done, _) = run_until(step, fault);
+                disk.crash(|loose| loose.min(keep));
+                let (_, restored) = open(&disk, 9).expect("disk works again");
+                let Some(done) = done else {
+                    assert!(restored.entries.is_empty());
+                    continue;
+                };
+                let restored = whole(restored);
+                // All of the acknowledged batches, and any prefix of the next one.
+                let allowed = &states[records_in(done)..=records_in(done + 1)];
+                let fits = allowed.contains(&restored);
+                assert!(
+                    fits,
+                    "{fault:?} at {step}, {keep} kept, {done} done: {restored:?}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn crash_while_opening_keeps_everything() {
+    let states = states();
+    let all = states.last().expect("some states");
+    for fault in [Fault::Kill, Fault::Tear, Fault::Fail, Fault::Full] {
+        for step in 0..12 {
+            let (disk, _, _) = run_until(usize::MAX, Fault::Kill);
+            disk.fail_at(step, fault);
+            let _ = open(&disk, 8);
+            disk.crash(|_| 0);
+            let (_, restored) = open(&disk, 9).expect("disk works again");
+            assert_eq!(&whole(restored), all, "{fault:?} at {step}");
+        }
+    }
+}
+
+#[test]
+fn bytes_that_only_the_system_remembers_are_written_again_at_the_start() {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = open(&disk, 1).expect("empty folder");
+    disk.lie();
+    storage
+        .persist(&[Record::Vote {
+            term: 4,
+            vote: Some(2),
+        }])
+        .expect("a sync that lies");
+    disk.restart_process();
+    let (_, first) = open(&disk, 9).expect("whole folder");
+    disk.crash(|_| 0);
+    let (_, second) = open(&disk, 9).expect("whole folder");
+    assert_eq!((first.term, second.term), (4, 4));
+}
+
+#[test]
+fn full_disk_is_told_apart_and_stops_the_storage() {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = open(&disk, 1).expect("empty folder");
+    disk.fail_at(0, Fault::Full);
+    let record = [Record::Vote {
+        term: 1,
+        vote: None,
+    }];
+    assert!(matches!(
+        storage.persist(&record),
+        Err(Error::Full("append"))
+    ));
+    assert!(matches!(storage.persist(&record), Err(Error::Stopped)));
+}
+
+#[test]
+fn failed_sync_is_never_retried() {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = open(&disk, 1).expect("empty folder");
+    disk.fail_at(1, Fault::Fail);
+    let record = [Record::Vote {
+        term: 1,
+        vote: None,
+    }];
+    assert!(matches!(
+        storage.persist(&record),
+        Err(Error::Disk("sync", _))
+    ));
+    assert!(matches!(storage.persist(&record), Err(Error::Stopped)));
+}
+
+#[test]
+fn damage_before_the_last_synced_record_gives_a_new_identity() {
+    let (whole_disk, _, _) = run_until(usize::MAX, Fault::Kill);
+    let length = whole_disk.read_prefix("log-").len();
+    // The last frame is the mark that says that everything before it was synced.
+    let marked = length - buckthornweir_quorum::storage::FRAME_HEADER - 2;
+    for at in 0..marked {
+        let (disk, _, _) = run_until(usize::MAX, Fault::Kill);
+        disk.edit("log-", |data| data[at] ^= 0x40);
+        let (_, restored) = open(&disk, 9).expect("disk works");
+        assert!(
+            matches!(restored.origin, Origin::Damaged(Damage::Record(_))),
+            "byte {at}"
+        );
+        assert_eq!(
+            (restored.id, restored.term, restored.entries.len()),
+            (9, 0, 0)
+        );
+    }
+}
+
+#[test]
+fn damage_to_identity_snapshot_or_names_gives_a_new_identity() {
+    type Case = (&'static str, fn(&mut Vec<u8>), Damage);
+    let table: [Case; 4] = [
+        ("identity", |data| data[25] ^= 1, Damage::Identity),
+        ("identity", Vec::clear, Damage::Identity),
+        ("snapshot-", |data| data[30] ^= 1, Damage::Snapshot(3)),
+        ("log-", Vec::clear, Damage::Record(0)),
+    ];
+    for (file, change, expected) in table {
+        let (disk, _, _) = run_until(usize::MAX, Fault::Kill);
+        disk.edit(file, change);
+        let (_, restored) = open(&disk, 9).expect("disk works");
+        assert_eq!(
+            (restored.id, restored.origin),
+            (9, Origin::Damaged(expected)),
+            "{file}"
+        );
+        let (_, again) = open(&disk, 10).expect("disk works");
+        assert_eq!(again.id, 9);
+    }
+}
+
+#[test]
+fn crash_while_setting_damage_aside_never_brings_the_old_identity_back() {
+    for fault in [Fault::Kill, Fault::Tear, Fault::Fail] {
+        for step in 0..20 {
+            let (disk, _, _) = run_until(usize::MAX, Fault::Kill);
+            disk.edit("snapshot-", |data| data[30] ^= 1);
+            disk.fail_at(step, fault);
+            let first = open(&disk, 8).map(|(_, r)| r.id);
+            disk.crash(|_| 0);
+            let (_, restored) = open(&disk, 9).expect("disk works again");
+            let expected = first.unwrap_or(9);
+            assert!(restored.id != 1, "{fault:?} at {step}");
+            assert!(
+                restored.id == expected || restored.id == 8,
+                "{fault:?} at {step}"
+            );
+            assert_eq!((restored.term, restored.snapshot), (0, None));
+        }
+    }
+}
+
+/// A member whose disk fails at any step stops; after its restart nothing accepted is lost.
+#[test]
+fn cluster_survives_a_crash_of_one_member_at_every_step() {
+    for (victim, fault) in [
+        (0, Fault::Kill),
+        (1, Fault::Tear),
+        (2, Fault::Fail),
+        (0, Fault::Full),
+    ] {
+        for step in 0..40 {
+            let config = Config::default().with_compaction(4, usize::MAX);
+            let mut bench = Bench::with_config(3, config);
+            bench.vms[victim].disk.fail_at(step, fault);
+            bench.deliver();
+            for version in 1..=6 {
+                bench.accept(version, 1);
+            }
+            bench.kill(victim);
+            assert!(bench.start(victim));
+            bench.accept(7, 1);
+            bench.run(Duration::from_secs(3));
+            bench.assert_all(7);
+            let accepted: Vec<_> = bench
+                .core(victim)
+                .bundles()
+                .history()
+                .map(|h| h.0)
+                .collect();
+            assert_eq!(accepted, [1, 2, 3, 4, 5, 6, 7], "{fault:?} at {step}");
+        }
+    }
+}
+
+#[test]
+fn real_folder_is_locked_and_lasts() {
+    let dir = tempfile::tempdir().expect("temporary folder");
+    let path = dir.path().join("data");
+    let (mut storage, first) = Storage::open(&path).expect("new folder");
+    assert!(matches!(Storage::open(&path), Err(Error::Locked)));
+    for batch in batches() {
+        storage.persist(&batch).expect("working disk");
+    }
+    drop(storage);
+    let (_, again) = Storage::open(&path).expect("whole folder");
+    let expected = states().pop().expect("some states");
+    assert_eq!(
+        whole(again),
+        Restored {
+            id: first.id,
+            ..expected
+        }
+    );
+}
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the replicated log: members, disks and messages in one process.
+
+mod bench;
+mod changes;
+mod crashes;
+mod disk;
+mod faults;
+mod replication;
