--- /dev/null
+++ b/crates/buckthornweir_flows/src/balancer.rs
@@ -0,0 +1,167 @@
+//! The balancer's decision about a packet.
+//!
+//! A balancer holds no flow state. Its cache of hints saves a hop for flows whose owner isn't the one
+//! that the placement names; losing the cache loses nothing else.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+use crate::NodeId;
+use crate::bounded::BoundedMap;
+use crate::hash::shard_of;
+use crate::messages::{self, Hint};
+use crate::packet::{FiveTuple, PacketInfo};
+use crate::view::ServiceView;
+
+/// Number of shards of the hint cache.
+const SHARDS: usize = 16;
+
+/// Limits of a balancer's hint cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HintLimits {
+    /// Number of hints that are kept.
+    pub hints: usize,
+    /// Time after which a hint expires.
+    pub lifetime: Duration,
+}
+
+impl Default for HintLimits {
+    fn default() -> Self {
+        Self {
+            hints: 64 * 1024,
+            lifetime: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What a balancer knows when it decides.
+#[derive(Clone, Debug, Default)]
+pub struct BalancerView {
+    /// Version of the bundle.
+    pub version: u64,
+    services: HashMap<SocketAddr, Arc<ServiceView>>,
+}
+
+impl BalancerView {
+    /// Returns the view of a bundle and of the members of its services.
+    pub fn new(version: u64, services: Vec<ServiceView>) -> Self {
+        let mut by_address = HashMap::new();
+        for service in services.into_iter().map(Arc::new) {
+            for &address in &service.addresses {
+                by_address.insert(address, Arc::clone(&service));
+            }
+        }
+        Self {
+            version,
+            services: by_address,
+        }
+    }
+
+    /// Returns the service that callers reach under an address.
+    pub fn service(&self, address: SocketAddr) -> Option<&ServiceView> {
+        self.services.get(&address).map(Arc::as_ref)
+    }
+}
+
+/// What to do with a packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// Forward the packet to an agent.
+    Forward {
+        /// The agent.
+        node: NodeId,
+        /// Address that takes the agent's messages.
+        address: SocketAddr,
+        /// Name of the service that the packet is for.
+        service: SmolStr,
+    },
+    /// Drop the packet.
+    Drop(RouteDrop),
+}
+
+/// Says why a balancer dropped a packet.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RouteDrop {
+    /// No service has the packet's address and port.
+    NoService,
+    /// No agent of the service takes new flows.
+    NoOwner,
+    /// The service has no agents.
+    NoMembers,
+}
+
+/// The decision core of a balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    key: [u8; 16],
+    shards: Box<[Mutex<BoundedMap<FiveTuple, NodeId>>]>,
+}
+
+impl Balancer {
+    /// Returns a balancer without hints; `key` spreads flows over the cache.
+    pub fn new(key: [u8; 16], limits: &HintLimits) -> Self {
+        let capacity = limits.hints / SHARDS;
+        let shard = || Mutex::new(BoundedMap::new(capacity, limits.lifetime));
+        Self {
+            key,
+            shards: std::iter::repeat_with(shard).take(SHARDS).collect(),
+        }
+    }
+
+    /// Decides about a packet of the fabric.
+    pub fn route(&self, view: &BalancerView, info: &PacketInfo, now: Duration) -> Route {
+        let Some(service) = view.service(info.tuple.service) else {
+            return Route::Drop(RouteDrop::NoService);
+        };
+        if info.starts_flow() {
+            let owner = service.placement().owner(&info.tuple);
+            return forward_to(service, owner, RouteDrop::NoOwner);
+        }
+        let hinted = self.hinted(service, &info.tuple, now);
+        let owner = hinted.or_else(|| likeliest_owner(service, &info.tuple));
+        forward_to(service, owner, RouteDrop::NoMembers)
+    }
+
+    /// Remembers the owner of a flow that an agent has told.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the hint names no flow.
+    pub fn hint(&self, hint: &Hint, now: Duration) -> messages::Result<()> {
+        let tuple = messages::decode_flow(hint.flow.as_ref())?;
+        self.shard(&tuple).lock().insert(tuple, hint.owner, now);
+        Ok(())
+    }
+
+    /// Returns the hinted owner when it is a member of the service.
+    fn hinted(&self, service: &ServiceView, tuple: &FiveTuple, now: Duration) -> Option<NodeId> {
+        let owner = *self.shard(tuple).lock().get_mut(tuple, now)?;
+        service.member(owner).map(|member| member.node)
+    }
+
+    fn shard(&self, tuple: &FiveTuple) -> &Mutex<BoundedMap<FiveTuple, NodeId>> {
+        &self.shards[shard_of(&self.key, tuple, SHARDS)]
+    }
+}
+
+fn likeliest_owner(service: &ServiceView, tuple: &FiveTuple) -> Option<NodeId> {
+    let placement = service.placement();
+    let owner = placement.owner(tuple);
+    owner.or_else(|| placement.order(tuple).first().copied())
+}
+
+fn forward_to(service: &ServiceView, owner: Option<NodeId>, reason: RouteDrop) -> Route {
+    let Some(member) = owner.and_then(|node| service.member(node)) else {
+        return Route::Drop(reason);
+    };
+    Route::Forward {
+        node: member.node,
+        address: member.address,
+        service: service.name.clone(),
+    }
+}
--- a/crates/buckthornweir_flows/src/hash.rs
+++ b/crates/buckthornweir_flows/src/hash.rs
@@ -16,6 +16,10 @@
     Bucket = 1,
     /// The initial sequence number of a flow.
     Sequence = 2,
+    /// The number of a question about a flow.
+    Question = 4,
+    /// The shard of a flow.
+    Shard = 3,
 }
 
 /// Returns the keyed hash of a flow and a number.
@@ -44,3 +48,8 @@
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
+
+/// Returns the shard of a flow, below `shards`.
+pub(crate) fn shard_of(key: &[u8; 16], tuple: &FiveTuple, shards: usize) -> usize {
+    (flow_hash(key, Purpose::Shard, tuple, 0) % shards as u64) as usize
+}
--- a/crates/buckthornweir_flows/src/messages.rs
+++ b/crates/buckthornweir_flows/src/messages.rs
@@ -35,6 +35,10 @@
         MissingField(field: &'static str) {
             display("message has no {field}")
         }
+        /// A field has a value that is out of range.
+        OutOfRange(field: &'static str) {
+            display("{field} is out of range")
+        }
         /// The bytes of an address have the wrong length.
         AddressLength(length: usize) {
             display("address of {length} bytes is neither IPv4 nor IPv6 with a port")
@@ -46,7 +50,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FlowMessage {
     /// What the message is about.
-    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "FlowBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<FlowBody>,
 }
 
@@ -68,6 +72,12 @@
     /// The refusal of a forwarded packet.
     #[prost(message, tag = "5")]
     Refusal(Refusal),
+    /// Flows that an agent hands over.
+    #[prost(message, tag = "6")]
+    Offer(Offer),
+    /// The answer to an offer.
+    #[prost(message, tag = "7")]
+    Taken(Taken),
 }
 
 /// A packet on its way to the agent that owns its flow.
@@ -88,6 +98,9 @@
     /// The IP packet.
     #[prost(bytes = "vec", tag = "5")]
     pub packet: Vec<u8>,
+    /// The agent that passed the packet on, or 0 when a balancer sent it.
+    #[prost(uint64, tag = "6")]
+    pub sender: u64,
 }
 
 /// The question whether an agent owns a flow.
@@ -105,6 +118,9 @@
     /// Number of the question, which its answer repeats.
     #[prost(uint64, tag = "4")]
     pub number: u64,
+    /// Acknowledgement number of the packet that led to the question, if it has one.
+    #[prost(uint32, optional, tag = "5")]
+    pub acknowledged: Option<u32>,
 }
 
 /// The answer to a query.
@@ -119,22 +135,28 @@
     /// The flow.
     #[prost(message, optional, tag = "3")]
     pub flow: Option<FlowKey>,
-    /// Number of the question.
+    /// Number of the question, or 0 when there was none.
     #[prost(uint64, tag = "4")]
     pub number: u64,
     /// What the agent knows about the flow.
-    #[prost(enumeration = "Ownership", tag = "5")]
-    pub ownership: i32,
+    #[prost(enumeration = "OwnerState", tag = "5")]
+    pub state: i32,
+    /// The agent that owns the flow, when the state is [`OwnerState::Owned`].
+    #[prost(uint64, tag = "6")]
+    pub owner: u64,
+    /// Version of the bundle that the agent decided by.
+    #[prost(uint64, tag = "7")]
+    pub bundle_version: u64,
 }
 
 /// What an agent knows about a flow.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
 #[repr(i32)]
-pub enum Ownership {
+pub enum OwnerState {
     /// The agent can't say now, so the question stays open.
     Unknown = 0,
-    /// The agent owns the flow.
-    Owner = 1,
+    /// The agent owns the flow, or knows its owner.
+    Owned = 1,
     /// The agent doesn't own the flow.
     NotOwner = 2,
 }
@@ -167,6 +189,75 @@
     pub bundle_version: u64,
 }
 
+/// Flows that an agent hands over.
+#[derive(Clone, PartialEq, Message)]
+pub struct Offer {
+    /// Name of the service that the flows belong to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The agent that hands the flows over.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    /// Incarnation of that agent.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Number of the offer, which grows with each offer of an incarnation.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Lowest number of an offer to this taker that waits for its answer.
+    #[prost(uint64, tag = "5")]
+    pub floor: u64,
+    /// The flows.
+    #[prost(message, repeated, tag = "6")]
+    pub flows: Vec<MovedFlow>,
+}
+
+/// The answer to an offer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Taken {
+    /// The agent that answers.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Incarnation of the agent that made the offer.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the offer.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// For each flow of the offer, whether it was taken.
+    #[prost(bool, repeated, tag = "4")]
+    pub taken: Vec<bool>,
+}
+
+/// A quiet flow on its way to another agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct MovedFlow {
+    /// The flow.
+    #[prost(message, optional, tag = "1")]
+    pub flow: Option<FlowKey>,
+    /// Next sequence number towards the caller.
+    #[prost(fixed32, tag = "2")]
+    pub sent: u32,
+    /// Next sequence number from the caller.
+    #[prost(fixed32, tag = "3")]
+    pub received: u32,
+    /// Window field of the caller's last packet.
+    #[prost(uint32, tag = "4")]
+    pub window: u32,
+    /// Largest segment that the caller takes, in bytes.
+    #[prost(uint32, optional, tag = "5")]
+    pub segment: Option<u32>,
+    /// Window scale of the caller.
+    #[prost(uint32, optional, tag = "6")]
+    pub scale: Option<u32>,
+    /// Whether the caller takes selective acknowledgements.
+    #[prost(bool, tag = "7")]
+    pub sack: bool,
+    /// Size of the receive buffer in bytes.
+    #[prost(uint32, tag = "8")]
+    pub receive: u32,
+}
+
 /// The two ends of a flow.
 #[derive(Clone, PartialEq, Message)]
 pub struct FlowKey {
--- /dev/null
+++ b/crates/buckthornweir_flows/src/moving.rs
@@ -0,0 +1,39 @@
+//! Moves quiet flows from an agent that leaves to other agents of its service.
+//!
+//! The giver stops a flow before it offers it, and an offer is repeated until it is answered. A taker
+//! remembers its answer for as long as the giver may repeat the offer, so an offer that is lost,
+//! doubled or late starts a flow once. A giver that never learns whether an offer was taken doesn't
+//! start the flows again.
+
+mod giver;
+mod quiet;
+mod taker;
+
+use crate::NodeId;
+use crate::messages::FlowBody;
+use crate::packet::FiveTuple;
+
+pub use giver::Giver;
+pub use quiet::QuietFlow;
+pub use taker::Taker;
+
+/// Largest number of flows in one offer, so that an offer fits in one packet.
+pub const MAX_BATCH: usize = 16;
+
+/// What an agent does to move flows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MoveAction {
+    /// Send a message to a node.
+    Send {
+        /// The node.
+        to: NodeId,
+        /// The message.
+        body: FlowBody,
+    },
+    /// Start a stack for a flow that another agent has handed over.
+    Adopt(QuietFlow),
+    /// Start a stack again for a flow that no other agent has taken.
+    Keep(QuietFlow),
+    /// Forget a flow: the agent that may have taken it is gone.
+    Lose(FiveTuple),
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/ownership/answers.rs
@@ -0,0 +1,163 @@
+//! Questions and answers about owners.
+
+use std::time::Duration;
+
+use super::Ownership;
+use super::action::Action;
+use super::flows::{FlowState, KnownOwner, Shard, acknowledges};
+use crate::NodeId;
+use crate::messages::{self, Answer, FlowBody, OwnerState, Query};
+use crate::packet::FiveTuple;
+use crate::view::AgentView;
+
+impl Ownership {
+    /// Answers another agent's question.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the question names no flow.
+    pub fn query(
+        &self,
+        view: &AgentView,
+        query: &Query,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) -> messages::Result<()> {
+        let tuple = messages::decode_flow(query.flow.as_ref())?;
+        let (state, owner) = self.knowledge(&tuple, query.acknowledged, now);
+        let answer = Answer {
+            service: view.service.name.to_string(),
+            from: self.node,
+            flow: query.flow.clone(),
+            number: query.number,
+            state: state.into(),
+            owner,
+            bundle_version: view.version,
+        };
+        out.push(Action::Send {
+            to: query.from,
+            body: FlowBody::Answer(answer),
+        });
+        Ok(())
+    }
+
+    /// Takes the answer to a question.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the answer names no flow.
+    pub fn answer(
+        &self,
+        view: &AgentView,
+        answer: &Answer,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) -> messages::Result<()> {
+        let tuple = messages::decode_flow(answer.flow.as_ref())?;
+        let mut shard = self.shard(&tuple);
+        if answer.number == 0 {
+            correct(&mut shard, &tuple, answer, now);
+            return Ok(());
+        }
+        let Some(lookup) = shard.lookups.get_mut(&tuple) else {
+            return Ok(());
+        };
+        if lookup.number != answer.number {
+            return Ok(());
+        }
+        lookup.newest = lookup.newest.max(answer.bundle_version);
+        match answer.state() {
+            OwnerState::Unknown => {}
+            OwnerState::Owned => self.found(&mut shard, view, &tuple, answer.owner, now, out),
+            OwnerState::NotOwner => {
+                lookup.deny(answer.from);
+                if lookup.is_wave_denied() && !self.advance(lookup, view, now, out) {
+                    shard.lookups.remove(&tuple);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks again where answers are missing in one shard.
+    pub(super) fn tick_shard(
+        &self,
+        shard: &mut Shard,
+        view: &AgentView,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) -> Option<Duration> {
+        shard.lookups.retain(|tuple, lookup| {
+            if lookup.is_over(now) {
+                return false;
+            }
+            let suspects = view.suspects(tuple);
+            if suspects != lookup.suspects || lookup.is_stale(now) {
+                lookup.restart(self.next_question(tuple), suspects, now);
+            }
+            lookup.next > now || self.advance(lookup, view, now, out)
+        });
+        shard.lookups.values().map(|lookup| lookup.next).min()
+    }
+
+    /// Returns what this agent knows about the owner of a flow.
+    fn knowledge(
+        &self,
+        tuple: &FiveTuple,
+        acknowledged: Option<u32>,
+        now: Duration,
+    ) -> (OwnerState, NodeId) {
+        let mut shard = self.shard(tuple);
+        match shard.state(tuple) {
+            Some(FlowState::Established) => (OwnerState::Owned, self.node),
+            Some(FlowState::Moving) => (OwnerState::Unknown, 0),
+            Some(FlowState::HalfOpen(sequence)) if acknowledges(sequence, acknowledged) => {
+                (OwnerState::Owned, self.node)
+            }
+            Some(FlowState::HalfOpen(_)) => (OwnerState::NotOwner, 0),
+            None => match shard.moved.get_mut(tuple, now) {
+                Some(&mut taker) => (OwnerState::Owned, taker),
+                None => (OwnerState::NotOwner, 0),
+            },
+        }
+    }
+
+    /// Ends a search: remembers the owner and passes on the packets that were held.
+    fn found(
+        &self,
+        shard: &mut Shard,
+        view: &AgentView,
+        tuple: &FiveTuple,
+        owner: NodeId,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        if owner == self.node || view.service_of(owner).is_none() {
+            return;
+        }
+        let Some(lookup) = shard.lookups.remove(tuple) else {
+            return;
+        };
+        shard.owners.insert(*tuple, KnownOwner::new(owner), now);
+        for forward in &lookup.held {
+            self.hint(shard, view, forward, tuple, now, out);
+            self.pass_on(view, forward, owner, out);
+        }
+    }
+}
+
+/// Takes what an agent that was taken for the owner says.
+fn correct(shard: &mut Shard, tuple: &FiveTuple, answer: &Answer, now: Duration) {
+    let known = shard.owners.get_mut(tuple, now).map(|known| known.node);
+    if known != Some(answer.from) {
+        return;
+    }
+    match answer.state() {
+        OwnerState::Unknown => {}
+        OwnerState::NotOwner => shard.owners.remove(tuple),
+        OwnerState::Owned => {
+            let known = KnownOwner::new(answer.owner);
+            shard.owners.insert(*tuple, known, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/ownership/arrivals.rs
@@ -0,0 +1,350 @@
+//! Packets that balancers and other agents forward.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::action::{Action, DropReason};
+use super::flows::{FlowState, Shard, acknowledged, acknowledges};
+use super::lookup::Lookup;
+use super::{MAX_HOPS, Ownership, SHARDS};
+use crate::NodeId;
+use crate::messages::{Answer, FlowBody, FlowKey, Forward, Hint, OwnerState, Query, Refusal};
+use crate::packet::{FiveTuple, PacketInfo, reset_for};
+use crate::view::AgentView;
+
+/// A forwarded packet and the view that it is judged by.
+#[derive(Clone, Copy)]
+struct Arrival<'a> {
+    view: &'a AgentView,
+    forward: &'a Forward,
+    info: &'a PacketInfo,
+    now: Duration,
+}
+
+impl Ownership {
+    /// Decides about a forwarded packet, which `info` describes, and adds the actions to `out`.
+    pub fn packet(
+        &self,
+        view: &AgentView,
+        forward: &Forward,
+        info: &PacketInfo,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        if view.is_out {
+            return refuse(view, forward, DropReason::DomainOut, out);
+        }
+        if forward.service != view.service.name {
+            return refuse(view, forward, DropReason::WrongService, out);
+        }
+        let arrival = Arrival {
+            view,
+            forward,
+            info,
+            now,
+        };
+        let mut shard = self.shard(&info.tuple);
+        match shard.state(&info.tuple) {
+            Some(FlowState::Established) => out.push(Action::Deliver(info.tuple)),
+            Some(FlowState::Moving) => out.push(Action::Drop(DropReason::NotOwner)),
+            Some(FlowState::HalfOpen(sequence)) => {
+                self.half_open(&mut shard, arrival, sequence, out);
+            }
+            None if info.starts_flow() => self.new_flow(&mut shard, arrival, out),
+            None => self.unknown_flow(&mut shard, arrival, out),
+        }
+    }
+
+    /// Decides about a packet of a flow whose handshake isn't over.
+    ///
+    /// A packet that acknowledges another sequence number tells that the caller took the answer of
+    /// another agent to a duplicate of its SYN.
+    fn half_open(
+        &self,
+        shard: &mut Shard,
+        arrival: Arrival<'_>,
+        sequence: Option<u32>,
+        out: &mut Vec<Action>,
+    ) {
+        let info = arrival.info;
+        let tuple = info.tuple;
+        if !info.ack || info.rst {
+            return out.push(Action::Deliver(tuple));
+        }
+        if acknowledges(sequence, acknowledged(info)) {
+            shard.set_state(&tuple, FlowState::Established);
+            return out.push(Action::Deliver(tuple));
+        }
+        shard.remove(&tuple);
+        self.count_removed(1);
+        out.push(Action::Abandon(tuple));
+        self.unknown_flow(shard, arrival, out);
+    }
+
+    fn new_flow(&self, shard: &mut Shard, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            view,
+            forward,
+            info,
+            ..
+        } = arrival;
+        let is_ours = view.service.has_address(info.tuple.service);
+        if !is_ours && forward.bundle_version <= view.version {
+            return refuse(view, forward, DropReason::WrongService, out);
+        }
+        if !view.takes_flows() {
+            let owner = view.service.placement().owner(&info.tuple);
+            return match owner.filter(|&owner| owner != self.node) {
+                Some(owner) => self.pass_on(view, forward, owner, out),
+                None => out.push(Action::Drop(DropReason::NoOwner)),
+            };
+        }
+        if self.len() >= self.limits.flows {
+            return out.push(Action::Drop(DropReason::FlowsFull));
+        }
+        self.flows.fetch_add(1, Ordering::Relaxed);
+        shard.moved.remove(&info.tuple);
+        if let Some(oldest) = shard.start(info.tuple) {
+            self.count_removed(1);
+            out.push(Action::Abandon(oldest));
+        }
+        out.push(Action::Start(info.tuple));
+    }
+
+    fn unknown_flow(&self, shard: &mut Shard, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            view,
+            forward,
+            info,
+            now,
+        } = arrival;
+        let tuple = &info.tuple;
+        let moved = shard.moved.get_mut(tuple, now).copied();
+        if let Some(taker) = moved.filter(|&taker| view.service_of(taker).is_some()) {
+            self.tell_sender(view, forward, tuple, Some(taker), out);
+            return self.pass_on(view, forward, taker, out);
+        }
+        if forward.hops > 0 {
+            self.tell_sender(view, forward, tuple, None, out);
+            return out.push(Action::Drop(DropReason::NotOwner));
+        }
+        match self.known_owner(shard, view, tuple, now) {
+            Some(owner) => {
+                self.hint(shard, view, forward, tuple, now, out);
+                self.pass_on(view, forward, owner, out);
+            }
+            None => self.look_up(shard, arrival, out),
+        }
+    }
+
+    /// Returns the remembered owner of a flow when it is still a member.
+    fn known_owner(
+        &self,
+        shard: &mut Shard,
+        view: &AgentView,
+        tuple: &FiveTuple,
+        now: Duration,
+    ) -> Option<NodeId> {
+        let owner = shard.owners.get_mut(tuple, now)?.node;
+        if view.service_of(owner).is_none() {
+            shard.owners.remove(tuple);
+            return None;
+        }
+        Some(owner)
+    }
+
+    /// Tells the balancer of a packet the owner that this agent remembers, once.
+    pub(super) fn hint(
+        &self,
+        shard: &mut Shard,
+        view: &AgentView,
+        forward: &Forward,
+        tuple: &FiveTuple,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(known) = shard.owners.get_mut(tuple, now) else {
+            return;
+        };
+        if !known.hint_wanted(forward.balancer) {
+            return;
+        }
+        let hint = Hint {
+            service: view.service.name.to_string(),
+            flow: Some(FlowKey::from(tuple)),
+            owner: known.node,
+        };
+        out.push(Action::Send {
+            to: forward.balancer,
+            body: FlowBody::Hint(hint),
+        });
+    }
+
+    fn look_up(&self, shard: &mut Shard, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            view,
+            forward,
+            info,
+            now,
+        } = arrival;
+        let tuple = info.tuple;
+        if let Some(lookup) = shard.lookups.get_mut(&tuple) {
+            lookup.hold(forward, info, now);
+            return out.push(Action::Hold);
+        }
+        if shard.lookups.len() >= self.limits.lookups.div_ceil(SHARDS) {
+            return out.push(Action::Drop(DropReason::LookupsFull));
+        }
+        let number = self.next_question(&tuple);
+        let mut lookup = Lookup::new(number, view.suspects(&tuple), *info, now);
+        lookup.hold(forward, info, now);
+        out.push(Action::Hold);
+        if self.advance(&mut lookup, view, now, out) {
+            shard.lookups.insert(tuple, lookup);
+        }
+    }
+
+    /// Asks the next members or ends the search, and returns whether it goes on.
+    pub(super) fn advance(
+        &self,
+        lookup: &mut Lookup,
+        view: &AgentView,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if lookup.is_denied() {
+            return self.conclude(lookup, view, now, out);
+        }
+        for suspect in lookup.next_wave(now) {
+            let query = Query {
+                service: suspect.service.to_string(),
+                from: self.node,
+                flow: Some(FlowKey::from(&lookup.last.tuple)),
+                number: lookup.number,
+                acknowledged: acknowledged(&lookup.last),
+            };
+            out.push(Action::Send {
+                to: suspect.node,
+                body: FlowBody::Query(query),
+            });
+        }
+        true
+    }
+
+    /// Ends a search in which every member has said that it isn't the owner.
+    fn conclude(
+        &self,
+        lookup: &mut Lookup,
+        view: &AgentView,
+        now: Duration,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let tuple = lookup.last.tuple;
+        let suspects = view.suspects(&tuple);
+        if suspects != lookup.suspects || lookup.is_stale(now) {
+            lookup.restart(self.next_question(&tuple), suspects, now);
+            return self.advance(lookup, view, now, out);
+        }
+        if let Some(reason) = doubt(lookup, view) {
+            out.push(Action::Drop(reason));
+            return false;
+        }
+        match reset_for(&lookup.last) {
+            reset if reset.is_empty() => out.push(Action::Drop(DropReason::Stray)),
+            reset => out.push(Action::Reset(reset)),
+        }
+        false
+    }
+
+    /// Passes a packet on to another agent.
+    pub(super) fn pass_on(
+        &self,
+        view: &AgentView,
+        forward: &Forward,
+        to: NodeId,
+        out: &mut Vec<Action>,
+    ) {
+        if forward.hops >= MAX_HOPS {
+            return out.push(Action::Drop(DropReason::TooManyHops));
+        }
+        let service = view.service_of(to).unwrap_or(&view.service.name);
+        let forward = Forward {
+            service: service.to_string(),
+            bundle_version: view.version,
+            hops: forward.hops + 1,
+            balancer: forward.balancer,
+            packet: forward.packet.clone(),
+            sender: self.node,
+        };
+        out.push(Action::Send {
+            to,
+            body: FlowBody::Forward(forward),
+        });
+    }
+
+    /// Corrects the agent that took this one for the flow's owner.
+    fn tell_sender(
+        &self,
+        view: &AgentView,
+        forward: &Forward,
+        tuple: &FiveTuple,
+        owner: Option<NodeId>,
+        out: &mut Vec<Action>,
+    ) {
+        if forward.sender == 0 {
+            return;
+        }
+        let state = match owner {
+            Some(_) => OwnerState::Owned,
+            None => OwnerState::NotOwner,
+        };
+        let answer = Answer {
+            service: view.service.name.to_string(),
+            from: self.node,
+            flow: Some(FlowKey::from(tuple)),
+            number: 0,
+            state: state.into(),
+            owner: owner.unwrap_or_default(),
+            bundle_version: view.version,
+        };
+        out.push(Action::Send {
+            to: forward.sender,
+            body: FlowBody::Answer(answer),
+        });
+    }
+}
+
+/// Returns why a flow that no member owns must not be reset.
+fn doubt(lookup: &Lookup, view: &AgentView) -> Option<DropReason> {
+    let address = lookup.last.tuple.service;
+    let others = &mut view.others.iter();
+    if !view.is_settled {
+        return Some(DropReason::NotSettled);
+    }
+    if lookup.newest > view.version {
+        return Some(DropReason::Behind);
+    }
+    let is_known = view.service.has_address(address);
+    if !is_known && !others.any(|service| service.has_address(address)) {
+        return Some(DropReason::WrongService);
+    }
+    None
+}
+
+/// Drops a packet and tells its sender the version that this agent decided by.
+fn refuse(view: &AgentView, forward: &Forward, reason: DropReason, out: &mut Vec<Action>) {
+    let to = match forward.sender {
+        0 => forward.balancer,
+        sender => sender,
+    };
+    let refusal = Refusal {
+        service: forward.service.clone(),
+        from: view.node,
+        bundle_version: view.version,
+    };
+    out.push(Action::Send {
+        to,
+        body: FlowBody::Refusal(refusal),
+    });
+    out.push(Action::Drop(reason));
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/ownership/flows.rs
@@ -0,0 +1,189 @@
+//! The flows of one shard.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use super::lookup::Lookup;
+use super::{OwnerLimits, SHARDS};
+use crate::NodeId;
+use crate::bounded::BoundedMap;
+use crate::packet::{FiveTuple, PacketInfo};
+
+/// Number of balancers that one remembered owner was told to.
+const MAX_HINTED: usize = 8;
+
+/// State of a flow that the agent owns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FlowState {
+    /// The handshake isn't over. Holds the initial sequence number of the answer.
+    HalfOpen(Option<u32>),
+    /// The caller has acknowledged the answer, or the flow has moved here.
+    Established,
+    /// The flow is on its way to another agent.
+    Moving,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    state: FlowState,
+    stamp: u64,
+}
+
+/// An owner that the agent remembers.
+#[derive(Debug)]
+pub(super) struct KnownOwner {
+    pub(super) node: NodeId,
+    hinted: Vec<NodeId>,
+}
+
+impl KnownOwner {
+    pub(super) fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            hinted: Vec::new(),
+        }
+    }
+
+    /// Returns whether a balancer wants a hint, and takes it as told.
+    pub(super) fn hint_wanted(&mut self, balancer: NodeId) -> bool {
+        if self.hinted.contains(&balancer) || self.hinted.len() >= MAX_HINTED {
+            return false;
+        }
+        self.hinted.push(balancer);
+        true
+    }
+}
+
+/// The flows of one shard, and the owners of others.
+#[derive(Debug)]
+pub(super) struct Shard {
+    flows: HashMap<FiveTuple, Flow>,
+    half_open: VecDeque<(FiveTuple, u64)>,
+    half_opens: usize,
+    max_half_open: usize,
+    stamp: u64,
+    /// Lookups that wait for answers.
+    pub(super) lookups: BTreeMap<FiveTuple, Lookup>,
+    /// Owners that lookups have found.
+    pub(super) owners: BoundedMap<FiveTuple, KnownOwner>,
+    /// Owners of the flows that have moved away from here.
+    pub(super) moved: BoundedMap<FiveTuple, NodeId>,
+}
+
+impl Shard {
+    pub(super) fn new(limits: &OwnerLimits) -> Self {
+        Self {
+            flows: HashMap::new(),
+            half_open: VecDeque::new(),
+            half_opens: 0,
+            max_half_open: (limits.half_open / SHARDS).max(1),
+            stamp: 0,
+            lookups: BTreeMap::new(),
+            owners: BoundedMap::new(limits.owners / SHARDS, limits.lifetime),
+            moved: BoundedMap::new(limits.flows / SHARDS, limits.lifetime),
+        }
+    }
+
+    pub(super) fn owns(&self, tuple: &FiveTuple) -> bool {
+        self.flows.contains_key(tuple)
+    }
+
+    pub(super) fn state(&self, tuple: &FiveTuple) -> Option<FlowState> {
+        self.flows.get(tuple).map(|flow| flow.state)
+    }
+
+    pub(super) fn set_sequence(&mut self, tuple: &FiveTuple, sequence: u32) {
+        let Some(flow) = self.flows.get_mut(tuple) else {
+            return;
+        };
+        if flow.state == FlowState::HalfOpen(None) {
+            flow.state = FlowState::HalfOpen(Some(sequence));
+        }
+    }
+
+    pub(super) fn set_state(&mut self, tuple: &FiveTuple, state: FlowState) {
+        let Some(flow) = self.flows.get_mut(tuple) else {
+            return;
+        };
+        if matches!(flow.state, FlowState::HalfOpen(_)) {
+            self.half_opens -= 1;
+        }
+        flow.state = state;
+    }
+
+    /// Adds a half-open flow, and returns the oldest one when there are too many.
+    pub(super) fn start(&mut self, tuple: FiveTuple) -> Option<FiveTuple> {
+        self.insert(tuple, FlowState::HalfOpen(None));
+        self.half_opens += 1;
+        self.half_open.push_back((tuple, self.stamp));
+        self.pop_finished();
+        if self.half_opens <= self.max_half_open {
+            return None;
+        }
+        let (oldest, _) = self.half_open.pop_front()?;
+        self.remove(&oldest);
+        Some(oldest)
+    }
+
+    /// Adds a flow that has moved here.
+    pub(super) fn adopt(&mut self, tuple: FiveTuple) {
+        self.insert(tuple, FlowState::Established);
+        self.moved.remove(&tuple);
+    }
+
+    pub(super) fn remove(&mut self, tuple: &FiveTuple) -> bool {
+        let Some(flow) = self.flows.remove(tuple) else {
+            return false;
+        };
+        if matches!(flow.state, FlowState::HalfOpen(_)) {
+            self.half_opens -= 1;
+        }
+        true
+    }
+
+    /// Forgets everything, and returns the flows in order.
+    pub(super) fn clear(&mut self) -> Vec<FiveTuple> {
+        let mut tuples: Vec<_> = self.flows.drain().map(|(tuple, _)| tuple).collect();
+        tuples.sort_unstable();
+        self.half_open.clear();
+        self.half_opens = 0;
+        self.lookups.clear();
+        tuples
+    }
+
+    fn insert(&mut self, tuple: FiveTuple, state: FlowState) {
+        self.stamp += 1;
+        self.lookups.remove(&tuple);
+        self.owners.remove(&tuple);
+        let flow = Flow {
+            state,
+            stamp: self.stamp,
+        };
+        self.flows.insert(tuple, flow);
+    }
+
+    /// Drops flows from the front of the queue that are no longer half-open.
+    fn pop_finished(&mut self) {
+        while let Some((tuple, stamp)) = self.half_open.front() {
+            let flow = self.flows.get(tuple);
+            let waits =
+                |flow: &Flow| flow.stamp == *stamp && matches!(flow.state, FlowState::HalfOpen(_));
+            if flow.is_some_and(waits) {
+                return;
+            }
+            self.half_open.pop_front();
+        }
+    }
+}
+
+/// Returns whether a packet acknowledges the answer with this initial sequence number.
+pub(super) fn acknowledges(sequence: Option<u32>, acknowledged: Option<u32>) -> bool {
+    match (sequence, acknowledged) {
+        (Some(sequence), Some(acknowledged)) => sequence.wrapping_add(1) == acknowledged,
+        _ => false,
+    }
+}
+
+/// Returns the acknowledgement number of a packet that has one.
+pub(super) fn acknowledged(info: &PacketInfo) -> Option<u32> {
+    info.ack.then_some(info.ack_number)
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/ownership/lookup.rs
@@ -0,0 +1,136 @@
+//! The search for the owner of one flow.
+
+use std::time::Duration;
+
+use crate::NodeId;
+use crate::messages::Forward;
+use crate::packet::PacketInfo;
+use crate::view::Suspect;
+
+/// Number of members that are asked first; each wave asks twice as many as the last one.
+const FIRST_WAVE: usize = 2;
+
+/// Time after which the next wave is asked, and members that haven't answered are asked again.
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+
+/// Longest time between two waves.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Time after which answers no longer count.
+pub(super) const LIFETIME: Duration = Duration::from_secs(10);
+
+/// Number of packets that are held for one flow.
+const MAX_HELD: usize = 3;
+
+/// Longest packet that is held, in bytes.
+const MAX_HELD_LENGTH: usize = 2 * 1024;
+
+/// The search for the owner of one flow.
+#[derive(Debug)]
+pub(super) struct Lookup {
+    pub(super) number: u64,
+    pub(super) suspects: Vec<Suspect>,
+    pub(super) last: PacketInfo,
+    pub(super) held: Vec<Forward>,
+    /// Newest bundle version that an answer or a packet told.
+    pub(super) newest: u64,
+    denied: Vec<NodeId>,
+    asked: usize,
+    wait: Duration,
+    /// Time of the next wave.
+    pub(super) next: Duration,
+    started: Duration,
+    touched: Duration,
+}
+
+impl Lookup {
+    pub(super) fn new(
+        number: u64,
+        suspects: Vec<Suspect>,
+        last: PacketInfo,
+        now: Duration,
+    ) -> Self {
+        Self {
+            number,
+            suspects,
+            last,
+            held: Vec::new(),
+            newest: 0,
+            denied: Vec::new(),
+            asked: 0,
+            wait: FIRST_WAIT,
+            next: now,
+            started: now,
+            touched: now,
+        }
+    }
+
+    /// Takes another packet of the flow.
+    pub(super) fn hold(&mut self, forward: &Forward, info: &PacketInfo, now: Duration) {
+        self.last = *info;
+        self.touched = now;
+        self.newest = self.newest.max(forward.bundle_version);
+        if self.held.len() < MAX_HELD && forward.packet.len() <= MAX_HELD_LENGTH {
+            self.held.push(forward.clone());
+        }
+    }
+
+    /// Starts over: earlier answers no longer count.
+    pub(super) fn restart(&mut self, number: u64, suspects: Vec<Suspect>, now: Duration) {
+        self.number = number;
+        self.suspects = suspects;
+        self.newest = 0;
+        self.denied.clear();
+        self.asked = 0;
+        self.wait = FIRST_WAIT;
+        self.next = now;
+        self.started = now;
+    }
+
+    /// Returns whether no packet has come for so long that the search is pointless.
+    pub(super) fn is_over(&self, now: Duration) -> bool {
+        now >= self.touched.saturating_add(LIFETIME)
+    }
+
+    /// Returns whether its first answers are too old to count.
+    pub(super) fn is_stale(&self, now: Duration) -> bool {
+        now >= self.started.saturating_add(LIFETIME)
+    }
+
+    /// Returns the members to ask now: those that haven't answered, and a wave of new ones.
+    pub(super) fn next_wave(&mut self, now: Duration) -> Vec<Suspect> {
+        let wave = self.asked.max(FIRST_WAVE);
+        self.asked = self.asked.saturating_add(wave).min(self.suspects.len());
+        self.next = now.saturating_add(self.wait);
+        self.wait = (self.wait * 2).min(MAX_WAIT);
+        let asked = self.suspects[..self.asked].iter();
+        asked
+            .filter(|suspect| !self.denied.contains(&suspect.node))
+            .cloned()
+            .collect()
+    }
+
+    /// Takes the answer that a member isn't the owner.
+    pub(super) fn deny(&mut self, node: NodeId) {
+        if !self.denied.contains(&node) {
+            self.denied.push(node);
+        }
+    }
+
+    /// Returns whether every member that was asked isn't the owner.
+    pub(super) fn is_wave_denied(&self) -> bool {
+        self.count_denied(self.asked) == self.asked
+    }
+
+    /// Returns whether no member is the owner.
+    pub(super) fn is_denied(&self) -> bool {
+        self.count_denied(self.suspects.len()) == self.suspects.len()
+    }
+
+    fn count_denied(&self, first: usize) -> usize {
+        let suspects = self.suspects[..first].iter();
+        suspects
+            .filter(|suspect| self.denied.contains(&suspect.node))
+            .count()
+    }
+}
--- a/crates/buckthornweir_flows/src/stack.rs
+++ b/crates/buckthornweir_flows/src/stack.rs
@@ -5,6 +5,9 @@
 
 mod device;
 mod limits;
+mod resume;
+mod rewrite;
+mod track;
 
 use std::net::{IpAddr, SocketAddr};
 use std::task::Waker;
@@ -18,6 +21,7 @@
 use crate::hash::{Purpose, flow_hash};
 use crate::packet::PacketInfo;
 use device::PacketDevice;
+use track::Track;
 
 pub use limits::StackLimits;
 
@@ -58,6 +62,9 @@
     handle: SocketHandle,
     deadline: Duration,
     started: bool,
+    track: Track,
+    /// Difference between the sequence numbers that the caller sees and those of the stack.
+    shift: u32,
 }
 
 impl std::fmt::Debug for FlowStack {
@@ -100,6 +107,8 @@
             handle,
             deadline: now.saturating_add(limits.handshake),
             started: false,
+            track: Track::new(limits.receive),
+            shift: 0,
         }
     }
 
@@ -108,9 +117,11 @@
         if self.started && !self.is_open() {
             return;
         }
-        let mut device = PacketDevice::new(Some(packet), out);
-        self.iface
-            .poll(instant(now), &mut device, &mut self.sockets);
+        let Some(packet) = rewrite::incoming(packet, self.shift) else {
+            return;
+        };
+        self.track.incoming(&packet);
+        self.run(Some(&packet), now, out);
         self.started = true;
     }
 
@@ -121,9 +132,7 @@
             self.give_up();
             return None;
         }
-        let mut device = PacketDevice::new(None, out);
-        self.iface
-            .poll(instant(now), &mut device, &mut self.sockets);
+        self.run(None, now, out);
         if !self.is_open() {
             return None;
         }
@@ -196,6 +205,11 @@
         self.socket_mut().register_send_waker(waker);
     }
 
+    /// Returns the initial sequence number that the caller sees, once the SYN was answered.
+    pub fn initial_sequence(&self) -> Option<u32> {
+        self.track.initial
+    }
+
     fn is_handshaking(&self) -> bool {
         match self.socket().state() {
             State::SynReceived => true,
@@ -211,10 +225,19 @@
     /// Forgets a flow whose handshake failed, without a packet: its caller's address may be forged.
     fn give_up(&mut self) {
         self.socket_mut().abort();
-        let mut unsent = Vec::new();
-        let mut device = PacketDevice::new(None, &mut unsent);
+        self.run(None, Duration::ZERO, &mut Vec::new());
+    }
+
+    /// Runs the stack on a packet and the timers, and adds the packets that it sends to `out`.
+    fn run(&mut self, packet: Option<&[u8]>, now: Duration, out: &mut Vec<Vec<u8>>) {
+        let first = out.len();
+        let mut device = PacketDevice::new(packet, out);
         self.iface
-            .poll(Instant::ZERO, &mut device, &mut self.sockets);
+            .poll(instant(now), &mut device, &mut self.sockets);
+        for packet in &mut out[first..] {
+            self.track.outgoing(packet);
+            rewrite::outgoing(packet, self.shift);
+        }
     }
 
     fn socket(&self) -> &Socket<'static> {
--- /dev/null
+++ b/crates/buckthornweir_flows/src/stack/track.rs
@@ -0,0 +1,127 @@
+//! Follows the numbers of a flow as the stack sees them, to tell whether the flow is quiet.
+
+use etherparse::{IpSlice, TcpOptionElement, TcpSlice};
+
+/// Options of the caller's SYN.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct SynOptions {
+    /// Largest segment that the caller takes, in bytes.
+    pub(super) segment: Option<u16>,
+    /// Window scale of the caller.
+    pub(super) scale: Option<u8>,
+    /// Whether the caller takes selective acknowledgements.
+    pub(super) sack: bool,
+}
+
+/// The numbers of a flow as the stack sees them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Track {
+    /// Initial sequence number towards the caller.
+    pub(super) initial: Option<u32>,
+    /// Options of the caller's SYN.
+    pub(super) options: SynOptions,
+    /// Window field of the caller's last packet.
+    pub(super) window: u16,
+    /// Next sequence number towards the caller.
+    pub(super) sent: u32,
+    /// Next sequence number from the caller that was acknowledged.
+    pub(super) acknowledged: u32,
+    /// Size of the receive buffer in bytes.
+    pub(super) receive: usize,
+    /// End of the furthest segment from the caller.
+    received: u32,
+}
+
+impl Track {
+    pub(super) fn new(receive: usize) -> Self {
+        Self {
+            initial: None,
+            options: SynOptions::default(),
+            window: 0,
+            sent: 0,
+            acknowledged: 0,
+            receive,
+            received: 0,
+        }
+    }
+
+    /// Returns whether everything that came from the caller was acknowledged.
+    pub(super) fn is_acknowledged(&self) -> bool {
+        !is_after(self.received, self.acknowledged)
+    }
+
+    /// Takes a packet of the caller.
+    pub(super) fn incoming(&mut self, packet: &[u8]) {
+        let Some(tcp) = segment(packet) else {
+            return;
+        };
+        let end = sequence_end(&tcp);
+        if tcp.syn() {
+            if self.initial.is_none() {
+                self.options = syn_options(&tcp);
+                self.acknowledged = end;
+                self.received = end;
+                self.window = tcp.window_size();
+            }
+            return;
+        }
+        let ahead = end.wrapping_sub(self.acknowledged) as usize;
+        // The end of the stream takes one number more than the buffer has bytes.
+        if ahead > self.receive + 1 {
+            return;
+        }
+        self.window = tcp.window_size();
+        if is_after(end, self.received) {
+            self.received = end;
+        }
+    }
+
+    /// Takes a packet of the stack.
+    pub(super) fn outgoing(&mut self, packet: &[u8]) {
+        let Some(tcp) = segment(packet) else {
+            return;
+        };
+        if tcp.rst() {
+            return;
+        }
+        let end = sequence_end(&tcp);
+        if tcp.syn() {
+            self.initial = Some(tcp.sequence_number());
+            self.sent = end;
+        } else if is_after(end, self.sent) {
+            self.sent = end;
+        }
+        if tcp.ack() {
+            self.acknowledged = tcp.acknowledgment_number();
+        }
+    }
+}
+
+fn segment(packet: &[u8]) -> Option<TcpSlice<'_>> {
+    let ip = IpSlice::from_slice(packet).ok()?;
+    TcpSlice::from_slice(ip.payload().payload).ok()
+}
+
+fn sequence_end(tcp: &TcpSlice<'_>) -> u32 {
+    let flags = u32::from(tcp.syn()) + u32::from(tcp.fin());
+    let length = flags.wrapping_add(tcp.payload().len() as u32);
+    tcp.sequence_number().wrapping_add(length)
+}
+
+/// Returns whether a sequence number comes after another one.
+fn is_after(number: u32, other: u32) -> bool {
+    (number.wrapping_sub(other) as i32) > 0
+}
+
+fn syn_options(tcp: &TcpSlice<'_>) -> SynOptions {
+    let mut options = SynOptions::default();
+    for option in tcp.options_iterator().flatten() {
+        match option {
+            TcpOptionElement::MaximumSegmentSize(size) => options.segment = Some(size),
+            TcpOptionElement::WindowScale(scale) => options.scale = Some(scale),
+            TcpOptionElement::SelectiveAcknowledgementPermitted => options.sack = true,
+            _ => {}
+        }
+    }
+    options
+}
--- /dev/null
+++ b/crates/buckthornweir_flows/src/view.rs
@@ -0,0 +1,180 @@
+//! What a node knows about services and their members when it decides.
+//!
+//! Views are plain data, made anew at each change of members or bundle and swapped whole.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use smol_str::SmolStr;
+
+use crate::NodeId;
+use crate::packet::FiveTuple;
+use crate::placement::{Candidate, Placement};
+
+/// State of a service's agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MemberState {
+    /// The backend server has just started and bears little.
+    Cold,
+    /// The backend server bears its full load.
+    Ready,
+    /// The agent takes no new flows.
+    Draining,
+    /// The agent has left, and owns no flow.
+    Left,
+}
+
+/// An agent of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// The agent.
+    pub node: NodeId,
+    /// Address that takes the agent's messages.
+    pub address: SocketAddr,
+    /// Failure domain of the agent.
+    pub domain: SmolStr,
+    /// State of the agent.
+    pub state: MemberState,
+    /// Weight step of the agent, from 0 to [`MAX_WEIGHT`](crate::placement::MAX_WEIGHT).
+    pub weight: u8,
+}
+
+impl Member {
+    /// Returns the weight step that counts for new flows.
+    fn flow_weight(&self) -> u8 {
+        match self.state {
+            MemberState::Cold | MemberState::Ready => self.weight,
+            MemberState::Draining | MemberState::Left => 0,
+        }
+    }
+}
+
+/// A service as one node knows it.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Name of the service.
+    pub name: SmolStr,
+    /// Addresses that callers call.
+    pub addresses: Vec<SocketAddr>,
+    members: Vec<Member>,
+    placement: Placement,
+}
+
+impl ServiceView {
+    /// Returns the view of a service, without the members that have left or whose failure domain is
+    /// out.
+    pub fn new(
+        name: SmolStr,
+        addresses: Vec<SocketAddr>,
+        members: Vec<Member>,
+        domains_out: &BTreeSet<SmolStr>,
+        key: [u8; 16],
+    ) -> Self {
+        let mut members = members;
+        members.retain(|member| member.state != MemberState::Left);
+        members.retain(|member| !domains_out.contains(&member.domain));
+        members.sort_by_key(|member| member.node);
+        members.dedup_by_key(|member| member.node);
+        let candidates: Vec<_> = members
+            .iter()
+            .map(|member| Candidate {
+                node: member.node,
+                weight: member.flow_weight(),
+            })
+            .collect();
+        let placement = Placement::new(key, &candidates);
+        Self {
+            name,
+            addresses,
+            members,
+            placement,
+        }
+    }
+
+    /// Returns the members that may own flows.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns a member that may own flows.
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        let index = self
+            .members
+            .binary_search_by_key(&node, |member| member.node);
+        index.ok().map(|index| &self.members[index])
+    }
+
+    /// Returns the placement of the service's flows.
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Returns whether callers reach the service under an address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        self.addresses.contains(&address)
+    }
+}
+
+/// What an agent knows when it decides.
+#[derive(Clone, Debug)]
+pub struct AgentView {
+    /// The agent itself.
+    pub node: NodeId,
+    /// Version of the bundle.
+    pub version: u64,
+    /// State of the agent itself.
+    pub state: MemberState,
+    /// Whether the agent's own failure domain is out.
+    pub is_out: bool,
+    /// Whether the members were learnt from another process since the start.
+    pub is_settled: bool,
+    /// The service of the agent.
+    pub service: ServiceView,
+    /// Services that have or had an address which is or was one of the agent's service.
+    pub others: Vec<ServiceView>,
+}
+
+/// A member that may own a flow, and the service that it belongs to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Suspect {
+    pub(crate) node: NodeId,
+    pub(crate) service: SmolStr,
+}
+
+impl AgentView {
+    /// Returns whether the agent takes new flows.
+    pub fn takes_flows(&self) -> bool {
+        matches!(self.state, MemberState::Cold | MemberState::Ready) && !self.is_out
+    }
+
+    /// Returns the other members that may own a flow, the likeliest one first.
+    pub(crate) fn suspects(&self, tuple: &FiveTuple) -> Vec<Suspect> {
+        let others = self
+            .others
+            .iter()
+            .filter(|service| service.has_address(tuple.service));
+        std::iter::once(&self.service)
+            .chain(others)
+            .flat_map(|service| suspects_in(service, tuple))
+            .filter(|suspect| suspect.node != self.node)
+            .collect()
+    }
+
+    /// Returns the service of a member that may own a flow.
+    pub(crate) fn service_of(&self, node: NodeId) -> Option<&SmolStr> {
+        std::iter::once(&self.service)
+            .chain(&self.others)
+            .find(|service| service.member(node).is_some())
+            .map(|service| &service.name)
+    }
+}
+
+fn suspects_in(service: &ServiceView, tuple: &FiveTuple) -> Vec<Suspect> {
+    let order = service.placement.order(tuple).into_iter();
+    order
+        .map(|node| Suspect {
+            node,
+            service: service.name.clone(),
+        })
+        .collect()
+}
--- a/crates/buckthornweir_flows/tests/common/mod.rs
+++ b/crates/buckthornweir_flows/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test binary uses some of the helpers")]
 #![allow(clippy::unwrap_used, reason = "a helper of a test may panic")]
 
+pub(crate) mod mesh;
+
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/buckthornweir_flows/tests/ownership.rs
@@ -0,0 +1,488 @@
+//! Ownership of flows under changes of members, bundles and failures.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use buckthornweir_flows::messages::{Answer, FlowBody, FlowKey, OwnerState};
+use buckthornweir_flows::ownership::MAX_HOPS;
+use buckthornweir_flows::prelude::*;
+use common::mesh::*;
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Returns a mesh of three agents whose agent 1 owns a flow.
+fn owned() -> (Mesh, FiveTuple) {
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    let tuple = tuple(40_000);
+    mesh.establish(1, &tuple);
+    (mesh, tuple)
+}
+
+#[test]
+fn known_flow_is_delivered_until_it_closes() {
+    let (mut mesh, tuple) = owned();
+    assert_eq!(mesh.packet(1, &data(&tuple, 1, b"x")), "1:deliver");
+    assert_eq!(mesh.packet(1, &syn(&tuple, 9)), "1:deliver");
+    mesh.agent(1).owner.closed(&tuple);
+    assert!(mesh.agent(1).owner.is_empty());
+    assert_eq!(mesh.packet(1, &data(&tuple, 1, b"x")), "1:hold 1:reset");
+}
+
+#[test]
+fn stray_packet_finds_its_owner_and_is_hinted_once() {
+    let (mut mesh, tuple) = owned();
+    let packet = data(&tuple, 1, b"x");
+    assert_eq!(mesh.packet(2, &packet), "2:hold hint:1 1:deliver");
+    assert_eq!(mesh.packet(2, &packet), "1:deliver");
+    assert_eq!(mesh.hops, 2);
+    // An agent that lost what it remembered finds the owner again.
+    let view = mesh.agent(2).view.clone();
+    *mesh.agent(2) = agent(view);
+    assert_eq!(mesh.packet(2, &packet), "2:hold hint:1 1:deliver");
+    // Two agents ask at once.
+    let twice = [mesh.packet(3, &packet), mesh.packet(2, &packet)];
+    assert_eq!(twice, ["3:hold hint:1 1:deliver", "1:deliver"]);
+}
+
+#[test]
+fn flow_is_reset_only_when_every_member_has_denied_it() {
+    let tuple = tuple(40_000);
+    let packet = data(&tuple, 1, b"x");
+    let mut mesh = Mesh::new(&[1, 2, 3, 4, 5, 6, 7]);
+    assert_eq!(mesh.packet(2, &packet), "2:hold 2:reset");
+    mesh.agent(5).is_cut = true;
+    for _ in 0..30 {
+        assert_eq!(mesh.packet(2, &packet), "2:hold");
+        assert_eq!(mesh.wait(SECOND), "");
+    }
+    mesh.agent(5).is_cut = false;
+    assert_eq!(mesh.wait(2 * SECOND), "2:reset");
+}
+
+#[test]
+fn owner_that_answers_late_keeps_its_flow() {
+    let (mut mesh, tuple) = owned();
+    mesh.agent(1).is_cut = true;
+    assert_eq!(mesh.packet(2, &data(&tuple, 1, b"x")), "2:hold");
+    assert_eq!(mesh.wait(5 * SECOND), "");
+    mesh.agent(1).is_cut = false;
+    assert_eq!(mesh.wait(2 * SECOND), "hint:1 1:deliver");
+}
+
+#[test]
+fn dead_owner_is_no_longer_asked() {
+    let (mut mesh, tuple) = owned();
+    mesh.agent(1).is_cut = true;
+    mesh.packet(2, &data(&tuple, 1, b"x"));
+    mesh.wait(SECOND);
+    mesh.views(|view| view.service = service("orders", ready(&[2, 3])));
+    assert_eq!(mesh.wait(2 * SECOND), "2:reset");
+}
+
+#[test]
+fn answers_to_an_earlier_question_do_not_count() {
+    let (mut mesh, tuple) = owned();
+    mesh.agent(1).is_cut = true;
+    mesh.agent(3).is_cut = true;
+    mesh.packet(2, &data(&tuple, 1, b"x"));
+    for from in [1, 3] {
+        for number in [1, 2, u64::MAX] {
+            let answer = Answer {
+                from,
+                number,
+                flow: Some(FlowKey::from(&tuple)),
+                state: OwnerState::NotOwner.into(),
+                ..Answer::default()
+            };
+            assert_eq!(mesh.body(2, FlowBody::Answer(answer)), "");
+        }
+    }
+}
+
+#[test]
+fn no_reset_while_the_agent_knows_too_little() {
+    let tuple = tuple(40_000);
+    type Change = fn(&mut Mesh);
+    let table: [(Change, &str); 4] = [
+        (
+            |mesh| mesh.agent(2).view.is_settled = false,
+            "2:hold 2:NotSettled",
+        ),
+        (|mesh| mesh.agent(3).view.version = 2, "2:hold 2:Behind"),
+        (|mesh| mesh.agent(2).view.version = 0, "2:hold 2:Behind"),
+        (
+            |mesh| mesh.agent(2).view.service.addresses.clear(),
+            "2:hold 2:WrongService",
+        ),
+    ];
+    for (change, expected) in table {
+        let mut mesh = Mesh::new(&[1, 2, 3]);
+        change(&mut mesh);
+        assert_eq!(mesh.packet(2, &data(&tuple, 1, b"x")), expected);
+    }
+}
+
+#[test]
+fn reset_packets_are_never_answered() {
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    let flags = Flags {
+        rst: true,
+        ..Flags::default()
+    };
+    let packet = packet(&tuple(40_000), flags, 1, b"");
+    assert_eq!(mesh.packet(2, &packet), "2:hold 2:Stray");
+}
+
+#[test]
+fn new_flows_pass_agents_that_take_none() {
+    let tuple = tuple(40_000);
+    let state = |node| {
+        if node == 3 {
+            MemberState::Ready
+        } else {
+            MemberState::Draining
+        }
+    };
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    for node in 1..=3 {
+        let members = (1..=3).map(|node| member(node, state(node))).collect();
+        mesh.agent(node).view = view(node, members);
+    }
+    assert_eq!(mesh.packet(1, &syn(&tuple, 0)), "3:start");
+    // Agents that take each other for the one that takes flows don't loop.
+    for (node, other) in [(1, 2), (2, 1)] {
+        let mut members = ready(&[other]);
+        members.push(member(node, MemberState::Draining));
+        mesh.agent(node).view = view(node, members);
+    }
+    assert_eq!(mesh.packet(1, &syn(&tuple, 0)), "2:TooManyHops");
+    let members = vec![member(1, MemberState::Draining)];
+    mesh.agent(1).view = view(1, members);
+    assert_eq!(mesh.packet(1, &syn(&tuple, 0)), "1:NoOwner");
+}
+
+#[test]
+fn drained_owner_keeps_its_flows() {
+    let (mut mesh, tuple) = owned();
+    let members = || {
+        let mut members = ready(&[2, 3]);
+        members.push(member(1, MemberState::Draining));
+        members
+    };
+    mesh.views(|old| *old = view(old.node, members()));
+    assert_eq!(mesh.packet(1, &data(&tuple, 1, b"x")), "1:deliver");
+    assert_eq!(
+        mesh.packet(3, &data(&tuple, 1, b"x")),
+        "3:hold hint:1 1:deliver"
+    );
+}
+
+#[test]
+fn duplicated_syn_makes_one_flow() {
+    let tuple = tuple(40_000);
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    let now = mesh.now;
+    let mut caller = Caller::connect(&tuple, 5, 2_048);
+    let first = caller.turn(now, Vec::new()).remove(0);
+    let mut answers = Vec::new();
+    for node in [1, 2] {
+        assert_eq!(mesh.packet(node, &first), format!("{node}:start"));
+        let owner = &mesh.agent(node).owner;
+        let limits = StackLimits::default();
+        let mut stack = FlowStack::accept(&info(&first), &owner.stack_key(), &limits, now);
+        stack.input(&first, now, &mut answers);
+        owner.answered(&tuple, stack.initial_sequence().unwrap());
+    }
+    // The answer of agent 2 comes first. The caller's packets reach both agents.
+    answers.reverse();
+    let packets = caller.turn(now, answers);
+    let acknowledged = info(&packets[0]);
+    assert!(acknowledged.ack && !acknowledged.rst);
+    assert_eq!(
+        mesh.packet(1, &packets[0]),
+        "1:abandon 1:hold hint:2 2:deliver"
+    );
+    assert_eq!(mesh.packet(2, &packets[0]), "2:deliver");
+    assert_eq!(mesh.packet(1, &packets[0]), "2:deliver");
+    let owners = [1, 2].map(|node| mesh.agent(node).owner.owns(&tuple));
+    assert_eq!(owners, [false, true]);
+    // Every later packet acknowledges the answer of agent 2, none resets the flow.
+    assert!(packets.iter().all(|packet| !info(packet).rst));
+}
+
+#[test]
+fn packets_never_cross_services() {
+    let (mut mesh, tuple) = owned();
+    let mut stranger = forward(&data(&tuple, 1, b"x"));
+    stranger.service = "sheets".into();
+    let refused = mesh.body(1, FlowBody::Forward(stranger));
+    assert_eq!(refused, "1:refuse-v1 1:WrongService");
+    // The address moves from orders to sheets, whose agents are 4 and 5.
+    let sheets = || service("sheets", ready(&[4, 5]));
+    for node in [4, 5] {
+        let mut view = view(node, ready(&[4, 5]));
+        view.version = 2;
+        view.others = vec![service("orders", ready(&[1, 2, 3]))];
+        view.service = sheets();
+        mesh.agents.insert(node, agent(view));
+    }
+    for node in [1, 2] {
+        let view = &mut mesh.agent(node).view;
+        view.version = 2;
+        view.service.addresses.clear();
+        view.others = vec![sheets()];
+    }
+    let to_sheets = |packet: &[u8]| {
+        let mut forward = forward(packet);
+        forward.service = "sheets".into();
+        forward.bundle_version = 2;
+        FlowBody::Forward(forward)
+    };
+    let packet = data(&tuple, 1, b"x");
+    // The flow of orders goes on, whichever service's agent gets its packets.
+    assert_eq!(mesh.body(4, to_sheets(&packet)), "4:hold hint:1 1:deliver");
+    assert_eq!(mesh.packet(1, &packet), "1:deliver");
+    // New flows start at sheets only, and an old balancer's packets find them.
+    let new = common::tuple(40_001);
+    assert_eq!(mesh.packet(2, &syn(&new, 0)), "2:refuse-v2 2:WrongService");
+    assert_eq!(mesh.body(5, to_sheets(&syn(&new, 0))), "5:start");
+    mesh.agent(5).owner.answered(&new, 0);
+    assert_eq!(mesh.body(5, to_sheets(&data(&new, 1, b""))), "5:deliver");
+    assert_eq!(
+        mesh.packet(1, &data(&new, 1, b"x")),
+        "1:hold hint:5 5:deliver"
+    );
+}
+
+#[test]
+fn failure_domain_that_is_out_gets_nothing() {
+    let (mut mesh, tuple) = owned();
+    let packet = data(&tuple, 1, b"x");
+    mesh.agent(1).view.is_out = true;
+    mesh.agent(1).view.version = 2;
+    let mut out = Vec::new();
+    let agent = mesh.agent(1);
+    agent.owner.apply_view(&agent.view, &mut out);
+    assert_eq!(out, [Action::GiveUp(tuple)]);
+    assert!(agent.owner.is_empty());
+    assert_eq!(mesh.packet(1, &packet), "1:refuse-v2 1:DomainOut");
+    assert_eq!(mesh.packet(1, &syn(&tuple, 0)), "1:refuse-v2 1:DomainOut");
+    // An agent elsewhere that knows gives the flow up, even if the owner hasn't heard.
+    let (mut mesh, tuple) = owned();
+    let out = BTreeSet::from(["domain-1".into()]);
+    let members = ready(&[1, 2, 3]);
+    let addresses = vec![tuple.service];
+    let view = &mut mesh.agent(2).view;
+    view.service = ServiceView::new("orders".into(), addresses, members, &out, KEY);
+    assert_eq!(mesh.packet(2, &packet), "2:hold 2:reset");
+    let placement = mesh.agent(2).view.service.placement();
+    assert!((1..10_000).all(|port| placement.owner(&common::tuple(port)) != Some(1)));
+}
+
+#[test]
+fn floods_are_bounded() {
+    let limits = OwnerLimits::default();
+    let limits = limits.with_half_open(160).with_flows(200).with_lookups(32);
+    let mut mesh = Mesh::new(&[1, 2]);
+    mesh.agent(1).owner = Ownership::new(1, KEY, 1, limits);
+    mesh.agent(2).is_cut = true;
+    let mut abandoned = 0;
+    for port in 1..=5_000 {
+        let log = mesh.packet(1, &syn(&tuple(port), 0));
+        assert!(log.ends_with("1:start"));
+        abandoned += usize::from(log.contains("abandon"));
+    }
+    assert_eq!(mesh.agent(1).owner.len() + abandoned, 5_000);
+    assert!(mesh.agent(1).owner.len() <= 160);
+    // Half-open flows leave room for those whose callers answer.
+    let mut full = 0;
+    for port in 6_000..7_000 {
+        let log = mesh.packet(1, &syn(&tuple(port), 0));
+        if log.contains("FlowsFull") {
+            full += 1;
+            continue;
+        }
+        mesh.agent(1).owner.answered(&tuple(port), 0);
+        mesh.packet(1, &data(&tuple(port), 1, b""));
+    }
+    assert!(full > 0 && mesh.agent(1).owner.len() <= 200);
+    let stray = (20_000..30_000).map(|port| mesh.packet(1, &data(&tuple(port), 1, b"x")));
+    assert!(stray.filter(|log| log == "1:hold").count() <= 32);
+}
+
+#[test]
+fn flow_survives_five_hundred_changes() {
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    let tuple = tuple(40_000);
+    mesh.establish(1, &tuple);
+    let mut nodes: Vec<NodeId> = vec![1, 2, 3];
+    for change in 0..500u64 {
+        if change % 3 == 2 {
+            nodes.remove(1);
+        } else {
+            nodes.push(10 + change);
+        }
+        nodes.truncate(40);
+    }
+    for &node in &nodes {
+        let view = view(node, ready(&nodes));
+        match mesh.agents.get_mut(&node) {
+            Some(agent) => agent.view = view,
+            None => drop(mesh.agents.insert(node, agent(view))),
+        }
+    }
+    for &node in nodes.iter().filter(|&&node| node != 1) {
+        let log = mesh.packet(node, &data(&tuple, 1, b"x"));
+        assert_eq!(log, format!("{node}:hold hint:1 1:deliver"));
+        assert_eq!(mesh.hops, 2);
+    }
+}
+
+/// Number of states of the service in the property test.
+const SERVICES: usize = 64;
+
+/// What one agent believes in the property test.
+#[derive(Clone, Debug)]
+struct Belief {
+    /// Which of the services' states the agent believes in.
+    service: usize,
+    version: u64,
+    /// Remembered and moved owners of the flow.
+    known: Option<u64>,
+    moved: Option<u64>,
+    established: bool,
+}
+
+fn belief() -> impl Strategy<Value = Belief> {
+    let node = || proptest::option::of(1..6u64);
+    let service = 0..SERVICES;
+    let strategy = (
+        service,
+        1..4u64,
+        node(),
+        node(),
+        proptest::bool::weighted(0.1),
+    );
+    strategy.prop_map(|(service, version, known, moved, established)| Belief {
+        service,
+        version,
+        known,
+        moved,
+        established,
+    })
+}
+
+/// Returns states of a service: each of five members is missing or in any state.
+fn services() -> Vec<ServiceView> {
+    let states = [
+        None,
+        Some(MemberState::Cold),
+        Some(MemberState::Ready),
+        Some(MemberState::Draining),
+        Some(MemberState::Left),
+    ];
+    let state = |service: usize, node: u64| {
+        let digit = service.wrapping_mul(2_654_435_761) >> (3 * node);
+        Some(member(node, states[digit % states.len()]?))
+    };
+    let members = |index| (1..6).filter_map(|node| state(index, node)).collect();
+    (0..SERVICES)
+        .map(|index| service("orders", members(index)))
+        .collect()
+}
+
+fn believe(
+    mesh: &mut Mesh,
+    node: NodeId,
+    tuple: &FiveTuple,
+    belief: &Belief,
+    services: &[ServiceView],
+) {
+    let service = services[belief.service].clone();
+    let agent = mesh.agent(node);
+    let own = service.member(node);
+    agent.view.state = own.map_or(MemberState::Draining, |member| member.state);
+    agent.view.service = service;
+    agent.view.version = belief.version;
+    if let Some(taker) = belief.moved {
+        agent.owner.adopt(tuple);
+        agent.owner.begin_move(tuple);
+        agent.owner.moved_to(tuple, taker, Duration::ZERO);
+    }
+    if belief.established {
+        agent.owner.adopt(tuple);
+    }
+    if let Some(owner) = belief.known {
+        learn(mesh, node, tuple, owner);
+    }
+}
+
+/// Makes an agent remember an owner that it is told.
+fn learn(mesh: &mut Mesh, node: NodeId, tuple: &FiveTuple, owner: NodeId) {
+    let mut out = Vec::new();
+    let agent = &mesh.agents[&node];
+    let stray = forward(&data(tuple, 1, b"x"));
+    agent.owner.packet(
+        &agent.view,
+        &stray,
+        &info(&stray.packet),
+        Duration::ZERO,
+        &mut out,
+    );
+    for action in out {
+        let Action::Send {
+            body: FlowBody::Query(query),
+            ..
+        } = action
+        else {
+            continue;
+        };
+        let answer = Answer {
+            from: query.from,
+            number: query.number,
+            flow: query.flow,
+            state: OwnerState::Owned.into(),
+            owner,
+            ..Answer::default()
+        };
+        let owner = &agent.owner;
+        let answered = owner.answer(&agent.view, &answer, Duration::ZERO, &mut Vec::new());
+        assert!(answered.is_ok());
+    }
+}
+
+#[test]
+fn no_packet_loops_under_any_mix_of_views() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let services = services();
+    let beliefs = proptest::collection::vec(belief(), 5);
+    let strategy = (beliefs, 1..6u64, any::<bool>());
+    let outcome = runner.run(&strategy, |(beliefs, first, is_syn)| {
+        let tuple = tuple(40_000);
+        let mut mesh = Mesh::with_service(&[1, 2, 3, 4, 5], &services[0]);
+        for (node, belief) in (1..).zip(&beliefs) {
+            believe(&mut mesh, node, &tuple, belief, &services);
+        }
+        let packet = if is_syn {
+            syn(&tuple, 0)
+        } else {
+            data(&tuple, 1, b"x")
+        };
+        let log = mesh.packet(first, &packet);
+        prop_assert!(mesh.hops <= MAX_HOPS + 1, "{log}");
+        mesh.wait(Duration::from_secs(2));
+        Ok(())
+    });
+    outcome.unwrap();
+}
