--- a/crates/buckthornweir_daemon/src/balancer/packets.rs
+++ b/crates/buckthornweir_daemon/src/balancer/packets.rs
@@ -106,6 +106,7 @@
         let forward = Forward {
             service: service.name.to_string(),
             bundle_version: tables.version,
+            sender: self.board.id,
             hops: 0,
             balancer: self.board.id,
             packet: packet.to_vec(),
