--- a/crates/buckthornweir_flows/src/ownership.rs
+++ b/crates/buckthornweir_flows/src/ownership.rs
@@ -161,6 +161,11 @@
         if !view.is_out {
             return;
         }
+        self.give_up(out);
+    }
+
+    /// Gives up all flows, as at the time limit of a planned stop.
+    pub fn give_up(&self, out: &mut Vec<Action>) {
         for shard in &self.shards {
             let tuples = shard.lock().clear();
             self.count_removed(tuples.len());
