--- a/crates/buckthornweir_flows/src/stack.rs
+++ b/crates/buckthornweir_flows/src/stack.rs
@@ -24,6 +24,7 @@
 use track::Track;
 
 pub use limits::StackLimits;
+pub use rewrite::{shift_incoming, shift_outgoing};
 
 /// Parts of the idle limit after which a silent flow is probed.
 const PROBES_PER_IDLE: u32 = 4;
@@ -117,7 +118,7 @@
         if self.started && !self.is_open() {
             return;
         }
-        let Some(packet) = rewrite::incoming(packet, self.shift) else {
+        let Some(packet) = shift_incoming(packet, self.shift) else {
             return;
         };
         self.track.incoming(&packet);
@@ -236,7 +237,7 @@
             .poll(instant(now), &mut device, &mut self.sockets);
         for packet in &mut out[first..] {
             self.track.outgoing(packet);
-            rewrite::outgoing(packet, self.shift);
+            shift_outgoing(packet, self.shift);
         }
     }
 
--- a/crates/buckthornweir_flows/src/stack/rewrite.rs
+++ b/crates/buckthornweir_flows/src/stack/rewrite.rs
@@ -21,7 +21,10 @@
 const CHECKSUM: usize = 16;
 
 /// Returns the caller's packet as the stack numbers it, or `None` for a damaged packet.
-pub(super) fn incoming(packet: &[u8], shift: u32) -> Option<Cow<'_, [u8]>> {
+///
+/// `shift` is taken from the acknowledgement number and from the selectively acknowledged blocks, and
+/// the checksum is filled again.
+pub fn shift_incoming(packet: &[u8], shift: u32) -> Option<Cow<'_, [u8]>> {
     if shift == 0 {
         return Some(Cow::Borrowed(packet));
     }
@@ -43,7 +46,9 @@
 }
 
 /// Changes a packet of the stack to the numbers that the caller sees.
-pub(super) fn outgoing(packet: &mut [u8], shift: u32) {
+///
+/// `shift` is added to the sequence number, and the checksum is filled again.
+pub fn shift_outgoing(packet: &mut [u8], shift: u32) {
     if shift == 0 {
         return;
     }
--- a/crates/buckthornweir_flows/tests/moving.rs
+++ b/crates/buckthornweir_flows/tests/moving.rs
@@ -9,6 +9,7 @@
 use buckthornweir_flows::messages::{FlowBody, MovedFlow, Offer, Taken};
 use buckthornweir_flows::moving::MAX_BATCH;
 use buckthornweir_flows::prelude::*;
+use buckthornweir_flows::stack::shift_incoming;
 use common::mesh::*;
 use common::*;
 use smoltcp::socket::tcp::State;
@@ -139,6 +140,49 @@
     }
 }
 
+#[test]
+fn selective_acknowledgements_are_shifted() {
+    let mut tcp = etherparse::TcpHeader::new(40_000, 80, 1, 9);
+    tcp.ack = true;
+    tcp.acknowledgment_number = 5;
+    // Two blocks of numbers that start at an odd place.
+    let blocks = [100, 200, 3, 300u32];
+    let mut options = vec![1, 5, 18];
+    options.extend(blocks.iter().flat_map(|edge| edge.to_be_bytes()));
+    options.push(0);
+    tcp.set_options_raw(&options).unwrap();
+    for tuple in [tuple(40_000), tuple_v6(40_000)] {
+        let plain = packet(&tuple, Flags::default(), 1, b"");
+        let (ip, _) = etherparse::IpHeaders::from_slice(&plain).unwrap();
+        let mut packet = Vec::new();
+        let builder = etherparse::PacketBuilder::ip(ip).tcp_header(tcp.clone());
+        builder.write(&mut packet, b"abc").unwrap();
+        let shifted = shift_incoming(&packet, 10).unwrap();
+        let (ip, rest) = etherparse::IpHeaders::from_slice(&shifted).unwrap();
+        let (header, payload) = etherparse::TcpHeader::from_slice(rest.payload).unwrap();
+        let edges: Vec<_> = header.options.as_slice()[3..19]
+            .chunks(4)
+            .map(|edge| u32::from_be_bytes(edge.try_into().unwrap()))
+            .collect();
+        assert_eq!(edges, blocks.map(|edge| edge.wrapping_sub(10)));
+        assert_eq!(header.acknowledgment_number, 5u32.wrapping_sub(10));
+        let transport = etherparse::TransportHeader::Tcp(header.clone());
+        let mut expected = transport;
+        match ip {
+            etherparse::IpHeaders::Ipv4(ip, _) => {
+                expected.update_checksum_ipv4(&ip, payload).unwrap();
+            }
+            etherparse::IpHeaders::Ipv6(ip, _) => {
+                expected.update_checksum_ipv6(&ip, payload).unwrap();
+            }
+        }
+        assert_eq!(expected, etherparse::TransportHeader::Tcp(header));
+        // A damaged packet isn't made whole by a new checksum.
+        *packet.last_mut().unwrap() ^= 1;
+        assert_eq!(shift_incoming(&packet, 10), None);
+    }
+}
+
 #[test]
 fn moved_flow_can_be_reset_from_both_sides() {
     let mut now = Duration::from_secs(1);
