Wire the decisions about flows: ownership, hints, views and moving quiet flows

Cause: agents dropped packets of unknown flows, and a planned stop cut idle flows. Ruled out: moving flows from a thread beside the connection's task, since hyper may hold bytes that the stack has not seen; the task itself lets go between two requests and puts back what it read ahead. Change: views worked out at each change and kept where inputs are the same; the balancer's core with hints; ownership lookups; the mover; draining tasks that hand quiet flows over.

--- a/crates/buckthornweir_daemon/src/agent/body.rs
+++ b/crates/buckthornweir_daemon/src/agent/body.rs
@@ -96,3 +96,38 @@
         self.end(BodyEnd::Dropped);
     }
 }
+
+/// A body that holds a value until it is dropped.
+struct HoldingBody<T> {
+    inner: AnswerBody,
+    _held: T,
+}
+
+/// Returns `body` with a value that is dropped together with it.
+pub(crate) fn holding<T: Send + Unpin + 'static>(body: AnswerBody, held: T) -> AnswerBody {
+    HoldingBody {
+        inner: body,
+        _held: held,
+    }
+    .boxed_unsync()
+}
+
+impl<T: Unpin> Body for HoldingBody<T> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -4,11 +4,13 @@
 mod backend;
 mod body;
 mod desk;
+mod flow_server;
 mod hand_links;
 mod handed;
 mod health;
+mod http_flow;
+mod mover;
 mod outlet;
-mod packets;
 mod relay;
 mod request;
 mod serve;
@@ -16,9 +18,9 @@
 mod stream;
 mod timers;
 
-use std::net::UdpSocket;
 use std::sync::Arc;
 
+use buckthornweir_flows::ownership::{OwnerLimits, Ownership};
 use buckthornweir_flows::stack::StackLimits;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
@@ -26,10 +28,14 @@
 use crate::board::Blackboard;
 use crate::fault::Result;
 use crate::links::Links;
+use crate::peer_packets::PeerSocket;
 use crate::settings::AgentSettings;
+use crate::views::placement_key;
 
 pub(crate) use backend::Backend;
 pub(crate) use desk::Desk;
+pub(crate) use flow_server::FlowServer;
+use mover::Mover;
 use outlet::Outlet;
 use serve::Server;
 use shards::FlowTable;
@@ -39,12 +45,13 @@
 
 /// A running agent.
 pub(crate) struct Agent {
-    server: Arc<Server>,
+    /// Serves its flows.
+    pub(crate) flows: Arc<FlowServer>,
     /// Decides about requests.
     pub(crate) desk: Arc<Desk>,
 }
 
-/// Starts the role. Threads run until `stop` is cancelled; flows end when `work` is.
+/// Starts the role; it runs until `stop` is cancelled.
 ///
 /// # Errors
 ///
@@ -52,7 +59,7 @@
 pub(crate) fn start(
     board: &Arc<Blackboard>,
     settings: &AgentSettings,
-    packets: &Arc<UdpSocket>,
+    peers: &Arc<PeerSocket>,
     links: &Arc<Links>,
     runtime: &Handle,
     stop: &CancellationToken,
@@ -61,13 +68,14 @@
         .with_receive(FLOW_BUFFER)
         .with_send(FLOW_BUFFER)
         .with_idle(settings.idle);
-    let outlet = Arc::new(Outlet::new(board.clone(), settings.fabric)?);
-    let table = Arc::new(FlowTable::new(
-        board.clone(),
-        &outlet,
-        limits,
-        settings.flows,
-    ));
+    let key = placement_key(&board.settings.node.key);
+    let incarnation = u64::try_from(board.wall().as_millis()).unwrap_or(1);
+    let owner_limits = OwnerLimits::default().with_flows(settings.flows);
+    let ownership = Ownership::new(board.id, key, incarnation, owner_limits);
+    let ownership = Arc::new(ownership);
+    let outlet = Outlet::new(board.clone(), settings.fabric)?;
+    let table = FlowTable::new(board.clone(), outlet, ownership.clone(), limits);
+    let table = Arc::new(table);
     let backend = Arc::new(Backend::new(board.clone(), settings.backend));
     let desk = Desk::new(
         board.clone(),
@@ -75,17 +83,25 @@
         links.clone(),
         runtime.clone(),
     );
-    let server = Arc::new(Server::new(
+    let mover = Arc::new(Mover::new(board.clone(), ownership.clone(), incarnation));
+    let server = Server::new(
         board.clone(),
-        table.clone(),
         desk.clone(),
         backend.clone(),
+        mover.clone(),
         runtime.clone(),
-    ));
+    );
     timers::start(&table, stop)?;
-    for _ in 0..settings.threads {
-        packets::start(board, &server, packets, stop)?;
-    }
+    let flows = Arc::new(FlowServer::new(
+        board.clone(),
+        settings.service.clone(),
+        ownership,
+        table,
+        mover,
+        server,
+        peers.clone(),
+    ));
+    runtime.spawn(flows.clone().run(stop.clone()));
     runtime.spawn(desk.clone().run_timers(stop.clone()));
     runtime.spawn(health::watch(
         board.clone(),
@@ -94,17 +110,5 @@
         settings.health.clone(),
         stop.clone(),
     ));
-    Ok(Agent { server, desk })
-}
-
-impl Agent {
-    /// Ends every flow after the request that runs on it.
-    pub(crate) fn drain(&self) {
-        self.server.drain();
-    }
-
-    /// Returns how many flows are being served.
-    pub(crate) fn serving(&self) -> usize {
-        self.server.serving()
-    }
+    Ok(Agent { flows, desk })
 }
--- a/crates/buckthornweir_daemon/src/agent/relay.rs
+++ b/crates/buckthornweir_daemon/src/agent/relay.rs
@@ -3,18 +3,13 @@
 use std::sync::Arc;
 
 use tokio::io::{AsyncWriteExt, copy_bidirectional};
-use tokio_util::sync::CancellationToken;
 
 use super::Backend;
 use super::stream::FlowStream;
 
 /// Relays bytes until both sides have ended. A draining agent goes on relaying, since the backend
 /// connection holds state that no other agent has.
-pub(crate) async fn relay(
-    mut stream: FlowStream,
-    backend: Arc<Backend>,
-    _draining: CancellationToken,
-) {
+pub(crate) async fn relay(mut stream: FlowStream, backend: Arc<Backend>) {
     let Ok(mut server) = backend.connect().await else {
         // Dropping the stream resets the flow.
         return;
--- a/crates/buckthornweir_daemon/src/agent/shards.rs
+++ b/crates/buckthornweir_daemon/src/agent/shards.rs
@@ -1,20 +1,21 @@
-//! The flow table of an agent, in shards that each have their own lock.
+//! The stacks of an agent's flows, in shards that each have their own lock.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use buckthornweir_events::{Count, Gauge};
-use buckthornweir_flows::packet::{FiveTuple, PacketInfo};
+use buckthornweir_flows::moving::QuietFlow;
+use buckthornweir_flows::ownership::Ownership;
+use buckthornweir_flows::packet::{FiveTuple, PacketInfo, parse};
 use buckthornweir_flows::stack::{FlowStack, StackLimits};
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
 
 use super::outlet::Outlet;
 use super::stream::FlowStream;
-use crate::balancer::placement_key;
 use crate::board::Blackboard;
 
 /// How many shards a table has.
@@ -25,21 +26,24 @@
     pub(crate) struct FlowKey;
 }
 
-/// All flows of one agent.
+/// The stacks of all flows of one agent.
 pub(crate) struct FlowTable {
-    board: Arc<Blackboard>,
     shards: Vec<Arc<Shard>>,
+    context: Arc<Context>,
     limits: StackLimits,
     key: [u8; 16],
-    flow_limit: usize,
-    open: Arc<AtomicUsize>,
+}
+
+/// What all shards work with.
+struct Context {
+    board: Arc<Blackboard>,
+    outlet: Outlet,
+    ownership: Arc<Ownership>,
 }
 
 /// A part of the flow table.
 pub(crate) struct Shard {
-    board: Arc<Blackboard>,
-    outlet: Arc<Outlet>,
-    open: Arc<AtomicUsize>,
+    context: Arc<Context>,
     inner: Mutex<Inner>,
 }
 
@@ -69,32 +73,33 @@
     /// Returns an empty table.
     pub(crate) fn new(
         board: Arc<Blackboard>,
-        outlet: &Arc<Outlet>,
+        outlet: Outlet,
+        ownership: Arc<Ownership>,
         limits: StackLimits,
-        flow_limit: usize,
     ) -> Self {
-        let open = Arc::new(AtomicUsize::new(0));
+        let key = ownership.stack_key();
+        let context = Arc::new(Context {
+            board,
+            outlet,
+            ownership,
+        });
         let shard = || {
             Arc::new(Shard {
-                board: board.clone(),
-                outlet: outlet.clone(),
-                open: open.clone(),
+                context: context.clone(),
                 inner: Mutex::default(),
             })
         };
         Self {
             shards: (0..SHARDS).map(|_| shard()).collect(),
-            key: placement_key(&board.settings.node.key),
-            board,
+            context,
             limits,
-            flow_limit,
-            open,
+            key,
         }
     }
 
     /// Returns the time since the process started.
     pub(crate) fn now(&self) -> Duration {
-        self.board.now()
+        self.context.board.now()
     }
 
     /// Returns the shards.
@@ -102,51 +107,89 @@
         &self.shards
     }
 
-    /// Returns whether the table holds this flow.
-    pub(crate) fn owns(&self, tuple: &FiveTuple) -> bool {
-        self.shard_of(tuple).inner.lock().keys.contains_key(tuple)
+    /// Sends a packet to the fabric.
+    pub(crate) fn send(&self, packet: &[u8]) {
+        self.context.outlet.send(packet);
     }
 
-    /// Starts a flow with its SYN. Returns false when the table is full.
-    pub(crate) fn start(&self, info: &PacketInfo, packet: &[u8]) -> bool {
-        if self.open.load(Ordering::Relaxed) >= self.flow_limit {
-            return false;
-        }
-        let now = self.board.now();
+    /// Starts a flow with its SYN.
+    pub(crate) fn start(&self, info: &PacketInfo, packet: &[u8]) {
+        let now = self.now();
         let shard = self.shard_of(&info.tuple);
         let mut inner = shard.inner.lock();
-        if !inner.keys.contains_key(&info.tuple) {
-            let stack = FlowStack::accept(info, &self.key, &self.limits, now);
-            inner.insert(info.tuple, stack);
-            shard.count_open(1);
-            self.board.metrics.count(Count::FlowsStarted);
+        inner.forget(&info.tuple);
+        let mut stack = FlowStack::accept(info, &self.key, &self.limits, now);
+        let mut answers = Vec::new();
+        stack.input(packet, now, &mut answers);
+        let key = inner.insert(info.tuple, stack, Serving::NotYet);
+        if let Some(answer) = answers.first().and_then(|a| parse(a).ok()) {
+            self.context.ownership.answered(&info.tuple, answer.seq);
         }
-        let key = inner.keys[&info.tuple];
-        shard.input(&mut inner, key, packet, now);
-        true
+        self.context.board.metrics.count(Count::FlowsStarted);
+        shard.send(&answers);
+        shard.flush(&mut inner, key, now);
     }
 
-    /// Delivers a packet of a known flow. Returns the flow's stream when it has just become
-    /// established.
-    pub(crate) fn deliver(&self, info: &PacketInfo, packet: &[u8]) -> Option<FlowStream> {
-        let shard = self.shard_of(&info.tuple);
-        let now = self.board.now();
+    /// Delivers a packet of a known flow. Returns the flow's stream when its handshake has just
+    /// ended.
+    pub(crate) fn deliver(&self, tuple: &FiveTuple, packet: &[u8]) -> Option<FlowStream> {
+        let shard = self.shard_of(tuple);
+        let now = self.now();
         let mut inner = shard.inner.lock();
-        let key = *inner.keys.get(&info.tuple)?;
-        shard.input(&mut inner, key, packet, now);
+        let key = *inner.keys.get(tuple)?;
+        let mut answers = Vec::new();
+        inner
+            .flows
+            .get_mut(key)?
+            .stack
+            .input(packet, now, &mut answers);
+        shard.send(&answers);
+        shard.flush(&mut inner, key, now);
         let flow = inner.flows.get_mut(key)?;
         if flow.served != Serving::NotYet || !flow.stack.is_established() {
             return None;
         }
         flow.served = Serving::Now;
-        Some(FlowStream::new(shard.clone(), key, info.tuple))
+        Some(FlowStream::new(shard.clone(), key, *tuple))
+    }
+
+    /// Forgets a half-open flow without a packet.
+    pub(crate) fn abandon(&self, tuple: &FiveTuple) {
+        self.shard_of(tuple).inner.lock().forget(tuple);
+    }
+
+    /// Resets a flow.
+    pub(crate) fn give_up(&self, tuple: &FiveTuple) {
+        let shard = self.shard_of(tuple);
+        let mut inner = shard.inner.lock();
+        let Some(key) = inner.keys.get(tuple).copied() else {
+            return;
+        };
+        if let Some(flow) = inner.flows.get_mut(key) {
+            flow.stack.abort();
+            self.context.board.metrics.count(Count::FlowsReset);
+        }
+        shard.flush(&mut inner, key, self.now());
+    }
+
+    /// Goes on with a flow that was quiet at another agent, or here. Returns `None` when its state
+    /// is not that of a quiet flow.
+    pub(crate) fn adopt(&self, flow: &QuietFlow) -> Option<FlowStream> {
+        let now = self.now();
+        let stack = FlowStack::resume(flow, &self.limits, now)?;
+        let shard = self.shard_of(&flow.tuple);
+        let mut inner = shard.inner.lock();
+        inner.forget(&flow.tuple);
+        let key = inner.insert(flow.tuple, stack, Serving::Now);
+        shard.flush(&mut inner, key, now);
+        Some(FlowStream::new(shard.clone(), key, flow.tuple))
     }
 
     fn shard_of(&self, tuple: &FiveTuple) -> &Arc<Shard> {
         let port = usize::from(tuple.caller.port());
         let ip = match tuple.caller.ip() {
-            std::net::IpAddr::V4(ip) => ip.octets()[3],
-            std::net::IpAddr::V6(ip) => ip.octets()[15],
+            IpAddr::V4(ip) => ip.octets()[3],
+            IpAddr::V6(ip) => ip.octets()[15],
         };
         &self.shards[(port ^ usize::from(ip)) % SHARDS]
     }
@@ -178,10 +221,35 @@
         let mut inner = self.inner.lock();
         let flow = inner.flows.get_mut(key)?;
         let result = work(&mut flow.stack);
-        self.flush(&mut inner, key, self.board.now());
+        self.flush(&mut inner, key, self.context.board.now());
         Some(result)
     }
 
+    /// Returns whether nothing of the flow is on its way, either way.
+    pub(crate) fn is_quiet(&self, key: FlowKey) -> bool {
+        let inner = self.inner.lock();
+        inner
+            .flows
+            .get(key)
+            .is_some_and(|f| f.stack.quiet().is_some())
+    }
+
+    /// Stops a quiet flow's packets, takes its state and forgets its stack without a packet.
+    /// Returns `None` and goes on with the flow when it is not quiet.
+    pub(crate) fn stop_quiet(&self, key: FlowKey, tuple: &FiveTuple) -> Option<QuietFlow> {
+        let mut inner = self.inner.lock();
+        let ownership = &self.context.ownership;
+        if !ownership.begin_move(tuple) {
+            return None;
+        }
+        let quiet = inner.flows.get(key).and_then(|flow| flow.stack.quiet());
+        match quiet {
+            Some(_) => inner.remove(key),
+            None => ownership.end_move(tuple),
+        }
+        quiet
+    }
+
     /// Notes that the flow's task is over; a flow that is not closed by then is reset.
     pub(crate) fn release(&self, key: FlowKey, closed: bool) {
         let mut inner = self.inner.lock();
@@ -191,18 +259,9 @@
         flow.served = Serving::Over;
         if !closed && flow.stack.is_open() {
             flow.stack.abort();
-            self.board.metrics.count(Count::FlowsReset);
+            self.context.board.metrics.count(Count::FlowsReset);
         }
-        self.flush(&mut inner, key, self.board.now());
-    }
-
-    fn input(&self, inner: &mut Inner, key: FlowKey, packet: &[u8], now: Duration) {
-        let mut out = Vec::new();
-        if let Some(flow) = inner.flows.get_mut(key) {
-            flow.stack.input(packet, now, &mut out);
-        }
-        self.send(&out);
-        self.flush(inner, key, now);
+        self.flush(&mut inner, key, self.context.board.now());
     }
 
     fn flush(&self, inner: &mut Inner, key: FlowKey, now: Duration) {
@@ -214,48 +273,54 @@
         self.send(&out);
         let is_over = !flow.stack.is_open() && flow.served != Serving::Now;
         let is_new = timer.is_some() && timer != flow.timer;
+        let tuple = flow.tuple;
         flow.timer = timer;
         if is_over {
             inner.remove(key);
-            self.count_open(-1);
-            self.board.metrics.count(Count::FlowsEnded);
+            self.context.ownership.closed(&tuple);
+            self.context.board.metrics.count(Count::FlowsEnded);
         } else if let Some(at) = timer
             && is_new
         {
             inner.timers.push(Reverse((at, key)));
         }
+        self.show_open();
     }
 
     fn send(&self, packets: &[Vec<u8>]) {
         for packet in packets {
-            self.outlet.send(packet);
+            self.context.outlet.send(packet);
         }
     }
 
-    fn count_open(&self, change: isize) {
-        let before = self
-            .open
-            .fetch_add(change.cast_unsigned(), Ordering::Relaxed);
-        let open = before.wrapping_add_signed(change);
-        let shown = i64::try_from(open).unwrap_or(i64::MAX);
-        self.board.metrics.set(Gauge::FlowsOpen, shown);
+    fn show_open(&self) {
+        let open = i64::try_from(self.context.ownership.len()).unwrap_or(i64::MAX);
+        self.context.board.metrics.set(Gauge::FlowsOpen, open);
     }
 }
 
 impl Inner {
-    fn insert(&mut self, tuple: FiveTuple, stack: FlowStack) -> FlowKey {
+    fn insert(&mut self, tuple: FiveTuple, stack: FlowStack, served: Serving) -> FlowKey {
         let key = self.flows.insert(Flow {
             tuple,
             stack,
             timer: None,
-            served: Serving::NotYet,
+            served,
         });
         self.keys.insert(tuple, key);
         key
     }
 
+    fn forget(&mut self, tuple: &FiveTuple) {
+        if let Some(key) = self.keys.remove(tuple) {
+            self.flows.remove(key);
+        }
+    }
+
     fn remove(&mut self, key: FlowKey) {
-        if let Some(flow) = self.flows.remove(key) {
+        if let Some(flow) = self.flows.remove(key)
+            && self.keys.get(&flow.tuple) == Some(&key)
+        {
             self.keys.remove(&flow.tuple);
         }
     }
--- a/crates/buckthornweir_daemon/src/agent/stream.rs
+++ b/crates/buckthornweir_daemon/src/agent/stream.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use buckthornweir_flows::moving::QuietFlow;
 use buckthornweir_flows::packet::FiveTuple;
 use buckthornweir_flows::stack::{FlowStack, ReadState, WriteState};
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::shards::{FlowKey, Shard};
@@ -17,19 +19,62 @@
     shard: Arc<Shard>,
     key: FlowKey,
     tuple: FiveTuple,
+    unread: Bytes,
     closed: bool,
 }
 
+/// Tells whether anything of a flow is on its way, while its stream is with a connection.
+pub(crate) struct QuietWatch {
+    shard: Arc<Shard>,
+    key: FlowKey,
+}
+
+impl QuietWatch {
+    /// Returns whether nothing of the flow is on its way, either way.
+    pub(crate) fn is_quiet(&self) -> bool {
+        self.shard.is_quiet(self.key)
+    }
+}
+
 impl FlowStream {
     pub(crate) fn new(shard: Arc<Shard>, key: FlowKey, tuple: FiveTuple) -> Self {
         Self {
             shard,
             key,
             tuple,
+            unread: Bytes::new(),
             closed: false,
         }
     }
 
+    /// Returns a watch over the flow.
+    pub(crate) fn watch(&self) -> QuietWatch {
+        QuietWatch {
+            shard: self.shard.clone(),
+            key: self.key,
+        }
+    }
+
+    /// Puts bytes back that were read and not used.
+    pub(crate) fn put_back(&mut self, bytes: Bytes) {
+        self.unread = bytes;
+    }
+
+    /// Stops the flow and takes its state for another agent, when it is quiet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the stream itself when the flow is not quiet.
+    pub(crate) fn hand_over(mut self) -> Result<QuietFlow, Self> {
+        match self.shard.stop_quiet(self.key, &self.tuple) {
+            Some(flow) => {
+                self.closed = true;
+                Ok(flow)
+            }
+            None => Err(self),
+        }
+    }
+
     /// Returns the flow's two ends.
     pub(crate) fn tuple(&self) -> FiveTuple {
         self.tuple
@@ -38,10 +83,15 @@
 
 impl AsyncRead for FlowStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let length = self.unread.len().min(buf.remaining());
+            buf.put_slice(&self.unread.split_to(length));
+            return Poll::Ready(Ok(()));
+        }
         let read = self.shard.with_flow(self.key, |stack| {
             let state = stack.read(buf.initialize_unfilled());
             if state == ReadState::Empty {
--- /dev/null
+++ b/crates/buckthornweir_daemon/src/balancer.rs
@@ -0,0 +1,137 @@
+//! The balancer role: forwards each packet of the fabric to the agent that its flow belongs to. It
+//! holds no flow state.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use buckthornweir_events::Count;
+use buckthornweir_flows::balancer::{Balancer, BalancerView, HintLimits, Route, RouteDrop};
+use buckthornweir_flows::messages::{FlowBody, Forward, Hint};
+use buckthornweir_flows::packet::{PacketInfo, parse};
+use buckthornweir_wire::{DATAGRAM_LIMIT, WireError, inner_packet};
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+
+use crate::board::Blackboard;
+use crate::fault::{DaemonError, Result};
+use crate::peer_packets::PeerSocket;
+use crate::settings::BalancerSettings;
+use crate::threads::{READ_LIMIT, bind_udp, spawn};
+use crate::views::{GATHER, ViewBuilder, placement_key};
+
+/// A running balancer.
+pub(crate) struct BalancerRole {
+    board: Arc<Blackboard>,
+    core: Balancer,
+    view: ArcSwap<BalancerView>,
+    peers: Arc<PeerSocket>,
+}
+
+/// Starts the role; its threads run until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be taken or a thread cannot be started.
+pub(crate) fn start(
+    board: &Arc<Blackboard>,
+    settings: &BalancerSettings,
+    peers: &Arc<PeerSocket>,
+    runtime: &Handle,
+    stop: &CancellationToken,
+) -> Result<Arc<BalancerRole>> {
+    let key = placement_key(&board.settings.node.key);
+    let role = Arc::new(BalancerRole {
+        board: board.clone(),
+        core: Balancer::new(key, &HintLimits::default()),
+        view: ArcSwap::default(),
+        peers: peers.clone(),
+    });
+    runtime.spawn(role.clone().follow(stop.clone()));
+    let socket = bind_udp("fabric", settings.fabric)?;
+    for _ in 0..settings.threads {
+        let reader = socket.try_clone().map_err(|source| DaemonError::Bind {
+            what: "fabric",
+            address: settings.fabric,
+            source,
+        })?;
+        let role = role.clone();
+        let stop = stop.clone();
+        spawn("balancer", move || role.run(&reader, &stop))?;
+    }
+    Ok(role)
+}
+
+impl BalancerRole {
+    /// Takes the owner of a flow that an agent tells.
+    pub(crate) fn hint(&self, hint: &Hint) {
+        if self.core.hint(hint, self.board.now()).is_err() {
+            self.board.metrics.count(Count::DatagramsMalformed);
+        }
+    }
+
+    /// Works the view out anew at each change of the blackboard.
+    async fn follow(self: Arc<Self>, stop: CancellationToken) {
+        let mut builder = ViewBuilder::new(&self.board.settings.node.key);
+        let mut changes = self.board.changes();
+        loop {
+            self.view.store(Arc::new(builder.balancer(&self.board)));
+            tokio::select! {
+                () = stop.cancelled() => return,
+                changed = changes.changed() => if changed.is_err() { return },
+            }
+            tokio::time::sleep(GATHER).await;
+        }
+    }
+
+    fn run(&self, socket: &UdpSocket, stop: &CancellationToken) {
+        // One byte more than allowed shows that a datagram is too long.
+        let mut buffer = vec![0; DATAGRAM_LIMIT + 1];
+        // The read timeout lets the loop see that it is to stop.
+        let _ = socket.set_read_timeout(Some(READ_LIMIT));
+        while !stop.is_cancelled() {
+            if let Ok((length, _)) = socket.recv_from(&mut buffer) {
+                self.handle(&buffer[..length]);
+            }
+        }
+    }
+
+    fn handle(&self, datagram: &[u8]) {
+        let metrics = &self.board.metrics;
+        metrics.count(Count::PacketsIn);
+        match inner_packet(datagram) {
+            Ok(packet) => match parse(packet) {
+                Ok(info) => self.route(packet, &info),
+                Err(_) => metrics.count(Count::PacketsMalformed),
+            },
+            Err(WireError::Long { .. }) => metrics.count(Count::PacketsOversize),
+            Err(_) => metrics.count(Count::PacketsMalformed),
+        }
+    }
+
+    fn route(&self, packet: &[u8], info: &PacketInfo) {
+        let metrics = &self.board.metrics;
+        let view = self.view.load();
+        match self.core.route(&view, info, self.board.now()) {
+            Route::Forward {
+                address, service, ..
+            } => {
+                let forward = Forward {
+                    service: service.to_string(),
+                    bundle_version: view.version,
+                    hops: 0,
+                    balancer: self.board.id,
+                    packet: packet.to_vec(),
+                    sender: 0,
+                };
+                if self.peers.send(address, FlowBody::Forward(forward)) {
+                    metrics.count(Count::PacketsForwarded);
+                }
+            }
+            Route::Drop(RouteDrop::NoService) => metrics.count(Count::PacketsUnknownAddress),
+            Route::Drop(RouteDrop::NoOwner | RouteDrop::NoMembers) => {
+                metrics.count(Count::PacketsNoAgent);
+            }
+        }
+    }
+}
--- a/crates/buckthornweir_daemon/src/lib.rs
+++ b/crates/buckthornweir_daemon/src/lib.rs
@@ -27,9 +27,11 @@
 mod metrics_page;
 mod node;
 mod operators;
+mod peer_packets;
 mod pull;
 mod settings;
 mod threads;
+mod views;
 
 pub use board::{Blackboard, Member, OwnState, QuorumState};
 pub use fault::{DaemonError, Result};
--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -14,9 +14,9 @@
 use crate::dispatch::Dispatch;
 use crate::fault::Result;
 use crate::links::{self, Links};
+use crate::peer_packets::{PeerRoles, PeerSocket};
 use crate::settings::Settings;
-use crate::threads::bind_udp;
-use crate::{balancer, bundles, gossip, metrics_page, pull};
+use crate::{balancer, bundles, gossip, metrics_page, peer_packets, pull};
 
 /// How long other processes take to hear that this one is leaving.
 const ANNOUNCE: Duration = Duration::from_secs(2);
@@ -65,18 +65,22 @@
         if board.settings.control.is_some() {
             dispatch.set_control(Control::new(board.clone()));
         }
-        let packets = Arc::new(bind_udp("packets", board.settings.node.packets)?);
+        let peers = PeerSocket::bind(&board)?;
+        let roles = Arc::new(PeerRoles::default());
         let agent = match &board.settings.agent {
             None => None,
             Some(settings) => {
-                let agent = agent::start(&board, settings, &packets, &links, &runtime, &stop)?;
+                let agent = agent::start(&board, settings, &peers, &links, &runtime, &stop)?;
                 dispatch.set_desk(agent.desk.clone());
+                let _ = roles.agent.set(agent.flows.clone());
                 Some(agent)
             }
         };
         if let Some(settings) = &board.settings.balancer {
-            balancer::start(&board, settings, &packets, &runtime, &stop)?;
+            let balancer = balancer::start(&board, settings, &peers, &runtime, &stop)?;
+            let _ = roles.balancer.set(balancer);
         }
+        peer_packets::start(&peers, &roles, board.settings.peer_threads(), &stop)?;
         let pulls = pull::start(&board, &runtime, &stop);
         gossip::start(&board, pulls, &stop)?;
         board.record(EventKind::Started);
@@ -100,9 +104,10 @@
                 own.weight = 0;
             });
             wait_until(limit.min(Instant::now() + ANNOUNCE), || false).await;
-            agent.drain();
-            wait_until(limit, || agent.serving() == 0).await;
-            all_ended = agent.serving() == 0;
+            agent.flows.drain();
+            wait_until(limit, || agent.flows.is_drained()).await;
+            all_ended = agent.flows.is_drained();
+            agent.flows.give_up();
         }
         self.board.record(EventKind::Stopped);
         self.end();
--- /dev/null
+++ b/crates/buckthornweir_daemon/src/peer_packets.rs
@@ -0,0 +1,122 @@
+//! Datagrams between balancers and agents.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, OnceLock};
+
+use buckthornweir_events::Count;
+use buckthornweir_flows::messages::{FlowBody, FlowMessage};
+use buckthornweir_wire::{Body, DATAGRAM_LIMIT, Envelope, open, seal};
+use tokio_util::sync::CancellationToken;
+
+use crate::agent::FlowServer;
+use crate::balancer::BalancerRole;
+use crate::board::Blackboard;
+use crate::fault::Result;
+use crate::threads::{READ_LIMIT, bind_udp, spawn};
+
+/// Bytes that the envelope adds to a packet, at most.
+const ENVELOPE: usize = 512;
+
+/// The socket between balancers and agents.
+pub(crate) struct PeerSocket {
+    board: Arc<Blackboard>,
+    socket: UdpSocket,
+}
+
+impl PeerSocket {
+    /// Takes the address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be taken.
+    pub(crate) fn bind(board: &Arc<Blackboard>) -> Result<Arc<Self>> {
+        let socket = bind_udp("packets", board.settings.node.packets)?;
+        // The read timeout lets the reading threads see that they are to stop.
+        let _ = socket.set_read_timeout(Some(READ_LIMIT));
+        Ok(Arc::new(Self {
+            board: board.clone(),
+            socket,
+        }))
+    }
+
+    /// Sends a message. Returns whether the socket took it.
+    pub(crate) fn send(&self, to: SocketAddr, body: FlowBody) -> bool {
+        let message = Body::Flow(FlowMessage::from(body));
+        let envelope = Envelope::new(self.board.id, message);
+        let datagram = seal(&self.board.settings.node.key, &envelope);
+        let is_sent = self.socket.send_to(&datagram, to).is_ok();
+        if !is_sent {
+            self.board.metrics.count(Count::DatagramsUnsent);
+        }
+        is_sent
+    }
+}
+
+/// Where datagrams between balancers and agents go at this process.
+#[derive(Default)]
+pub(crate) struct PeerRoles {
+    pub(crate) balancer: OnceLock<Arc<BalancerRole>>,
+    pub(crate) agent: OnceLock<Arc<FlowServer>>,
+}
+
+/// Starts `threads` that read the socket until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Returns an error when a thread cannot be started.
+pub(crate) fn start(
+    peers: &Arc<PeerSocket>,
+    roles: &Arc<PeerRoles>,
+    threads: usize,
+    stop: &CancellationToken,
+) -> Result<()> {
+    for _ in 0..threads {
+        let reader = Reader {
+            peers: peers.clone(),
+            roles: roles.clone(),
+        };
+        let stop = stop.clone();
+        spawn("peer-packets", move || reader.run(&stop))?;
+    }
+    Ok(())
+}
+
+struct Reader {
+    peers: Arc<PeerSocket>,
+    roles: Arc<PeerRoles>,
+}
+
+impl Reader {
+    fn run(&self, stop: &CancellationToken) {
+        let mut buffer = vec![0; DATAGRAM_LIMIT + ENVELOPE];
+        while !stop.is_cancelled() {
+            if let Ok((length, _)) = self.peers.socket.recv_from(&mut buffer) {
+                self.handle(&buffer[..length]);
+            }
+        }
+    }
+
+    fn handle(&self, datagram: &[u8]) {
+        let board = &self.peers.board;
+        let Ok(envelope) = open(&board.settings.node.key, datagram) else {
+            return board.metrics.count(Count::DatagramsForged);
+        };
+        let body = match envelope.body {
+            Some(Body::Flow(message)) => message.body,
+            _ => None,
+        };
+        match body {
+            Some(FlowBody::Hint(hint)) => {
+                if let Some(balancer) = self.roles.balancer.get() {
+                    balancer.hint(&hint);
+                }
+            }
+            Some(body) => {
+                if let Some(agent) = self.roles.agent.get() {
+                    agent.receive(body);
+                }
+            }
+            None => board.metrics.count(Count::DatagramsMalformed),
+        }
+    }
+}
--- a/crates/buckthornweir_daemon/src/settings.rs
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -128,6 +128,11 @@
         Self::take_from(Document::parse(file, text)?)
     }
 
+    /// Returns how many threads read datagrams of balancers and agents.
+    pub(crate) fn peer_threads(&self) -> usize {
+        self.agent.as_ref().map_or(1, |agent| agent.threads)
+    }
+
     fn take_from(mut document: Document) -> Result<Self> {
         let mut section = document.take("node")?;
         let roles = read_roles(&mut section)?;
