--- /dev/null
+++ b/crates/buckthornweir_daemon/src/agent/serve.rs
@@ -0,0 +1,113 @@
+//! Serving established flows: one task for each, by the protocol of the service.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use buckthornweir_bundle::{Protocol, Service};
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+
+use super::Backend;
+use super::desk::Desk;
+use super::http_flow::HttpFlow;
+use super::mover::Mover;
+use super::relay::relay;
+use super::stream::FlowStream;
+use crate::board::Blackboard;
+
+/// Starts the tasks of flows.
+pub(crate) struct Server {
+    board: Arc<Blackboard>,
+    desk: Arc<Desk>,
+    backend: Arc<Backend>,
+    mover: Arc<Mover>,
+    runtime: Handle,
+    draining: CancellationToken,
+    serving: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub(crate) fn new(
+        board: Arc<Blackboard>,
+        desk: Arc<Desk>,
+        backend: Arc<Backend>,
+        mover: Arc<Mover>,
+        runtime: Handle,
+    ) -> Self {
+        Self {
+            board,
+            desk,
+            backend,
+            mover,
+            runtime,
+            draining: CancellationToken::new(),
+            serving: Arc::default(),
+        }
+    }
+
+    /// Ends every flow after the request that runs on it, or hands it over.
+    pub(crate) fn drain(&self) {
+        self.draining.cancel();
+    }
+
+    /// Returns how many flows are being served.
+    pub(crate) fn serving(&self) -> usize {
+        self.serving.load(Ordering::Relaxed)
+    }
+
+    /// Starts the task of an established flow.
+    pub(crate) fn serve(&self, stream: FlowStream) {
+        let Some(service) = self.own_service() else {
+            // Dropping the stream resets the flow.
+            return;
+        };
+        let counted = ServingCount::new(self.serving.clone());
+        match service.protocol {
+            Protocol::Http => {
+                let flow = HttpFlow::new(
+                    self.desk.clone(),
+                    self.mover.clone(),
+                    service.deadline,
+                    self.draining.clone(),
+                );
+                self.runtime.spawn(counted.during(flow.run(stream)));
+            }
+            Protocol::Tcp => {
+                let serve = relay(stream, self.backend.clone());
+                self.runtime.spawn(counted.during(serve));
+            }
+        }
+    }
+
+    fn own_service(&self) -> Option<Service> {
+        let own = &self.board.settings.agent.as_ref()?.service;
+        let found = self.board.with_bundle(|b| b.service(own).cloned());
+        found.flatten()
+    }
+}
+
+/// Counts a flow for as long as it is served.
+struct ServingCount {
+    serving: Arc<AtomicUsize>,
+}
+
+impl ServingCount {
+    fn new(serving: Arc<AtomicUsize>) -> Self {
+        serving.fetch_add(1, Ordering::Relaxed);
+        Self { serving }
+    }
+
+    async fn during(self, work: impl Future<Output = ()>) {
+        work.await;
+    }
+}
+
+impl Drop for ServingCount {
+    fn drop(&mut self) {
+        self.serving.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// How long the head of a request may take to arrive.
+pub(crate) const HEAD_LIMIT: Duration = Duration::from_secs(30);
