Keep work at a leaving process until it is handed over, and hand over by load

(3) a directive that came during a try other than an abort was swallowed. Ruled out: lost ownership of flows (no flow broke in the planned restart). Change: reasons for leaving on the blackboard; a leaving backend server is served 2 s longer while flows move; a stopping process waits for requests of siblings; links are forgotten only by themselves; a lost link declines open questions only; directives end a try; agents tell three siblings their load each 0.5 s; counters and events for resets.

--- a/crates/buckthornweir_daemon/src/agent/desk.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use buckthornweir_bundle::Service;
@@ -64,6 +65,7 @@
     links: Arc<Links>,
     hands: HandLinks,
     runtime: Handle,
+    is_leaving: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -71,7 +73,15 @@
     admission: Admission,
     service: Option<Service>,
     requests: HashMap<RequestKey, mpsc::UnboundedSender<Directive>>,
-    asks: HashMap<Token, RequestKey>,
+    asks: HashMap<Token, Ask>,
+    loads: HashMap<NodeId, Load>,
+}
+
+/// A question for a slot that has no answer yet.
+#[derive(Clone, Copy)]
+struct Ask {
+    request: RequestKey,
+    sibling: NodeId,
 }
 
 /// A request that was let in, for its task.
@@ -95,11 +105,13 @@
             backend,
             links,
             runtime,
+            is_leaving: AtomicBool::new(false),
             state: Mutex::new(State {
                 admission,
                 service: None,
                 requests: HashMap::new(),
                 asks: HashMap::new(),
+                loads: HashMap::new(),
             }),
         })
     }
@@ -174,6 +186,9 @@
         latency: Duration,
     ) {
         let mut state = self.state.lock();
+        if outcome != Outcome::Done {
+            tracing::debug!(?key, ?progress, ?outcome, "a try ended");
+        }
         if outcome == Outcome::Silent {
             self.backend.close_idle();
         }
@@ -221,8 +236,8 @@
             RequestBody::Granted(granted) => self.granted(&mut state, from, &granted),
             RequestBody::Declined(declined) => {
                 state.note_load(from, declined.load);
-                if let Some(request) = state.asks.remove(&declined.token) {
-                    let actions = state.admission.sibling_refused(now, request, from);
+                if let Some(ask) = state.asks.remove(&declined.token) {
+                    let actions = state.admission.sibling_refused(now, ask.request, from);
                     self.carry_out(&mut state, actions, None);
                 }
             }
@@ -242,21 +257,49 @@
 
     fn granted(&self, state: &mut State, from: NodeId, granted: &Granted) {
         state.note_load(from, granted.load);
-        let Some(request) = state.asks.remove(&granted.token) else {
+        let Some(ask) = state.asks.remove(&granted.token) else {
             return self.release(from, granted.reservation);
         };
         let now = self.board.now();
         let actions = state
             .admission
-            .reserved(now, request, from, granted.reservation);
+            .reserved(now, ask.request, from, granted.reservation);
         self.carry_out(state, actions, None);
     }
 
-    /// Notes that the link to a sibling was lost.
-    pub(crate) fn sibling_lost(&self, sibling: NodeId) {
+    /// Takes a sibling's report of its load.
+    pub(crate) fn note_load(&self, sibling: NodeId, load: Load) {
+        self.state.lock().note_load(sibling, Some(load));
+    }
+
+    /// Returns the load of the own backend server.
+    pub(crate) fn load(&self) -> Load {
+        self.state.lock().admission.load(self.board.now())
+    }
+
+    /// Returns whether no request is open, neither of a caller nor of a sibling.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.state.lock().admission.open() == 0
+    }
+
+    /// Notes that the link to a sibling was lost: its questions are not answered any more. Requests
+    /// that were handed over have links of their own.
+    pub(crate) fn link_lost(&self, sibling: NodeId) {
         let mut state = self.state.lock();
-        let actions = state.admission.sibling_lost(self.board.now(), sibling);
-        self.carry_out(&mut state, actions, None);
+        self.refuse_asks(&mut state, sibling);
+    }
+
+    fn refuse_asks(&self, state: &mut State, sibling: NodeId) {
+        let lost: Vec<Ask> = state
+            .asks
+            .extract_if(|_, ask| ask.sibling == sibling)
+            .map(|(_, ask)| ask)
+            .collect();
+        for ask in lost {
+            let now = self.board.now();
+            let actions = state.admission.sibling_refused(now, ask.request, sibling);
+            self.carry_out(state, actions, None);
+        }
     }
 
     /// Sets whether new work is taken.
@@ -269,6 +312,13 @@
         self.carry_out(&mut state, actions, None);
     }
 
+    /// Sets whether the backend server is about to leave: then nothing more is run there.
+    pub(crate) fn set_leaving(&self, is_leaving: bool) {
+        if self.is_leaving.swap(is_leaving, Ordering::Relaxed) != is_leaving {
+            self.follow();
+        }
+    }
+
     /// Notes that the backend server has started anew.
     pub(crate) fn turn_cold(&self) {
         self.state.lock().admission.turn_cold(self.board.now());
@@ -301,7 +351,7 @@
         let actions = state.admission.tick(self.board.now());
         self.carry_out(&mut state, actions, None);
         let State { requests, asks, .. } = &mut *state;
-        asks.retain(|_, request| requests.contains_key(request));
+        asks.retain(|_, ask| requests.contains_key(&ask.request));
     }
 
     fn report(&self) {
@@ -326,8 +376,10 @@
             .board
             .with_bundle(|bundle| bundle.service(&agent.service).cloned())
             .flatten();
-        let siblings = self.siblings(&agent.service);
         let mut state = self.state.lock();
+        let siblings = self.siblings(&agent.service, &state.loads);
+        let is_sibling = |node: &NodeId| siblings.iter().any(|s| s.node == *node);
+        state.loads.retain(|node, _| is_sibling(node));
         state.admission.set_siblings(&siblings);
         if found != state.service {
             if let Some(service) = &found {
@@ -342,14 +394,14 @@
     fn serving_state(&self, service: &str) -> ServingState {
         let domain = &self.board.settings.node.domain;
         let serves = self.board.with_bundle(|b| b.serves(service, domain));
-        match (serves, self.board.own().state) {
-            (Some(false), _) => ServingState::Out,
-            (_, MemberState::Draining | MemberState::Left) => ServingState::Draining,
+        match serves {
+            Some(false) => ServingState::Out,
+            _ if self.is_leaving.load(Ordering::Relaxed) => ServingState::Draining,
             _ => ServingState::Ready,
         }
     }
 
-    fn siblings(&self, service: &str) -> Vec<Sibling> {
+    fn siblings(&self, service: &str, loads: &HashMap<NodeId, Load>) -> Vec<Sibling> {
         let members = self.board.members();
         let is_sibling = |m: &&Member| {
             m.record.node != self.board.id
@@ -359,10 +411,11 @@
                 && m.health == Health::Alive
         };
         let found = members.iter().filter(is_sibling);
-        found.map(|m| self.sibling(service, m)).collect()
+        let load = |m: &Member| loads.get(&m.record.node).copied();
+        found.map(|m| self.sibling(service, m, load(m))).collect()
     }
 
-    fn sibling(&self, service: &str, member: &Member) -> Sibling {
+    fn sibling(&self, service: &str, member: &Member, load: Option<Load>) -> Sibling {
         let record = &member.record;
         let serves = self
             .board
@@ -373,21 +426,24 @@
             (Some(true), _) => SiblingState::Draining,
             _ => SiblingState::Out,
         };
-        Sibling::new(record.node, record.domain.clone())
+        let sibling = Sibling::new(record.node, record.domain.clone())
             .with_free(record.free)
-            .with_state(state)
+            .with_state(state);
+        match load {
+            Some(load) => sibling
+                .with_free(load.free)
+                .with_rate(f64::from(load.rate_milli) / 1_000.0),
+            None => sibling,
+        }
     }
 
     fn carry_out(&self, state: &mut State, actions: Vec<Action>, back: Option<&LinkSender>) {
-        let mut left = actions;
-        while !left.is_empty() {
-            let mut unreachable = Vec::new();
-            for action in left.drain(..) {
-                self.carry_out_one(state, action, back, &mut unreachable);
-            }
-            for sibling in unreachable {
-                left.extend(state.admission.sibling_lost(self.board.now(), sibling));
-            }
+        let mut unreachable = Vec::new();
+        for action in actions {
+            self.carry_out_one(state, action, back, &mut unreachable);
+        }
+        for sibling in unreachable {
+            self.refuse_asks(state, sibling);
         }
     }
 
@@ -406,7 +462,7 @@
                 token,
                 deadline,
             } => {
-                state.asks.insert(token, request);
+                state.asks.insert(token, Ask { request, sibling });
                 let remaining = deadline.saturating_sub(self.board.now());
                 let asked = RequestBody::Reserve(Reserve {
                     token,
@@ -434,6 +490,7 @@
             } => self.release(sibling, reservation),
             Action::Refuse { request, refusal } => {
                 self.count_refusal(&refusal);
+                tracing::debug!(?request, ?refusal, "a request is refused");
                 state.end(request, Directive::Refuse(refusal));
             }
             Action::Deliver { request } => state.end(request, Directive::Deliver),
@@ -444,7 +501,7 @@
             Action::Grant {
                 token, reservation, ..
             } => {
-                let load = Some(state.load());
+                let load = Some(state.admission.load(self.board.now()));
                 let granted = Granted {
                     token,
                     reservation,
@@ -453,7 +510,7 @@
                 self.reply(back, RequestBody::Granted(granted));
             }
             Action::Decline { token, .. } => {
-                let load = Some(state.load());
+                let load = Some(state.admission.load(self.board.now()));
                 self.reply(back, RequestBody::Declined(Declined { token, load }));
             }
         }
@@ -507,15 +564,8 @@
 
     fn note_load(&mut self, sibling: NodeId, load: Option<Load>) {
         if let Some(load) = load {
-            let rate = f64::from(load.rate_milli) / 1_000.0;
-            self.admission.note_load(sibling, load.free, rate);
-        }
-    }
-
-    fn load(&self) -> Load {
-        Load {
-            free: self.admission.limit().free(),
-            rate_milli: 0,
+            self.admission.note_load(sibling, load);
+            self.loads.insert(sibling, load);
         }
     }
 
--- a/crates/buckthornweir_daemon/src/agent/flow_server.rs
+++ b/crates/buckthornweir_daemon/src/agent/flow_server.rs
@@ -11,30 +11,44 @@
 use buckthornweir_flows::ownership::{Action, DropReason, Ownership};
 use buckthornweir_flows::packet::{FiveTuple, PacketInfo, parse};
 use buckthornweir_flows::view::AgentView;
-use buckthornweir_wire::NodeId;
+use buckthornweir_requests::messages::{Load, RequestBody, RequestMessage};
+use buckthornweir_wire::{Body, NodeId};
+use rand::seq::IteratorRandom as _;
 use smol_str::{SmolStr, format_smolstr};
 use tokio_util::sync::CancellationToken;
 
+use super::desk::Desk;
 use super::mover::Mover;
 use super::serve::Server;
 use super::shards::FlowTable;
-use crate::board::Blackboard;
+use crate::board::{Blackboard, Leaving};
 use crate::peer_packets::PeerSocket;
 use crate::views::{GATHER, ViewBuilder};
 
 /// How often lookups and offers are repeated where an answer is missing.
 const TICK: Duration = Duration::from_millis(10);
 
+/// How long a leaving backend server still gets the requests of flows that have not moved yet.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
+/// How often an agent tells its load to siblings.
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+
+/// How many siblings are told each time.
+const LOAD_REPORTS: usize = 3;
+
 /// Serves the flows of one agent.
 pub(crate) struct FlowServer {
-    board: Arc<Blackboard>,
-    service: SmolStr,
-    ownership: Arc<Ownership>,
-    table: Arc<FlowTable>,
-    mover: Arc<Mover>,
-    server: Server,
-    peers: Arc<PeerSocket>,
-    view: ArcSwapOption<AgentView>,
+    pub(super) board: Arc<Blackboard>,
+    pub(super) service: SmolStr,
+    pub(super) ownership: Arc<Ownership>,
+    pub(super) table: Arc<FlowTable>,
+    pub(super) mover: Arc<Mover>,
+    pub(super) desk: Arc<Desk>,
+    pub(super) server: Server,
+    pub(super) peers: Arc<PeerSocket>,
+    /// Empty until there is a bundle with the service.
+    pub(super) view: ArcSwapOption<AgentView>,
 }
 
 /// The packet that a decision is about.
@@ -44,27 +58,6 @@
 }
 
 impl FlowServer {
-    pub(crate) fn new(
-        board: Arc<Blackboard>,
-        service: SmolStr,
-        ownership: Arc<Ownership>,
-        table: Arc<FlowTable>,
-        mover: Arc<Mover>,
-        server: Server,
-        peers: Arc<PeerSocket>,
-    ) -> Self {
-        Self {
-            board,
-            service,
-            ownership,
-            table,
-            mover,
-            server,
-            peers,
-            view: ArcSwapOption::empty(),
-        }
-    }
-
     /// Takes a message of a balancer or a sibling agent.
     pub(crate) fn receive(&self, body: FlowBody) {
         let Some(view) = self.view.load_full() else {
@@ -108,6 +101,8 @@
         let mut builder = ViewBuilder::new(&self.board.settings.node.key);
         let mut changes = self.board.changes();
         let mut ticks = tokio::time::interval(TICK);
+        let mut leaving_since = None;
+        let mut next_report = Duration::ZERO;
         let mut changed_at = Some(Duration::ZERO);
         while !stop.is_cancelled() {
             tokio::select! {
@@ -121,6 +116,13 @@
                 changed_at = None;
                 self.follow(&mut builder);
             }
+            if self.board.now() >= next_report {
+                next_report = self.board.now() + LOAD_PERIOD;
+                if let Some(view) = self.view.load_full() {
+                    self.tell_load(&view);
+                }
+            }
+            self.follow_leaving(&mut leaving_since);
             self.tick();
         }
     }
@@ -136,6 +138,38 @@
         self.carry_out(&view, actions, None);
     }
 
+    /// Takes a sibling's report of its load.
+    pub(crate) fn note_load(&self, sibling: NodeId, load: Load) {
+        self.desk.note_load(sibling, load);
+    }
+
+    /// Tells the own load to a few siblings drawn at random.
+    fn tell_load(&self, view: &AgentView) {
+        let load = self.desk.load();
+        let own = self.board.id;
+        let siblings = view.service.members().iter().filter(|m| m.node != own);
+        for sibling in siblings.sample(&mut rand::rng(), LOAD_REPORTS) {
+            let message = RequestMessage::new(RequestBody::Load(load));
+            self.peers
+                .send_body(sibling.address, Body::Request(Box::new(message)));
+        }
+    }
+
+    /// Hands flows over while this process takes no new ones. What a leaving backend server runs
+    /// ends [`LEAVING_GRACE`] later.
+    fn follow_leaving(&self, leaving_since: &mut Option<Duration>) {
+        let leaving = self.board.own().leaving;
+        self.server.set_draining(leaving != Leaving::No);
+        let now = self.board.now();
+        let backend_leaves = matches!(leaving, Leaving::BackendServer | Leaving::Operator);
+        if !backend_leaves {
+            *leaving_since = None;
+        }
+        let since = backend_leaves.then(|| *leaving_since.get_or_insert(now));
+        let is_over = since.is_some_and(|since| now >= since + LEAVING_GRACE);
+        self.desk.set_leaving(is_over);
+    }
+
     fn tick(&self) {
         let Some(view) = self.view.load_full() else {
             return;
@@ -147,14 +181,9 @@
         self.move_all(&view, self.mover.tick(&view));
     }
 
-    /// Ends every flow after the request that runs on it, or hands it over.
-    pub(crate) fn drain(&self) {
-        self.server.drain();
-    }
-
-    /// Returns whether no flow is left, and none is on its way to a sibling.
+    /// Returns whether no flow and no request is left, and none is on its way to a sibling.
     pub(crate) fn is_drained(&self) -> bool {
-        self.server.serving() == 0 && self.mover.is_done()
+        self.server.serving() == 0 && self.mover.is_done() && self.desk.is_idle()
     }
 
     /// Resets every flow that is left.
@@ -190,7 +219,7 @@
             (Action::Abandon(tuple), _) => self.table.abandon(&tuple),
             (Action::GiveUp(tuple), _) => self.reset(&tuple, "the failure domain is out"),
             (Action::Reset(bytes), _) => {
-                metrics.count(Count::FlowsReset);
+                metrics.count(Count::FlowsUnowned);
                 self.table.send(&bytes);
             }
             (Action::Send { to, body }, _) => self.send(view, to, body),
--- a/crates/buckthornweir_daemon/src/agent/health.rs
+++ b/crates/buckthornweir_daemon/src/agent/health.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use buckthornweir_events::EventKind;
-use buckthornweir_members::MemberState;
+use buckthornweir_members::{Health, MemberState};
 use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::Backend;
 use super::desk::Desk;
-use crate::board::Blackboard;
+use crate::board::{Blackboard, Leaving};
 
 /// How often the backend server is looked at.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -29,11 +29,18 @@
 /// How many looks in a row must fail before new flows go elsewhere.
 const FAILED_LOOKS: u32 = 2;
 
+/// What a backend server that is leaving answers, with a status other than success.
+const LEAVING_WORD: &[u8] = b"draining";
+
+/// The longest such answer in bytes.
+const WORD_LIMIT: usize = 4_096;
+
 /// What one look at the backend server saw.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Look {
     Well,
     Unwell,
+    Leaving,
     Unreachable,
 }
 
@@ -72,9 +79,10 @@
 impl Watcher {
     fn note(&mut self, look: Look) {
         match look {
-            Look::Well => self.failed = 0,
+            Look::Well | Look::Leaving => self.failed = 0,
             Look::Unwell | Look::Unreachable => self.failed += 1,
         }
+        self.note_leaving(look);
         if look == Look::Unreachable {
             self.unreachable = true;
         } else if self.unreachable {
@@ -85,12 +93,34 @@
         self.announce();
     }
 
+    /// Follows the backend server's own word that it is leaving, or that it is back.
+    fn note_leaving(&self, look: Look) {
+        let leaving = self.board.own().leaving;
+        if look == Look::Leaving && leaving == Leaving::No {
+            self.board.leave(Leaving::BackendServer);
+            self.record(MemberState::Draining);
+        }
+        let is_back = matches!(look, Look::Well | Look::Unwell);
+        if is_back && leaving == Leaving::BackendServer {
+            self.desk.turn_cold();
+            self.board.update_own(|own| {
+                own.leaving = Leaving::No;
+                own.state = MemberState::Cold;
+            });
+        }
+    }
+
+    fn record(&self, state: MemberState) {
+        let state = crate::gossip::state_word(state, Health::Alive).into();
+        self.board.record(EventKind::BackendChanged { state });
+    }
+
     fn announce(&self) {
-        let before = self.board.own().state;
-        if matches!(before, MemberState::Draining | MemberState::Left) {
-            self.board.update_own(|own| own.weight = 0);
+        let own = self.board.own();
+        if own.leaving != Leaving::No {
             return;
         }
+        let before = own.state;
         let warmth = self.desk.warmth();
         let weight = if self.failed >= FAILED_LOOKS {
             0
@@ -107,9 +137,7 @@
             own.state = state;
         });
         if state != before {
-            let state = crate::gossip::state_word(state, buckthornweir_members::Health::Alive);
-            let state = state.into();
-            self.board.record(EventKind::BackendChanged { state });
+            self.record(state);
         }
     }
 }
@@ -123,18 +151,25 @@
 
 async fn look(backend: &Backend, path: &str) -> Look {
     match timeout(ANSWER_LIMIT, ask(backend, path)).await {
-        Ok(Some(status)) if status.is_success() => Look::Well,
-        Ok(Some(_)) => Look::Unwell,
+        Ok(Some(look)) => look,
         Ok(None) | Err(_) => Look::Unreachable,
     }
 }
 
-async fn ask(backend: &Backend, path: &str) -> Option<StatusCode> {
+async fn ask(backend: &Backend, path: &str) -> Option<Look> {
     let mut connection = backend.open().await.ok()?;
     let request = Request::get(path)
         .header("host", "backend")
         .body(Full::<Bytes>::default())
         .ok()?;
     let response = connection.send(request).await.ok()?;
-    Some(response.status())
+    if response.status().is_success() {
+        return Some(Look::Well);
+    }
+    let body = Limited::new(response.into_body(), WORD_LIMIT);
+    let word = body.collect().await.ok()?.to_bytes();
+    if word.trim_ascii() == LEAVING_WORD {
+        return Some(Look::Leaving);
+    }
+    Some(Look::Unwell)
 }
--- a/crates/buckthornweir_daemon/src/agent/http_flow.rs
+++ b/crates/buckthornweir_daemon/src/agent/http_flow.rs
@@ -13,8 +13,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::sync::watch;
 use tokio::time::{Interval, interval};
-use tokio_util::sync::CancellationToken;
 
 use super::desk::Desk;
 use super::mover::Mover;
@@ -29,7 +29,7 @@
     desk: Arc<Desk>,
     mover: Arc<Mover>,
     deadline: Duration,
-    draining: CancellationToken,
+    draining: watch::Receiver<bool>,
     busy: Arc<AtomicUsize>,
 }
 
@@ -45,7 +45,7 @@
         desk: Arc<Desk>,
         mover: Arc<Mover>,
         deadline: Duration,
-        draining: CancellationToken,
+        draining: watch::Receiver<bool>,
     ) -> Self {
         Self {
             desk,
@@ -68,12 +68,15 @@
                 .serve_connection(TokioIo::new(stream), service);
             let run = {
                 let mut looks = interval(LOOK);
-                let mut draining = std::pin::pin!(self.draining.cancelled());
+                let mut changes = self.draining.clone();
+                let mut draining = std::pin::pin!(changes.wait_for(|draining| *draining));
+                let mut is_draining = false;
                 poll_fn(|cx| {
                     if Pin::new(&mut connection).poll(cx).is_ready() {
                         return Poll::Ready(Run::Over);
                     }
-                    if draining.as_mut().poll(cx).is_pending() {
+                    is_draining = is_draining || draining.as_mut().poll(cx).is_ready();
+                    if !is_draining {
                         return Poll::Pending;
                     }
                     self.look(cx, &mut looks, || watch.is_quiet())
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -20,6 +20,7 @@
 
 use std::sync::Arc;
 
+use arc_swap::ArcSwapOption;
 use buckthornweir_flows::ownership::{OwnerLimits, Ownership};
 use buckthornweir_flows::stack::StackLimits;
 use tokio::runtime::Handle;
@@ -92,15 +93,17 @@
         runtime.clone(),
     );
     timers::start(&table, stop)?;
-    let flows = Arc::new(FlowServer::new(
-        board.clone(),
-        settings.service.clone(),
+    let flows = Arc::new(FlowServer {
+        board: board.clone(),
+        service: settings.service.clone(),
         ownership,
         table,
         mover,
+        desk: desk.clone(),
         server,
-        peers.clone(),
-    ));
+        peers: peers.clone(),
+        view: ArcSwapOption::empty(),
+    });
     runtime.spawn(flows.clone().run(stop.clone()));
     runtime.spawn(desk.clone().run_timers(stop.clone()));
     runtime.spawn(health::watch(
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -110,24 +110,30 @@
         let mut directives = opened.directives;
         let guard = RequestGuard::new(self.clone(), opened.key);
         let mut held = None;
+        let mut next = None;
         loop {
-            match directives.recv().await {
+            let directive = match next.take() {
+                Some(directive) => Some(directive),
+                None => directives.recv().await,
+            };
+            match directive {
                 Some(Directive::Run) => {
-                    let tried = run_here(&guard, &request, &mut directives).await;
-                    match tried {
+                    let work = exchange(&guard, &request);
+                    match until_directive(&guard, work, &mut directives).await {
                         Tried::Answer(response) => return Served::Answer(response),
                         Tried::Ended(answer) => held = answer,
+                        Tried::Directed(directive) => next = directive,
                     }
                 }
                 Some(Directive::HandOver {
                     sibling,
                     reservation,
                 }) => {
-                    let handed = hand_over(&guard, &request, sibling, reservation);
-                    let tried = until_abort(&guard, handed, &mut directives).await;
-                    match tried {
+                    let work = hand_over(&guard, &request, sibling, reservation);
+                    match until_directive(&guard, work, &mut directives).await {
                         Tried::Answer(response) => return Served::Answer(response),
                         Tried::Ended(answer) => held = answer,
+                        Tried::Directed(directive) => next = directive,
                     }
                 }
                 Some(Directive::Abort) => {}
@@ -154,6 +160,8 @@
     Answer(Response<AnswerBody>),
     /// The try ended and was reported; an error answer may be at hand.
     Ended(Option<Response<AnswerBody>>),
+    /// The desk gave the try up by itself; this is what follows, if it is known.
+    Directed(Option<Directive>),
 }
 
 /// Reports a request as given up when its task is dropped before its end.
@@ -253,35 +261,24 @@
     }
 }
 
-/// Tries the request at the own backend server.
-async fn run_here(
-    guard: &RequestGuard,
-    request: &ReadRequest,
-    directives: &mut mpsc::UnboundedReceiver<Directive>,
-) -> Tried {
-    until_abort(guard, exchange(guard, request), directives).await
-}
-
-/// Waits for a try, or gives it up when the desk says so.
-async fn until_abort(
+/// Waits for a try, or gives it up when the desk directs otherwise.
+async fn until_directive(
     guard: &RequestGuard,
     work: impl Future<Output = Tried>,
     directives: &mut mpsc::UnboundedReceiver<Directive>,
 ) -> Tried {
-    tokio::select! {
+    let directive = tokio::select! {
         biased;
         tried = work => return tried,
-        () = aborted(directives) => {}
-    }
-    guard.finish(Outcome::Silent);
-    Tried::Ended(None)
-}
-
-async fn aborted(directives: &mut mpsc::UnboundedReceiver<Directive>) {
-    while let Some(directive) = directives.recv().await {
-        if matches!(directive, Directive::Abort) {
-            return;
+        directive = directives.recv() => directive,
+    };
+    match directive {
+        Some(Directive::Abort) => {
+            guard.finish(Outcome::Silent);
+            Tried::Ended(None)
         }
+        Some(directive) => Tried::Directed(Some(directive)),
+        None => Tried::Directed(Some(Directive::Cut)),
     }
 }
 
--- a/crates/buckthornweir_daemon/src/agent/serve.rs
+++ b/crates/buckthornweir_daemon/src/agent/serve.rs
@@ -6,7 +6,7 @@
 
 use buckthornweir_bundle::{Protocol, Service};
 use tokio::runtime::Handle;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::watch;
 
 use super::Backend;
 use super::desk::Desk;
@@ -23,7 +23,7 @@
     backend: Arc<Backend>,
     mover: Arc<Mover>,
     runtime: Handle,
-    draining: CancellationToken,
+    draining: watch::Sender<bool>,
     serving: Arc<AtomicUsize>,
 }
 
@@ -41,14 +41,18 @@
             backend,
             mover,
             runtime,
-            draining: CancellationToken::new(),
+            draining: watch::Sender::new(false),
             serving: Arc::default(),
         }
     }
 
-    /// Ends every flow after the request that runs on it, or hands it over.
-    pub(crate) fn drain(&self) {
-        self.draining.cancel();
+    /// Sets whether flows are handed over between two requests.
+    pub(crate) fn set_draining(&self, is_draining: bool) {
+        self.draining.send_if_modified(|draining| {
+            let changed = *draining != is_draining;
+            *draining = is_draining;
+            changed
+        });
     }
 
     /// Returns how many flows are being served.
@@ -69,7 +73,7 @@
                     self.desk.clone(),
                     self.mover.clone(),
                     service.deadline,
-                    self.draining.clone(),
+                    self.draining.subscribe(),
                 );
                 self.runtime.spawn(counted.during(flow.run(stream)));
             }
--- a/crates/buckthornweir_daemon/src/agent/shards.rs
+++ b/crates/buckthornweir_daemon/src/agent/shards.rs
@@ -6,13 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_events::{Count, Gauge};
+use buckthornweir_events::{Count, EventKind, Gauge};
 use buckthornweir_flows::moving::QuietFlow;
 use buckthornweir_flows::ownership::Ownership;
 use buckthornweir_flows::packet::{FiveTuple, PacketInfo, parse};
 use buckthornweir_flows::stack::{FlowStack, StackLimits};
 use parking_lot::Mutex;
 use slotmap::{SlotMap, new_key_type};
+use smol_str::format_smolstr;
 
 use super::outlet::Outlet;
 use super::stream::FlowStream;
@@ -260,6 +261,11 @@
         if !closed && flow.stack.is_open() {
             flow.stack.abort();
             self.context.board.metrics.count(Count::FlowsReset);
+            let flow = format_smolstr!("{} {}", flow.tuple.caller, flow.tuple.service);
+            let reason = "its connection was cut".into();
+            self.context
+                .board
+                .record(EventKind::FlowReset { flow, reason });
         }
         self.flush(&mut inner, key, self.context.board.now());
     }
--- a/crates/buckthornweir_daemon/src/board.rs
+++ b/crates/buckthornweir_daemon/src/board.rs
@@ -35,6 +35,22 @@
     pub weight: u8,
     /// Free slots.
     pub free: u32,
+    /// Whether and why this process takes no new flows.
+    pub leaving: Leaving,
+}
+
+/// Why a process takes no new flows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Leaving {
+    /// It takes new flows.
+    #[default]
+    No,
+    /// Its backend server said that it is leaving.
+    BackendServer,
+    /// An operator asked for it.
+    Operator,
+    /// The process itself stops; its backend server stays.
+    Process,
 }
 
 /// What the control role tells about itself.
@@ -75,6 +91,7 @@
             state: first_state(&settings),
             weight: 0,
             free: 0,
+            leaving: Leaving::No,
         };
         Ok(Arc::new(Self {
             id: node_id(&settings.node.name),
@@ -191,6 +208,17 @@
         changed
     }
 
+    /// Takes no new flows from now on, for the first reason that was given.
+    pub(crate) fn leave(&self, reason: Leaving) {
+        self.update_own(|own| {
+            if own.leaving == Leaving::No {
+                own.leaving = reason;
+            }
+            own.state = MemberState::Draining;
+            own.weight = 0;
+        });
+    }
+
     /// Sets the free slots that this process announces; controllers are not woken for it.
     pub(crate) fn report_free(&self, free: u32) {
         self.own.lock().free = free;
--- a/crates/buckthornweir_daemon/src/dispatch.rs
+++ b/crates/buckthornweir_daemon/src/dispatch.rs
@@ -67,14 +67,7 @@
     /// Notes that a link dialed to `peer` was lost.
     pub(crate) fn link_lost(&self, peer: NodeId) {
         if let Some(desk) = self.desk.get() {
-            desk.sibling_lost(peer);
-        }
-    }
-
-    /// Notes that a link dialed by `peer` was lost.
-    pub(crate) fn incoming_lost(&self, peer: NodeId) {
-        if let Some(desk) = self.desk.get() {
-            desk.sibling_lost(peer);
+            desk.link_lost(peer);
         }
     }
 }
--- a/crates/buckthornweir_daemon/src/lib.rs
+++ b/crates/buckthornweir_daemon/src/lib.rs
@@ -33,7 +33,7 @@
 mod threads;
 mod views;
 
-pub use board::{Blackboard, Member, OwnState, QuorumState};
+pub use board::{Blackboard, Leaving, Member, OwnState, QuorumState};
 pub use fault::{DaemonError, Result};
 pub use node::Node;
 pub use settings::{
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -181,6 +181,7 @@
     fn dial(self: &Arc<Self>, peer: NodeId, address: SocketAddr) -> LinkSender {
         let (sender, receiver) = mpsc::channel(WAITING);
         let links = self.clone();
+        let own = sender.downgrade();
         let back = LinkSender {
             sender: sender.clone(),
         };
@@ -199,13 +200,27 @@
                 let peer = address.to_smolstr();
                 links.board.record(EventKind::LinkLost { peer });
             }
-            links.open.lock().remove(&peer);
+            links.forget(peer, &own);
             links.dispatch.link_lost(peer);
         });
         LinkSender { sender }
     }
 }
 
+impl Links {
+    /// Forgets a link that has ended, unless another has taken its place.
+    fn forget(&self, peer: NodeId, ended: &mpsc::WeakSender<Envelope>) {
+        let mut open = self.open.lock();
+        let is_same = match (open.get(&peer), ended.upgrade()) {
+            (Some(link), Some(ended)) => link.sender.same_channel(&ended),
+            _ => false,
+        };
+        if is_same {
+            open.remove(&peer);
+        }
+    }
+}
+
 impl std::fmt::Debug for Links {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Links").finish_non_exhaustive()
@@ -298,25 +313,20 @@
     /// Runs both directions until either ends or `stop` is cancelled.
     async fn run(self, link: Link, receiver: mpsc::Receiver<Envelope>, stop: &CancellationToken) {
         let (reader, writer) = link.split();
-        let mut peer = None;
         tokio::select! {
             () = stop.cancelled() => {}
             () = send_all(&self.board, writer, receiver) => {}
-            () = self.receive_all(reader, &mut peer) => {}
-        }
-        if let Some(peer) = peer {
-            self.dispatch.incoming_lost(peer);
+            () = self.receive_all(reader) => {}
         }
     }
 
-    async fn receive_all(&self, mut reader: LinkReader, peer: &mut Option<NodeId>) {
+    async fn receive_all(&self, mut reader: LinkReader) {
         loop {
             let received = match timeout(SILENCE_LIMIT, reader.receive()).await {
                 Ok(Ok(envelope)) => envelope,
                 Ok(Err(error)) => return self.note(&error),
                 Err(_) => return,
             };
-            *peer = Some(received.from);
             self.board.observe(&received);
             self.dispatch.receive(received, &self.back);
         }
--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -4,12 +4,11 @@
 use std::time::{Duration, Instant};
 
 use buckthornweir_events::EventKind;
-use buckthornweir_members::MemberState;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::{self, Agent};
-use crate::board::Blackboard;
+use crate::board::{Blackboard, Leaving};
 use crate::control::Control;
 use crate::dispatch::Dispatch;
 use crate::fault::Result;
@@ -99,14 +98,13 @@
         let limit = Instant::now() + self.board.settings.node.stop_limit;
         let mut all_ended = true;
         if let Some(agent) = &self.agent {
-            self.board.update_own(|own| {
-                own.state = MemberState::Draining;
-                own.weight = 0;
-            });
-            wait_until(limit.min(Instant::now() + ANNOUNCE), || false).await;
-            agent.flows.drain();
+            let announced = limit.min(Instant::now() + ANNOUNCE);
+            self.board.leave(Leaving::Process);
             wait_until(limit, || agent.flows.is_drained()).await;
             all_ended = agent.flows.is_drained();
+            // Packets that come until all others have heard are still passed on.
+            wait_until(announced, || false).await;
+            wait_until(limit, || agent.desk.is_idle()).await;
             agent.flows.give_up();
         }
         self.board.record(EventKind::Stopped);
--- a/crates/buckthornweir_daemon/src/operators.rs
+++ b/crates/buckthornweir_daemon/src/operators.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use buckthornweir_events::{Filter, Gauge, Stamp};
-use buckthornweir_members::{Health, MemberState};
+use buckthornweir_members::Health;
 use buckthornweir_wire::{
     Body, BundleReply, DrainReply, MemberRow, MembersReply, MetricsReply, OperatorMessage,
     PushOutcome, PushReply, Reply, Request, StatusReply, TimelineReply, TimelineRequest,
 };
 
-use crate::board::{Blackboard, Member};
+use crate::board::{Blackboard, Leaving, Member};
 use crate::dispatch::Dispatch;
 use crate::gossip::{role_words, roles_of, state_word};
 use crate::links::LinkSender;
@@ -131,7 +131,7 @@
 fn drain(board: &Blackboard) -> DrainReply {
     let is_agent = board.settings.agent.is_some();
     if is_agent {
-        board.update_own(|own| own.state = MemberState::Draining);
+        board.leave(Leaving::Operator);
     }
     DrainReply { draining: is_agent }
 }
--- a/crates/buckthornweir_daemon/src/peer_packets.rs
+++ b/crates/buckthornweir_daemon/src/peer_packets.rs
@@ -5,7 +5,8 @@
 
 use buckthornweir_events::Count;
 use buckthornweir_flows::messages::{FlowBody, FlowMessage};
-use buckthornweir_wire::{Body, DATAGRAM_LIMIT, Envelope, open, seal};
+use buckthornweir_requests::messages::RequestBody;
+use buckthornweir_wire::{Body, DATAGRAM_LIMIT, Envelope, NodeId, open, seal};
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::FlowServer;
@@ -41,8 +42,12 @@
 
     /// Sends a message. Returns whether the socket took it.
     pub(crate) fn send(&self, to: SocketAddr, body: FlowBody) -> bool {
-        let message = Body::Flow(FlowMessage::from(body));
-        let envelope = Envelope::new(self.board.id, message);
+        self.send_body(to, Body::Flow(FlowMessage::from(body)))
+    }
+
+    /// Sends a message of any kind. Returns whether the socket took it.
+    pub(crate) fn send_body(&self, to: SocketAddr, body: Body) -> bool {
+        let envelope = Envelope::new(self.board.id, body);
         let datagram = seal(&self.board.settings.node.key, &envelope);
         let is_sent = self.socket.send_to(&datagram, to).is_ok();
         if !is_sent {
@@ -103,6 +108,7 @@
         };
         let body = match envelope.body {
             Some(Body::Flow(message)) => message.body,
+            Some(Body::Request(message)) => return self.request(envelope.from, message.body),
             _ => None,
         };
         match body {
@@ -119,4 +125,10 @@
             None => board.metrics.count(Count::DatagramsMalformed),
         }
     }
+
+    fn request(&self, from: NodeId, body: Option<RequestBody>) {
+        if let (Some(agent), Some(RequestBody::Load(load))) = (self.roles.agent.get(), body) {
+            agent.note_load(from, load);
+        }
+    }
 }
--- a/crates/buckthornweir_daemon/tests/support/mod.rs
+++ b/crates/buckthornweir_daemon/tests/support/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+pub(crate) mod deployment;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -82,6 +82,8 @@
         FlowsEnded = "flows_ended_total", "Flows that ended at this agent";
         /// Flows given up with a reset.
         FlowsReset = "flows_reset_total", "Flows given up with a reset";
+        /// Packets answered with a reset because no agent owns their flow.
+        FlowsUnowned = "flows_unowned_total", "Packets answered with a reset because no agent owns their flow";
         /// Flows handed to another agent.
         FlowsMovedOut = "flows_moved_out_total", "Flows handed to another agent";
         /// Flows taken over from another agent.
--- a/crates/buckthornweir_requests/src/messages.rs
+++ b/crates/buckthornweir_requests/src/messages.rs
@@ -302,7 +302,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RequestMessage {
     /// What it is about.
-    #[prost(oneof = "RequestBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "RequestBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 20")]
     pub body: Option<RequestBody>,
 }
 
@@ -342,6 +342,9 @@
     /// A claimed request ended.
     #[prost(message, tag = "11")]
     KeyDone(KeyDone),
+    /// Load of the backend server, told now and then.
+    #[prost(message, tag = "20")]
+    Load(Load),
 }
 
 impl RequestMessage {
