--- a/crates/buckthornweir_flows/src/placement.rs
+++ b/crates/buckthornweir_flows/src/placement.rs
@@ -1,7 +1,9 @@
 //! The agent that gets a new flow, worked out by every node from the same members.
 //!
 //! A keyed hash of the flow picks a bucket, and weighted rendezvous hashing picks the agent of each
-//! bucket. The table is worked out once for each change of the members and swapped whole.
+//! bucket, within a bound for each agent that keeps the table even. The table is worked out once for each change of the members and swapped whole.
+
+mod table;
 
 use crate::NodeId;
 use crate::hash::{Purpose, flow_hash, mix};
@@ -56,10 +58,10 @@
         candidates.sort_by_key(|candidate| candidate.node);
         candidates.dedup_by_key(|candidate| candidate.node);
         candidates.truncate(usize::from(NO_OWNER));
-        let seed = bucket_seed(&key);
-        let owners = (0..BUCKETS)
-            .map(|bucket| first_choice(mix(seed, u64::from(bucket)), &candidates))
-            .collect();
+        for candidate in &mut candidates {
+            candidate.weight = candidate.weight.min(MAX_WEIGHT);
+        }
+        let owners = table::fill(bucket_seed(&key), &candidates);
         Self {
             key,
             candidates,
@@ -104,26 +106,11 @@
     mix(number(low), number(high))
 }
 
-/// Returns the index of the candidate that rendezvous hashing gives a bucket.
-fn first_choice(hash: u64, candidates: &[Candidate]) -> u16 {
-    let mut best = None;
-    for (index, candidate) in candidates.iter().enumerate() {
-        if candidate.weight == 0 {
-            continue;
-        }
-        let cost = cost(hash, candidate);
-        if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, index as u16));
-        }
-    }
-    best.map_or(NO_OWNER, |(_, index)| index)
-}
-
 /// Returns the cost of a candidate for a bucket: the lowest one wins, in proportion to the weights.
 fn cost(hash: u64, candidate: &Candidate) -> f64 {
     let weight = match candidate.weight {
         0 => MAX_WEIGHT,
-        weight => weight.min(MAX_WEIGHT),
+        weight => weight,
     };
     -unit(mix(hash, candidate.node)).ln() / f64::from(weight)
 }
--- a/crates/buckthornweir_flows/tests/placement.rs
+++ b/crates/buckthornweir_flows/tests/placement.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use buckthornweir_flows::prelude::*;
 use common::*;
 
@@ -60,3 +62,49 @@
         "{same} of 10000 flows are placed alike under two keys"
     );
 }
+
+/// Returns the buckets of each candidate.
+fn buckets(placement: &Placement) -> BTreeMap<NodeId, u32> {
+    let owned = |tuple| Some((placement.bucket(&tuple), placement.owner(&tuple)?));
+    let owners: BTreeMap<_, _> = (1..=40_000).map(tuple).filter_map(owned).collect();
+    let mut counts = BTreeMap::new();
+    for owner in owners.into_values() {
+        *counts.entry(owner).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn buckets_follow_the_weights() {
+    let mut members = candidates(1..8, 16);
+    members[0].weight = 1;
+    let counts = buckets(&Placement::new(KEY, &members));
+    let sum: u32 = counts.values().sum();
+    for member in &members {
+        let share = f64::from(counts[&member.node]) / f64::from(sum);
+        let expected = f64::from(member.weight) / 97.0;
+        // The tuples reach about nine tenths of the buckets.
+        assert!(share < expected * 1.2, "{share} for {member:?}");
+        assert!(share > expected * 0.8, "{share} for {member:?}");
+    }
+}
+
+#[test]
+fn one_change_moves_few_flows() {
+    for members in [3, 7, 30] {
+        let before = Placement::new(KEY, &candidates(1..members + 1, 16));
+        let joined = Placement::new(KEY, &candidates(1..members + 2, 16));
+        let left = Placement::new(KEY, &candidates(1..members, 16));
+        for (after, least) in [
+            (joined, 1.0 / (members + 1) as f64),
+            (left, 1.0 / members as f64),
+        ] {
+            let moved = tuples().filter(|tuple| before.owner(tuple) != after.owner(tuple));
+            let share = moved.count() as f64 / 10_000.0;
+            assert!(
+                share < least * 1.5,
+                "{share} of {members} members' flows moved"
+            );
+        }
+    }
+}
