--- a/crates/buckthornweir_flows/src/moving.rs
+++ b/crates/buckthornweir_flows/src/moving.rs
@@ -11,6 +11,7 @@
 
 use crate::NodeId;
 use crate::messages::FlowBody;
+use crate::ownership::Ownership;
 use crate::packet::FiveTuple;
 
 pub use giver::Giver;
@@ -44,3 +45,16 @@
     /// Forget a flow: the agent that may have taken it is gone.
     Lose(FiveTuple),
 }
+
+/// Returns the deliveries of the packets that waited for a flow's owner.
+fn held_packets(
+    ownership: &Ownership,
+    tuple: &FiveTuple,
+) -> impl Iterator<Item = MoveAction> + use<> {
+    let tuple = *tuple;
+    let held = ownership.take_held(&tuple).into_iter();
+    held.map(move |forward| MoveAction::Deliver {
+        tuple,
+        packet: forward.packet,
+    })
+}
--- a/crates/buckthornweir_flows/src/moving/giver.rs
+++ b/crates/buckthornweir_flows/src/moving/giver.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{MAX_BATCH, MoveAction, QuietFlow};
+use super::{MAX_BATCH, MoveAction, QuietFlow, held_packets};
 use crate::NodeId;
 use crate::messages::{FlowBody, Forward, MovedFlow, Offer, Taken};
 use crate::ownership::{MAX_HOPS, Ownership};
@@ -22,7 +22,7 @@
 ///
 /// Its user stops each flow first: [`Ownership::begin_move`], then
 /// [`FlowStack::quiet`](crate::stack::FlowStack::quiet), then the stack is dropped. A flow that turns
-/// out not to be quiet goes on after [`Ownership::end_move`], whose packets go to its stack.
+/// out not to be quiet goes on after [`Ownership::end_move`].
 #[derive(Debug)]
 pub struct Giver {
     node: NodeId,
@@ -211,8 +211,8 @@
 }
 
 fn keep(ownership: &Ownership, flow: QuietFlow, out: &mut Vec<MoveAction>) {
-    let held = ownership.end_move(&flow.tuple).into_iter();
-    let tuple = flow.tuple;
+    let held = held_packets(ownership, &flow.tuple);
+    ownership.end_move(&flow.tuple);
     out.push(MoveAction::Keep(flow));
-    out.extend(held.map(|packet| MoveAction::Deliver { tuple, packet }));
+    out.extend(held);
 }
--- a/crates/buckthornweir_flows/src/moving/taker.rs
+++ b/crates/buckthornweir_flows/src/moving/taker.rs
@@ -2,11 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::{MAX_BATCH, MoveAction, QuietFlow};
+use super::{MAX_BATCH, MoveAction, QuietFlow, held_packets};
 use crate::NodeId;
 use crate::messages::{self, FlowBody, MessageError, Offer, Taken};
 use crate::ownership::Ownership;
-use crate::packet::FiveTuple;
 use crate::view::AgentView;
 
 /// Largest number of answers that are remembered for one giver.
@@ -117,13 +116,3 @@
 fn takes_flows(view: &AgentView, offer: &Offer) -> bool {
     view.takes_flows() && offer.service == view.service.name
 }
-
-/// Returns the deliveries of the packets that waited for a flow's owner.
-fn held_packets(ownership: &Ownership, tuple: &FiveTuple) -> impl Iterator<Item = MoveAction> {
-    let tuple = *tuple;
-    let held = ownership.take_held(&tuple).into_iter();
-    held.map(move |forward| MoveAction::Deliver {
-        tuple,
-        packet: forward.packet,
-    })
-}
--- a/crates/buckthornweir_flows/src/ownership/moves.rs
+++ b/crates/buckthornweir_flows/src/ownership/moves.rs
@@ -23,15 +23,15 @@
         is_established
     }
 
-    /// Goes on with a flow that didn't move after all, and returns the packets that were held for its
-    /// stack.
-    pub fn end_move(&self, tuple: &FiveTuple) -> Vec<Vec<u8>> {
+    /// Goes on with a flow that didn't move after all.
+    ///
+    /// Packets that were held meanwhile are dropped, unless [`take_held`](Self::take_held) was called.
+    pub fn end_move(&self, tuple: &FiveTuple) {
         let mut shard = self.shard(tuple);
         if shard.state(tuple) == Some(FlowState::Moving) {
             shard.set_state(tuple, FlowState::Established);
         }
-        let held = shard.take_held(tuple).into_iter();
-        held.map(|forward| forward.packet).collect()
+        shard.take_held(tuple);
     }
 
     /// Forgets a flow that has moved, and remembers its new owner.
@@ -45,8 +45,8 @@
         self.count_removed(1);
     }
 
-    /// Returns the packets that were held while a flow moved.
-    pub(crate) fn take_held(&self, tuple: &FiveTuple) -> Vec<Forward> {
+    /// Takes the packets that were held while a flow moved.
+    pub fn take_held(&self, tuple: &FiveTuple) -> Vec<Forward> {
         self.shard(tuple).take_held(tuple)
     }
 
--- a/crates/buckthornweir_flows/tests/moving.rs
+++ b/crates/buckthornweir_flows/tests/moving.rs
@@ -577,8 +577,10 @@
     let agent = case.mesh.agent(1);
     assert!(agent.owner.begin_move(&case.tuple));
     assert_eq!(case.packet(1), "1:hold");
-    let held = case.mesh.agent(1).owner.end_move(&case.tuple);
-    assert_eq!(held, [data(&case.tuple, 1, b"x")]);
+    let owner = &case.mesh.agents[&1].owner;
+    let held = owner.take_held(&case.tuple);
+    assert_eq!(held, [forward(&data(&case.tuple, 1, b"x"))]);
+    owner.end_move(&case.tuple);
     assert_eq!(case.packet(1), "1:deliver");
     let mut out = Vec::new();
     case.mesh.agent(1).owner.give_up(&mut out);
--- a/crates/buckthornweir_flows/tests/placement.rs
+++ b/crates/buckthornweir_flows/tests/placement.rs
@@ -108,3 +108,25 @@
         }
     }
 }
+
+#[test]
+fn agents_that_return_cold_get_no_flood() {
+    // Three of seven agents, a whole failure domain, return with the lowest weight step.
+    let before = Placement::new(KEY, &candidates(1..5, 16));
+    let mut members = candidates(1..8, 16);
+    members[4..].iter_mut().for_each(|member| member.weight = 1);
+    let after = Placement::new(KEY, &members);
+    let returned = tuples()
+        .filter(|tuple| after.owner(tuple) > Some(4))
+        .count();
+    let share = returned as f64 / 10_000.0;
+    assert!(
+        share < 3.0 / 67.0 * 1.3,
+        "{share} of the new flows go to cold agents"
+    );
+    let moved = tuples().filter(|tuple| {
+        let owner = after.owner(tuple);
+        owner != before.owner(tuple) && owner < Some(5)
+    });
+    assert!(moved.count() < 200, "flows move between agents that stayed");
+}
