Reset no flow whose owner the agent hasn't heard of

Cause: an agent that didn't know a member which had just joined asked the others, which weren't the owner either, and reset the member's flow. Found by going through uneven membership; a test and a property test failed first (3:hold 3:reset in place of 3:hold). Ruled out: a list of members in each answer (300 members are 2.4 kB a packet) and a fixed wait before each reset (callers of a dead agent would wait as well). Change: each answer carries a digest of the members; a denial counts only from a member that knows the same ones, the others are asked again. An agent that isn't settled passes new flows on. Conclusion: both tests pass; 2,000 mixes of uneven views reset no flow whose owner anyone asked knew.

--- a/crates/buckthornweir_flows/src/messages.rs
+++ b/crates/buckthornweir_flows/src/messages.rs
@@ -147,6 +147,9 @@
     /// Version of the bundle that the agent decided by.
     #[prost(uint64, tag = "7")]
     pub bundle_version: u64,
+    /// Digest of the members of the agent's service as it knows them.
+    #[prost(fixed64, tag = "8")]
+    pub members: u64,
 }
 
 /// What an agent knows about a flow.
--- a/crates/buckthornweir_flows/src/ownership/answers.rs
+++ b/crates/buckthornweir_flows/src/ownership/answers.rs
@@ -33,6 +33,7 @@
             state: state.into(),
             owner,
             bundle_version: view.version,
+            members: view.service.digest(),
         };
         out.push(Action::Send {
             to: query.from,
@@ -69,6 +70,8 @@
         match answer.state() {
             OwnerState::Unknown => {}
             OwnerState::Owned => self.found(&mut shard, view, &tuple, answer.owner, now, out),
+            // The other agent knows a member that this one doesn't, or the reverse: ask again later.
+            OwnerState::NotOwner if !view.agrees(&answer.service, answer.members) => {}
             OwnerState::NotOwner => {
                 lookup.deny(answer.from);
                 if lookup.is_wave_denied() && !self.advance(lookup, view, now, out) {
--- a/crates/buckthornweir_flows/src/ownership/arrivals.rs
+++ b/crates/buckthornweir_flows/src/ownership/arrivals.rs
@@ -93,12 +93,14 @@
         if !is_ours && forward.bundle_version <= view.version {
             return refuse(view, forward, DropReason::WrongService, out);
         }
-        if !view.takes_flows() {
-            let owner = view.service.placement().owner(&info.tuple);
-            return match owner.filter(|&owner| owner != self.node) {
-                Some(owner) => self.pass_on(view, forward, owner, out),
-                None => out.push(Action::Drop(DropReason::NoOwner)),
-            };
+        let is_young = !view.is_settled && forward.hops == 0;
+        if is_young || !view.takes_flows() {
+            if let Some(other) = view.other_owner(&info.tuple) {
+                return self.pass_on(view, forward, other, out);
+            }
+            if !view.takes_flows() {
+                return out.push(Action::Drop(DropReason::NoOwner));
+            }
         }
         if self.len() >= self.limits.flows {
             return out.push(Action::Drop(DropReason::FlowsFull));
@@ -307,6 +309,7 @@
             state: state.into(),
             owner: owner.unwrap_or_default(),
             bundle_version: view.version,
+            members: view.service.digest(),
         };
         out.push(Action::Send {
             to: forward.sender,
--- a/crates/buckthornweir_flows/src/view.rs
+++ b/crates/buckthornweir_flows/src/view.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::NodeId;
+use crate::hash::mix;
 use crate::packet::FiveTuple;
 use crate::placement::{Candidate, Placement};
 
@@ -58,6 +59,7 @@
     pub addresses: Vec<SocketAddr>,
     members: Vec<Member>,
     placement: Placement,
+    digest: u64,
 }
 
 impl ServiceView {
@@ -72,9 +74,12 @@
     ) -> Self {
         let mut members = members;
         members.retain(|member| member.state != MemberState::Left);
-        members.retain(|member| !domains_out.contains(&member.domain));
         members.sort_by_key(|member| member.node);
         members.dedup_by_key(|member| member.node);
+        let digest = members
+            .iter()
+            .fold(0, |digest, member| mix(digest, member.node));
+        members.retain(|member| !domains_out.contains(&member.domain));
         let candidates: Vec<_> = members
             .iter()
             .map(|member| Candidate {
@@ -88,9 +93,15 @@
             addresses,
             members,
             placement,
+            digest,
         }
     }
 
+    /// Returns a digest of the members that haven't left, whether or not their failure domain is out.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns the members that may own flows.
     pub fn members(&self) -> &[Member] {
         &self.members
@@ -126,7 +137,9 @@
     pub state: MemberState,
     /// Whether the agent's own failure domain is out.
     pub is_out: bool,
-    /// Whether the members were learnt from another process since the start.
+    /// Whether this agent knows all members since its start, and all of them know it.
+    ///
+    /// An agent that isn't settled resets no flows, and starts flows only if no other agent does.
     pub is_settled: bool,
     /// The service of the agent.
     pub service: ServiceView,
@@ -162,11 +175,32 @@
 
     /// Returns the service of a member that may own a flow.
     pub(crate) fn service_of(&self, node: NodeId) -> Option<&SmolStr> {
-        std::iter::once(&self.service)
-            .chain(&self.others)
+        let mut services = self.services();
+        services
             .find(|service| service.member(node).is_some())
             .map(|service| &service.name)
     }
+
+    /// Returns whether another agent knows the same members of its service as this one does.
+    pub(crate) fn agrees(&self, service: &str, digest: u64) -> bool {
+        self.services()
+            .any(|known| known.name == service && known.digest == digest)
+    }
+
+    /// Returns another agent that takes new flows, the likeliest owner of the flow first.
+    pub(crate) fn other_owner(&self, tuple: &FiveTuple) -> Option<NodeId> {
+        let takes_flows = |&node: &NodeId| {
+            let member = self.service.member(node);
+            node != self.node && member.is_some_and(|member| member.flow_weight() > 0)
+        };
+        let placement = &self.service.placement;
+        let owner = placement.owner(tuple).filter(takes_flows);
+        owner.or_else(|| placement.order(tuple).into_iter().find(takes_flows))
+    }
+
+    fn services(&self) -> impl Iterator<Item = &ServiceView> {
+        std::iter::once(&self.service).chain(&self.others)
+    }
 }
 
 fn suspects_in(service: &ServiceView, tuple: &FiveTuple) -> Vec<Suspect> {
--- a/crates/buckthornweir_flows/tests/ownership.rs
+++ b/crates/buckthornweir_flows/tests/ownership.rs
@@ -84,6 +84,40 @@
     assert_eq!(mesh.wait(2 * SECOND), "2:reset");
 }
 
+#[test]
+fn members_that_an_agent_has_not_heard_of_keep_their_flows() {
+    let (mut mesh, tuple) = owned();
+    // Agent 1 has just joined: agent 2 knows it, agent 3 doesn't.
+    mesh.agent(3).view = view(3, ready(&[2, 3]));
+    assert_eq!(mesh.packet(3, &data(&tuple, 1, b"x")), "3:hold");
+    assert_eq!(mesh.wait(5 * SECOND), "");
+    mesh.agent(3).view = view(3, ready(&[1, 2, 3]));
+    assert_eq!(mesh.wait(2 * SECOND), "hint:1 1:deliver");
+    // Once all agree that agent 1 is dead, its flows are reset.
+    mesh.agent(1).is_cut = true;
+    let packet = data(&common::tuple(40_001), 1, b"x");
+    mesh.agent(3).view = view(3, ready(&[2, 3]));
+    assert_eq!(mesh.packet(3, &packet), "3:hold");
+    mesh.agent(2).view = view(2, ready(&[2, 3]));
+    assert_eq!(mesh.wait(2 * SECOND), "3:reset");
+}
+
+#[test]
+fn agents_start_no_flows_before_the_others_know_them() {
+    let tuple = tuple(40_000);
+    let mut mesh = Mesh::new(&[1, 2, 3]);
+    mesh.agent(1).view.is_settled = false;
+    let log = mesh.packet(1, &syn(&tuple, 0));
+    assert!(["2:start", "3:start"].contains(&log.as_str()), "{log}");
+    // When all have just started, a flow starts at the second agent, or at the only one.
+    mesh.views(|view| view.is_settled = false);
+    let log = mesh.packet(2, &syn(&common::tuple(40_001), 0));
+    assert!(["1:start", "3:start"].contains(&log.as_str()), "{log}");
+    let mut mesh = Mesh::new(&[1]);
+    mesh.agent(1).view.is_settled = false;
+    assert_eq!(mesh.packet(1, &syn(&tuple, 0)), "1:start");
+}
+
 #[test]
 fn answers_to_an_earlier_question_do_not_count() {
     let (mut mesh, tuple) = owned();
@@ -456,6 +490,40 @@
     }
 }
 
+#[test]
+fn uneven_views_reset_no_flow_that_somebody_knows_the_owner_of() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[12; 32]);
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let services = services();
+    let views = proptest::collection::vec(0..SERVICES, 4);
+    let outcome = runner.run(&(views, 2..6u64), |(views, first)| {
+        let tuple = tuple(40_000);
+        let mut mesh = Mesh::with_service(&[1, 2, 3, 4, 5], &services[0]);
+        mesh.agent(1).owner.adopt(&tuple);
+        for (node, &index) in (2..).zip(&views) {
+            mesh.agent(node).view.service = services[index].clone();
+        }
+        let log = mesh.packet(first, &data(&tuple, 1, b"x"));
+        let log = log + &mesh.wait(2 * SECOND);
+        let asked = mesh.agents[&first].view.service.members().to_vec();
+        let is_known = |node: NodeId| mesh.agents[&node].view.service.member(1).is_some();
+        let somebody_knows = asked.iter().any(|member| is_known(member.node));
+        if is_known(first) {
+            prop_assert!(log.contains("1:deliver"), "{log}");
+        }
+        if is_known(first) || somebody_knows {
+            prop_assert!(!log.contains("reset"), "{log}");
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
 #[test]
 fn no_packet_loops_under_any_mix_of_views() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
