Offer flows to siblings before this agent's own record says that it drains

Cause: an agent that drains may see its own record late; the placement then named itself, and the flow was kept in place of offered. Change: the giver asks for the likeliest other agent, as for new flows that are passed on. Conclusion: the flow is offered.

--- a/crates/buckthornweir_flows/src/moving/giver.rs
+++ b/crates/buckthornweir_flows/src/moving/giver.rs
@@ -61,7 +61,7 @@
         self.offers.is_empty()
     }
 
-    /// Offers flows, each to the agent that the placement names for it.
+    /// Offers flows, each to the agent that the placement names for it once this one takes none.
     pub fn offer(
         &mut self,
         ownership: &Ownership,
@@ -72,8 +72,7 @@
     ) {
         let mut batches = BTreeMap::<NodeId, Vec<QuietFlow>>::new();
         for flow in flows {
-            let owner = view.service.placement().owner(&flow.tuple);
-            match owner.filter(|&owner| owner != self.node) {
+            match view.other_owner(&flow.tuple) {
                 Some(owner) => batches.entry(owner).or_default().push(flow),
                 None => keep(ownership, flow, out),
             }
--- a/crates/buckthornweir_flows/tests/moving.rs
+++ b/crates/buckthornweir_flows/tests/moving.rs
@@ -509,6 +509,16 @@
         assert_eq!(case.owners(), [true, false]);
         assert_eq!(case.packet(1), "1:deliver");
     }
+    // The giver's own record doesn't say yet that it drains.
+    let mut case = Case::new();
+    case.mesh.agent(1).view = view(1, ready(&[1, 2]));
+    let placement = case.mesh.agent(1).view.service.placement();
+    let own = (1..)
+        .map(tuple)
+        .find(|tuple| placement.owner(tuple) == Some(1));
+    case.tuple = own.unwrap();
+    case.mesh.agent(1).owner.adopt(&case.tuple);
+    case.offer();
     // Nobody to offer it to.
     let mut case = Case::new();
     let agent = case.mesh.agent(1);
