--- a/crates/buckthornweir_flows/src/moving/giver.rs
+++ b/crates/buckthornweir_flows/src/moving/giver.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{MAX_BATCH, MoveAction, QuietFlow};
+use super::{MAX_BATCH, MoveAction, QuietFlow, held_packets};
 use crate::NodeId;
-use crate::messages::{FlowBody, MovedFlow, Offer, Taken};
-use crate::ownership::Ownership;
+use crate::messages::{FlowBody, Forward, MovedFlow, Offer, Taken};
+use crate::ownership::{MAX_HOPS, Ownership};
 use crate::view::AgentView;
 
 /// Largest number of offers that wait for their answer.
@@ -61,7 +61,7 @@
         self.offers.is_empty()
     }
 
-    /// Offers flows, each to the agent that the placement names for it.
+    /// Offers flows, each to the agent that the placement names for it once this one takes none.
     pub fn offer(
         &mut self,
         ownership: &Ownership,
@@ -72,8 +72,7 @@
     ) {
         let mut batches = BTreeMap::<NodeId, Vec<QuietFlow>>::new();
         for flow in flows {
-            let owner = view.service.placement().owner(&flow.tuple);
-            match owner.filter(|&owner| owner != self.node) {
+            match view.other_owner(&flow.tuple) {
                 Some(owner) => batches.entry(owner).or_default().push(flow),
                 None => keep(ownership, flow, out),
             }
@@ -104,13 +103,29 @@
         };
         for (flow, &is_taken) in offer.flows.into_iter().zip(&taken.taken) {
             if is_taken {
+                let held = ownership.take_held(&flow.tuple);
                 ownership.moved_to(&flow.tuple, offer.taker, now);
+                let held = held.into_iter().filter(|held| held.hops < MAX_HOPS);
+                out.extend(held.map(|held| self.pass_on(held, offer.taker)));
             } else {
                 keep(ownership, flow, out);
             }
         }
     }
 
+    /// Returns the message that passes a held packet on to the flow's new owner.
+    fn pass_on(&self, held: Forward, taker: NodeId) -> MoveAction {
+        let forward = Forward {
+            hops: held.hops + 1,
+            sender: self.node,
+            ..held
+        };
+        MoveAction::Send {
+            to: taker,
+            body: FlowBody::Forward(forward),
+        }
+    }
+
     /// Repeats offers, and returns the time of the next call.
     ///
     /// An offer whose taker is no longer a member stays unanswered for good: nobody can say whether
@@ -195,6 +210,8 @@
 }
 
 fn keep(ownership: &Ownership, flow: QuietFlow, out: &mut Vec<MoveAction>) {
+    let held = held_packets(ownership, &flow.tuple);
     ownership.end_move(&flow.tuple);
     out.push(MoveAction::Keep(flow));
+    out.extend(held);
 }
--- a/crates/buckthornweir_flows/src/moving/taker.rs
+++ b/crates/buckthornweir_flows/src/moving/taker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{MAX_BATCH, MoveAction, QuietFlow};
+use super::{MAX_BATCH, MoveAction, QuietFlow, held_packets};
 use crate::NodeId;
 use crate::messages::{self, FlowBody, MessageError, Offer, Taken};
 use crate::ownership::Ownership;
@@ -66,8 +66,10 @@
                 .iter()
                 .map(|flow| takes && ownership.adopt(&flow.tuple));
             let taken: Vec<_> = adopted.collect();
-            let started = flows.iter().zip(&taken).filter(|&(_, &taken)| taken);
-            out.extend(started.map(|(flow, _)| MoveAction::Adopt(*flow)));
+            for (flow, _) in flows.iter().zip(&taken).filter(|&(_, &taken)| taken) {
+                out.push(MoveAction::Adopt(*flow));
+                out.extend(held_packets(ownership, &flow.tuple));
+            }
             memory.answers.insert(offer.number, taken.clone());
             taken
         });
--- a/crates/buckthornweir_flows/src/ownership/answers.rs
+++ b/crates/buckthornweir_flows/src/ownership/answers.rs
@@ -33,6 +33,7 @@
             state: state.into(),
             owner,
             bundle_version: view.version,
+            members: view.service.digest(),
         };
         out.push(Action::Send {
             to: query.from,
@@ -69,6 +70,8 @@
         match answer.state() {
             OwnerState::Unknown => {}
             OwnerState::Owned => self.found(&mut shard, view, &tuple, answer.owner, now, out),
+            // The other agent knows a member that this one doesn't, or the reverse: ask again later.
+            OwnerState::NotOwner if !view.agrees(&answer.service, answer.members) => {}
             OwnerState::NotOwner => {
                 lookup.deny(answer.from);
                 if lookup.is_wave_denied() && !self.advance(lookup, view, now, out) {
@@ -87,13 +90,16 @@
         now: Duration,
         out: &mut Vec<Action>,
     ) -> Option<Duration> {
+        if shard.lookups.is_empty() {
+            return None;
+        }
+        let digest = view.suspects_digest();
         shard.lookups.retain(|tuple, lookup| {
             if lookup.is_over(now) {
                 return false;
             }
-            let suspects = view.suspects(tuple);
-            if suspects != lookup.suspects || lookup.is_stale(now) {
-                lookup.restart(self.next_question(tuple), suspects, now);
+            if lookup.digest != digest || lookup.is_stale(now) {
+                lookup.restart(self.next_question(tuple), view, now);
             }
             lookup.next > now || self.advance(lookup, view, now, out)
         });
@@ -139,7 +145,7 @@
             return;
         };
         shard.owners.insert(*tuple, KnownOwner::new(owner), now);
-        for forward in &lookup.held {
+        for forward in lookup.held.iter() {
             self.hint(shard, view, forward, tuple, now, out);
             self.pass_on(view, forward, owner, out);
         }
