Add the operators' client, and settle an agent's view before it decides about unknown flows

Change: crate cli (bundle check|keygen|sign|diff|show, push, status, members, domain out|back, drain, timeline, metrics; tables or JSON; exit codes 0, 2, 3, 4, 5); a view settles 3 s after the first other member was met; packets that were held during a move that did not happen are delivered. Ruled out: the same push is answered Same after a later version; the control role without a log cannot know it, so that row of tests/commands.rs fails until the log is wired in.

--- /dev/null
+++ b/crates/buckthornweir_cli/src/output.rs
@@ -0,0 +1,40 @@
+//! Printing tables for people and JSON for scripts.
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use serde::Serialize;
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Output {
+    /// JSON instead of text.
+    pub(crate) json: bool,
+}
+
+impl Output {
+    /// Prints one result: `text` for people, or `value` as JSON.
+    pub(crate) fn print<T: Serialize>(self, value: &T, text: impl FnOnce() -> String) {
+        if !self.json {
+            println!("{}", text().trim_end());
+            return;
+        }
+        match serde_json::to_string_pretty(value) {
+            Ok(json) => println!("{json}"),
+            Err(error) => eprintln!("buckthornweir: {error}"),
+        }
+    }
+}
+
+/// Returns a table without borders.
+pub(crate) fn table<R: IntoIterator<Item = String>>(
+    header: &[&str],
+    rows: impl IntoIterator<Item = R>,
+) -> String {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(header.iter().map(|h| h.to_uppercase()));
+    for row in rows {
+        table.add_row(row);
+    }
+    table.to_string()
+}
--- /dev/null
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -0,0 +1,240 @@
+//! The program's commands against a running process: what they print and their exit codes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+use buckthornweir_daemon::prelude::*;
+use buckthornweir_standins::prelude::*;
+use expect_test::{Expect, expect};
+use tempfile::TempDir;
+
+const DONE: i32 = 0;
+const BAD_INPUT: i32 = 2;
+const CONFLICT: i32 = 3;
+const UNREACHABLE: i32 = 4;
+
+const BUNDLE: &str = "
+[bundle]
+version = 1
+[domain fj-west-a]
+region = fj-west
+[domain fj-west-b]
+region = fj-west
+[service orders]
+addresses = 10.100.0.1:80
+domains = fj-west-a, fj-west-b
+";
+
+struct Bench {
+    folder: TempDir,
+    _node: Option<Node>,
+}
+
+fn run(folder: &Path, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_buckthornweir"))
+        .current_dir(folder)
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+impl Bench {
+    fn run(&self, arguments: &[&str], code: i32, expected: &Expect) {
+        let output = run(self.folder.path(), arguments);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8(text).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {text}");
+        expected.assert_eq(&text);
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folder.path().join(name), text).unwrap();
+    }
+
+    /// Signs `text` into the file `name`.
+    fn sign(&self, name: &str, text: &str) {
+        self.write("unsigned.ini", text);
+        let output = run(self.folder.path(), &["bundle", "sign", "unsigned.ini"]);
+        assert_eq!(output.status.code(), Some(DONE));
+        std::fs::write(self.folder.path().join(name), output.stdout).unwrap();
+    }
+}
+
+/// Starts a control process that trusts a fresh key, with the client's settings beside it.
+async fn start() -> Bench {
+    let folder = tempfile::tempdir().unwrap();
+    let output = run(folder.path(), &["bundle", "keygen", "operator.key"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    let public = text.trim().rsplit(' ').next().unwrap();
+    let mut plan = Plan::new(public);
+    let planned = plan.control("control-1", "fj-west-a", &folder.path().join("data"));
+    let settings = Settings::parse("control-1.ini", &planned.settings).unwrap();
+    let node = Node::start(settings).await.unwrap();
+    let bench = Bench {
+        folder,
+        _node: Some(node),
+    };
+    bench.write(
+        "client.ini",
+        &format!(
+            "[client]\nnodes = {}\nkey = {}\nsigning-key = operator.key\n",
+            planned.control,
+            plan.cluster_key()
+        ),
+    );
+    bench
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_sign_push_and_change_bundles() {
+    let bench = start().await;
+    bench.run(
+        &["bundle", "show"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: no bundle is in force yet; push one first
+    "#]],
+    );
+    bench.write("one.ini", BUNDLE);
+    bench.run(
+        &["push", "one.ini"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: one.ini: section [signature] is missing; sign the bundle first
+    "#]],
+    );
+    bench.sign("signed.ini", BUNDLE);
+    bench.run(
+        &["push", "signed.ini"],
+        DONE,
+        &expect![[r#"
+        version 1 is stored and goes out to every process
+    "#]],
+    );
+    bench.run(
+        &["push", "signed.ini"],
+        DONE,
+        &expect![[r#"
+        version 1 was stored before; nothing changed
+    "#]],
+    );
+    bench.sign(
+        "other.ini",
+        &BUNDLE.replace("10.100.0.1:80", "10.100.0.9:80"),
+    );
+    bench.run(&["push", "other.ini"], CONFLICT, &expect![[r#"
+        buckthornweir: version 1 is held by another bundle, with digest d4240e0c3414642652dfb65091d4775762aded58e778b8cb68af9463115db03a; nothing was changed
+    "#]]);
+    bench.run(
+        &["domain", "out", "fj-west-b"],
+        DONE,
+        &expect![[r#"
+        version 2 is stored and goes out to every process
+    "#]],
+    );
+    bench.run(
+        &["push", "signed.ini"],
+        DONE,
+        &expect![[r#"
+        version 1 was stored before; nothing changed
+    "#]],
+    );
+    bench.run(
+        &["domain", "out", "fj-west-a"],
+        BAD_INPUT,
+        &expect![[r#"
+    "#]],
+    );
+    bench.run(
+        &["domain", "back", "nowhere"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: there is no failure domain nowhere; allowed: fj-west-a, fj-west-b
+    "#]],
+    );
+    bench.run(
+        &["bundle", "diff", "one.ini"],
+        DONE,
+        &expect![[r#"
+        - [bundle] version = 2
+        - [domain fj-west-b] state = out
+        + [bundle] version = 1
+        + [domain fj-west-b] state = in
+    "#]],
+    );
+    bench.run(
+        &["drain", "control-1"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: control-1 is not an agent; only agents drain
+    "#]],
+    );
+    bench.run(
+        &["timeline", "--kind", "domain-out", "--since", "0s"],
+        DONE,
+        &expect![[r#"
+         TIME  PROCESS  EVENT  DETAIL 
+    "#]],
+    );
+}
+
+#[test]
+fn bad_input_ends_with_its_own_exit_code() {
+    let bench = Bench {
+        folder: tempfile::tempdir().unwrap(),
+        _node: None,
+    };
+    bench.run(
+        &[],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: no command; see --help
+    "#]],
+    );
+    bench.run(
+        &["status"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: client.ini: cannot be read: No such file or directory (os error 2)
+    "#]],
+    );
+    bench.run(
+        &["push"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: client.ini: cannot be read: No such file or directory (os error 2)
+    "#]],
+    );
+    bench.write("client.ini", "[client]\nnodes = 127.0.0.1:1\nkey = 00\n");
+    bench.run(&["status"], BAD_INPUT, &expect![[r#"
+        buckthornweir: client.ini:3: [client] key = "00" is not allowed; allowed: 64 hexadecimal digits
+    "#]]);
+    let key = "11".repeat(32);
+    bench.write(
+        "client.ini",
+        &format!("[client]\nnodes = 127.0.0.1:1\nkey = {key}\n"),
+    );
+    bench.run(&["status"], UNREACHABLE, &expect![[r#"
+        buckthornweir: no process answers; tried 127.0.0.1:1: connection: Connection refused (os error 111)
+    "#]]);
+    bench.run(
+        &["push"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: push: FILE is missing; see push --help
+    "#]],
+    );
+    bench.write("bad.ini", "[bundle]\nversion = 0\n");
+    bench.run(&["bundle", "check", "bad.ini"], BAD_INPUT, &expect![[r#"
+        buckthornweir: bad.ini:2: [bundle] version = "0" is not allowed; allowed: a whole number from 1 to 18446744073709551614
+    "#]]);
+    bench.run(
+        &["timeline", "--since", "soon"],
+        BAD_INPUT,
+        &expect![[r#"
+        buckthornweir: "soon" is not a length of time; allowed: such as 10m or 2h
+    "#]],
+    );
+}
--- a/crates/buckthornweir_daemon/src/agent/flow_server.rs
+++ b/crates/buckthornweir_daemon/src/agent/flow_server.rs
@@ -113,8 +113,9 @@
                 }
             }
             if changed_at.is_some_and(|at| self.board.now() >= at + GATHER) {
-                changed_at = None;
-                self.follow(&mut builder);
+                let is_settled = self.follow(&mut builder);
+                // The view settles by time alone.
+                changed_at = (!is_settled).then(|| self.board.now());
             }
             if self.board.now() >= next_report {
                 next_report = self.board.now() + LOAD_PERIOD;
@@ -127,15 +128,18 @@
         }
     }
 
-    fn follow(&self, builder: &mut ViewBuilder) {
+    /// Works the view out anew; returns whether it is settled, or has to wait for a bundle.
+    fn follow(&self, builder: &mut ViewBuilder) -> bool {
         let Some(view) = builder.agent(&self.board, &self.service) else {
-            return;
+            return true;
         };
+        let is_settled = view.is_settled;
         let view = Arc::new(view);
         self.view.store(Some(view.clone()));
         let mut actions = Vec::new();
         self.ownership.apply_view(&view, &mut actions);
         self.carry_out(&view, actions, None);
+        is_settled
     }
 
     /// Takes a sibling's report of its load.
@@ -245,6 +249,11 @@
                     self.resume(&flow);
                 }
                 MoveAction::Keep(flow) => self.resume(&flow),
+                MoveAction::Deliver { tuple, packet } => {
+                    if let Some(stream) = self.table.deliver(&tuple, &packet) {
+                        self.server.serve(stream);
+                    }
+                }
                 MoveAction::Lose(_) => self.board.metrics.count(Count::FlowsEnded),
             }
         }
--- a/crates/buckthornweir_daemon/src/agent/shards.rs
+++ b/crates/buckthornweir_daemon/src/agent/shards.rs
@@ -135,17 +135,9 @@
     /// ended.
     pub(crate) fn deliver(&self, tuple: &FiveTuple, packet: &[u8]) -> Option<FlowStream> {
         let shard = self.shard_of(tuple);
-        let now = self.now();
         let mut inner = shard.inner.lock();
         let key = *inner.keys.get(tuple)?;
-        let mut answers = Vec::new();
-        inner
-            .flows
-            .get_mut(key)?
-            .stack
-            .input(packet, now, &mut answers);
-        shard.send(&answers);
-        shard.flush(&mut inner, key, now);
+        shard.input(&mut inner, key, packet);
         let flow = inner.flows.get_mut(key)?;
         if flow.served != Serving::NotYet || !flow.stack.is_established() {
             return None;
@@ -244,11 +236,16 @@
             return None;
         }
         let quiet = inner.flows.get(key).and_then(|flow| flow.stack.quiet());
-        match quiet {
-            Some(_) => inner.remove(key),
-            None => ownership.end_move(tuple),
+        if quiet.is_some() {
+            inner.remove(key);
+            return quiet;
         }
-        quiet
+        let held = ownership.take_held(tuple);
+        ownership.end_move(tuple);
+        for forward in held {
+            self.input(&mut inner, key, &forward.packet);
+        }
+        None
     }
 
     /// Notes that the flow's task is over; a flow that is not closed by then is reset.
@@ -270,6 +267,16 @@
         self.flush(&mut inner, key, self.context.board.now());
     }
 
+    fn input(&self, inner: &mut Inner, key: FlowKey, packet: &[u8]) {
+        let now = self.context.board.now();
+        let mut answers = Vec::new();
+        if let Some(flow) = inner.flows.get_mut(key) {
+            flow.stack.input(packet, now, &mut answers);
+        }
+        self.send(&answers);
+        self.flush(inner, key, now);
+    }
+
     fn flush(&self, inner: &mut Inner, key: FlowKey, now: Duration) {
         let Some(flow) = inner.flows.get_mut(key) else {
             return;
--- a/crates/buckthornweir_daemon/src/views.rs
+++ b/crates/buckthornweir_daemon/src/views.rs
@@ -17,6 +17,9 @@
 /// How long changes are gathered before views are worked out anew.
 pub(crate) const GATHER: Duration = Duration::from_millis(50);
 
+/// How long it takes until a process that has met others knows all members, and all know it.
+const SETTLING: Duration = Duration::from_secs(3);
+
 /// The most services that are remembered for one address.
 const REMEMBERED: usize = 8;
 
@@ -26,6 +29,7 @@
     key: [u8; 16],
     made: BTreeMap<ServiceName, Made>,
     holders: BTreeMap<SocketAddr, Vec<ServiceName>>,
+    joined: Option<Duration>,
 }
 
 /// A view with what it was made from.
@@ -70,7 +74,7 @@
             version: bundle.version,
             state: flow_state(board.own().state),
             is_out: !bundle.serves(service, domain),
-            is_settled: members.len() > 1 || board.settings.node.seeds.is_empty(),
+            is_settled: self.is_settled(board, members.len()),
             others: related
                 .iter()
                 .filter_map(|name| views.remove(name))
@@ -121,6 +125,19 @@
         view
     }
 
+    /// Returns whether this process has known other members for so long that it knows all of them
+    /// and all know it. A process without seeds is the first one and knows all there are.
+    fn is_settled(&mut self, board: &Blackboard, members: usize) -> bool {
+        if board.settings.node.seeds.is_empty() {
+            return true;
+        }
+        if members <= 1 {
+            return false;
+        }
+        let now = board.now();
+        now >= *self.joined.get_or_insert(now) + SETTLING
+    }
+
     /// Remembers which services have held each address, the newest last.
     fn remember(&mut self, bundle: &Bundle) {
         for service in &bundle.services {
