Add founding rules, an exhaustive search of the core, and named memory loss

Cause: a VM with an emptied folder must never found a second log beside the running one; the invariants of the core need more than tables of steps; a push that met a heartbeat under way waited for the next heartbeat, and a slow peer learned of a commit only then. Ruled out: founding by whoever finds an empty folder (two emptied VMs of three would found a second log); founding by one VM that adds the others (its disk would hold the only copy). A member that no longer holds what it confirmed is named and sent everything again. Peers are told of a commit and of new entries as soon as their reply arrives.

--- a/crates/buckthornweir_quorum/src/core/actions.rs
+++ b/crates/buckthornweir_quorum/src/core/actions.rs
@@ -77,6 +77,14 @@
         /// Leader of the term, as far as it is known.
         leader: Option<NodeId>,
     },
+    /// A member no longer holds entries that it had confirmed; it is sent them again.
+    ///
+    /// Its disk loses what was synced, or its folder was put back from an old copy: operators
+    /// should empty the folder, so that the member joins again under a new identity.
+    Forgot {
+        /// The member.
+        id: NodeId,
+    },
     /// A snapshot took the place of the state; the newest bundle may have changed.
     Installed {
         /// Position that the state covers now.
--- a/crates/buckthornweir_quorum/src/core/election.rs
+++ b/crates/buckthornweir_quorum/src/core/election.rs
@@ -260,7 +260,7 @@
     }
 
     /// Tells whether a leader was heard so lately that its followers ignore candidates.
-    fn hears_leader(&self, now: Duration) -> bool {
+    pub(super) fn hears_leader(&self, now: Duration) -> bool {
         match self.state {
             State::Leader(_) => self.hears_quorum(now),
             _ => {
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/fingerprint.rs
@@ -0,0 +1,38 @@
+//! A fingerprint of a core's state, for searches of the state space.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use super::{Core, State};
+
+impl Core {
+    /// Returns a fingerprint of the state without timers and random numbers.
+    ///
+    /// Two cores with one fingerprint answer the next message alike.
+    #[must_use]
+    pub fn fingerprint(&self, now: Duration) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.id, self.term, self.vote, self.leader, self.commit).hash(&mut hasher);
+        self.log.hash(&mut hasher);
+        self.entry_buffer.hash(&mut hasher);
+        self.snapshot_buffer.hash(&mut hasher);
+        self.hears_leader(now).hash(&mut hasher);
+        match &self.state {
+            State::Follower => 0.hash(&mut hasher),
+            State::PreCandidate(votes) => (1, votes).hash(&mut hasher),
+            State::Candidate(votes) => (2, votes).hash(&mut hasher),
+            State::Leader(lead) => {
+                (3, lead.first_index, lead.round).hash(&mut hasher);
+                lead.proposals
+                    .keys()
+                    .for_each(|index| index.hash(&mut hasher));
+                for (id, peer) in &lead.peers {
+                    (id, peer.next, peer.matched, peer.offset).hash(&mut hasher);
+                    (peer.snapshot, peer.outstanding, peer.confirmed, peer.commit)
+                        .hash(&mut hasher);
+                }
+            }
+        }
+        hasher.finish()
+    }
+}
--- a/crates/buckthornweir_quorum/src/core/mod.rs
+++ b/crates/buckthornweir_quorum/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod changes;
 mod config;
 mod election;
+mod fingerprint;
 mod proposals;
 mod replication;
 mod snapshots;
--- a/crates/buckthornweir_quorum/src/core/replication.rs
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Core, State};
+use super::{Action, Core, State};
 use crate::entry::{Entry, Index, Payload, Term};
 use crate::members::NodeId;
 use crate::messages::{Append, AppendReply, ENTRIES_LIMIT, EntryPart, Fragment, Kind, PART_LIMIT};
@@ -23,6 +23,8 @@
     pub(super) outstanding: Option<u64>,
     /// Highest round that the peer has answered.
     pub(super) confirmed: u64,
+    /// Commit index that the peer was last told.
+    pub(super) commit: Index,
     /// Time of the last message to the peer.
     pub(super) sent: Duration,
     /// Time of the last message from the peer.
@@ -38,6 +40,7 @@
             snapshot: 0,
             outstanding: None,
             confirmed: 0,
+            commit: 0,
             sent: now,
             heard: Duration::ZERO,
         }
@@ -54,6 +57,16 @@
         answers
     }
 
+    /// Notes that the peer's log has to be sent from `index` on; tells whether the peer has lost
+    /// entries that it had confirmed.
+    fn note_mismatch(&mut self, index: Index, last: Index) -> bool {
+        self.next = index.clamp(1, last + 1);
+        self.offset = 0;
+        let forgot = self.next <= self.matched;
+        self.matched = self.matched.min(self.next - 1);
+        forgot
+    }
+
     pub(super) fn note_match(&mut self, index: Index) {
         self.matched = self.matched.max(index);
         if self.next <= self.matched {
@@ -150,6 +163,20 @@
         }
     }
 
+    /// Tells the peers that wait for nothing how far the log is committed.
+    fn send_commit(&mut self, now: Duration) {
+        let State::Leader(lead) = &self.state else {
+            return;
+        };
+        let commit = self.commit;
+        let unaware = lead
+            .peers
+            .iter()
+            .filter(|(_, p)| p.outstanding.is_none() && p.commit < commit);
+        let unaware: Vec<_> = unaware.map(|(id, _)| *id).collect();
+        self.send_to(now, &unaware);
+    }
+
     pub(super) fn send_peer(&mut self, now: Duration, id: NodeId) {
         let State::Leader(lead) = &mut self.state else {
             return;
@@ -160,6 +187,7 @@
         lead.round += 1;
         peer.outstanding = Some(lead.round);
         peer.sent = now;
+        peer.commit = self.commit;
         let (round, next, offset) = (lead.round, peer.next, peer.offset);
         let kind = match next <= self.log.snapshot.index {
             true => self.snapshot_part(id, round),
@@ -313,32 +341,31 @@
         }
         if answers && reply.success {
             peer.offset = reply.offset;
-        } else if answers {
-            peer.next = reply.index.clamp(peer.matched + 1, last + 1);
-            peer.offset = 0;
         }
+        let forgot = answers && !reply.success && peer.note_mismatch(reply.index, last);
         let moved = before != (peer.next, peer.offset);
-        let more = answers && moved && peer.next <= last;
+        let more = answers && (moved || reply.success) && peer.next <= last;
+        if forgot {
+            self.actions.push(Action::Forgot { id: from });
+        }
         self.after_reply(now, from, more);
     }
 
     /// Commits what can be committed and goes on sending.
     pub(super) fn after_reply(&mut self, now: Duration, from: NodeId, more: bool) {
-        let committed = self.advance_commit(now);
+        self.advance_commit(now);
         self.answer_reads();
         if more {
             self.send_peer(now, from);
         }
-        if committed {
-            self.send_idle(now);
-        }
+        self.send_commit(now);
         self.drive_transfer();
     }
 
-    /// Commits the entries of this term that a quorum holds; tells whether there were any.
-    pub(super) fn advance_commit(&mut self, now: Duration) -> bool {
+    /// Commits the entries of this term that a quorum holds.
+    pub(super) fn advance_commit(&mut self, now: Duration) {
         let State::Leader(lead) = &self.state else {
-            return false;
+            return;
         };
         let (own, last) = (self.id, self.log.last_index());
         let holds = |id, index| {
@@ -353,13 +380,12 @@
             .rev()
             .find(|i| self.members.has_quorum(|id| holds(id, *i)));
         let Some(commit) = committed else {
-            return false;
+            return;
         };
         self.apply_to(commit);
         self.answer_reads();
         self.leave_if_removed(now);
         self.maybe_compact();
-        true
     }
 }
 
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/founding.rs
@@ -0,0 +1,250 @@
+//! Founding a log: which control VM may start one, and which must join a running one.
+//!
+//! Control VMs tell each other their [`Presence`] when a link between them begins. A VM without a
+//! log joins as soon as any other VM has one. A new log is founded only by the VM with the lowest
+//! listed address, only when its operators allow it, and only while every listed VM has said that
+//! it has no log. So a VM with an emptied folder never starts a second log beside the running
+//! one, not even when it is cut off from it.
+//!
+//! ```
+//! use std::time::Duration;
+//! use buckthornweir_quorum::prelude::*;
+//!
+//! let mut founder = Founder::new(5, "192.0.2.1:7000", ["192.0.2.1:7000"]).with_permission(true);
+//! let decision = founder.decide(Duration::ZERO, 99);
+//! assert!(matches!(decision, Decision::Found(_)));
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message as _;
+use smol_str::SmolStr;
+
+use crate::bundles::Version;
+use crate::core::{Core, Founding};
+use crate::entry::{ADDRESS_LIMIT, ClusterId, MEMBER_LIMIT, Result, check_size};
+use crate::members::{Member, Members, NodeId};
+
+/// Time after which the presence of a VM counts as unknown again.
+pub const PRESENCE_LIFE: Duration = Duration::from_secs(5);
+
+const PRESENCE_LIMIT: usize = (MEMBER_LIMIT + 1) * (ADDRESS_LIMIT + 8) + 64;
+
+/// What a control VM says of itself.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Presence {
+    /// Identity of its data folder.
+    #[prost(fixed64, tag = "1")]
+    pub id: NodeId,
+    /// The log that it belongs to; zero for none.
+    #[prost(fixed64, tag = "2")]
+    pub cluster: ClusterId,
+    /// Socket address of the VM, as text.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Addresses of all control VMs in its settings, ordered.
+    #[prost(string, repeated, tag = "4")]
+    pub listed: Vec<String>,
+    /// Newest bundle version that it knows of.
+    #[prost(uint64, tag = "5")]
+    pub newest: Version,
+}
+
+impl Presence {
+    /// Returns the encoded presence.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        self.encode_to_vec().into()
+    }
+
+    /// Returns the presence that `data` holds, its sizes checked.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are malformed or above a limit.
+    pub fn from_bytes(data: Bytes) -> Result<Self> {
+        check_size("presence", data.len(), PRESENCE_LIMIT)?;
+        let presence = Self::decode(data)?;
+        check_size("listed addresses", presence.listed.len(), MEMBER_LIMIT)?;
+        check_size("address", presence.address.len(), ADDRESS_LIMIT)?;
+        Ok(presence)
+    }
+}
+
+/// What a control VM does about founding.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Found the log: call [`Core::found`].
+    Found(Founding),
+    /// Join the running log: call [`Core::join`].
+    Join {
+        /// A member of the log.
+        via: NodeId,
+    },
+    /// Wait for the VMs that have not said whether they have a log.
+    Wait {
+        /// Addresses of these VMs.
+        silent: Vec<SmolStr>,
+    },
+    /// Wait for the VM with the lowest address to found the log.
+    WaitForFounder {
+        /// Address of that VM.
+        address: SmolStr,
+    },
+    /// Every VM is without a log, and the settings don't allow founding one.
+    NotAllowed,
+    /// The settings of another VM list other addresses.
+    ListsDiffer {
+        /// Address of that VM.
+        address: SmolStr,
+    },
+    /// Other VMs belong to different logs; operators must empty the wrong ones.
+    LogsDiffer,
+}
+
+/// Decides about founding for one control VM without a log.
+#[derive(Debug, Clone)]
+pub struct Founder {
+    id: NodeId,
+    address: SmolStr,
+    listed: BTreeSet<SmolStr>,
+    allowed: bool,
+    floor: Version,
+    heard: BTreeMap<SmolStr, Heard>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    presence: Presence,
+    at: Duration,
+}
+
+impl Founder {
+    /// Returns the founder of the VM at `address`, whose settings list `listed`.
+    #[must_use]
+    pub fn new<A: Into<SmolStr>>(
+        id: NodeId,
+        address: impl Into<SmolStr>,
+        listed: impl IntoIterator<Item = A>,
+    ) -> Self {
+        let address = address.into();
+        let mut listed: BTreeSet<_> = listed.into_iter().map(Into::into).collect();
+        listed.insert(address.clone());
+        Self {
+            id,
+            address,
+            listed,
+            allowed: false,
+            floor: 0,
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Sets whether the settings allow this VM to found a log.
+    #[must_use]
+    pub fn with_permission(mut self, allowed: bool) -> Self {
+        self.allowed = allowed;
+        self
+    }
+
+    /// Notes a bundle version that some process holds; a new log accepts only higher ones.
+    pub fn note_version(&mut self, version: Version) {
+        self.floor = self.floor.max(version);
+    }
+
+    /// Notes what another control VM said of itself.
+    pub fn note_presence(&mut self, now: Duration, presence: Presence) {
+        let address = SmolStr::from(presence.address.as_str());
+        if address == self.address || !self.listed.contains(&address) {
+            return;
+        }
+        self.note_version(presence.newest);
+        self.heard.insert(address, Heard { presence, at: now });
+    }
+
+    /// Returns what this VM says of itself.
+    #[must_use]
+    pub fn presence(&self, core: &Core) -> Presence {
+        Presence {
+            id: self.id,
+            cluster: core.cluster(),
+            address: self.address.to_string(),
+            listed: self.listed.iter().map(ToString::to_string).collect(),
+            newest: self.floor.max(core.bundles().newest_version()),
+        }
+    }
+
+    /// Decides what to do; `cluster` is a random name for the log if it is founded, never zero.
+    #[must_use]
+    pub fn decide(&self, now: Duration, cluster: ClusterId) -> Decision {
+        if let Some(decision) = self.find_log(now) {
+            return decision;
+        }
+        let silent: Vec<_> = self.silent(now).cloned().collect();
+        if !silent.is_empty() {
+            return Decision::Wait { silent };
+        }
+        if let Some(address) = self.other_list() {
+            return Decision::ListsDiffer { address };
+        }
+        match self.listed.first() {
+            Some(first) if *first != self.address => Decision::WaitForFounder {
+                address: first.clone(),
+            },
+            _ if !self.allowed => Decision::NotAllowed,
+            _ => Decision::Found(self.founding(cluster)),
+        }
+    }
+
+    fn find_log(&self, now: Duration) -> Option<Decision> {
+        let mut with_log = self.fresh(now).filter(|h| h.presence.cluster != 0);
+        let first = with_log.next()?;
+        let cluster = first.presence.cluster;
+        if with_log.any(|h| h.presence.cluster != cluster) {
+            return Some(Decision::LogsDiffer);
+        }
+        Some(Decision::Join {
+            via: first.presence.id,
+        })
+    }
+
+    fn fresh(&self, now: Duration) -> impl Iterator<Item = &Heard> {
+        self.heard
+            .values()
+            .filter(move |h| now < h.at + PRESENCE_LIFE)
+    }
+
+    fn silent(&self, now: Duration) -> impl Iterator<Item = &SmolStr> {
+        let heard = move |address: &SmolStr| {
+            self.heard
+                .get(address)
+                .is_some_and(|h| now < h.at + PRESENCE_LIFE)
+        };
+        self.listed
+            .iter()
+            .filter(move |a| **a != self.address && !heard(a))
+    }
+
+    /// Returns the address of a VM whose settings list other addresses.
+    fn other_list(&self) -> Option<SmolStr> {
+        let differs = |h: &&Heard| !h.presence.listed.iter().eq(self.listed.iter());
+        let other = self.heard.values().find(differs)?;
+        Some(SmolStr::from(other.presence.address.as_str()))
+    }
+
+    fn founding(&self, cluster: ClusterId) -> Founding {
+        let own = Member::voter(self.id, self.address.clone());
+        let others = self
+            .heard
+            .iter()
+            .map(|(a, h)| Member::voter(h.presence.id, a.clone()));
+        let members = Members::new(others.chain([own]));
+        Founding {
+            cluster,
+            members,
+            floor: self.floor,
+        }
+    }
+}
--- a/crates/buckthornweir_quorum/src/lib.rs
+++ b/crates/buckthornweir_quorum/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bundles;
 pub mod core;
 mod entry;
+mod founding;
 mod log;
 mod members;
 pub mod messages;
@@ -19,6 +20,7 @@
     ADDRESS_LIMIT, BUNDLE_LIMIT, ClusterId, DecodeError, ENTRY_LIMIT, Entry, Index, MEMBER_LIMIT,
     Payload, SNAPSHOT_LIMIT, Snapshot, Term,
 };
+pub use crate::founding::{Decision, Founder, PRESENCE_LIFE, Presence};
 pub use crate::members::{Member, MemberChange, Members, NodeId, Standing};
 pub use crate::messages::Message;
 pub use crate::storage::{Record, Restored, Storage};
@@ -26,7 +28,8 @@
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::{
-        Action, Bundle, Bundles, Command, Config, Core, Founding, Member, MemberChange, Members,
-        Message, PushResult, Record, Reject, Restored, Role, Standing, Storage,
+        Action, Bundle, Bundles, Command, Config, Core, Decision, Founder, Founding, Member,
+        MemberChange, Members, Message, Presence, PushResult, Record, Reject, Restored, Role,
+        Standing, Storage,
     };
 }
--- a/crates/buckthornweir_quorum/tests/quorum/bench.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/bench.rs
@@ -36,6 +36,7 @@
     pub(crate) answers: BTreeMap<Token, Vec<Answer>>,
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     pub(crate) accepted: BTreeMap<Version, [u8; 32]>,
+    pub(crate) forgot: Vec<NodeId>,
     pub(crate) config: Config,
     next_id: NodeId,
 }
@@ -202,6 +203,7 @@
                 let first = *self.leaders.entry(term).or_insert(vm.id);
                 assert_eq!(first, vm.id, "two leaders in term {term}");
             }
+            Action::Forgot { id } => self.forgot.push(id),
             Action::Changed { .. } | Action::RoleChanged { .. } | Action::Installed { .. } => {}
         }
         true
--- a/crates/buckthornweir_quorum/tests/quorum/faults.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/faults.rs
@@ -290,6 +290,22 @@
     assert!(voter_ids(&bench, leader).contains(&bench.vms[at].id));
 }
 
+#[test]
+fn member_that_forgot_is_named_and_sent_everything_again() {
+    let mut bench = Bench::founded(3);
+    bench.accept(1, 1);
+    let leader = bench.elect();
+    let at = (leader + 1) % 3;
+    bench.vms[at].disk.lie();
+    bench.accept(2, 1);
+    bench.accept(3, 1);
+    bench.run(Duration::from_millis(400));
+    bench.restart(at);
+    bench.run(SECOND);
+    assert_eq!(bench.forgot, [bench.vms[at].id]);
+    bench.assert_all(3);
+}
+
 #[test]
 fn planned_stop_hands_the_leadership_over_without_a_gap() {
     let mut bench = Bench::founded(3);
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/founding.rs
@@ -0,0 +1,156 @@
+//! Founding a log, and VMs with emptied folders that must not found a second one.
+
+use std::time::Duration;
+
+use buckthornweir_quorum::prelude::*;
+
+const A: &str = "192.0.2.1:7000";
+const B: &str = "192.0.2.2:7000";
+const C: &str = "192.0.2.3:7000";
+const NOW: Duration = Duration::from_secs(100);
+
+fn presence(id: u64, address: &str, cluster: u64) -> Presence {
+    let listed = [A, B, C].map(str::to_owned).to_vec();
+    Presence {
+        id,
+        cluster,
+        address: address.to_owned(),
+        listed,
+        newest: 0,
+    }
+}
+
+fn founder(address: &str) -> Founder {
+    Founder::new(1, address, [A, B, C]).with_permission(true)
+}
+
+fn wait(addresses: &[&str]) -> Decision {
+    Decision::Wait {
+        silent: addresses.iter().map(|a| (*a).into()).collect(),
+    }
+}
+
+#[test]
+fn decisions() {
+    let differs = Presence {
+        listed: vec![A.to_owned(), B.to_owned()],
+        ..presence(3, C, 0)
+    };
+    let waits = Decision::WaitForFounder { address: A.into() };
+    let table = [
+        ("nobody answers", A, vec![], wait(&[B, C])),
+        ("one is silent", A, vec![presence(2, B, 0)], wait(&[C])),
+        (
+            "not the lowest",
+            B,
+            vec![presence(2, A, 0), presence(3, C, 0)],
+            waits,
+        ),
+        (
+            "one has a log",
+            A,
+            vec![presence(2, B, 7)],
+            Decision::Join { via: 2 },
+        ),
+        (
+            "two logs",
+            A,
+            vec![presence(2, B, 7), presence(3, C, 8)],
+            Decision::LogsDiffer,
+        ),
+        (
+            "other settings",
+            A,
+            vec![presence(2, B, 0), differs],
+            Decision::ListsDiffer { address: C.into() },
+        ),
+        (
+            "stranger",
+            A,
+            vec![presence(2, "192.0.2.9:7000", 7)],
+            wait(&[B, C]),
+        ),
+    ];
+    for (name, address, heard, expected) in table {
+        let mut founder = founder(address);
+        for presence in heard {
+            founder.note_presence(NOW, presence);
+        }
+        assert_eq!(founder.decide(NOW, 9), expected, "{name}");
+    }
+}
+
+#[test]
+fn all_blank_found_above_every_version_that_is_held() {
+    let mut founder = founder(A);
+    founder.note_presence(
+        NOW,
+        Presence {
+            newest: 41,
+            ..presence(2, B, 0)
+        },
+    );
+    founder.note_presence(NOW, presence(3, C, 0));
+    founder.note_version(40);
+    let Decision::Found(founding) = founder.decide(NOW, 9) else {
+        panic!("not founded")
+    };
+    assert_eq!((founding.cluster, founding.floor), (9, 41));
+    assert_eq!(founding.members.voters().count(), 3);
+    let later = NOW + Duration::from_secs(6);
+    assert_eq!(
+        founder.decide(later, 9),
+        wait(&[B, C]),
+        "old news don't count"
+    );
+    let unwilling = founder.with_permission(false);
+    assert_eq!(unwilling.decide(NOW, 9), Decision::NotAllowed);
+}
+
+#[test]
+fn pushes_stay_above_the_floor() {
+    let mut core = Core::new(Config::default(), Restored::blank(1), 1, Duration::ZERO);
+    let members = Members::new([Member::voter(1, A)]);
+    core.found(
+        NOW,
+        Founding {
+            cluster: 9,
+            members,
+            floor: 41,
+        },
+    );
+    core.tick(NOW);
+    let bundle = |version| {
+        Command::Push(Bundle {
+            version,
+            digest: [1; 32],
+            bytes: vec![],
+        })
+    };
+    let mut result = |token, version| {
+        let actions = core.propose(NOW, token, bundle(version));
+        actions.into_iter().find_map(|action| match action {
+            Action::Applied { result, .. } => Some(result),
+            _ => None,
+        })
+    };
+    assert_eq!(result(1, 41), Some(PushResult::Stale { newest: 41 }));
+    assert_eq!(result(2, 42), Some(PushResult::Accepted { version: 42 }));
+}
+
+#[test]
+fn presence_tells_the_log_and_its_limits_hold() {
+    let core = Core::new(Config::default(), Restored::blank(1), 1, Duration::ZERO);
+    let own = founder(A).presence(&core);
+    assert_eq!(Presence::from_bytes(own.to_bytes()), Ok(own.clone()));
+    let many = Presence {
+        listed: vec![A.to_owned(); 33],
+        ..own.clone()
+    };
+    assert!(Presence::from_bytes(many.to_bytes()).is_err());
+    let long = Presence {
+        address: "a".repeat(65),
+        ..own
+    };
+    assert!(Presence::from_bytes(long.to_bytes()).is_err());
+}
--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -5,4 +5,6 @@
 mod crashes;
 mod disk;
 mod faults;
+mod founding;
 mod replication;
+mod search;
--- a/crates/buckthornweir_quorum/tests/quorum/replication.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/replication.rs
@@ -94,3 +94,16 @@
         [Answer::Rejected(Reject::NotLeader { leader: id })]
     );
 }
+
+#[test]
+fn push_during_a_heartbeat_doesnt_wait_for_the_next() {
+    let mut bench = Bench::founded(3);
+    let leader = bench.elect();
+    bench.run(Duration::from_secs(1));
+    bench.now += Duration::from_millis(300);
+    bench.act(leader, Core::tick);
+    assert!(!bench.queue.is_empty(), "a heartbeat is under way");
+    let answers = bench.push_at(leader, 1, push(1, 7));
+    assert_eq!(answers, [Answer::Push(PushResult::Accepted { version: 1 })]);
+    bench.assert_all(1);
+}
