Keep bundles in the replicated log, and bound idle backend connections

Cause: (1) control was one process without agreement. Change: the control role runs the log's core and storage in one thread, exchanges presence, founds or joins, replaces a voter whose folder is gone by the learner at its address; operators' messages to change control VMs; the client tries a push again for 8 s while there is no quorum; at most 8 idle backend connections, pruned when one is given back.

--- a/crates/buckthornweir_cli/src/commands/push.rs
+++ b/crates/buckthornweir_cli/src/commands/push.rs
@@ -1,6 +1,7 @@
 //! `push`: puts a signed bundle in force everywhere.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use buckthornweir_bundle::SignedBundle;
 use buckthornweir_settings::value::to_hex;
@@ -17,6 +18,12 @@
 /// How many answers that name another leader are followed.
 const LEADER_STEPS: usize = 3;
 
+/// How long a push is tried again.
+const PUSH_LIMIT: Duration = Duration::from_secs(8);
+
+/// Pause before a push is tried again.
+const PUSH_PAUSE: Duration = Duration::from_millis(200);
+
 #[derive(Serialize)]
 struct Pushed {
     version: u64,
@@ -53,8 +60,29 @@
     Ok(())
 }
 
-/// Tries the control processes one after another until one of them decides.
+/// Tries the control processes one after another until one of them decides. An election may be
+/// under way, so all of them are tried again for a while.
 async fn push_anywhere(context: &Context, text: &str) -> Result<PushReply> {
+    let limit = Instant::now() + PUSH_LIMIT;
+    loop {
+        match push_round(context, text).await {
+            Err(fault) if is_passing(&fault) => {
+                if Instant::now() >= limit {
+                    return Err(fault);
+                }
+                tokio::time::sleep(PUSH_PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Returns whether the same push may succeed a little later.
+fn is_passing(fault: &Fault) -> bool {
+    matches!(fault, Fault::NoQuorum | Fault::AnswerLost)
+}
+
+async fn push_round(context: &Context, text: &str) -> Result<PushReply> {
     let mut is_unknown = false;
     for node in control_nodes(context).await? {
         match push_to(context, node, text).await {
--- a/crates/buckthornweir_cli/tests/commands.rs
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -145,7 +145,8 @@
         &["domain", "out", "fj-west-a"],
         BAD_INPUT,
         &expect![[r#"
-    "#]],
+            buckthornweir: the bundle was refused: push: service orders has no failure domain that is in; allowed: at least one, or force = yes in [bundle]
+        "#]],
     );
     bench.run(
         &["domain", "back", "nowhere"],
@@ -175,8 +176,8 @@
         &["timeline", "--kind", "domain-out", "--since", "0s"],
         DONE,
         &expect![[r#"
-         TIME  PROCESS  EVENT  DETAIL 
-    "#]],
+             TIME  PROCESS  EVENT  DETAIL
+        "#]],
     );
 }
 
--- a/crates/buckthornweir_daemon/src/agent/backend.rs
+++ b/crates/buckthornweir_daemon/src/agent/backend.rs
@@ -26,6 +26,9 @@
 /// connection that is silent.
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 
+/// How many idle connections are kept.
+const IDLE_CONNECTIONS: usize = 8;
+
 /// The result of working with a backend connection.
 pub(crate) type Result<T> = std::result::Result<T, BackendError>;
 
@@ -124,13 +127,14 @@
 
     /// Takes back a connection whose answer came whole.
     pub(crate) fn give_back(&self, connection: Connection) {
-        if connection.sender.is_closed() {
-            return;
+        let mut idle = self.idle.lock();
+        idle.retain(Idle::is_usable);
+        if idle.len() < IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push(Idle {
+                connection,
+                since: Instant::now(),
+            });
         }
-        self.idle.lock().push(Idle {
-            connection,
-            since: Instant::now(),
-        });
     }
 
     /// Closes all idle connections.
@@ -140,11 +144,17 @@
 
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock();
-        idle.retain(|i| i.since.elapsed() < IDLE_LIMIT && i.connection.sender.is_ready());
+        idle.retain(Idle::is_usable);
         idle.pop().map(|i| i.connection)
     }
 }
 
+impl Idle {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < IDLE_LIMIT && self.connection.sender.is_ready()
+    }
+}
+
 impl Connection {
     /// Sends a request and returns the head of its answer.
     ///
--- /dev/null
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -0,0 +1,381 @@
+//! The thread that owns the log.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornweir_bundle::SignedBundle;
+use buckthornweir_events::{EventKind, Gauge};
+use buckthornweir_quorum::{
+    Action, Bundle, Command, Config, Core, Decision, Founder, MemberChange, Message, NodeId,
+    Presence, PushResult, Reject, Restored, Role, Standing, Storage, Token,
+};
+use buckthornweir_wire::{Body, ControlMember, ControlReply};
+use crossbeam::channel::{Receiver, after};
+use prost::Message as _;
+use tokio_util::sync::CancellationToken;
+
+use super::frame::{QuorumBody, QuorumFrame};
+use super::push::{invalid, reject_text, reply_to, reply_to_reject};
+use super::{ChangeDone, Event, PushDone, standing_word};
+use crate::board::{Blackboard, QuorumState};
+use crate::bundles;
+use crate::links::Links;
+use crate::settings::ControlSettings;
+
+/// The longest pause between two looks at the timers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How often control VMs tell what they are, and look whether a voter is to be replaced.
+const PRESENCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The token of changes that this process makes by itself.
+const OWN_TOKEN: Token = 0;
+
+/// The log of one control process.
+pub(super) struct Replica {
+    board: Arc<Blackboard>,
+    links: Arc<Links>,
+    core: Core,
+    storage: Storage,
+    founder: Founder,
+    peers: Vec<SocketAddr>,
+    addresses: HashMap<NodeId, SocketAddr>,
+    pushes: HashMap<Token, PushDone>,
+    changes: HashMap<Token, ChangeDone>,
+    next_token: Token,
+    next_presence: Duration,
+}
+
+/// The disk failed: the process must not go on.
+struct DiskFailed;
+
+impl Replica {
+    pub(super) fn new(
+        board: Arc<Blackboard>,
+        links: Arc<Links>,
+        settings: &ControlSettings,
+        storage: Storage,
+        restored: Restored,
+    ) -> Self {
+        let own = board.settings.node.control;
+        let listed = settings.peers.iter().map(ToString::to_string);
+        let founder =
+            Founder::new(restored.id, own.to_string(), listed).with_permission(settings.found);
+        let config = Config::default().with_address(own.to_string());
+        let core = Core::new(config, restored, rand::random(), board.now());
+        let peers = settings.peers.iter().copied().filter(|p| *p != own);
+        Self {
+            peers: peers.collect(),
+            board,
+            links,
+            core,
+            storage,
+            founder,
+            addresses: HashMap::new(),
+            pushes: HashMap::new(),
+            changes: HashMap::new(),
+            next_token: OWN_TOKEN + 1,
+            next_presence: Duration::ZERO,
+        }
+    }
+
+    /// Handles events until `stop` is cancelled, or until the disk fails.
+    pub(super) fn run(mut self, inbox: &Receiver<Event>, stop: &CancellationToken) {
+        self.put_in_force();
+        self.show();
+        while !stop.is_cancelled() {
+            if self.step(inbox).is_err() {
+                // What the disk holds is known only by opening it again.
+                tracing::error!("the data folder failed; the control role ends");
+                self.refuse_all();
+                return;
+            }
+        }
+    }
+
+    fn step(&mut self, inbox: &Receiver<Event>) -> Result<(), DiskFailed> {
+        let now = self.board.now();
+        let wait = self.core.next_tick(now).saturating_sub(now).min(TICK);
+        crossbeam::channel::select! {
+            recv(inbox) -> event => if let Ok(event) = event {
+                self.handle(event)?;
+            },
+            recv(after(wait)) -> _ => {}
+        }
+        let actions = self.core.tick(self.board.now());
+        self.carry_out(actions)?;
+        if self.board.now() >= self.next_presence {
+            self.next_presence = self.board.now() + PRESENCE_PERIOD;
+            self.look_after_members()?;
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: Event) -> Result<(), DiskFailed> {
+        let now = self.board.now();
+        match event {
+            Event::Frame(frame) => self.take_frame(frame),
+            Event::Push { text, done } => self.push(&text, done),
+            Event::Change { change, done } => self.change(change, done),
+            Event::Leave => {
+                let actions = self.core.transfer(now);
+                self.carry_out(actions)
+            }
+        }
+    }
+
+    fn take_frame(&mut self, frame: QuorumFrame) -> Result<(), DiskFailed> {
+        let now = self.board.now();
+        if let Ok(address) = frame.address.parse() {
+            self.addresses.insert(frame.from, address);
+        }
+        match frame.body {
+            Some(QuorumBody::Message(bytes)) => {
+                let Ok(message) = Message::from_bytes(bytes.into()) else {
+                    return Ok(());
+                };
+                let actions = self.core.handle(now, frame.from, message);
+                self.carry_out(actions)
+            }
+            Some(QuorumBody::Presence(bytes)) => {
+                if let Ok(presence) = Presence::from_bytes(bytes.into()) {
+                    self.founder.note_presence(now, presence);
+                }
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn push(&mut self, text: &str, done: PushDone) -> Result<(), DiskFailed> {
+        let signed = SignedBundle::parse("push", text)
+            .and_then(|signed| signed.verify(&self.board.settings.trust).map(|()| signed));
+        let signed = match signed {
+            Ok(signed) => signed,
+            Err(fault) => {
+                done(invalid(&fault));
+                return Ok(());
+            }
+        };
+        let token = self.take_token();
+        self.pushes.insert(token, done);
+        let command = Command::Push(Bundle {
+            version: signed.bundle().version,
+            digest: signed.digest(),
+            bytes: signed.to_text().into_bytes(),
+        });
+        let actions = self.core.propose(self.board.now(), token, command);
+        self.carry_out(actions)
+    }
+
+    fn change(&mut self, change: Option<MemberChange>, done: ChangeDone) -> Result<(), DiskFailed> {
+        let Some(change) = change else {
+            done(self.members_reply());
+            return Ok(());
+        };
+        let token = self.take_token();
+        self.changes.insert(token, done);
+        let now = self.board.now();
+        let actions = self.core.change_members(now, token, change);
+        self.carry_out(actions)
+    }
+
+    fn take_token(&mut self) -> Token {
+        let token = self.next_token;
+        self.next_token += 1;
+        token
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) -> Result<(), DiskFailed> {
+        for action in actions {
+            match action {
+                Action::Persist(records) => self.persist(&records)?,
+                Action::Send { to, message } => self.send(to, &message),
+                Action::Applied { token, result, .. } => self.applied(token, &result),
+                Action::Changed { token, .. } => self.changed(token),
+                Action::Rejected { token, reason } => self.rejected(token, reason),
+                Action::RoleChanged { .. } => self.show(),
+                Action::Installed { .. } => self.put_in_force(),
+                Action::Forgot { id } => tracing::warn!(id, "a control VM lost synced entries"),
+                Action::ReadReady { .. } => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn persist(&mut self, records: &[buckthornweir_quorum::Record]) -> Result<(), DiskFailed> {
+        self.storage.persist(records).map_err(|error| {
+            tracing::error!(%error);
+            DiskFailed
+        })
+    }
+
+    fn applied(&mut self, token: Option<Token>, result: &PushResult) {
+        self.put_in_force();
+        if let Some(done) = token.and_then(|token| self.pushes.remove(&token)) {
+            done(reply_to(result));
+        }
+    }
+
+    fn changed(&mut self, token: Option<Token>) {
+        let reply = self.members_reply();
+        if let Some(done) = token.and_then(|token| self.changes.remove(&token)) {
+            done(reply);
+        }
+    }
+
+    fn rejected(&mut self, token: Token, reason: Reject) {
+        let leader = match reason {
+            Reject::NotLeader { leader } => self.core.address(leader).unwrap_or_default(),
+            _ => "",
+        };
+        if let Some(done) = self.pushes.remove(&token) {
+            done(reply_to_reject(reason, leader));
+        }
+        if let Some(done) = self.changes.remove(&token) {
+            done(ControlReply {
+                fault: reject_text(reason),
+                leader: leader.into(),
+                ..ControlReply::default()
+            });
+        }
+    }
+
+    fn refuse_all(&mut self) {
+        let pushes: Vec<Token> = self.pushes.keys().copied().collect();
+        let changes: Vec<Token> = self.changes.keys().copied().collect();
+        for token in pushes.into_iter().chain(changes) {
+            self.rejected(token, Reject::Interrupted);
+        }
+    }
+
+    /// Puts the newest bundle of the log in force at this process.
+    fn put_in_force(&self) {
+        let Some(newest) = self.core.bundles().newest() else {
+            return;
+        };
+        if newest.version > self.board.version()
+            && let Ok(text) = std::str::from_utf8(&newest.bytes)
+        {
+            bundles::apply(&self.board, text);
+        }
+    }
+
+    fn show(&self) {
+        let role = match self.core.role() {
+            Role::Learner => "learner",
+            Role::Follower => "follower",
+            Role::Candidate => "candidate",
+            Role::Leader => "leader",
+        };
+        let term = self.core.term();
+        let before = self.board.quorum();
+        self.board.set_quorum(QuorumState { role, term });
+        let metrics = &self.board.metrics;
+        metrics.set(Gauge::QuorumTerm, i64::try_from(term).unwrap_or(i64::MAX));
+        metrics.set(Gauge::QuorumLeader, i64::from(role == "leader"));
+        if before.role != role {
+            let role = role.into();
+            self.board.record(EventKind::RoleChanged { role, term });
+        }
+    }
+
+    fn look_after_members(&mut self) -> Result<(), DiskFailed> {
+        self.note_versions();
+        self.tell_presence();
+        if self.core.cluster() == 0 {
+            return self.found_or_join();
+        }
+        self.replace_lost_voter()
+    }
+
+    /// A new log accepts only versions above those that any process holds.
+    fn note_versions(&mut self) {
+        let members = self.board.members();
+        let known = members.iter().map(|m| m.record.bundle.version).max();
+        let newest = known.unwrap_or(0).max(self.board.version());
+        self.founder.note_version(newest);
+    }
+
+    fn tell_presence(&self) {
+        let presence = self.founder.presence(&self.core).to_bytes().to_vec();
+        for peer in &self.peers {
+            self.send_frame(*peer, QuorumBody::Presence(presence.clone()));
+        }
+    }
+
+    fn found_or_join(&mut self) -> Result<(), DiskFailed> {
+        let now = self.board.now();
+        let cluster = rand::random::<u64>().max(1);
+        let actions = match self.founder.decide(now, cluster) {
+            Decision::Found(founding) => self.core.found(now, founding),
+            Decision::Join { via } => self.core.join(now, via),
+            _ => return Ok(()),
+        };
+        self.carry_out(actions)?;
+        self.show();
+        Ok(())
+    }
+
+    /// Lets a learner take the place of the voter whose address it has: that voter's data folder is
+    /// gone, since a folder keeps its identity.
+    fn replace_lost_voter(&mut self) -> Result<(), DiskFailed> {
+        if self.core.role() != Role::Leader {
+            return Ok(());
+        }
+        let Some(change) = self.lost_voter() else {
+            return Ok(());
+        };
+        let now = self.board.now();
+        let actions = self.core.change_members(now, OWN_TOKEN, change);
+        self.carry_out(actions)
+    }
+
+    fn lost_voter(&self) -> Option<MemberChange> {
+        let members = self.core.members();
+        let learners = members.iter().filter(|m| m.standing == Standing::Learner);
+        for learner in learners {
+            let same = |m: &&buckthornweir_quorum::Member| m.address == learner.address;
+            if let Some(voter) = members.voters().find(same) {
+                return Some(MemberChange::Replace {
+                    id: voter.id,
+                    by: learner.id,
+                });
+            }
+        }
+        None
+    }
+
+    fn members_reply(&self) -> ControlReply {
+        let leader = self.core.leader();
+        let row = |member: &buckthornweir_quorum::Member| ControlMember {
+            id: member.id,
+            address: member.address.to_string(),
+            standing: standing_word(member).into(),
+            leads: leader == Some(member.id),
+        };
+        ControlReply {
+            members: self.core.members().iter().map(row).collect(),
+            ..ControlReply::default()
+        }
+    }
+
+    fn send(&self, to: NodeId, message: &Message) {
+        let listed = self.core.address(to).and_then(|a| a.parse().ok());
+        let known = listed.or_else(|| self.addresses.get(&to).copied());
+        if let Some(address) = known {
+            self.send_frame(address, QuorumBody::Message(message.to_bytes().to_vec()));
+        }
+    }
+
+    fn send_frame(&self, to: SocketAddr, body: QuorumBody) {
+        let frame = QuorumFrame {
+            from: self.core.id(),
+            address: self.board.settings.node.control.to_string(),
+            body: Some(body),
+        };
+        self.links.send_to(to, Body::Quorum(frame.encode_to_vec()));
+    }
+}
--- a/crates/buckthornweir_daemon/src/dispatch.rs
+++ b/crates/buckthornweir_daemon/src/dispatch.rs
@@ -58,7 +58,7 @@
             }
             Some(Body::Quorum(bytes)) => {
                 if let Some(control) = self.control.get() {
-                    control.receive(from, &bytes);
+                    control.receive(&bytes);
                 }
             }
         }
--- a/crates/buckthornweir_daemon/src/fault.rs
+++ b/crates/buckthornweir_daemon/src/fault.rs
@@ -29,6 +29,11 @@
             display("thread {name} cannot be started: {source}")
             source(source)
         }
+        /// The log of the control role cannot be opened.
+        Log { path: SmolStr, source: Box<buckthornweir_quorum::storage::Error> } {
+            display("{path}: {source}")
+            source(source)
+        }
         /// The metrics cannot be made.
         Metrics(source: Box<buckthornweir_events::MetricsError>) {
             from(source: buckthornweir_events::MetricsError) -> (Box::new(source))
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -139,7 +139,7 @@
     dispatch: Arc<Dispatch>,
     runtime: Handle,
     stop: CancellationToken,
-    open: Mutex<HashMap<NodeId, LinkSender>>,
+    open: Mutex<HashMap<SocketAddr, LinkSender>>,
 }
 
 impl Links {
@@ -159,26 +159,35 @@
         })
     }
 
-    /// Queues a message to `peer` on a link that is dialed when there is none. Returns false when
-    /// the message will certainly not be sent.
+    /// Queues a message to the member `peer` on a link that is dialed when there is none. Returns
+    /// false when the message will certainly not be sent.
     pub(crate) fn send(self: &Arc<Self>, peer: NodeId, body: Body) -> bool {
+        match self.board.member(peer) {
+            Some(member) => self.queue(member.record.control, Some(peer), body),
+            None => false,
+        }
+    }
+
+    /// Queues a message to the process at `address`, as [`Links::send`] does.
+    pub(crate) fn send_to(self: &Arc<Self>, address: SocketAddr, body: Body) -> bool {
+        self.queue(address, None, body)
+    }
+
+    fn queue(self: &Arc<Self>, address: SocketAddr, peer: Option<NodeId>, body: Body) -> bool {
         let envelope = self.board.envelope(body);
         let mut open = self.open.lock();
-        if let Some(link) = open.get(&peer)
+        if let Some(link) = open.get(&address)
             && !link.sender.is_closed()
         {
             return link.send(envelope);
         }
-        let Some(member) = self.board.member(peer) else {
-            return false;
-        };
-        let link = self.dial(peer, member.record.control);
+        let link = self.dial(address, peer);
         let queued = link.send(envelope);
-        open.insert(peer, link);
+        open.insert(address, link);
         queued
     }
 
-    fn dial(self: &Arc<Self>, peer: NodeId, address: SocketAddr) -> LinkSender {
+    fn dial(self: &Arc<Self>, address: SocketAddr, peer: Option<NodeId>) -> LinkSender {
         let (sender, receiver) = mpsc::channel(WAITING);
         let links = self.clone();
         let own = sender.downgrade();
@@ -200,8 +209,10 @@
                 let peer = address.to_smolstr();
                 links.board.record(EventKind::LinkLost { peer });
             }
-            links.forget(peer, &own);
-            links.dispatch.link_lost(peer);
+            links.forget(address, &own);
+            if let Some(peer) = peer {
+                links.dispatch.link_lost(peer);
+            }
         });
         LinkSender { sender }
     }
@@ -209,14 +220,14 @@
 
 impl Links {
     /// Forgets a link that has ended, unless another has taken its place.
-    fn forget(&self, peer: NodeId, ended: &mpsc::WeakSender<Envelope>) {
+    fn forget(&self, address: SocketAddr, ended: &mpsc::WeakSender<Envelope>) {
         let mut open = self.open.lock();
-        let is_same = match (open.get(&peer), ended.upgrade()) {
+        let is_same = match (open.get(&address), ended.upgrade()) {
             (Some(link), Some(ended)) => link.sender.same_channel(&ended),
             _ => false,
         };
         if is_same {
-            open.remove(&peer);
+            open.remove(&address);
         }
     }
 }
--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -30,6 +30,7 @@
 pub struct Node {
     board: Arc<Blackboard>,
     agent: Option<Agent>,
+    dispatch: Arc<Dispatch>,
     stop: CancellationToken,
 }
 
@@ -61,8 +62,9 @@
         );
         links::listen(&board, &dispatch, &runtime, &stop).await?;
         metrics_page::listen(&board, &runtime, &stop).await?;
-        if board.settings.control.is_some() {
-            dispatch.set_control(Control::new(board.clone()));
+        if let Some(settings) = &board.settings.control {
+            let control = Control::start(&board, settings, &links, &stop)?;
+            dispatch.set_control(control);
         }
         let peers = PeerSocket::bind(&board)?;
         let roles = Arc::new(PeerRoles::default());
@@ -83,7 +85,12 @@
         let pulls = pull::start(&board, &runtime, &stop);
         gossip::start(&board, pulls, &stop)?;
         board.record(EventKind::Started);
-        Ok(Self { board, agent, stop })
+        Ok(Self {
+            board,
+            agent,
+            dispatch,
+            stop,
+        })
     }
 
     /// Returns the blackboard.
@@ -96,6 +103,9 @@
     pub async fn stop(&self) -> bool {
         self.board.record(EventKind::Stopping);
         let limit = Instant::now() + self.board.settings.node.stop_limit;
+        if let Some(control) = self.dispatch.control() {
+            control.leave();
+        }
         let mut all_ended = true;
         if let Some(agent) = &self.agent {
             let announced = limit.min(Instant::now() + ANNOUNCE);
--- a/crates/buckthornweir_daemon/src/operators.rs
+++ b/crates/buckthornweir_daemon/src/operators.rs
@@ -5,8 +5,9 @@
 use buckthornweir_events::{Filter, Gauge, Stamp};
 use buckthornweir_members::Health;
 use buckthornweir_wire::{
-    Body, BundleReply, DrainReply, MemberRow, MembersReply, MetricsReply, OperatorMessage,
-    PushOutcome, PushReply, Reply, Request, StatusReply, TimelineReply, TimelineRequest,
+    Body, BundleReply, ControlReply, DrainReply, MemberRow, MembersReply, MetricsReply,
+    OperatorMessage, PushOutcome, PushReply, Reply, Request, StatusReply, TimelineReply,
+    TimelineRequest,
 };
 
 use crate::board::{Blackboard, Leaving, Member};
@@ -38,7 +39,20 @@
             };
             let board = board.clone();
             let done = move |reply| reply_to(&board, id, Reply::Push(reply), &back);
-            return control.push(&push.text, Box::new(done));
+            return control.push(push.text, Box::new(done));
+        }
+        Request::Control(change) => {
+            let Some(control) = dispatch.control() else {
+                let fault = "the process has no control role".into();
+                let reply = ControlReply {
+                    fault,
+                    ..ControlReply::default()
+                };
+                return reply_to(board, id, Reply::Control(reply), &back);
+            };
+            let board = board.clone();
+            let done = move |reply| reply_to(&board, id, Reply::Control(reply), &back);
+            return control.change(&change, Box::new(done));
         }
     };
     reply_to(board, id, reply, &back);
--- a/crates/buckthornweir_daemon/src/settings.rs
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -16,6 +16,9 @@
 /// The sections of the settings, as faults list them.
 const SECTIONS: &str = "[node], [balancer], [agent], [control], [trust], [log]";
 
+/// The most control processes.
+const CONTROL_LIMIT: usize = 7;
+
 /// The settings of one process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -89,8 +92,10 @@
 /// The control role.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
-    /// Names of the control processes that found the cluster, this one among them.
-    pub founders: Vec<SmolStr>,
+    /// Where all control processes take links, this one among them.
+    pub peers: Vec<SocketAddr>,
+    /// Whether this process may found a new log when no control process has one.
+    pub found: bool,
 }
 
 /// How logs are written.
@@ -141,7 +146,9 @@
         let settings = Self {
             balancer: read_role(&mut document, &roles, Role::Balancer, read_balancer)?,
             agent: read_role(&mut document, &roles, Role::Agent, read_agent)?,
-            control: read_role(&mut document, &roles, Role::Control, read_control)?,
+            control: read_role(&mut document, &roles, Role::Control, |section| {
+                read_control(section, node.control)
+            })?,
             trust: read_trust(document.take("trust")?)?,
             log: read_log(document.take_optional("log"))?,
             node,
@@ -264,14 +271,16 @@
     Ok(agent)
 }
 
-fn read_control(mut section: Section) -> Result<ControlSettings> {
-    let founders: Vec<SmolStr> = section.required("founders", value::list(value::name))?;
-    if founders.len() > 7 || founders.len().is_multiple_of(2) {
-        let allowed = "1, 3, 5 or 7 names";
-        return Err(section.rejects("founders", &founders.join(", "), allowed));
+fn read_control(mut section: Section, own: SocketAddr) -> Result<ControlSettings> {
+    let peers: Vec<SocketAddr> = section.required("peers", value::list(value::address))?;
+    if peers.len() > CONTROL_LIMIT || !peers.contains(&own) {
+        let listed: Vec<String> = peers.iter().map(ToString::to_string).collect();
+        let allowed = "at most 7 addresses, with [node] control among them";
+        return Err(section.rejects("peers", &listed.join(", "), allowed));
     }
+    let found = section.or("found", false, value::yes_no)?;
     section.finish()?;
-    Ok(ControlSettings { founders })
+    Ok(ControlSettings { peers, found })
 }
 
 fn read_trust(mut section: Section) -> Result<Trust> {
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -12,7 +12,8 @@
 pub struct Plan {
     trusted: String,
     seeds: Vec<SocketAddr>,
-    founders: Vec<String>,
+    peers: Vec<SocketAddr>,
+    controls: usize,
     log: String,
 }
 
@@ -37,15 +38,17 @@
         Self {
             trusted: trusted.into(),
             seeds: Vec::new(),
-            founders: vec!["control-1".into()],
+            peers: Vec::new(),
+            controls: 0,
             log: "warn".into(),
         }
     }
 
-    /// Sets the control processes that found the cluster.
+    /// Sets how many control processes there will be; each call of [`Plan::control`] takes the next
+    /// of their addresses.
     #[must_use]
-    pub fn with_founders(mut self, founders: &[&str]) -> Self {
-        self.founders = founders.iter().map(ToString::to_string).collect();
+    pub fn with_control(mut self, count: usize) -> Self {
+        self.peers = (0..count).map(|_| free_tcp()).collect();
         self
     }
 
@@ -84,10 +87,17 @@
         self.node(name, domain, "agent", &role, None)
     }
 
-    /// Plans a control process that keeps its state in `data`.
+    /// Plans a control process that keeps its state in `data`. The first one may found the log.
     pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
-        let role = format!("[control]\nfounders = {}\n", self.founders.join(", "));
-        self.node(name, domain, "control", &role, Some(data))
+        if self.peers.is_empty() {
+            self.peers.push(free_tcp());
+        }
+        let at = self.controls.min(self.peers.len() - 1);
+        self.controls += 1;
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let role = format!("[control]\npeers = {}\nfound = yes\n", peers.join(", "));
+        let own = self.peers[at];
+        self.node_at(own, name, domain, "control", &role, Some(data))
     }
 
     fn node(
@@ -97,9 +107,20 @@
         roles: &str,
         role: &str,
         data: Option<&Path>,
+    ) -> PlannedNode {
+        self.node_at(free_tcp(), name, domain, roles, role, data)
+    }
+
+    fn node_at(
+        &mut self,
+        control: SocketAddr,
+        name: &str,
+        domain: &str,
+        roles: &str,
+        role: &str,
+        data: Option<&Path>,
     ) -> PlannedNode {
         let gossip = free_udp();
-        let control = free_tcp();
         let metrics = free_tcp();
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
--- a/crates/buckthornweir_wire/src/lib.rs
+++ b/crates/buckthornweir_wire/src/lib.rs
@@ -29,9 +29,10 @@
 pub use key::{ClusterKey, TAG_BYTES};
 pub use link::{FRAME_LIMIT, Link, LinkReader, LinkWriter};
 pub use operator::{
-    BundleReply, BundleRequest, DrainReply, DrainRequest, MemberRow, MembersReply, MembersRequest,
-    MetricsReply, MetricsRequest, OperatorMessage, PushOutcome, PushReply, PushRequest, Reply,
-    Request, StatusReply, StatusRequest, TimelineReply, TimelineRequest,
+    BundleReply, BundleRequest, ControlChange, ControlMember, ControlReply, DrainReply,
+    DrainRequest, MemberRow, MembersReply, MembersRequest, MetricsReply, MetricsRequest,
+    OperatorMessage, PushOutcome, PushReply, PushRequest, Reply, Request, StatusReply,
+    StatusRequest, TimelineReply, TimelineRequest,
 };
 
 /// Names that most users of this crate import.
--- a/crates/buckthornweir_wire/src/operator.rs
+++ b/crates/buckthornweir_wire/src/operator.rs
@@ -7,10 +7,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// What is asked.
-    #[prost(oneof = "Request", tags = "10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Request", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
     pub request: Option<Request>,
     /// What is answered.
-    #[prost(oneof = "Reply", tags = "20, 21, 22, 23, 24, 25, 26")]
+    #[prost(oneof = "Reply", tags = "20, 21, 22, 23, 24, 25, 26, 27")]
     pub reply: Option<Reply>,
 }
 
@@ -38,6 +38,9 @@
     /// To take no new work.
     #[prost(message, tag = "16")]
     Drain(DrainRequest),
+    /// To change or list the control processes.
+    #[prost(message, tag = "17")]
+    Control(ControlChange),
 }
 
 /// What a process answers.
@@ -64,6 +67,9 @@
     /// Whether the process drains.
     #[prost(message, tag = "26")]
     Drain(DrainReply),
+    /// The control processes.
+    #[prost(message, tag = "27")]
+    Control(ControlReply),
 }
 
 /// Asks how the process stands.
@@ -270,6 +276,54 @@
     pub draining: bool,
 }
 
+/// Asks to change the control processes by one step, or to list them when nothing is set.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ControlChange {
+    /// The identity of the member that changes.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Lets a learner vote.
+    #[prost(bool, tag = "2")]
+    pub promote: bool,
+    /// Removes the member.
+    #[prost(bool, tag = "3")]
+    pub remove: bool,
+    /// The identity of the learner that takes the member's place, or 0.
+    #[prost(fixed64, tag = "4")]
+    pub replaced_by: u64,
+}
+
+/// The control processes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlReply {
+    /// A row for each; empty when the change was not made.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<ControlMember>,
+    /// Why the change was not made, or empty.
+    #[prost(string, tag = "2")]
+    pub fault: String,
+    /// Where the leader takes links, when another process leads.
+    #[prost(string, tag = "3")]
+    pub leader: String,
+}
+
+/// One control process.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlMember {
+    /// The identity of its data folder.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Where it takes links.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Voter, learner or pending.
+    #[prost(string, tag = "3")]
+    pub standing: String,
+    /// Whether it leads.
+    #[prost(bool, tag = "4")]
+    pub leads: bool,
+}
+
 impl OperatorMessage {
     /// Returns a message that asks.
     pub fn ask(id: u64, request: Request) -> Self {
