Answer operators only once every role is there, and give each test process its own addresses

Ruled out: elections (the client and the tests try again without a quorum). Change: the control address is taken last; ports below the system's range on a loopback address made from the process id.

--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -60,8 +60,6 @@
             runtime.clone(),
             stop.clone(),
         );
-        links::listen(&board, &dispatch, &runtime, &stop).await?;
-        metrics_page::listen(&board, &runtime, &stop).await?;
         if let Some(settings) = &board.settings.control {
             let control = Control::start(&board, settings, &links, &stop)?;
             dispatch.set_control(control);
@@ -82,6 +80,9 @@
             let _ = roles.balancer.set(balancer);
         }
         peer_packets::start(&peers, &roles, board.settings.peer_threads(), &stop)?;
+        // Operators and other processes are answered once every role is there.
+        links::listen(&board, &dispatch, &runtime, &stop).await?;
+        metrics_page::listen(&board, &runtime, &stop).await?;
         let pulls = pull::start(&board, &runtime, &stop);
         gossip::start(&board, pulls, &stop)?;
         board.record(EventKind::Started);
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -1,12 +1,19 @@
 //! The settings of a small deployment on loopback.
 
 use std::fmt::Write;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The shared key of every deployment on loopback, in hexadecimal digits.
 const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
 
+/// The first port that a process takes.
+const FIRST_PORT: u16 = 10_000;
+
+/// How many ports a process takes before it starts over.
+const PORTS: u16 = 20_000;
+
 /// Writes the settings of processes that know one another. Every process gets ports of its own.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -149,26 +156,24 @@
     }
 }
 
-/// Returns a loopback address whose UDP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics when the machine has no free port left.
+/// Returns a loopback address with a UDP port that nothing else on the machine takes.
 pub fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind(any_port()).and_then(|s| s.local_addr());
-    socket.expect("a free UDP port")
+    own_address()
 }
 
-/// Returns a loopback address whose TCP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics when the machine has no free port left.
+/// Returns a loopback address with a TCP port that nothing else on the machine takes.
 pub fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind(any_port()).and_then(|l| l.local_addr());
-    listener.expect("a free TCP port")
+    own_address()
 }
 
-fn any_port() -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)
+/// Returns the next port of this process's own loopback address. Each process has an address of its
+/// own, and the ports are below those that the system gives to outgoing connections.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let process = std::process::id();
+    let [_, high, middle, low] = process.to_be_bytes();
+    // 127.0.0.1 itself stays with everybody.
+    let ip = Ipv4Addr::new(127, 1 + high % 64, middle, low.max(1));
+    let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+    SocketAddr::new(IpAddr::V4(ip), port)
 }
