Prove that keys run at most once, by a table of faults and by random faults

Found, failing first: three holders that all died and restarted ran a key again, since an agent that did not yet know who counts called itself new, and its empty records were taken for whole (table row "all holders died and restarted"). Change: an agent says "new" only once it knows who counts.

--- a/crates/buckthornweir_requests/src/idempotency/syncing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -198,6 +198,13 @@
         let records = self.records.export(now);
         let parts = records.len().div_ceil(RECORDS_MOST).max(1);
         let settled: Vec<_> = self.roster.settled().map(settled_member).collect();
+        // Before it knows who counts, an agent can't tell whether it is new or restarted.
+        let is_certain = !self.roster.is_unfounded();
+        let standing = if is_certain {
+            self.standing
+        } else {
+            Standing::Forgetful
+        };
         for part in 0..parts {
             let first = part * RECORDS_MOST;
             let last = records.len().min(first + RECORDS_MOST);
@@ -205,7 +212,7 @@
                 token,
                 part: part as u32,
                 parts: parts as u32,
-                standing: self.standing.into(),
+                standing: standing.into(),
                 settled: settled.clone(),
                 left: self.roster.left().collect(),
                 records: records[first..last].to_vec(),
--- /dev/null
+++ b/crates/buckthornweir_requests/tests/idempotency/main.rs
@@ -0,0 +1,5 @@
+//! Requests with an idempotency key run at most once, whatever fails.
+
+mod net;
+mod random;
+mod table;
