Let a new member grant keys only after the others count it

Cause: random seed 10186 ran a key twice. Two agents that came back from a partition did not yet count a member that had joined meanwhile, and granted with the old holders while the new member and a third granted with the new ones. Ruled out: a wait after a partition or after the process stood still (each agent hears of members at its own time); adding members by age without contact. Change: a new member grants once all others but one confirm in their records that they count it; an agent that was away for half of the time after which it is dropped has itself confirmed; an agent never takes those that are there for the whole service because of its age, only at a first start or by an operator (`Keys::found`).

--- a/crates/buckthornweir_requests/src/idempotency/asking.rs
+++ b/crates/buckthornweir_requests/src/idempotency/asking.rs
@@ -68,7 +68,6 @@
         deadline: Duration,
     ) -> (ClaimKey, Vec<KeyAction>) {
         let mut out = Vec::new();
-        self.note_time(now);
         self.counters.claims += 1;
         let is_full = self.claims.len() >= self.config.claims;
         let holders = self.roster.holders(key).unwrap_or_default();
--- a/crates/buckthornweir_requests/src/idempotency/holding.rs
+++ b/crates/buckthornweir_requests/src/idempotency/holding.rs
@@ -42,7 +42,7 @@
             return known;
         }
         let until = now + Duration::from_micros(claim.remaining_us).min(self.config.keep);
-        let is_granted = self.may_grant(now, &claim.key, &claim.holders)
+        let is_granted = self.may_grant(&claim.key, &claim.holders)
             && self
                 .records
                 .claim(now, &claim.key, claim.digest, claim.claim, until);
@@ -55,8 +55,8 @@
 
     /// Returns whether the asker and this agent know the same holders and this agent forgot
     /// nothing.
-    fn may_grant(&self, now: Duration, key: &[u8], holders: &[NodeId]) -> bool {
-        self.is_ready(now)
+    fn may_grant(&self, key: &[u8], holders: &[NodeId]) -> bool {
+        self.is_ready()
             && holders.contains(&self.own)
             && self.roster.holders(key).is_some_and(|own| own == holders)
     }
--- a/crates/buckthornweir_requests/src/idempotency/mod.rs
+++ b/crates/buckthornweir_requests/src/idempotency/mod.rs
@@ -114,16 +114,14 @@
     salt: u64,
     roster: Roster,
     standing: Standing,
-    /// Earliest time at which the records of the others are complete for this agent.
-    pull_after: Duration,
+    /// When this agent first heard which members count.
+    adopted: Option<Duration>,
     pulls: BTreeMap<NodeId, Pull>,
     next_pull: Duration,
     next_token: u64,
+    /// Whether contact with the others was lost for long and they have not confirmed this agent.
+    was_away: bool,
     leaving: bool,
-    /// Time of the last event.
-    last: Duration,
-    /// Time before which no claim is granted.
-    grants_after: Duration,
     records: Records,
     claims: SlotMap<ClaimKey, Claim>,
     counters: KeyCounters,
@@ -141,14 +139,13 @@
             salt: rng.next_u64(),
             roster: Roster::new(own, &config, now),
             standing: Standing::New,
-            pull_after: now,
+            adopted: None,
             pulls: BTreeMap::new(),
             next_pull: now,
             // Zero marks records that were not asked for.
             next_token: rng.next_u64() | 1,
+            was_away: false,
             leaving: false,
-            last: now,
-            grants_after: now,
             records: Records::new(&config),
             claims: SlotMap::with_key(),
             counters: KeyCounters::default(),
@@ -158,15 +155,22 @@
 
     /// Takes over which other agents of the service are there, in any state.
     pub fn set_members(&mut self, now: Duration, present: &[Member]) -> Vec<KeyAction> {
-        self.note_time(now);
         self.roster.set(now, present);
         self.tick(now)
     }
 
+    /// Takes the members that are there for the whole service.
+    ///
+    /// This is for operators, after all agents were lost at once: a request that was sent before
+    /// may run again.
+    pub fn found(&mut self, now: Duration) {
+        self.roster.found(now);
+        self.standing = Standing::Sure;
+    }
+
     /// Handles a message about keys; others are passed over.
     pub fn received(&mut self, now: Duration, from: NodeId, body: RequestBody) -> Vec<KeyAction> {
         let mut out = Vec::new();
-        self.note_time(now);
         match body {
             RequestBody::KeyClaim(claim) => self.claim_asked(now, from, &claim, &mut out),
             RequestBody::KeyAnswer(answer) => self.answered(now, from, answer, &mut out),
@@ -182,7 +186,6 @@
     /// Acts on everything that is due at `now`.
     pub fn tick(&mut self, now: Duration) -> Vec<KeyAction> {
         let mut out = Vec::new();
-        self.note_time(now);
         self.records.expire(now);
         self.tick_roster(now);
         self.tick_sync(now, &mut out);
@@ -198,11 +201,8 @@
     }
 
     /// Returns whether this agent grants claims.
-    pub fn is_ready(&self, now: Duration) -> bool {
-        self.standing == Standing::Sure
-            && !self.leaving
-            && now >= self.grants_after
-            && self.roster.in_contact()
+    pub fn is_ready(&self) -> bool {
+        self.standing == Standing::Sure && !self.leaving && self.roster.in_contact()
     }
 
     /// Returns the number of records that are held.
@@ -214,12 +214,4 @@
     pub fn counters(&self) -> KeyCounters {
         self.counters
     }
-
-    /// Notices that this process stood still, so that what it knows of the members is old.
-    fn note_time(&mut self, now: Duration) {
-        if now > self.last + self.config.settle / 2 {
-            self.grants_after = now + self.config.settle;
-        }
-        self.last = self.last.max(now);
-    }
 }
--- a/crates/buckthornweir_requests/src/idempotency/roster.rs
+++ b/crates/buckthornweir_requests/src/idempotency/roster.rs
@@ -48,16 +48,31 @@
     }
 }
 
+/// What passing time brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Nothing of note.
+    None,
+    /// The members that count were chosen without earlier ones: no record can exist.
+    Founded,
+    /// This agent was away so long that the others may no longer count it.
+    Returned,
+}
+
 /// The members as one agent knows them.
 #[derive(Clone, Debug)]
 pub(crate) struct Roster {
     own: NodeId,
     started: Duration,
+    /// When more than half of the members that count were last there.
+    contact: Duration,
     forget: Duration,
     settle: Duration,
     first_start: bool,
     hash_key: [u64; 2],
     entries: Vec<Entry>,
+    /// Members that no longer count, and since when.
+    dropped: Vec<(NodeId, Duration)>,
 }
 
 impl Roster {
@@ -66,11 +81,13 @@
         Self {
             own: node,
             started: now,
+            contact: now,
             forget: config.forget,
             settle: config.settle,
             first_start: config.first_start,
             hash_key: config.hash_key,
             entries: vec![new_entry(own, now)],
+            dropped: Vec::new(),
         }
     }
 
@@ -92,6 +109,7 @@
         }
         self.entries.retain(|e| e.present || e.settled);
         for member in present {
+            self.dropped.retain(|(node, _)| *node != member.node);
             match self
                 .entries
                 .iter_mut()
@@ -104,32 +122,52 @@
         self.entries.sort_by_key(|e| e.member.node);
     }
 
-    /// Lets time pass; returns whether the members that count were chosen anew without any
-    /// earlier ones, so that no record can exist.
-    pub(crate) fn tick(&mut self, now: Duration) -> bool {
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Duration) -> Change {
         if self.is_founding(now) {
-            self.entries.retain(|e| e.present);
-            self.entries.iter_mut().for_each(|e| e.settled = true);
-            return true;
+            self.found(now);
+            return Change::Founded;
         }
         if !self.in_contact() {
             let joining = self.entries.iter_mut().filter(|e| !e.settled);
             joining.for_each(|e| e.since = now);
-            return false;
+            return Change::None;
+        }
+        let was_away = now >= self.contact + self.forget / 2;
+        self.contact = now;
+        if was_away {
+            return Change::Returned;
         }
+        self.let_settle(now);
+        Change::None
+    }
+
+    /// Counts the members that are there, and no others.
+    pub(crate) fn found(&mut self, now: Duration) {
+        self.entries.retain(|e| e.present);
+        self.entries.iter_mut().for_each(|e| e.settled = true);
+        self.contact = now;
+    }
+
+    fn let_settle(&mut self, now: Duration) {
         let (settle, forget) = (self.settle, self.forget);
         for entry in &mut self.entries {
             entry.settled |= entry.present && now >= entry.since + settle;
         }
-        self.entries.retain(|e| {
+        let is_due = |e: &Entry| {
             let limit = if e.left { settle } else { forget };
-            e.present || now < e.since + limit
-        });
-        false
+            !e.present && now >= e.since + limit
+        };
+        self.dropped.retain(|(_, since)| now < *since + forget);
+        let due = self.entries.iter().filter(|e| is_due(e));
+        self.dropped.extend(due.map(|e| (e.member.node, now)));
+        self.entries.retain(|e| !is_due(e));
     }
 
     /// Takes over the members that count from a member that knows them.
     pub(crate) fn adopt(&mut self, now: Duration, settled: &[Member]) {
+        let is_dropped = |node| self.dropped.iter().any(|(other, _)| *other == node);
+        let settled = settled.iter().filter(|m| !is_dropped(m.node));
         for member in settled {
             match self
                 .entries
@@ -150,6 +188,16 @@
             }
         }
         self.entries.sort_by_key(|e| e.member.node);
+        self.contact = now;
+    }
+
+    /// Makes a new member of this agent, since the others no longer count it.
+    pub(crate) fn unsettle_own(&mut self, now: Duration) {
+        let own = self.own;
+        if let Some(entry) = self.entries.iter_mut().find(|e| e.member.node == own) {
+            entry.settled = false;
+            entry.since = now;
+        }
     }
 
     /// Notes that a member sent all of its records here before it leaves.
@@ -195,12 +243,15 @@
         others.map(|e| e.member.node)
     }
 
-    /// Returns the members that sent all of their records here before they left.
+    /// Returns the members whose records are held here or have expired, since they left or were
+    /// dropped.
     pub(crate) fn left(&self) -> impl Iterator<Item = NodeId> {
-        self.entries
+        let left = self
+            .entries
             .iter()
             .filter(|e| e.left)
-            .map(|e| e.member.node)
+            .map(|e| e.member.node);
+        left.chain(self.dropped.iter().map(|(node, _)| *node))
     }
 
     /// Returns whether the member counts.
@@ -214,9 +265,8 @@
     }
 
     fn is_founding(&self, now: Duration) -> bool {
-        let age = now.saturating_sub(self.started);
         if self.is_unfounded() {
-            return age >= self.forget || (self.first_start && age >= self.settle);
+            return self.first_start && now >= self.started + self.settle;
         }
         // Every member that counted has left and sent its records here.
         self.entries.iter().all(|e| !e.settled || e.has_left())
--- a/crates/buckthornweir_requests/src/idempotency/syncing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::roster::Change;
 use super::{KeyAction, Keys, Member};
 use crate::NodeId;
 use crate::messages::{KeyRecords, KeySync, RECORDS_MOST, RequestBody, SettledMember, Standing};
@@ -10,7 +11,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pull {
     token: u64,
-    asked: Duration,
     next_part: u32,
     complete: bool,
 }
@@ -45,7 +45,8 @@
     }
 
     pub(super) fn records_told(&mut self, now: Duration, from: NodeId, message: &KeyRecords) {
-        self.learn_members(now, message);
+        let standing = Standing::try_from(message.standing).unwrap_or(Standing::Forgetful);
+        self.learn_members(now, &message.settled);
         if !self.follows(from, message) {
             return;
         }
@@ -53,31 +54,30 @@
         for record in &message.records {
             has_room &= self.records.merge(now, record);
         }
-        let standing = Standing::try_from(message.standing).unwrap_or(Standing::Forgetful);
-        let is_last = message.part + 1 == message.parts;
+        let lists_own = message.settled.iter().any(|m| m.node == self.own);
         let Some(pull) = self.pulls.get_mut(&from) else {
             return;
         };
         pull.next_part += 1;
+        let is_last = message.part + 1 == message.parts;
         if !is_last || !has_room || standing == Standing::Forgetful {
             return;
         }
-        pull.complete = true;
+        // A member that doesn't count this agent may still grant claims without it.
+        pull.complete = lists_own;
         if message.token == UNASKED {
             self.roster.note_left(from);
-        } else if standing == Standing::Sure {
+        }
+        if standing == Standing::Sure && (lists_own || message.token == UNASKED) {
             self.note_complete(&message.left);
         }
     }
 
     pub(super) fn tick_roster(&mut self, now: Duration) {
-        let was_settled = self.roster.is_settled(self.own);
-        let is_founded = self.roster.tick(now);
-        if is_founded {
-            self.standing = Standing::Sure;
-        } else if !was_settled && self.roster.is_settled(self.own) {
-            // Others may choose holders without this agent until they have heard of it too.
-            self.pull_after = now + self.config.settle;
+        match self.roster.tick(now) {
+            Change::None => {}
+            Change::Founded => self.standing = Standing::Sure,
+            Change::Returned => self.doubt(),
         }
     }
 
@@ -85,12 +85,18 @@
         if self.standing == Standing::Sure {
             return;
         }
-        if self.is_complete(now) {
+        if now >= self.started + self.config.forget {
+            // All that this agent may have forgotten has expired.
+            self.standing = Standing::New;
+        }
+        if self.is_complete() {
             self.standing = Standing::Sure;
+            self.was_away = false;
             self.pulls.clear();
             return;
         }
-        if now < self.next_pull || now < self.pull_after {
+        let is_joining = !self.roster.is_unfounded() && !self.roster.is_settled(self.own);
+        if now < self.next_pull || is_joining {
             return;
         }
         self.next_pull = now + self.config.resend;
@@ -99,30 +105,41 @@
             .others()
             .filter(|&node| self.needs(node))
             .collect();
+        if others.is_empty() {
+            // Only members that are gone are missing; ask again whether their records are held.
+            self.pulls.clear();
+            self.next_pull = now + self.config.settle / 2;
+        }
         for to in others {
             let token = self.next_token;
             self.next_token = self.next_token.wrapping_add(2);
-            let pull = Pull {
-                token,
-                asked: now,
-                next_part: 0,
-                complete: false,
-            };
-            self.pulls.insert(to, pull);
+            self.pulls.insert(
+                to,
+                Pull {
+                    token,
+                    next_part: 0,
+                    complete: false,
+                },
+            );
             let body = RequestBody::KeySync(KeySync { token });
             out.push(KeyAction::Send { to, body });
         }
     }
 
+    /// Stops granting until the others confirm that they count this agent.
+    fn doubt(&mut self) {
+        if self.standing == Standing::Sure {
+            self.standing = Standing::New;
+        }
+        self.was_away = true;
+        self.pulls.clear();
+    }
+
     /// Returns whether this agent holds every record that it should.
-    fn is_complete(&self, now: Duration) -> bool {
-        if !self.roster.is_settled(self.own) || now < self.pull_after {
+    fn is_complete(&self) -> bool {
+        if !self.roster.is_settled(self.own) {
             return false;
         }
-        let is_old = now >= self.started + self.config.forget;
-        if is_old && self.standing == Standing::Forgetful {
-            return true;
-        }
         let left: Vec<_> = self.roster.left().collect();
         let others = self
             .roster
@@ -139,33 +156,33 @@
 
     /// Returns whether the records of a member are still to be pulled.
     fn needs(&self, node: NodeId) -> bool {
-        let is_fresh = |p: &Pull| p.complete && p.asked >= self.pull_after;
-        self.roster.is_unfounded() || !self.pulls.get(&node).is_some_and(is_fresh)
+        !self.pulls.get(&node).is_some_and(|p| p.complete)
     }
 
     /// Takes over the members that count, as another member knows them.
-    fn learn_members(&mut self, now: Duration, message: &KeyRecords) {
-        let lists_own = message.settled.iter().any(|m| m.node == self.own);
-        let settled: Vec<_> = message
-            .settled
-            .iter()
-            .map(|m| Member::new(m.node, m.domain.as_str()))
-            .collect();
-        if self.roster.is_unfounded() {
-            self.roster.adopt(now, &settled);
+    fn learn_members(&mut self, now: Duration, settled: &[SettledMember]) {
+        let is_unsure = self.standing != Standing::Sure;
+        if settled.is_empty() || !is_unsure {
+            return;
+        }
+        let lists_own = settled.iter().any(|m| m.node == self.own);
+        let adopted = *self.adopted.get_or_insert(now);
+        if !lists_own && self.was_away {
+            // The others dropped this agent while it was away.
+            self.was_away = false;
+            self.roster.unsettle_own(now);
         }
-        if lists_own && self.standing == Standing::New && !self.is_own_settlement() {
-            let own = settled.iter().filter(|m| m.node == self.own).cloned();
-            self.roster.adopt(now, &own.collect::<Vec<_>>());
+        let settled = settled
+            .iter()
+            .map(|m| Member::new(m.node, m.domain.as_str()));
+        self.roster.adopt(now, &settled.collect::<Vec<_>>());
+        // No member counts a new one so early: this agent was one before it restarted.
+        let is_young = now < self.started + self.config.forget;
+        if lists_own && is_young && now < adopted + self.config.settle {
             self.standing = Standing::Forgetful;
         }
     }
 
-    /// Returns whether this agent counted itself in, as a new member.
-    fn is_own_settlement(&self) -> bool {
-        self.roster.is_settled(self.own) && self.pull_after > self.started
-    }
-
     /// Takes over that members left after their records came to a member that is sure.
     fn note_complete(&mut self, left: &[NodeId]) {
         if left.contains(&self.own) && self.standing == Standing::Forgetful {
@@ -181,10 +198,8 @@
     /// Returns whether the message is the next part of a pull, or of records sent unasked.
     fn follows(&mut self, from: NodeId, message: &KeyRecords) -> bool {
         if message.token == UNASKED && message.part == 0 {
-            let asked = self.pull_after;
             let pull = Pull {
                 token: UNASKED,
-                asked,
                 next_part: 0,
                 complete: false,
             };
@@ -195,7 +210,13 @@
     }
 
     fn send_records(&self, now: Duration, to: NodeId, token: u64, out: &mut Vec<KeyAction>) {
-        let records = self.records.export(now);
+        // Whoever isn't counted here yet would have to ask again anyway.
+        let is_counted = token == UNASKED || self.roster.is_settled(to);
+        let records = if is_counted {
+            self.records.export(now)
+        } else {
+            Vec::new()
+        };
         let parts = records.len().div_ceil(RECORDS_MOST).max(1);
         let settled: Vec<_> = self.roster.settled().map(settled_member).collect();
         // Before it knows who counts, an agent can't tell whether it is new or restarted.
--- a/crates/buckthornweir_requests/src/messages/keys.rs
+++ b/crates/buckthornweir_requests/src/messages/keys.rs
@@ -134,7 +134,7 @@
 pub enum Standing {
     /// It restarted and may have forgotten records.
     Forgetful = 0,
-    /// It is new and never held a record.
+    /// It forgot nothing, but may lack records of others.
     New = 1,
     /// It holds all of its records.
     Sure = 2,
--- a/crates/buckthornweir_requests/tests/idempotency/net.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/net.rs
@@ -200,10 +200,7 @@
 
     /// Returns whether the agent grants claims.
     pub(crate) fn is_ready(&self, node: NodeId) -> bool {
-        self.nodes[&node]
-            .keys
-            .as_ref()
-            .is_some_and(|k| k.is_ready(self.now))
+        self.nodes[&node].keys.as_ref().is_some_and(Keys::is_ready)
     }
 
     /// Returns the number of records that the agent holds.
--- a/crates/buckthornweir_requests/tests/idempotency/random.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/random.rs
@@ -35,7 +35,20 @@
     Heal,
 }
 
-const TABLE: [Faults; 5] = [
+const ALL: &[Fault] = &[
+    Fault::Kill,
+    Fault::Restart,
+    Fault::Restart,
+    Fault::Leave,
+    Fault::Join,
+    Fault::Freeze,
+    Fault::Thaw,
+    Fault::Cut,
+    Fault::Part,
+    Fault::Heal,
+];
+
+const TABLE: [Faults; 6] = [
     Faults {
         name: "kills",
         seeds: (0, 12),
@@ -64,18 +77,13 @@
         name: "all",
         seeds: (400, 440),
         quiet: 8,
-        kinds: &[
-            Fault::Kill,
-            Fault::Restart,
-            Fault::Restart,
-            Fault::Leave,
-            Fault::Join,
-            Fault::Freeze,
-            Fault::Thaw,
-            Fault::Cut,
-            Fault::Part,
-            Fault::Heal,
-        ],
+        kinds: ALL,
+    },
+    Faults {
+        name: "member joined while two others were cut off",
+        seeds: (10_186, 10_187),
+        quiet: 8,
+        kinds: ALL,
     },
 ];
 
--- a/crates/buckthornweir_requests/tests/idempotency/table.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/table.rs
@@ -273,3 +273,35 @@
     assert_eq!(net.count(KEY), 1);
     assert_eq!(net.ask(12, "order-2"), Some(Got::Ran));
 }
+
+#[test]
+fn agents_that_come_back_after_a_partition_run_no_key_again() {
+    for away in [SECOND * 20, SECOND * 48, SECOND * 120] {
+        for a in 1..=7 {
+            for b in a + 1..=7 {
+                let mut net = net();
+                let cut = |net: &mut KeyNet, node| {
+                    net.cut(a, node, true);
+                    net.cut(b, node, true);
+                };
+                for node in (1..=7).filter(|node| ![a, b].contains(node)) {
+                    cut(&mut net, node);
+                }
+                net.pass(away / 2);
+                net.start(8, "b");
+                cut(&mut net, 8);
+                net.pass(away / 2);
+                net.heal();
+                for round in 0..24 {
+                    for node in [a, b, 8, 8, a] {
+                        net.send(node, &format!("order-{round}-{}", node % 2), 1);
+                        net.send(9 - a.min(8), &format!("order-{round}-{}", node % 2), 1);
+                        net.pass(SECOND / 20);
+                    }
+                }
+                let doubled = net.runs.iter().find(|(_, runs)| runs.len() > 1);
+                assert_eq!(doubled, None, "{a} and {b} away for {away:?}");
+            }
+        }
+    }
+}
