Prove the table of faults of a request, and let requests wait out short pauses

Found, failing first: a request after a backend server's pause was refused although its queue time allowed for the pause; the end of a pause was then no reason to wake; a draining agent refused what was in its queue, which a planned stop must not. Change: the expected wait counts the pause, `next_wake` takes no time and tells the end of a pause, an agent that drains runs its queue.

--- a/crates/buckthornweir_requests/benches/model/mod.rs
+++ b/crates/buckthornweir_requests/benches/model/mod.rs
@@ -571,7 +571,7 @@
     }
 
     fn plan_wake(&mut self, agent: usize) {
-        let Some(at) = self.agents[agent].admission.next_wake(self.now) else {
+        let Some(at) = self.agents[agent].admission.next_wake() else {
             return;
         };
         let at = at.max(self.now);
--- a/crates/buckthornweir_requests/src/admission/ending.rs
+++ b/crates/buckthornweir_requests/src/admission/ending.rs
@@ -245,8 +245,7 @@
     }
 
     fn retry_after(&mut self, now: Duration) -> Duration {
-        let pause = self.limit.paused_until().saturating_sub(now);
-        let wait = queue_wait(&self.limit, self.queue.len()).max(pause);
+        let wait = queue_wait(&self.limit, self.queue.len(), now);
         wait + RETRY_AFTER_SPREAD.mul_f64(self.rng.random_range(0.0..1.0))
     }
 }
--- a/crates/buckthornweir_requests/src/admission/mod.rs
+++ b/crates/buckthornweir_requests/src/admission/mod.rs
@@ -140,22 +140,25 @@
         (key, out)
     }
 
-    /// Sets the agent's own state; requests that wait are handed over or refused.
+    /// Sets the agent's own state.
+    ///
+    /// An agent that drains still runs what is in its queue, unless a sibling takes it first; one
+    /// whose failure domain is out refuses what waits.
     pub fn set_state(&mut self, now: Duration, state: ServingState) -> Vec<Action> {
         let mut out = Vec::new();
         self.state = state;
-        if state == ServingState::Ready {
-            self.fill(now, &mut out);
-            return out;
-        }
         for key in self.keys_where(Request::is_waiting) {
-            self.leave_queue(key);
-            if state == ServingState::Out {
-                self.refuse(now, key, ProblemKind::DomainOut, &mut out);
-            } else if !self.requests[key].is_asking() {
-                self.seek(now, key, &mut out);
+            match state {
+                ServingState::Ready => {}
+                ServingState::Draining if self.requests[key].is_asking() => {}
+                ServingState::Draining => {
+                    self.requests[key].asked.clear();
+                    self.seek(now, key, &mut out);
+                }
+                ServingState::Out => self.refuse(now, key, ProblemKind::DomainOut, &mut out),
             }
         }
+        self.fill(now, &mut out);
         out
     }
 
@@ -173,10 +176,10 @@
     }
 
     /// Returns when [`Admission::tick`] is to be called next, if no event comes before.
-    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+    pub fn next_wake(&self) -> Option<Duration> {
         let requests = self.requests.values().filter_map(Request::next_due).min();
-        let pause = Some(self.limit.paused_until());
-        let pause = pause.filter(|&p| p > now && !self.queue.is_empty());
+        let may_run = !self.queue.is_empty() && self.limit.free() > 0;
+        let pause = may_run.then(|| self.limit.paused_until());
         let reservations = self.reservations.next_expiry();
         [requests, pause, reservations].into_iter().flatten().min()
     }
@@ -238,10 +241,9 @@
         let request = &mut self.requests[key];
         let until = request.arrival.deadline.min(now + self.config.queue_wait);
         let fits = takes_work
-            && !self.limit.is_paused(now)
             && self.queue.len() < self.config.queue
             && of_flow < self.config.flow_queue
-            && now + queue_wait(&self.limit, self.queue.len()) <= until;
+            && now + queue_wait(&self.limit, self.queue.len(), now) <= until;
         if fits {
             request.queued_until = Some(until);
             self.queue.push(key);
@@ -261,8 +263,9 @@
 }
 
 /// Returns the time that a request behind `ahead` others is expected to wait for a slot.
-fn queue_wait(limit: &Limit, ahead: usize) -> Duration {
+fn queue_wait(limit: &Limit, ahead: usize, now: Duration) -> Duration {
     let latency = limit.latency().unwrap_or_default();
     let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-    latency.saturating_mul(turns) / limit.limit()
+    let pause = limit.paused_until().saturating_sub(now);
+    (latency.saturating_mul(turns) / limit.limit()).max(pause)
 }
--- /dev/null
+++ b/crates/buckthornweir_requests/src/latencies.rs
@@ -0,0 +1,67 @@
+//! Recent and usual latency of one backend server.
+
+use std::time::Duration;
+
+/// Weight of one sample in the recent mean.
+const RECENT_WEIGHT: f64 = 0.25;
+/// Least weight of one sample in the usual latency.
+const USUAL_WEIGHT: f64 = 0.01;
+/// Samples from which on the usual latency is trusted.
+const USUAL_SAMPLES: u32 = 16;
+
+/// Tells whether answers became slow, by means rather than by single answers.
+#[derive(Clone, Debug)]
+pub(crate) struct Latencies {
+    factor: f64,
+    floor: Duration,
+    /// Recent mean in seconds.
+    recent: Option<f64>,
+    /// Usual latency in seconds.
+    usual: f64,
+    samples: u32,
+}
+
+impl Latencies {
+    /// Returns means without a sample; from `factor` times the usual latency on, and never below
+    /// `floor`, a latency is long.
+    pub(crate) fn new(factor: f64, floor: Duration) -> Self {
+        Self {
+            factor,
+            floor,
+            recent: None,
+            usual: 0.0,
+            samples: 0,
+        }
+    }
+
+    /// Returns the recent mean.
+    pub(crate) fn recent(&self) -> Option<Duration> {
+        self.recent.map(Duration::from_secs_f64)
+    }
+
+    /// Takes the latency of a good answer in.
+    pub(crate) fn learn(&mut self, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        let recent = self.recent.unwrap_or(sample);
+        self.recent = Some(recent + (sample - recent) * RECENT_WEIGHT);
+        self.samples = self.samples.saturating_add(1);
+        let weight = (1.0 / f64::from(self.samples)).max(USUAL_WEIGHT);
+        self.usual += (sample - self.usual) * weight;
+    }
+
+    /// Starts the recent mean anew.
+    pub(crate) fn forget_recent(&mut self) {
+        self.recent = None;
+    }
+
+    /// Returns whether the recent mean is well above the usual latency.
+    pub(crate) fn is_slow(&self) -> bool {
+        let recent = self.recent().unwrap_or_default();
+        self.samples >= USUAL_SAMPLES && self.is_long(recent)
+    }
+
+    /// Returns whether the latency is well above the usual one, as far as that is known.
+    pub(crate) fn is_long(&self, latency: Duration) -> bool {
+        latency >= self.floor && latency.as_secs_f64() > self.usual * self.factor
+    }
+}
--- a/crates/buckthornweir_requests/src/lib.rs
+++ b/crates/buckthornweir_requests/src/lib.rs
@@ -19,6 +19,7 @@
 mod budget;
 mod flow_shares;
 pub mod idempotency;
+mod latencies;
 mod limit;
 pub mod messages;
 mod outcome;
--- a/crates/buckthornweir_requests/src/limit.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -1,85 +1,16 @@
 //! Adaptive concurrency limit of one backend server.
 
+mod config;
+
 use std::time::Duration;
 
+pub use config::LimitConfig;
+
 use crate::Outcome;
+use crate::latencies::Latencies;
 
-/// Weight of one sample in the fast average of latencies.
-const FAST_WEIGHT: f64 = 0.25;
-/// Least weight of one sample in the usual latency.
-const USUAL_WEIGHT: f64 = 0.01;
 /// Most by which the time to warm up is lengthened.
 const WARM_UP_FACTOR: u32 = 8;
-/// Samples from which on the usual latency is trusted.
-const USUAL_SAMPLES: u32 = 16;
-
-/// Settings of a [`Limit`].
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitConfig {
-    /// Most requests that the backend server runs at a time.
-    pub slots: u32,
-    /// First limit of a cold backend server.
-    pub cold: u32,
-    /// Time in which a cold backend server may reach all of its slots, at the earliest.
-    pub warm_up: Duration,
-    /// Good outcomes at the limit that raise it by one.
-    pub raise_after: u32,
-    /// Shortest time between two raises.
-    pub raise_gap: Duration,
-    /// Longest time between two raises, reached when raises keep failing.
-    pub gap_most: Duration,
-    /// Bad outcomes in a row that mean the backend server turned cold.
-    pub cold_after: u32,
-    /// Answers in a row with a slow recent mean that halve the limit.
-    pub slow_after: u32,
-    /// Errors of the backend server's own in a row after which it gets a pause.
-    pub fail_after: u32,
-    /// Time without a request after which half of the limit is trusted.
-    pub idle_after: Duration,
-    /// The recent mean latency is slow from this multiple of the usual latency on.
-    pub slow_factor: f64,
-    /// A latency below this is never slow.
-    pub slow_floor: Duration,
-    /// First pause after a backend server turned cold or was lost at a limit of one.
-    pub pause: Duration,
-    /// Longest pause.
-    pub pause_most: Duration,
-}
-
-impl Default for LimitConfig {
-    fn default() -> Self {
-        Self {
-            slots: 5,
-            cold: 1,
-            warm_up: Duration::from_secs(10),
-            raise_after: 4,
-            raise_gap: Duration::from_secs(1),
-            gap_most: Duration::from_secs(8),
-            cold_after: 2,
-            slow_after: 3,
-            fail_after: 8,
-            idle_after: Duration::from_secs(60),
-            slow_factor: 3.0,
-            slow_floor: Duration::from_millis(20),
-            pause: Duration::from_millis(50),
-            pause_most: Duration::from_secs(2),
-        }
-    }
-}
-
-impl LimitConfig {
-    /// Sets the slots of the backend server.
-    pub fn with_slots(mut self, slots: u32) -> Self {
-        self.slots = slots.max(1);
-        self
-    }
-
-    /// Sets the first limit of a cold backend server.
-    pub fn with_cold(mut self, cold: u32) -> Self {
-        self.cold = cold.max(1);
-        self
-    }
-}
 
 /// Limit on the requests that one backend server runs at a time.
 ///
@@ -124,12 +55,7 @@
     gap: Duration,
     paused: Duration,
     pause: Duration,
-    /// Mean latency of late, in seconds.
-    fast: Option<f64>,
-    /// Usual latency, in seconds.
-    usual: f64,
-    /// Samples of the usual latency.
-    samples: u32,
+    latencies: Latencies,
 }
 
 impl Limit {
@@ -154,9 +80,7 @@
             gap: config.raise_gap,
             paused: Duration::ZERO,
             pause: config.pause,
-            fast: None,
-            usual: 0.0,
-            samples: 0,
+            latencies: Latencies::new(config.slow_factor, config.slow_floor),
         }
     }
 
@@ -192,7 +116,7 @@
 
     /// Returns the recent mean latency of good answers, if any was seen.
     pub fn latency(&self) -> Option<Duration> {
-        self.fast.map(Duration::from_secs_f64)
+        self.latencies.recent()
     }
 
     /// Takes a slot; returns false where none is free.
@@ -222,7 +146,7 @@
             Outcome::Done => self.note_good(latency, now),
             Outcome::Refused => self.note_refused(started, now),
             Outcome::Cut => self.note_lost(started, now),
-            Outcome::Silent if self.is_long(latency) => self.note_lost(started, now),
+            Outcome::Silent if self.latencies.is_long(latency) => self.note_lost(started, now),
             Outcome::Failed => self.note_failed(started, now),
             // A deadline shorter than usual answers take tells nothing about the backend server.
             Outcome::Silent | Outcome::Cancelled => {}
@@ -236,15 +160,15 @@
         self.cold_since = now;
         self.peak = self.limit;
         self.gap = self.config.raise_gap;
-        self.fast = None;
+        self.latencies.forget_recent();
     }
 
     fn note_good(&mut self, latency: Duration, now: Duration) {
         self.bad = 0;
         self.failed = 0;
         self.pause = self.config.pause;
-        self.learn(latency);
-        if self.is_slow() {
+        self.latencies.learn(latency);
+        if self.latencies.is_slow() {
             self.note_slow(now.saturating_sub(latency), now);
             return;
         }
@@ -294,7 +218,7 @@
         if self.slow >= self.config.slow_after && started >= self.lowered {
             self.set_lower(self.limit / 2, now);
             self.lengthen_gap();
-            self.fast = None;
+            self.latencies.forget_recent();
         }
     }
 
@@ -371,24 +295,4 @@
         self.paused = now + self.pause;
         self.pause = (self.pause * 2).min(self.config.pause_most);
     }
-
-    fn is_slow(&self) -> bool {
-        let recent = Duration::from_secs_f64(self.fast.unwrap_or_default());
-        self.samples >= USUAL_SAMPLES && self.is_long(recent)
-    }
-
-    /// Returns whether the latency is well above the usual one, as far as that is known.
-    fn is_long(&self, latency: Duration) -> bool {
-        latency >= self.config.slow_floor
-            && latency.as_secs_f64() > self.usual * self.config.slow_factor
-    }
-
-    fn learn(&mut self, latency: Duration) {
-        let sample = latency.as_secs_f64();
-        let fast = self.fast.unwrap_or(sample);
-        self.fast = Some(fast + (sample - fast) * FAST_WEIGHT);
-        self.samples = self.samples.saturating_add(1);
-        let weight = (1.0 / f64::from(self.samples)).max(USUAL_WEIGHT);
-        self.usual += (sample - self.usual) * weight;
-    }
 }
--- a/crates/buckthornweir_requests/tests/admission.rs
+++ b/crates/buckthornweir_requests/tests/admission.rs
@@ -99,6 +99,94 @@
     let _ = admission.reserve_asked(ms(0), 2, 5, DEADLINE);
     let (request, actions) = admission.arrive(ms(1), arrival(1));
     assert_eq!(actions, []);
-    assert_eq!(admission.next_wake(ms(1)), Some(ms(100)));
+    assert_eq!(admission.next_wake(), Some(ms(100)));
     assert_eq!(admission.tick(ms(100)), [Action::Run { request }]);
 }
+
+#[test]
+fn one_flow_holds_a_part_of_the_queue_and_waits_behind_others() {
+    let mut admission = admission(1);
+    let (first, _) = admission.arrive(ms(0), arrival(1));
+    let mut refused = 0;
+    for _ in 0..8 {
+        let (_, actions) = admission.arrive(ms(1), arrival(1));
+        refused += actions.len();
+    }
+    let share = AdmissionConfig::default().flow_queue;
+    assert_eq!((admission.queued(), refused), (share, 8 - share));
+    let (other, actions) = admission.arrive(ms(2), arrival(2));
+    assert_eq!(actions, []);
+    // The first of the heavy flow ran before; while its next one runs, the other flow is first.
+    let (progress, done) = (Progress::AnswerWhole, Outcome::Done);
+    let actions = admission.finished(ms(9), first, progress, done, ms(9));
+    let [Action::Run { request }] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    assert_ne!(request, other);
+    let mut admission = self::admission(2);
+    let (_, _) = admission.arrive(ms(0), arrival(1));
+    let (second, _) = admission.arrive(ms(0), arrival(1));
+    let _ = admission.arrive(ms(0), arrival(1));
+    let (light, _) = admission.arrive(ms(0), arrival(2));
+    let actions = admission.finished(ms(9), second, progress, done, ms(9));
+    assert_eq!(actions, [Action::Run { request: light }]);
+}
+
+#[test]
+fn heavy_flow_gives_its_excess_to_less_loaded_siblings() {
+    let mut admission = admission(5);
+    let siblings: Vec<_> = (2..=7)
+        .map(|node| Sibling::new(node, "b").with_free(5).with_rate(10.0))
+        .collect();
+    admission.set_siblings(&siblings);
+    let mut asked = [0, 0];
+    for step in 0..4_000u64 {
+        // Twenty requests a second, half of them in one flow.
+        let now = ms(step * 50);
+        let is_heavy = step % 2 == 0;
+        let flow = if is_heavy { 1 } else { 1_000 + step % 300 };
+        let deadline = now + DEADLINE;
+        let (request, actions) = admission.arrive(
+            now,
+            Arrival {
+                deadline,
+                repeatable: false,
+                flow,
+            },
+        );
+        if let [Action::AskSibling { sibling, .. }] = actions[..] {
+            asked[usize::from(is_heavy)] += 1;
+            let _ = admission.reserved(now, request, sibling, step);
+        }
+        let (progress, done) = (Progress::AnswerWhole, Outcome::Done);
+        let _ = admission.finished(now + ms(20), request, progress, done, ms(20));
+    }
+    let [light, heavy] = asked;
+    assert!(heavy > 500, "{asked:?}");
+    assert!(light < heavy / 10, "{asked:?}");
+}
+
+#[test]
+fn nothing_is_shared_without_reports_or_below_the_mean() {
+    for rate in [None, Some(100.0)] {
+        let mut admission = admission(5);
+        let sibling = Sibling {
+            rate,
+            ..Sibling::new(2, "b").with_free(5)
+        };
+        admission.set_siblings(&[sibling]);
+        for step in 0..1_000u64 {
+            let now = ms(step * 50);
+            let deadline = now + DEADLINE;
+            let arrival = Arrival {
+                deadline,
+                repeatable: false,
+                flow: step,
+            };
+            let (request, actions) = admission.arrive(now, arrival);
+            assert_eq!(actions, [Action::Run { request }]);
+            let (progress, done) = (Progress::AnswerWhole, Outcome::Done);
+            let _ = admission.finished(now + ms(20), request, progress, done, ms(20));
+        }
+    }
+}
