--- /dev/null
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -0,0 +1,254 @@
+//! How an agent that starts gets the records of the others, and hands over its own when it leaves.
+
+use std::time::Duration;
+
+use super::roster::Change;
+use super::{KeyAction, Keys, Member};
+use crate::NodeId;
+use crate::messages::{KeyRecords, KeySync, RECORDS_MOST, RequestBody, SettledMember, Standing};
+
+/// Records that are being pulled from another member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pull {
+    token: u64,
+    next_part: u32,
+    complete: bool,
+}
+
+/// Token of records that a member sends because it leaves.
+const UNASKED: u64 = 0;
+
+impl Keys {
+    /// Stops granting claims and sends all records to the others, before the agent leaves.
+    pub fn leave(&mut self, now: Duration) -> Vec<KeyAction> {
+        self.leaving = true;
+        let others: Vec<_> = self.roster.others().collect();
+        let mut out = Vec::new();
+        if self.standing == Standing::Sure {
+            for to in others {
+                self.send_records(now, to, UNASKED, &mut out);
+            }
+        }
+        out
+    }
+
+    pub(super) fn sync_asked(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        token: u64,
+        out: &mut Vec<KeyAction>,
+    ) {
+        self.send_records(now, from, token, out);
+        // Whoever asks is back, and may come to hold records that it did not send.
+        self.roster.note_back(from);
+    }
+
+    pub(super) fn records_told(&mut self, now: Duration, from: NodeId, message: &KeyRecords) {
+        let standing = Standing::try_from(message.standing).unwrap_or(Standing::Forgetful);
+        self.learn_members(now, &message.settled);
+        if !self.follows(from, message) {
+            return;
+        }
+        let mut has_room = true;
+        for record in &message.records {
+            has_room &= self.records.merge(now, record);
+        }
+        let lists_own = message.settled.iter().any(|m| m.node == self.own);
+        let Some(pull) = self.pulls.get_mut(&from) else {
+            return;
+        };
+        pull.next_part += 1;
+        let is_last = message.part + 1 == message.parts;
+        if !is_last || !has_room || standing == Standing::Forgetful {
+            return;
+        }
+        // A member that doesn't count this agent may still grant claims without it.
+        pull.complete = lists_own;
+        if message.token == UNASKED {
+            self.roster.note_left(from);
+        }
+        if standing == Standing::Sure && (lists_own || message.token == UNASKED) {
+            self.note_complete(&message.left);
+        }
+    }
+
+    pub(super) fn tick_roster(&mut self, now: Duration) {
+        match self.roster.tick(now) {
+            Change::None => {}
+            Change::Founded => self.standing = Standing::Sure,
+            Change::Returned => self.doubt(),
+        }
+    }
+
+    pub(super) fn tick_sync(&mut self, now: Duration, out: &mut Vec<KeyAction>) {
+        if self.standing == Standing::Sure {
+            return;
+        }
+        if now >= self.started + self.config.forget {
+            // All that this agent may have forgotten has expired.
+            self.standing = Standing::New;
+        }
+        if self.is_complete() {
+            self.standing = Standing::Sure;
+            self.was_away = false;
+            self.pulls.clear();
+            return;
+        }
+        let is_joining = !self.roster.is_unfounded() && !self.roster.is_settled(self.own);
+        if now < self.next_pull || is_joining {
+            return;
+        }
+        self.next_pull = now + self.config.resend;
+        let others: Vec<_> = self
+            .roster
+            .others()
+            .filter(|&node| self.needs(node))
+            .collect();
+        if others.is_empty() {
+            // Only members that are gone are missing; ask again whether their records are held.
+            self.pulls.clear();
+            self.next_pull = now + self.config.settle / 2;
+        }
+        for to in others {
+            let token = self.next_token;
+            self.next_token = self.next_token.wrapping_add(2);
+            self.pulls.insert(
+                to,
+                Pull {
+                    token,
+                    next_part: 0,
+                    complete: false,
+                },
+            );
+            let body = RequestBody::KeySync(KeySync { token });
+            out.push(KeyAction::Send { to, body });
+        }
+    }
+
+    /// Stops granting until the others confirm that they count this agent.
+    fn doubt(&mut self) {
+        if self.standing == Standing::Sure {
+            self.standing = Standing::New;
+        }
+        self.was_away = true;
+        self.pulls.clear();
+    }
+
+    /// Returns whether this agent holds every record that it should.
+    fn is_complete(&self) -> bool {
+        if !self.roster.is_settled(self.own) {
+            return false;
+        }
+        let left: Vec<_> = self.roster.left().collect();
+        let others = self
+            .roster
+            .settled()
+            .map(|m| m.node)
+            .filter(|&node| node != self.own);
+        let missing = others
+            .filter(|node| !left.contains(node) && self.needs(*node))
+            .count();
+        // Two holders grant each claim, so one of the others may be missing. An agent that forgot
+        // its own grants can miss none.
+        missing <= usize::from(self.standing == Standing::New)
+    }
+
+    /// Returns whether the records of a member are still to be pulled.
+    fn needs(&self, node: NodeId) -> bool {
+        !self.pulls.get(&node).is_some_and(|p| p.complete)
+    }
+
+    /// Takes over the members that count, as another member knows them.
+    fn learn_members(&mut self, now: Duration, settled: &[SettledMember]) {
+        let is_unsure = self.standing != Standing::Sure;
+        if settled.is_empty() || !is_unsure {
+            return;
+        }
+        let lists_own = settled.iter().any(|m| m.node == self.own);
+        let adopted = *self.adopted.get_or_insert(now);
+        if !lists_own && self.was_away {
+            // The others dropped this agent while it was away.
+            self.was_away = false;
+            self.roster.unsettle_own(now);
+        }
+        let settled = settled
+            .iter()
+            .map(|m| Member::new(m.node, m.domain.as_str()));
+        self.roster.adopt(now, &settled.collect::<Vec<_>>());
+        // No member counts a new one so early: this agent was one before it restarted.
+        let is_young = now < self.started + self.config.forget;
+        if lists_own && is_young && now < adopted + self.config.settle {
+            self.standing = Standing::Forgetful;
+        }
+    }
+
+    /// Takes over that members left after their records came to a member that is sure.
+    fn note_complete(&mut self, left: &[NodeId]) {
+        if left.contains(&self.own) && self.standing == Standing::Forgetful {
+            // Everything that this agent held in its earlier life came with these records.
+            self.standing = Standing::Sure;
+        }
+        let others: Vec<_> = self.roster.others().collect();
+        for node in left.iter().filter(|node| !others.contains(node)) {
+            self.roster.note_left(*node);
+        }
+    }
+
+    /// Returns whether the message is the next part of a pull, or of records sent unasked.
+    fn follows(&mut self, from: NodeId, message: &KeyRecords) -> bool {
+        if message.token == UNASKED && message.part == 0 {
+            let pull = Pull {
+                token: UNASKED,
+                next_part: 0,
+                complete: false,
+            };
+            self.pulls.insert(from, pull);
+        }
+        let pull = self.pulls.get(&from);
+        pull.is_some_and(|p| p.token == message.token && p.next_part == message.part)
+    }
+
+    fn send_records(&self, now: Duration, to: NodeId, token: u64, out: &mut Vec<KeyAction>) {
+        // Whoever isn't counted here yet would have to ask again anyway.
+        let is_counted = token == UNASKED || self.roster.is_settled(to);
+        let records = if is_counted {
+            self.records.export(now)
+        } else {
+            Vec::new()
+        };
+        let parts = records.len().div_ceil(RECORDS_MOST).max(1);
+        let settled: Vec<_> = self.roster.settled().map(settled_member).collect();
+        // Before it knows who counts, an agent can't tell whether it is new or restarted.
+        let is_certain = !self.roster.is_unfounded();
+        let standing = if is_certain {
+            self.standing
+        } else {
+            Standing::Forgetful
+        };
+        for part in 0..parts {
+            let first = part * RECORDS_MOST;
+            let last = records.len().min(first + RECORDS_MOST);
+            let body = KeyRecords {
+                token,
+                part: part as u32,
+                parts: parts as u32,
+                standing: standing.into(),
+                settled: settled.clone(),
+                left: self.roster.left().collect(),
+                records: records[first..last].to_vec(),
+            };
+            out.push(KeyAction::Send {
+                to,
+                body: RequestBody::KeyRecords(body),
+            });
+        }
+    }
+}
+
+fn settled_member(member: &Member) -> SettledMember {
+    SettledMember {
+        node: member.node,
+        domain: member.domain.to_string(),
+    }
+}
