--- a/crates/buckthornweir_members/src/budget.rs
+++ b/crates/buckthornweir_members/src/budget.rs
@@ -1,11 +1,11 @@
-//! A token bucket in bytes.
+//! A token bucket.
 
 use std::time::Duration;
 
-/// The time whose bytes may be spent at once.
-const BURST: Duration = Duration::from_secs(2);
+/// How long a bucket without income can be overdrawn.
+const DEBT: Duration = Duration::from_secs(2);
 
-/// Limits the bytes that are sent in the long run.
+/// Limits what is spent in the long run.
 #[derive(Debug)]
 pub(crate) struct Budget {
     rate: f64,
@@ -15,10 +15,8 @@
 }
 
 impl Budget {
-    /// Creates a full bucket that regains `rate` bytes a second.
-    pub(crate) fn new(rate: u32) -> Self {
-        let rate = f64::from(rate);
-        let capacity = rate * BURST.as_secs_f64();
+    /// Creates a full bucket that regains `rate` tokens a second and holds `capacity` at most.
+    pub(crate) fn new(rate: f64, capacity: f64) -> Self {
         Self {
             rate,
             capacity,
@@ -27,20 +25,21 @@
         }
     }
 
-    /// Adds the bytes regained since the last call.
+    /// Adds the tokens regained since the last call.
     pub(crate) fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.updated);
         self.updated = now;
         self.tokens = (self.tokens + self.rate * elapsed.as_secs_f64()).min(self.capacity);
     }
 
-    /// Returns the bytes that may be spent now.
+    /// Returns the tokens that may be spent now.
     pub(crate) fn available(&self) -> usize {
         self.tokens.max(0.0) as usize
     }
 
-    /// Spends bytes. The bucket owes them when it holds fewer, up to its capacity.
-    pub(crate) fn spend(&mut self, bytes: usize) {
-        self.tokens = (self.tokens - bytes as f64).max(-self.capacity);
+    /// Spends tokens. The bucket owes them when it holds fewer, up to a limit.
+    pub(crate) fn spend(&mut self, tokens: usize) {
+        let debt = self.rate * DEBT.as_secs_f64();
+        self.tokens = (self.tokens - tokens as f64).max(-debt);
     }
 }
--- a/crates/buckthornweir_members/src/config.rs
+++ b/crates/buckthornweir_members/src/config.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
+/// The time over which the byte budget holds.
+const BUDGET_WINDOW: Duration = Duration::from_secs(120);
+
+/// The share of a window's byte budget that may be spent at once.
+const BURST_SHARE: f64 = 0.2;
+
 /// Periods, timeouts and budgets of [`Members`](crate::Members).
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Config {
     pub(crate) probe_period: Duration,
     pub(crate) probe_timeout: Duration,
@@ -14,10 +20,10 @@
     pub(crate) pause_limit: Duration,
     pub(crate) monitors: usize,
     pub(crate) helpers: usize,
-    pub(crate) fan_out: u32,
+    pub(crate) fan_out: usize,
     pub(crate) gossip_interval: Duration,
     pub(crate) sync_interval: Duration,
-    pub(crate) catch_up: u32,
+    pub(crate) catch_up: f64,
     pub(crate) contact_interval: Duration,
     pub(crate) forget_after: Duration,
     pub(crate) pull_timeout: Duration,
@@ -41,7 +47,7 @@
             fan_out: 4,
             gossip_interval: Duration::from_millis(50),
             sync_interval: Duration::from_secs(3),
-            catch_up: 64,
+            catch_up: 64.0,
             contact_interval: Duration::from_secs(5),
             forget_after: Duration::from_secs(2 * 60 * 60),
             pull_timeout: Duration::from_secs(2),
@@ -90,7 +96,7 @@
     }
 
     /// Sets to how many members a change is sent at once.
-    pub fn with_fan_out(mut self, fan_out: u32) -> Self {
+    pub fn with_fan_out(mut self, fan_out: usize) -> Self {
         self.fan_out = fan_out;
         self
     }
@@ -119,7 +125,8 @@
         self
     }
 
-    /// Sets the bytes a second that the node sends at most in the long run.
+    /// Sets the bytes a second that the node sends at most, as the mean of any two
+    /// minutes.
     pub fn with_byte_budget(mut self, bytes: u32) -> Self {
         self.byte_budget = bytes;
         self
@@ -137,6 +144,15 @@
         self
     }
 
+    /// Returns the token bucket of sent bytes: its rate, and what may be sent at once.
+    ///
+    /// What is sent at once and the income of [`BUDGET_WINDOW`] make up the window's budget.
+    pub(crate) fn byte_bucket(&self) -> (f64, f64) {
+        let budget = f64::from(self.byte_budget);
+        let burst = budget * BUDGET_WINDOW.as_secs_f64() * BURST_SHARE;
+        (budget * (1.0 - BURST_SHARE), burst)
+    }
+
     /// Returns the size in bytes that an encoded message has at most.
     pub(crate) fn message_size(&self) -> usize {
         self.datagram_size.saturating_sub(self.envelope)
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -86,10 +86,11 @@
             health: Health::Alive,
             changed: Duration::ZERO,
         };
+        let (rate, burst) = config.byte_bucket();
         let mut rumours = Rumours::default();
         rumours.push(node, Priority::Change, true);
         Self {
-            budget: Budget::new(config.byte_budget),
+            budget: Budget::new(rate, burst),
             syncing: Syncing::new(&config),
             bundles: Bundles::new(bundle),
             config,
--- a/crates/buckthornweir_members/src/members/bundles.rs
+++ b/crates/buckthornweir_members/src/members/bundles.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub(super) struct Bundles {
     /// How often the present stamp has been sent at once.
-    pushed: u32,
+    pushed: usize,
     pull: Option<Pull>,
 }
 
@@ -23,17 +23,17 @@
 impl Bundles {
     /// Creates the state of a node that starts with a bundle, or with none.
     pub(super) fn new(stamp: BundleStamp) -> Self {
-        let pushed = if stamp.version == 0 { u32::MAX } else { 0 };
+        let pushed = if stamp.version == 0 { usize::MAX } else { 0 };
         Self { pushed, pull: None }
     }
 
     /// Returns whether the stamp has not yet been sent at once to `fan_out` members.
-    pub(super) fn is_fresh(&self, fan_out: u32) -> bool {
+    pub(super) fn is_fresh(&self, fan_out: usize) -> bool {
         self.pushed < fan_out
     }
 
     /// Counts messages that carry the present stamp.
-    pub(super) fn count_push(&mut self, copies: u32) {
+    pub(super) fn count_push(&mut self, copies: usize) {
         self.pushed = self.pushed.saturating_add(copies);
     }
 }
--- a/crates/buckthornweir_members/src/members/merging.rs
+++ b/crates/buckthornweir_members/src/members/merging.rs
@@ -188,6 +188,7 @@
         MemberState::Draining | MemberState::Left => Priority::Leaving,
         MemberState::Cold | MemberState::Ready => match (rumour.health, before) {
             (Health::Alive, Some(Health::Alive) | None) => Priority::Change,
+            (Health::Suspect, _) => Priority::Doubt,
             _ => Priority::Health,
         },
     }
--- a/crates/buckthornweir_members/src/members/probing.rs
+++ b/crates/buckthornweir_members/src/members/probing.rs
@@ -21,6 +21,9 @@
 /// The seeds that are contacted at once by a process that knows no other.
 const SEEDS_AT_ONCE: usize = 3;
 
+/// The random draws for each member that is chosen.
+const DRAWS: usize = 4;
+
 #[derive(Debug)]
 struct Probe {
     target: NodeId,
@@ -230,7 +233,7 @@
             sequence: probe.sequence,
             target: probe.target,
         };
-        for helper in self.random_members(self.config.helpers, Some(probe.target)) {
+        for helper in self.random_helpers(probe.target) {
             probe.asked += 1;
             self.send_to(helper, body.clone());
         }
@@ -398,24 +401,55 @@
     /// Returns up to `count` different members that are alive.
     pub(super) fn random_members(&mut self, count: usize, except: Option<NodeId>) -> Vec<NodeId> {
         let mut chosen = Vec::with_capacity(count);
-        for _ in 0..count * 4 {
-            let Some(node) = self.random_live() else {
+        for _ in 0..count * DRAWS {
+            if let Some(node) = self.random_alive(except)
+                && !chosen.contains(&node)
+            {
+                chosen.push(node);
+            }
+            if chosen.len() == count {
                 break;
+            }
+        }
+        chosen
+    }
+
+    /// Returns helpers for a probe, in different failure domains as far as there are enough.
+    fn random_helpers(&mut self, target: NodeId) -> Vec<NodeId> {
+        let count = self.config.helpers;
+        let mut chosen = Vec::with_capacity(count);
+        let mut domains = Vec::with_capacity(count);
+        for _ in 0..count * DRAWS {
+            let Some(node) = self.random_alive(Some(target)) else {
+                continue;
             };
-            let alive = self
+            let domain = self
                 .table
                 .get(node)
-                .is_some_and(|entry| entry.health == Health::Alive);
-            if alive && Some(node) != except && !chosen.contains(&node) {
+                .map(|entry| entry.record.domain.clone());
+            if chosen.len() < count && !domains.contains(&domain) {
                 chosen.push(node);
-            }
-            if chosen.len() == count {
-                break;
+                domains.push(domain);
             }
         }
+        let others = self.random_members(count * 2, Some(target));
+        let others = others.into_iter().filter(|node| !chosen.contains(node));
+        let missing = count - chosen.len();
+        let others: Vec<_> = others.take(missing).collect();
+        chosen.extend(others);
         chosen
     }
 
+    /// Returns a random member, unless that is `except` or not alive.
+    fn random_alive(&mut self, except: Option<NodeId>) -> Option<NodeId> {
+        let node = self.random_live()?;
+        let alive = self
+            .table
+            .get(node)
+            .is_some_and(|entry| entry.health == Health::Alive);
+        (alive && Some(node) != except).then_some(node)
+    }
+
     /// Returns whether the own record says that the node takes part.
     pub(super) fn takes_part(&self) -> bool {
         self.own().state != MemberState::Left
--- a/crates/buckthornweir_members/src/members/spreading.rs
+++ b/crates/buckthornweir_members/src/members/spreading.rs
@@ -7,7 +7,10 @@
 use crate::{Action, Health, NodeId};
 
 /// How many members are sent each round of fresh changes.
-const PUSH_COPIES: u32 = 2;
+const PUSH_COPIES: usize = 2;
+
+/// The bytes that the budget must hold for each copy of a round of fresh changes.
+const LEAST_PUSH: usize = 300;
 
 /// How many members a leaving node tells.
 const FAREWELLS: usize = 8;
@@ -15,8 +18,11 @@
 /// How many other members a process learns of when it greets a seed.
 const WELCOMED: usize = 3;
 
+/// The bytes that rumours may fill in a message that is sent while the byte budget is used up.
+const LEAST_ROOM: usize = 64;
+
 /// The copies of each change that ride on messages beyond the logarithm of the members.
-const EXTRA_COPIES: u32 = 4;
+const EXTRA_COPIES: usize = 4;
 
 impl Members {
     /// Answers what a message asks for.
@@ -37,9 +43,15 @@
             Body::Gossip => {}
             Body::Want { nodes } => self.send_records(from, &nodes),
             Body::Digest { buckets } => self.handle_digest(from, &buckets),
-            Body::Differ { buckets } => self.handle_differ(&buckets),
-            Body::Fetch { bucket, held } => self.handle_fetch(from, bucket, &held),
-            Body::Chunk { bucket, more } => self.handle_chunk(bucket, more),
+            Body::Differ { buckets } => self.handle_differ(sender, &buckets),
+            Body::Fetch {
+                sequence,
+                buckets,
+                held,
+            } => {
+                self.handle_fetch(from, sequence, &buckets, &held);
+            }
+            Body::Chunk { sequence, more } => self.handle_chunk(sequence, more),
         }
     }
 
@@ -69,7 +81,7 @@
             rumours.push(entry.rumour(false));
         }
         let mut message = self.message(body, rumours);
-        let queued = self.take_rumours(&message);
+        let queued = self.take_rumours(&message, 1);
         message.rumours.extend(queued);
         self.transmit(to, message);
     }
@@ -139,12 +151,12 @@
         if !fresh || self.now < self.next_gossip || self.table.live().is_empty() {
             return;
         }
-        if self.budget.available() < PUSH_COPIES as usize * self.config.datagram_size {
+        if self.budget.available() < PUSH_COPIES * LEAST_PUSH {
             self.counters.over_budget += 1;
             return;
         }
         self.next_gossip = self.now + self.config.gossip_interval;
-        self.push(PUSH_COPIES as usize);
+        self.push(PUSH_COPIES);
     }
 
     /// Tells several members at once that this node leaves.
@@ -154,11 +166,11 @@
 
     fn push(&mut self, copies: usize) {
         let peers = self.random_members(copies, None);
-        let copies = u32::try_from(peers.len()).unwrap_or(u32::MAX);
+        let copies = peers.len().max(1);
         let mut message = self.message(Body::Gossip, Vec::new());
-        message.rumours = self.take_rumours(&message);
-        self.rumours.count_push(&message.rumours, copies.max(1));
-        self.bundles.count_push(copies.max(1));
+        message.rumours = self.take_rumours(&message, copies);
+        self.rumours.count_push(&message.rumours, copies);
+        self.bundles.count_push(copies);
         for peer in peers {
             if let Some(to) = self.table.get(peer).map(|entry| entry.record.gossip) {
                 self.transmit(to, message.clone());
@@ -166,14 +178,17 @@
         }
     }
 
-    fn take_rumours(&mut self, message: &Message) -> Vec<Rumour> {
-        let room = self.room(message).min(self.budget.available());
+    /// Takes the queued rumours that fit into a message and the budget of all its copies.
+    fn take_rumours(&mut self, message: &Message, copies: usize) -> Vec<Rumour> {
+        let affordable = self.budget.available() / copies;
+        let affordable = affordable.saturating_sub(message.encoded_len() + self.config.envelope);
+        let room = self.room(message).min(affordable.max(LEAST_ROOM));
         let members = self.table.live().len() + 1;
-        let limit = EXTRA_COPIES + members.ilog2();
-        self.rumours.take(&self.table, room, limit)
+        let limit = EXTRA_COPIES + members.ilog2() as usize;
+        self.rumours.take(&self.table, room, copies, limit)
     }
 
-    fn room(&self, message: &Message) -> usize {
+    pub(super) fn room(&self, message: &Message) -> usize {
         self.config
             .message_size()
             .saturating_sub(message.encoded_len())
--- a/crates/buckthornweir_members/src/members/suspicion.rs
+++ b/crates/buckthornweir_members/src/members/suspicion.rs
@@ -9,7 +9,7 @@
 use crate::{Health, NodeId};
 
 /// How often a suspect is pinged.
-const PING_INTERVAL: Duration = Duration::from_millis(250);
+const PING_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The fewest other members from which silence tells that this process can't receive.
 const DEAF_MEMBERS: usize = 3;
@@ -80,7 +80,7 @@
         };
         self.suspicions.items.insert(node, suspicion);
         if health == Health::Alive {
-            self.set_health(node, Health::Suspect);
+            self.set_health(node, Health::Suspect, Priority::Doubt);
         }
     }
 
@@ -128,7 +128,7 @@
     fn declare_dead(&mut self, node: NodeId) {
         self.end_suspicion(node);
         self.counters.deaths += 1;
-        self.set_health(node, Health::Dead);
+        self.set_health(node, Health::Dead, Priority::Health);
     }
 
     /// Ends a suspicion that was neither refuted nor confirmed.
@@ -142,13 +142,13 @@
         self.updated(node);
     }
 
-    fn set_health(&mut self, node: NodeId, health: Health) {
+    fn set_health(&mut self, node: NodeId, health: Health, priority: Priority) {
         let now = self.now;
         self.table.update(node, |entry| {
             entry.health = health;
             entry.changed = now;
         });
-        self.rumours.push(node, Priority::Health, false);
+        self.rumours.push(node, priority, false);
         self.updated(node);
     }
 
--- a/crates/buckthornweir_members/src/members/syncing.rs
+++ b/crates/buckthornweir_members/src/members/syncing.rs
@@ -7,27 +7,49 @@
 use super::Members;
 use crate::budget::Budget;
 use crate::messages::{Body, Held, Rumour};
-use crate::table::{held, is_newer};
+use crate::table::{Entry, held, is_newer};
 use crate::{Config, Health, NodeId};
 
 /// The most fetches in flight.
 const MAX_FETCHES: usize = 4;
 
+/// The most buckets that one fetch asks for.
+const MAX_BUCKETS: usize = 16;
+
+/// The most versions that one fetch shows, unless a single bucket holds more.
+const MAX_HELD: usize = 40;
+
+/// The surplus of messages that show another table, from which the own one counts as different.
+const DIFFERENCES: u32 = 8;
+
+/// The bytes that the budget must hold for a comparison of tables, so that changes go first.
+const SYNC_BYTES: usize = 4_000;
+
 /// How long a fetch may take before another member is asked.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The shortest time between two digests of a process that has not yet compared its table.
 const FIRST_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// A request for the records of some buckets.
+#[derive(Debug)]
+struct Fetch {
+    buckets: Vec<u8>,
+    deadline: Duration,
+}
+
 /// What is left to fetch.
 #[derive(Debug)]
 pub(super) struct Syncing {
-    /// Since when every message showed a table that differs from the own one.
-    differs: Option<Duration>,
+    /// How many more messages showed another table than showed the own one.
+    differences: u32,
     compared: bool,
     next_digest: Duration,
+    /// The member that answered the last digest.
+    source: Option<NodeId>,
     buckets: BTreeSet<u8>,
-    fetches: BTreeMap<u8, Duration>,
+    fetches: BTreeMap<u32, Fetch>,
+    sequence: u32,
     /// Limits fetches, one token each.
     allowance: Budget,
 }
@@ -35,12 +57,14 @@
 impl Syncing {
     pub(super) fn new(config: &Config) -> Self {
         Self {
-            differs: None,
+            differences: 0,
             compared: false,
             next_digest: Duration::ZERO,
+            source: None,
             buckets: BTreeSet::new(),
             fetches: BTreeMap::new(),
-            allowance: Budget::new(config.catch_up),
+            sequence: 0,
+            allowance: Budget::new(config.catch_up, config.catch_up),
         }
     }
 
@@ -48,25 +72,45 @@
         self.allowance.refill(now);
     }
 
+    /// Drops the fetches in flight and asks again.
     pub(super) fn clear(&mut self) {
         let lost = std::mem::take(&mut self.fetches);
-        self.buckets.extend(lost.into_keys());
+        self.buckets
+            .extend(lost.into_values().flat_map(|fetch| fetch.buckets));
+    }
+
+    /// Asks again for what was not answered in time, and elsewhere.
+    fn expire(&mut self, now: Duration) {
+        let late = self
+            .fetches
+            .extract_if(.., |_, fetch| now >= fetch.deadline);
+        let late: Vec<_> = late.flat_map(|(_, fetch)| fetch.buckets).collect();
+        if !late.is_empty() {
+            self.source = None;
+            self.buckets.extend(late);
+        }
+    }
+
+    fn may_fetch(&self) -> bool {
+        let room = self.fetches.len() < MAX_FETCHES && self.allowance.available() > 0;
+        room && !self.buckets.is_empty()
     }
 }
 
 impl Members {
     /// Compares the digest in a message's header with the own one.
     pub(super) fn note_digest(&mut self, from: SocketAddr, digest: u32) {
+        let differences = self.syncing.differences;
         if digest == self.table.digest() {
-            self.syncing.differs = None;
+            self.syncing.differences = differences.saturating_sub(1);
             self.syncing.compared = true;
             return;
         }
-        let since = *self.syncing.differs.get_or_insert(self.now);
-        let waited = self.now >= since + self.config.sync_interval;
+        self.syncing.differences = (differences + 1).min(DIFFERENCES);
+        let lasting = self.syncing.differences == DIFFERENCES || !self.syncing.compared;
         let idle = self.syncing.buckets.is_empty() && self.syncing.fetches.is_empty();
-        let due = self.now >= self.syncing.next_digest;
-        if idle && due && (waited || !self.syncing.compared) {
+        let affordable = self.budget.available() >= SYNC_BYTES || !self.syncing.compared;
+        if lasting && idle && affordable && self.now >= self.syncing.next_digest {
             self.send_digest(from);
         }
     }
@@ -92,94 +136,105 @@
         self.send_optional(from, Body::Differ { buckets }, Vec::new());
     }
 
-    pub(super) fn handle_differ(&mut self, buckets: &[u8]) {
+    pub(super) fn handle_differ(&mut self, sender: NodeId, buckets: &[u8]) {
         self.syncing.compared = true;
-        self.syncing.differs = None;
+        self.syncing.differences = 0;
+        self.syncing.source = Some(sender);
         self.syncing.buckets.extend(buckets);
         self.fetch_buckets();
     }
 
     pub(super) fn tick_sync(&mut self) {
-        let now = self.now;
-        let late = self
-            .syncing
-            .fetches
-            .extract_if(.., |_, deadline| now >= *deadline);
-        let late: Vec<_> = late.map(|(bucket, _)| bucket).collect();
-        self.syncing.buckets.extend(late);
+        self.syncing.expire(self.now);
         self.fetch_buckets();
     }
 
-    /// Asks a random member for each of the next buckets.
+    /// Asks for the next buckets: the member that answered the digest first, then random ones.
     fn fetch_buckets(&mut self) {
-        while self.syncing.fetches.len() < MAX_FETCHES && self.syncing.allowance.available() > 0 {
-            let Some(bucket) = self.syncing.buckets.pop_first() else {
-                return;
-            };
-            let Some(to) = self.random_members(1, None).pop() else {
-                return;
-            };
-            let Some(to) = self.table.get(to).map(|entry| entry.record.gossip) else {
+        while self.syncing.may_fetch() {
+            let source = self.syncing.source.take().or_else(|| self.random_live());
+            let Some(to) = source.and_then(|node| self.table.get(node)) else {
                 return;
             };
+            let to = to.record.gossip;
+            let (buckets, held) = self.next_buckets();
+            self.syncing.sequence = self.syncing.sequence.wrapping_add(1);
+            let sequence = self.syncing.sequence;
             let body = Body::Fetch {
-                bucket,
-                held: self.shown(bucket),
+                sequence,
+                buckets: buckets.clone(),
+                held,
             };
             let message = self.message(body, Vec::new());
             self.transmit(to, message);
             self.counters.fetches += 1;
             self.syncing.allowance.spend(1);
+            let deadline = self.now + FETCH_TIMEOUT;
             self.syncing
                 .fetches
-                .insert(bucket, self.now + FETCH_TIMEOUT);
+                .insert(sequence, Fetch { buckets, deadline });
         }
     }
 
-    /// Returns as many of the versions held in a bucket as fit into one message.
-    fn shown(&self, bucket: u8) -> Vec<Held> {
-        let mut held = self.table.held(bucket);
-        loop {
-            let body = Body::Fetch {
-                bucket,
-                held: held.clone(),
-            };
-            if self.message(body, Vec::new()).encoded_len() <= self.config.message_size() {
-                return held;
+    /// Takes as many buckets as one fetch asks for, with the versions held in them.
+    fn next_buckets(&mut self) -> (Vec<u8>, Vec<Held>) {
+        let mut buckets = Vec::new();
+        let mut shown = Vec::new();
+        while let Some(&bucket) = self.syncing.buckets.first() {
+            let more = self.table.held(bucket);
+            if !buckets.is_empty() && shown.len() + more.len() > MAX_HELD {
+                break;
+            }
+            self.syncing.buckets.pop_first();
+            buckets.push(bucket);
+            shown.extend(more);
+            if buckets.len() == MAX_BUCKETS {
+                break;
             }
-            held.truncate(held.len() / 2);
         }
+        shown.truncate(self.held_limit());
+        (buckets, shown)
+    }
+
+    /// Returns how many versions fit into one message.
+    fn held_limit(&self) -> usize {
+        const HELD_BYTES: usize = 8 + 9 + 1;
+        const MARGIN: usize = 48;
+        let room = self.room(&self.message(Body::Gossip, Vec::new()));
+        room.saturating_sub(MARGIN) / HELD_BYTES
     }
 
-    pub(super) fn handle_fetch(&mut self, from: SocketAddr, bucket: u8, shown: &[Held]) {
+    pub(super) fn handle_fetch(
+        &mut self,
+        from: SocketAddr,
+        sequence: u32,
+        buckets: &[u8],
+        shown: &[Held],
+    ) {
         let shown: BTreeMap<NodeId, Held> = shown.iter().map(|held| (held.node, *held)).collect();
-        let rumours = self.newer_than(bucket, &shown);
-        let body = Body::Chunk {
-            bucket,
-            more: false,
-        };
-        let (rumours, all) = self.cut(&body, rumours);
-        self.send_optional(from, Body::Chunk { bucket, more: !all }, rumours);
+        let entries = buckets.iter().flat_map(|&bucket| self.table.bucket(bucket));
+        let newer = entries.filter_map(|entry| newer_than(entry, shown.get(&entry.record.node)));
+        let (rumours, all) = self.cut(
+            &Body::Chunk {
+                sequence,
+                more: true,
+            },
+            newer.collect(),
+        );
+        self.send_optional(
+            from,
+            Body::Chunk {
+                sequence,
+                more: !all,
+            },
+            rumours,
+        );
         let nodes = self.older_than(&shown);
         if !nodes.is_empty() {
             self.send_optional(from, Body::Want { nodes }, Vec::new());
         }
     }
 
-    /// Returns the statements of a bucket that are newer than what the other member showed.
-    fn newer_than(&self, bucket: u8, shown: &BTreeMap<NodeId, Held>) -> Vec<Rumour> {
-        let newer = self.table.bucket(bucket).filter(|entry| {
-            let own = held(entry);
-            match shown.get(&own.node) {
-                Some(other) => {
-                    is_newer((own.incarnation, own.dead), (other.incarnation, other.dead))
-                }
-                None => entry.health != Health::Dead,
-            }
-        });
-        newer.map(|entry| entry.rumour(true)).collect()
-    }
-
     /// Returns the nodes of which the other member showed a newer version.
     fn older_than(&self, shown: &BTreeMap<NodeId, Held>) -> Vec<NodeId> {
         let newer = shown
@@ -194,11 +249,22 @@
         newer.map(|other| other.node).collect()
     }
 
-    pub(super) fn handle_chunk(&mut self, bucket: u8, more: bool) {
-        self.syncing.fetches.remove(&bucket);
-        if more {
-            self.syncing.buckets.insert(bucket);
+    pub(super) fn handle_chunk(&mut self, sequence: u32, more: bool) {
+        if let Some(fetch) = self.syncing.fetches.remove(&sequence)
+            && more
+        {
+            self.syncing.buckets.extend(fetch.buckets);
         }
         self.fetch_buckets();
     }
 }
+
+/// Returns the statement of an entry, when it is newer than what the other member showed.
+fn newer_than(entry: &Entry, shown: Option<&Held>) -> Option<Rumour> {
+    let Some(other) = shown else {
+        return (entry.health != Health::Dead).then(|| entry.rumour(true));
+    };
+    let own = held(entry);
+    let newer = is_newer((own.incarnation, own.dead), (other.incarnation, other.dead));
+    newer.then(|| entry.rumour(false))
+}
--- a/crates/buckthornweir_members/src/messages.rs
+++ b/crates/buckthornweir_members/src/messages.rs
@@ -210,18 +210,20 @@
         /// The numbers of the buckets that differ.
         buckets: Vec<u8>,
     },
-    /// Asks for the records of one bucket that the sender lacks.
+    /// Asks for the records of some buckets that the sender lacks.
     Fetch {
-        /// The number of the bucket.
-        bucket: u8,
-        /// What the sender holds in the bucket.
+        /// Matches the answer to the request.
+        sequence: u32,
+        /// The numbers of the buckets.
+        buckets: Vec<u8>,
+        /// What the sender holds in these buckets.
         held: Vec<Held>,
     },
     /// Answers a [`Body::Fetch`] with the rumours that ride along.
     Chunk {
-        /// The number of the bucket.
-        bucket: u8,
-        /// Whether more records of the bucket are to be fetched.
+        /// The sequence of the request.
+        sequence: u32,
+        /// Whether more records of the buckets are to be fetched.
         more: bool,
     },
 }
--- a/crates/buckthornweir_members/src/messages/convert.rs
+++ b/crates/buckthornweir_members/src/messages/convert.rs
@@ -266,17 +266,22 @@
             buckets: buckets.clone(),
         }),
         Body::Differ { buckets } => wire::Body::Differ(buckets.clone()),
-        Body::Fetch { bucket, held } => wire::Body::Fetch(write_fetch(*bucket, held)),
-        Body::Chunk { bucket, more } => wire::Body::Chunk(wire::Chunk {
-            bucket: u32::from(*bucket),
+        Body::Fetch {
+            sequence,
+            buckets,
+            held,
+        } => wire::Body::Fetch(write_fetch(*sequence, buckets, held)),
+        Body::Chunk { sequence, more } => wire::Body::Chunk(wire::Chunk {
+            sequence: *sequence,
             more: *more,
         }),
     }
 }
 
-fn write_fetch(bucket: u8, held: &[Held]) -> wire::Fetch {
+fn write_fetch(sequence: u32, buckets: &[u8], held: &[Held]) -> wire::Fetch {
     wire::Fetch {
-        bucket: u32::from(bucket),
+        sequence,
+        buckets: buckets.to_vec(),
         nodes: held.iter().map(|entry| entry.node).collect(),
         incarnations: held.iter().map(|entry| entry.incarnation).collect(),
         dead: held.iter().map(|entry| entry.dead).collect(),
@@ -313,7 +318,7 @@
         }
         wire::Body::Fetch(fetch) => read_fetch(&fetch)?,
         wire::Body::Chunk(chunk) => Body::Chunk {
-            bucket: read_bucket(chunk.bucket)?,
+            sequence: chunk.sequence,
             more: chunk.more,
         },
     })
@@ -322,6 +327,7 @@
 fn read_fetch(fetch: &wire::Fetch) -> Result<Body> {
     let entries = fetch.nodes.len();
     check_entries("nodes", entries)?;
+    check_entries("buckets", fetch.buckets.len())?;
     if fetch.incarnations.len() != entries || fetch.dead.len() != entries {
         return Err(MessageError::Uneven("fetch"));
     }
@@ -337,11 +343,8 @@
         })
         .collect::<Result<_>>()?;
     Ok(Body::Fetch {
-        bucket: read_bucket(fetch.bucket)?,
+        sequence: fetch.sequence,
+        buckets: fetch.buckets.clone(),
         held,
     })
 }
-
-fn read_bucket(bucket: u32) -> Result<u8> {
-    u8::try_from(bucket).map_err(|_| MessageError::OutOfRange("bucket", u64::from(bucket)))
-}
--- a/crates/buckthornweir_members/src/messages/wire.rs
+++ b/crates/buckthornweir_members/src/messages/wire.rs
@@ -119,7 +119,7 @@
     /// Answers a digest, a byte per bucket.
     #[prost(bytes, tag = "10")]
     Differ(Vec<u8>),
-    /// Asks for the records of a bucket.
+    /// Asks for the records of buckets.
     #[prost(message, tag = "11")]
     Fetch(Fetch),
     /// Answers a fetch.
@@ -157,13 +157,16 @@
     pub buckets: Vec<u32>,
 }
 
-/// A request for the records of a bucket.
+/// A request for the records of some buckets.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Fetch {
-    /// The number of the bucket.
+    /// Matches the answer to the request.
     #[prost(uint32, tag = "1")]
-    pub bucket: u32,
-    /// The nodes held in the bucket.
+    pub sequence: u32,
+    /// The numbers of the buckets, a byte each.
+    #[prost(bytes = "vec", tag = "5")]
+    pub buckets: Vec<u8>,
+    /// The nodes held in the buckets.
     #[prost(fixed64, repeated, tag = "2")]
     pub nodes: Vec<u64>,
     /// The incarnation of each node.
@@ -177,9 +180,9 @@
 /// An answer to a fetch.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Chunk {
-    /// The number of the bucket.
+    /// The sequence of the request.
     #[prost(uint32, tag = "1")]
-    pub bucket: u32,
+    pub sequence: u32,
     /// Whether more is to be fetched.
     #[prost(bool, tag = "2")]
     pub more: bool,
--- a/crates/buckthornweir_members/src/rumours.rs
+++ b/crates/buckthornweir_members/src/rumours.rs
@@ -11,20 +11,31 @@
 pub(crate) enum Priority {
     /// A member that takes no new work.
     Leaving,
-    /// A suspicion, a death or its refutation.
+    /// A death, or the refutation of a death or suspicion.
     Health,
     /// A new member, state or weight.
     Change,
+    /// A suspicion. Not spread in a flood, where most suspicions are right.
+    Doubt,
     /// A report of free slots.
     Report,
 }
 
+/// The length from which the queue counts as a flood.
+const FLOOD: usize = 16;
+
+/// The copies of each change that are sent in a flood.
+const FLOOD_COPIES: usize = 8;
+
+/// The copies of each full record that are sent in a flood. Anti-entropy carries the rest.
+const FULL_COPIES: usize = 2;
+
 #[derive(Debug)]
 struct Item {
     priority: Priority,
     full: bool,
-    sent: u32,
-    pushed: u32,
+    sent: usize,
+    pushed: usize,
 }
 
 /// The queue of changes that are still to be spread, one per node.
@@ -36,6 +47,9 @@
 impl Rumours {
     /// Queues the present entry of a node, with its lasting part when `full`.
     pub(crate) fn push(&mut self, node: NodeId, priority: Priority, full: bool) {
+        if priority == Priority::Doubt && self.is_flood() {
+            return;
+        }
         let pending = self.items.remove(&node).is_some_and(|item| item.full);
         let item = Item {
             priority,
@@ -46,20 +60,25 @@
         self.items.insert(node, item);
     }
 
+    /// Returns whether more changes wait than are sent with the usual number of copies.
+    pub(crate) fn is_flood(&self) -> bool {
+        self.items.len() >= FLOOD
+    }
+
     /// Drops what is queued about a node.
     pub(crate) fn remove(&mut self, node: NodeId) {
         self.items.remove(&node);
     }
 
     /// Returns whether a change has not yet been sent at once to `fan_out` members.
-    pub(crate) fn is_fresh(&self, fan_out: u32) -> bool {
+    pub(crate) fn is_fresh(&self, fan_out: usize) -> bool {
         self.items
             .values()
             .any(|item| item.priority < Priority::Report && item.pushed < fan_out)
     }
 
     /// Counts one round of sending fresh changes, made of `copies` messages.
-    pub(crate) fn count_push(&mut self, nodes: &[Rumour], copies: u32) {
+    pub(crate) fn count_push(&mut self, nodes: &[Rumour], copies: usize) {
         for rumour in nodes {
             if let Some(item) = self.items.get_mut(&rumour.node) {
                 item.pushed += copies;
@@ -67,14 +86,25 @@
         }
     }
 
-    /// Takes the rumours that fit into `room` bytes, the most urgent first, and drops those that
-    /// were sent `limit` times.
-    pub(crate) fn take(&mut self, table: &Table, mut room: usize, limit: u32) -> Vec<Rumour> {
+    /// Takes the rumours that fit into `room` bytes for a message that is sent `copies` times, the
+    /// most urgent first, and drops those that were sent `limit` times.
+    pub(crate) fn take(
+        &mut self,
+        table: &Table,
+        mut room: usize,
+        copies: usize,
+        limit: usize,
+    ) -> Vec<Rumour> {
         if self.items.is_empty() {
             return Vec::new();
         }
+        let flood = self.is_flood();
         let mut taken = Vec::new();
         for node in self.order() {
+            if flood && self.is_doubt(node) {
+                self.items.remove(&node);
+                continue;
+            }
             let Some(rumour) = self.state(table, node) else {
                 self.items.remove(&node);
                 continue;
@@ -85,11 +115,17 @@
             }
             room -= length;
             taken.push(rumour);
-            self.count(node, limit);
+            self.count(node, copies, limit, flood);
         }
         taken
     }
 
+    fn is_doubt(&self, node: NodeId) -> bool {
+        self.items
+            .get(&node)
+            .is_some_and(|item| item.priority == Priority::Doubt)
+    }
+
     fn order(&self) -> Vec<NodeId> {
         let mut nodes: Vec<_> = self.items.iter().collect();
         nodes.sort_by_key(|(_, item)| (item.priority, item.sent));
@@ -101,11 +137,16 @@
         Some(table.get(node)?.rumour(item.full))
     }
 
-    fn count(&mut self, node: NodeId, limit: u32) {
+    fn count(&mut self, node: NodeId, copies: usize, limit: usize, flood: bool) {
         let Some(item) = self.items.get_mut(&node) else {
             return;
         };
-        item.sent += 1;
+        let limit = match (flood, item.full) {
+            (false, _) => limit,
+            (true, false) => limit.min(FLOOD_COPIES),
+            (true, true) => limit.min(FULL_COPIES),
+        };
+        item.sent += copies;
         if item.sent >= limit {
             self.items.remove(&node);
         }
--- a/crates/buckthornweir_members/tests/members/queue.rs
+++ b/crates/buckthornweir_members/tests/members/queue.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use buckthornweir_members::Counters;
+use buckthornweir_members::messages::{Body, Header, MAX_ENTRIES, Rumour};
 use buckthornweir_members::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -89,6 +90,46 @@
     }
 }
 
+/// Returns the rumour with which a process introduces itself to a seed.
+fn own_rumour(members: &mut Members) -> Rumour {
+    let sends = members
+        .tick(Duration::ZERO)
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Send { message, .. } => Some(message),
+            _ => None,
+        });
+    let message = sends.expect("a lone process greets its seeds");
+    message
+        .rumours
+        .into_iter()
+        .next()
+        .expect("a greeting holds the own record")
+}
+
+/// Returns a message from a member that is no part of the run, with these rumours.
+fn introduction(rumours: &[Rumour]) -> Message {
+    let header = Header {
+        node: u64::MAX,
+        instance: 0,
+        incarnation: 0,
+        state: MemberState::Left,
+        weight: 0,
+        free: 0,
+        bundle: BundleStamp::default(),
+        table: 0,
+    };
+    let body = Body::Chunk {
+        sequence: 0,
+        more: false,
+    };
+    Message {
+        header,
+        rumours: rumours.to_vec(),
+        body,
+    }
+}
+
 impl Queue {
     pub(crate) fn new(config: Config, seed: u64) -> Self {
         Self {
@@ -117,6 +158,30 @@
         queue
     }
 
+    /// Starts members 1 to `count` with tables that are already complete.
+    pub(crate) fn filled(count: u64, seed: u64) -> Self {
+        let mut queue = Self::new(Config::default(), seed);
+        let mut rumours = Vec::new();
+        for index in 1..=count {
+            let seed = queue.rng.random();
+            let seeds = vec![address(1 + index % count), address(0)];
+            let mut members = Members::new(queue.config.clone(), record(index, 7), seeds, seed);
+            rumours.push(own_rumour(&mut members));
+            queue.insert(address(index), members);
+        }
+        for chunk in rumours.chunks(MAX_ENTRIES) {
+            let at: Vec<_> = queue.processes.keys().copied().collect();
+            for at in at {
+                queue.act(at, |members, now| {
+                    let message = introduction(chunk);
+                    members.handle(now, address(0), message);
+                    Vec::new()
+                });
+            }
+        }
+        queue
+    }
+
     /// Starts a process with the first three members as its seeds.
     pub(crate) fn start(&mut self, record: Record) {
         let seeds = (1..=3).map(address).collect();
