Run the two scenarios against the daemon; say when flows broke and what went wrong

Cause: the daemon's path stands, so the load tool can run. Broken flows were dated by when their caller next looked, killed balancers were sprayed for ever, and a request with an idempotency key counted like one without.

The test of breaks caught a race: the connection's driver could note a clean end before the request noted the break.

--- a/crates/buckthornweir_load/src/callers/ledger.rs
+++ b/crates/buckthornweir_load/src/callers/ledger.rs
@@ -12,6 +12,8 @@
 pub struct RequestRecord {
     /// What was sent, and what the caller got.
     pub record: CallerRecord,
+    /// Whether it carried an idempotency key.
+    pub keyed: bool,
     /// When the request was due, on the clock of the stand-ins.
     pub due: Duration,
     /// When the caller had its answer, or gave up.
--- a/crates/buckthornweir_load/src/callers/request.rs
+++ b/crates/buckthornweir_load/src/callers/request.rs
@@ -38,7 +38,7 @@
     /// Returns whether the request may run more than once.
     pub(crate) fn traits(&self) -> Traits {
         Traits {
-            repeatable: self.method == Method::GET,
+            repeatable: self.method == Method::GET || self.key.is_some(),
         }
     }
 
--- a/crates/buckthornweir_load/src/callers/slot.rs
+++ b/crates/buckthornweir_load/src/callers/slot.rs
@@ -84,6 +84,7 @@
                 traits: draft.traits(),
                 outcome,
             },
+            keyed: draft.key.is_some(),
             due,
             ended: uptime(),
         });
@@ -151,7 +152,7 @@
                 Ok(())
             }
             Err(error) => {
-                self.write(opened, FlowEnd::NotOpened);
+                self.write(opened, uptime(), FlowEnd::NotOpened);
                 Err(error)
             }
         }
@@ -162,15 +163,16 @@
             self.shared.ledger.count_close();
             let broken = end == FlowEnd::Finished && flow.caller.is_broken();
             let end = if broken { FlowEnd::Broken } else { end };
-            self.write(flow.opened, end);
+            let ended = flow.caller.ended().unwrap_or_else(uptime);
+            self.write(flow.opened, ended, end);
         }
     }
 
-    fn write(&self, opened: Duration, end: FlowEnd) {
+    fn write(&self, opened: Duration, ended: Duration, end: FlowEnd) {
         self.shared.ledger.add_flow(FlowRecord {
             service: self.shared.service.name.clone(),
             opened,
-            ended: uptime(),
+            ended,
             end,
         });
     }
--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -4,8 +4,9 @@
 mod operator;
 mod process;
 mod settings;
+mod spray;
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService, SigningKey};
@@ -19,21 +20,13 @@
 use process::Process;
 
 use settings::{Role, SettingsText};
+use spray::Spray;
 
 /// How long the processes may take until each service answers.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(100);
 const CONNECT_LIMIT: Duration = Duration::from_secs(3);
 
-/// The programs that a deployment runs.
-#[derive(Clone, Debug)]
-pub struct Programs {
-    /// The daemon, `buckthornweird`.
-    pub daemon: PathBuf,
-    /// The operators' client, `buckthornweir`.
-    pub client: PathBuf,
-}
-
 /// A backend server with its failure domain.
 pub struct PlacedBackend {
     /// The backend server.
@@ -45,6 +38,7 @@
 /// All processes of a scenario, the backend servers and the fabric.
 pub struct Deployment {
     fabric: Fabric,
+    spray: Spray,
     backends: Vec<PlacedBackend>,
     processes: Vec<Process>,
     operator: Operator,
@@ -58,25 +52,23 @@
     ///
     /// Returns an error when a process can't be started, the bundle is refused, or a service
     /// doesn't answer within the time limit.
-    pub async fn start(scenario: &Scenario, programs: &Programs, folder: &Path) -> Result<Self> {
-        for program in [&programs.daemon, &programs.client] {
-            if !program.is_file() {
-                return Err(Fault::NoProgram(program.clone()));
-            }
+    pub async fn start(scenario: &Scenario, daemon: &Path, folder: &Path) -> Result<Self> {
+        if !daemon.is_file() {
+            return Err(Fault::NoProgram(daemon.to_owned()));
         }
         let addresses = Addresses::new();
-        let key = SigningKey::generate();
         let config = FabricConfig::new(addresses.fabric(), scenario.seed);
         let fabric = Fabric::start(config.with_connect_limit(CONNECT_LIMIT)).await?;
         let mut deployment = Self {
+            spray: Spray::new(&fabric, scenario.notice),
             fabric,
             backends: Vec::new(),
             processes: Vec::new(),
-            operator: Operator::new(&programs.client, folder, &key),
+            operator: Operator::new(SigningKey::generate()),
             bundle: bundle(scenario),
         };
         let roles = deployment.place(scenario, addresses).await?;
-        deployment.start_processes(scenario, programs, folder, &key, &roles)?;
+        deployment.start_processes(scenario, daemon, folder, &roles)?;
         deployment.put_in_force().await?;
         deployment.wait_ready(scenario).await?;
         Ok(deployment)
@@ -106,6 +98,7 @@
     ///
     /// Returns an error when a process can't be signalled or started, or the bundle is refused.
     pub async fn act(&mut self, action: &Action) -> Result<()> {
+        self.tell_fabric(action);
         match action {
             Action::Kill(name) => self.process(name)?.kill(),
             Action::Stop(name) => self.process(name)?.stop(),
@@ -130,6 +123,17 @@
         }
     }
 
+    /// Tells the fabric when an action takes a balancer away or brings it back.
+    fn tell_fabric(&self, action: &Action) {
+        match action {
+            Action::Kill(name) | Action::Stop(name) | Action::Freeze(name) => {
+                self.spray.set(name, false);
+            }
+            Action::Start(name) | Action::Thaw(name) => self.spray.set(name, true),
+            _ => {}
+        }
+    }
+
     /// Ends all processes, those that were asked to and those that were not.
     pub fn end(&mut self) {
         for process in &mut self.processes {
@@ -147,13 +151,11 @@
             self.operator.add_control(host.control());
             roles.push(Role::control(placed, host, founders.clone()));
         }
-        let mut balancers = Vec::new();
         for placed in scenario.balancers() {
             let host = addresses.next_host();
-            balancers.push(host.fabric());
+            self.spray.add(&placed.name, host.fabric());
             roles.push(Role::balancer(placed, host));
         }
-        self.fabric.set_balancers(balancers);
         for service in &scenario.services {
             for placed in scenario.backends(service) {
                 let host = addresses.next_host();
@@ -172,16 +174,16 @@
     fn start_processes(
         &mut self,
         scenario: &Scenario,
-        programs: &Programs,
+        daemon: &Path,
         folder: &Path,
-        key: &SigningKey,
         roles: &[Role],
     ) -> Result<()> {
         let seeds: Vec<_> = roles.iter().map(|role| role.host.gossip()).collect();
         let seeds = &seeds[..seeds.len().min(scenario.controls + scenario.balancers)];
+        let trusted = self.operator.key().public();
         for role in roles {
-            let text = SettingsText::new(role, seeds, &key.public(), self.fabric.addr(), folder);
-            let mut process = Process::new(&role.name, &programs.daemon, folder, text.as_str())?;
+            let text = SettingsText::new(role, seeds, &trusted, self.fabric.addr(), folder);
+            let mut process = Process::new(&role.name, daemon, folder, text.as_str())?;
             process.start()?;
             self.processes.push(process);
         }
--- a/crates/buckthornweir_load/src/deployment/operator.rs
+++ b/crates/buckthornweir_load/src/deployment/operator.rs
@@ -1,79 +1,81 @@
-//! The operators' client, which pushes bundles.
+//! Pushes bundles to the control processes, as the operators' client does.
 
-use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 
 use buckthornweir_bundle::{Bundle, SignedBundle, SigningKey};
-use buckthornweir_settings::value;
 use buckthornweir_standins::uptime;
+use buckthornweir_wire::{
+    Body, ClusterKey, Envelope, Link, OperatorMessage, PushOutcome, PushReply, PushRequest, Reply,
+    Request,
+};
 
 use super::settings::CLUSTER_KEY;
 use crate::fault::{Fault, Result};
 
 /// How long a push is repeated while its outcome is not known.
 const PUSH_LIMIT: Duration = Duration::from_secs(30);
-const PUSH_PAUSE: Duration = Duration::from_millis(200);
+const PUSH_PAUSE: Duration = Duration::from_millis(100);
+/// How long one control process may take to answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
 
-/// Runs `buckthornweir` against the control processes.
+/// Signs bundles and pushes them.
 pub(crate) struct Operator {
-    client: PathBuf,
-    folder: PathBuf,
     key: SigningKey,
     controls: Vec<SocketAddr>,
 }
 
 impl Operator {
-    pub(crate) fn new(client: &Path, folder: &Path, key: &SigningKey) -> Self {
+    pub(crate) fn new(key: SigningKey) -> Self {
         Self {
-            client: client.to_owned(),
-            folder: folder.to_owned(),
-            key: SigningKey::from_secret(&key.secret()),
+            key,
             controls: Vec::new(),
         }
     }
 
+    pub(crate) fn key(&self) -> &SigningKey {
+        &self.key
+    }
+
     pub(crate) fn add_control(&mut self, control: SocketAddr) {
         self.controls.push(control);
     }
 
-    /// Pushes a bundle; sending it again is safe, so an unknown outcome is tried again.
+    /// Pushes a bundle until it is accepted; sending it again is safe.
     pub(crate) async fn push(&self, bundle: Bundle) -> Result<()> {
-        let path = self.folder.join(format!("bundle-{}.ini", bundle.version));
         let text = SignedBundle::sign(bundle, &self.key).to_text();
-        fs::write(&path, text).map_err(|err| Fault::File(path.clone(), err))?;
-        let key = self.folder.join("cluster.key");
-        let written = fs::write(&key, value::to_hex(&CLUSTER_KEY));
-        written.map_err(|err| Fault::File(key.clone(), err))?;
         let limit = uptime() + PUSH_LIMIT;
-        loop {
-            let output = self.run(&path, &key).await?;
-            if output.status.success() {
-                return Ok(());
-            }
-            if uptime() > limit {
-                let message = String::from_utf8_lossy(&output.stderr).trim().to_owned();
-                return Err(Fault::NotInForce(message));
+        let mut last = PushOutcome::Unspecified;
+        while uptime() < limit {
+            for control in &self.controls {
+                let reply = push_to(*control, text.clone()).await;
+                last = reply.map_or(PushOutcome::Unknown, |reply| reply.outcome());
+                if matches!(last, PushOutcome::Accepted | PushOutcome::Same) {
+                    return Ok(());
+                }
             }
             tokio::time::sleep(PUSH_PAUSE).await;
         }
+        Err(Fault::NotInForce(last))
     }
+}
 
-    async fn run(&self, bundle: &Path, key: &Path) -> Result<Output> {
-        let controls: Vec<_> = self.controls.iter().map(ToString::to_string).collect();
-        let mut command = Command::new(&self.client);
-        command
-            .arg("--to")
-            .arg(controls.join(","))
-            .arg("--key-file")
-            .arg(key)
-            .arg("push")
-            .arg(bundle)
-            .stdin(Stdio::null());
-        let fault = |err| Fault::Process("buckthornweir".into(), err);
-        let run = tokio::task::spawn_blocking(move || command.output()).await;
-        run.map_err(|err| fault(err.into()))?.map_err(fault)
+/// Pushes to one control process; nothing comes back when it doesn't answer in time.
+async fn push_to(control: SocketAddr, text: String) -> Option<PushReply> {
+    let key = ClusterKey::new(CLUSTER_KEY);
+    let mut link = Link::dial(control, &key, ANSWER_LIMIT).await.ok()?;
+    let message = OperatorMessage::ask(1, Request::Push(PushRequest { text }));
+    let envelope = Envelope::new(0, Body::Operator(Box::new(message)));
+    link.send(&envelope).await.ok()?;
+    let limit = uptime() + ANSWER_LIMIT;
+    while uptime() < limit {
+        let body = link.receive(ANSWER_LIMIT).await.ok()?.body;
+        let Some(Body::Operator(message)) = body else {
+            continue;
+        };
+        if let Some(Reply::Push(reply)) = message.reply {
+            return Some(reply);
+        }
     }
+    None
 }
--- a/crates/buckthornweir_load/src/fault.rs
+++ b/crates/buckthornweir_load/src/fault.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use buckthornweir_standins::{BackendError, FabricError};
+use buckthornweir_wire::PushOutcome;
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
@@ -53,8 +54,8 @@
             display("{name}: {err}")
         }
         /// A bundle was not accepted within the time limit.
-        NotInForce(message: String) {
-            display("the bundle was not accepted within the time limit; last: {message}")
+        NotInForce(last: PushOutcome) {
+            display("the bundle was not accepted within the time limit; last: {last:?}")
         }
         /// No service answered within the time limit after the start.
         NotReady(service: SmolStr, last: String) {
--- a/crates/buckthornweir_load/src/figures/mod.rs
+++ b/crates/buckthornweir_load/src/figures/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod service;
 mod timeline;
+mod trouble;
 
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 pub use load::{Imbalance, LoadSeries, imbalance};
 pub use service::{BackendFigures, FlowFigures, Latency, Outcomes, ServiceFigures};
 pub use timeline::{EventMark, WindowFigures};
+pub use trouble::{Run, Trouble};
 
 /// What a run has left behind. All times are on the clock of the stand-ins.
 pub struct Evidence<'a> {
@@ -67,6 +69,8 @@
     pub domains: Vec<DomainFigures>,
     /// What happened.
     pub events: Vec<EventMark>,
+    /// Requests that went wrong, one by one.
+    pub troubles: Vec<Trouble>,
     /// Packets that the fabric sent to balancers, received, and lost.
     pub packets: [u64; 3],
 }
@@ -84,6 +88,7 @@
         services: service::all(evidence),
         domains: domain::all(evidence),
         events: evidence.events.to_vec(),
+        troubles: trouble::all(evidence),
         packets: [fabric.sent, fabric.received, fabric.dropped],
     }
 }
--- a/crates/buckthornweir_load/src/figures/service.rs
+++ b/crates/buckthornweir_load/src/figures/service.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use buckthornweir_standins::{BackendBooks, CallerRecord, End, Tally, tally};
+use buckthornweir_standins::{BackendBooks, CallerRecord, End, tally};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -53,9 +53,12 @@
     pub lost: usize,
     /// Answers that broke off; they are among the lost ones.
     pub short: usize,
-    /// Requests that may not be repeated, and ran more than once.
+    /// Requests that may not be repeated and carried no key, and ran more than once.
     pub doubled: usize,
-    /// Requests that may be repeated, and ran more than once.
+    /// Requests with an idempotency key that ran more than once; it is then for the backend
+    /// server to know the key.
+    pub doubled_key: usize,
+    /// Requests of a safe method that ran more than once.
     pub repeated: usize,
     /// Answers of, and runs at, another service.
     pub wrong_service: usize,
@@ -67,8 +70,11 @@
     pub unfounded: usize,
 }
 
-impl From<Tally> for Outcomes {
-    fn from(tally: Tally) -> Self {
+impl Outcomes {
+    /// Counts from the books of both ends; `keyed` are those of the records that had a key.
+    fn of(records: &[CallerRecord], keyed: &[CallerRecord], books: &[BackendBooks]) -> Self {
+        let doubled_key = tally(keyed, books).repeated;
+        let tally = tally(records, books);
         Self {
             sent: tally.sent,
             answered: tally.answered,
@@ -77,7 +83,8 @@
             lost: tally.lost + tally.unsent,
             short: tally.short,
             doubled: tally.doubled,
-            repeated: tally.repeated,
+            doubled_key,
+            repeated: tally.repeated - doubled_key,
             wrong_service: tally.wrong_service,
             crossed: tally.crossed,
             false_refusals: tally.false_refusals,
@@ -159,6 +166,10 @@
             .filter(|request| request.record.service == *service)
     };
     let records: Vec<CallerRecord> = requests().map(|request| request.record.clone()).collect();
+    let keyed: Vec<CallerRecord> = requests()
+        .filter(|request| request.keyed)
+        .map(|request| request.record.clone())
+        .collect();
     let warm = evidence.start + scenario.warm_up;
     let measured = requests().filter(|request| request.is_answered() && request.due >= warm);
     let latencies: Vec<_> = measured
@@ -175,7 +186,7 @@
         .filter(|backend| backend.books.service == *service);
     ServiceFigures {
         service: service.clone(),
-        outcomes: tally(&records, books).into(),
+        outcomes: Outcomes::of(&records, &keyed, books),
         flows: FlowFigures::of(evidence, service),
         latency: Latency::of(&latencies),
         imbalance: imbalance(&load, window, warm_up),
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -39,11 +39,12 @@
 mod scenario;
 
 pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, draft};
-pub use deployment::{Deployment, PlacedBackend, Programs};
+pub use deployment::{Deployment, PlacedBackend};
 pub use fault::{Fault, Result};
 pub use figures::{
     BackendEvidence, BackendFigures, DomainFigures, EventMark, Evidence, Figures, FlowFigures,
-    Imbalance, Latency, LoadSeries, Outcomes, ServiceFigures, WindowFigures, figures, imbalance,
+    Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures, Trouble, WindowFigures, figures,
+    imbalance,
 };
 pub use options::LoadOptions;
 pub use output::{Line, Plot, draw, page, tables, write_lines};
@@ -52,5 +53,5 @@
 
 /// Names that most users of this crate import.
 pub mod prelude {
-    pub use crate::{Fault, Figures, Programs, Scenario, run};
+    pub use crate::{Fault, Figures, Scenario, run};
 }
--- a/crates/buckthornweir_load/src/options.rs
+++ b/crates/buckthornweir_load/src/options.rs
@@ -4,8 +4,6 @@
 
 use gumdrop::Options;
 
-use crate::deployment::Programs;
-
 /// What the command line asks for.
 #[derive(Debug, Options)]
 pub struct LoadOptions {
@@ -25,13 +23,6 @@
         meta = "PATH"
     )]
     pub daemon: Option<PathBuf>,
-    /// The operators' client.
-    #[options(
-        no_short,
-        help = "the client buckthornweir; default: beside this program",
-        meta = "PATH"
-    )]
-    pub client: Option<PathBuf>,
     /// The seed, in place of the scenario's.
     #[options(no_short, help = "seed in place of the scenario's", meta = "NUMBER")]
     pub seed: Option<u64>,
@@ -51,16 +42,11 @@
 }
 
 impl LoadOptions {
-    /// Returns the paths of the programs to run.
+    /// Returns the path of the daemon.
     #[must_use]
-    pub fn programs(&self) -> Programs {
+    pub fn daemon_path(&self) -> PathBuf {
         let own = std::env::current_exe().unwrap_or_default();
-        let beside = |given: &Option<PathBuf>, name: &str| {
-            given.clone().unwrap_or_else(|| own.with_file_name(name))
-        };
-        Programs {
-            daemon: beside(&self.daemon, "buckthornweird"),
-            client: beside(&self.client, "buckthornweir"),
-        }
+        let beside = || own.with_file_name("buckthornweird");
+        self.daemon.clone().unwrap_or_else(beside)
     }
 }
--- a/crates/buckthornweir_load/src/output/lines.rs
+++ b/crates/buckthornweir_load/src/output/lines.rs
@@ -8,7 +8,7 @@
 use crate::fault::Result;
 use crate::figures::{
     BackendFigures, DomainFigures, EventMark, Figures, FlowFigures, Imbalance, Latency, Outcomes,
-    WindowFigures,
+    Trouble, WindowFigures,
 };
 
 /// One line.
@@ -42,6 +42,7 @@
     },
     Domain(&'a DomainFigures),
     Event(&'a EventMark),
+    Trouble(&'a Trouble),
 }
 
 /// Writes all figures, one JSON object a line, each with its `kind`.
@@ -66,6 +67,9 @@
     for domain in &figures.domains {
         write(out, &Line::Domain(domain))?;
     }
+    for trouble in &figures.troubles {
+        write(out, &Line::Trouble(trouble))?;
+    }
     for service in &figures.services {
         write(
             out,
--- a/crates/buckthornweir_load/src/scenario/mod.rs
+++ b/crates/buckthornweir_load/src/scenario/mod.rs
@@ -30,6 +30,8 @@
     pub window: Duration,
     /// How long a caller waits for an answer.
     pub patience: Duration,
+    /// How long the fabric goes on to send packets to a balancer that is gone.
+    pub notice: Duration,
     /// How many balancers run.
     pub balancers: usize,
     /// How many control processes run.
--- a/crates/buckthornweir_load/src/scenario/read.rs
+++ b/crates/buckthornweir_load/src/scenario/read.rs
@@ -54,6 +54,7 @@
             20 * SECOND,
             value::duration(SECOND..=TIME_LIMIT),
         )?,
+        notice: head.or("notice", SECOND, value::duration(ZERO..=TIME_LIMIT))?,
         balancers: head.or("balancers", 3, value::number(1..=PROCESS_LIMIT))?,
         controls: head.or(
             "controls",
--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -51,6 +51,7 @@
             traits: Traits::default(),
             outcome,
         },
+        keyed: false,
         due: at(seconds),
         ended: at(seconds) + Duration::from_millis(25),
     }
@@ -157,11 +158,11 @@
         │ orders  ┆     2 ┆            1 ┆      0 ┆    1 ┆       1 ┆      2.00 ┆ 2 / 1.0 at 30 s ┆   25.0 ┆   25.0 ┆   25.0 ┆   25.0 │
         └─────────┴───────┴──────────────┴────────┴──────┴─────────┴───────────┴─────────────────┴────────┴────────┴────────┴────────┘
 
-        ┌──────────┬──────┬──────────┬─────────┬─────────┬──────┬───────┬─────────┬──────────┬───────────────┬─────────┬────────────────┬───────────┐
-        │ requests ┆ sent ┆ answered ┆ refused ┆ unknown ┆ lost ┆ short ┆ doubled ┆ repeated ┆ wrong service ┆ crossed ┆ false refusals ┆ unfounded │
-        ╞══════════╪══════╪══════════╪═════════╪═════════╪══════╪═══════╪═════════╪══════════╪═══════════════╪═════════╪════════════════╪═══════════╡
-        │ orders   ┆    6 ┆        5 ┆       0 ┆       0 ┆    1 ┆     0 ┆       1 ┆        0 ┆             0 ┆       0 ┆              0 ┆         0 │
-        └──────────┴──────┴──────────┴─────────┴─────────┴──────┴───────┴─────────┴──────────┴───────────────┴─────────┴────────────────┴───────────┘
+        ┌──────────┬──────┬──────────┬─────────┬─────────┬──────┬───────┬─────────┬─────────────┬──────────┬───────────────┬─────────┬────────────────┬───────────┐
+        │ requests ┆ sent ┆ answered ┆ refused ┆ unknown ┆ lost ┆ short ┆ doubled ┆ key doubled ┆ repeated ┆ wrong service ┆ crossed ┆ false refusals ┆ unfounded │
+        ╞══════════╪══════╪══════════╪═════════╪═════════╪══════╪═══════╪═════════╪═════════════╪══════════╪═══════════════╪═════════╪════════════════╪═══════════╡
+        │ orders   ┆    6 ┆        5 ┆       0 ┆       0 ┆    1 ┆     0 ┆       1 ┆           0 ┆        0 ┆             0 ┆       0 ┆              0 ┆         0 │
+        └──────────┴──────┴──────────┴─────────┴─────────┴──────┴───────┴─────────┴─────────────┴──────────┴───────────────┴─────────┴────────────────┴───────────┘
 
         ┌────────────────┬────────────────┬─────┬─────────┬───────────┬─────────┬──────────────┬────────────────┐
         │ backend server ┆ failure domain ┆ ran ┆ refused ┆ fell over ┆ stopped ┆ most at once ┆ most when cold │
@@ -197,7 +198,7 @@
             value["kind"].as_str().unwrap().to_owned()
         })
         .collect();
-    let expected = "run event event domain service backend backend window window window window";
+    let expected = "run event event domain trouble trouble service backend backend window window window window";
     assert_eq!(kinds.join(" "), expected);
 }
 
--- a/crates/buckthornweir_standins/src/caller.rs
+++ b/crates/buckthornweir_standins/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
@@ -10,10 +10,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use quick_error::quick_error;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backend::{AnswerBody, headers};
+use crate::clock::uptime;
 use crate::fabric::{self, Fabric};
 
 /// The result of calls on a caller.
@@ -86,7 +88,7 @@
     sender: SendRequest<Full<Bytes>>,
     service: SocketAddr,
     local: SocketAddr,
-    broken: Arc<AtomicBool>,
+    end: Arc<Mutex<Option<ConnectionEnd>>>,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -102,18 +104,17 @@
         let (sender, connection) = handshake(TokioIo::new(stream))
             .await
             .map_err(Error::Broken)?;
-        let broken = Arc::new(AtomicBool::new(false));
-        let flag = broken.clone();
+        let end = Arc::new(Mutex::new(None));
+        let ended = end.clone();
         let driver = tokio::spawn(async move {
-            if connection.await.is_err() {
-                flag.store(true, Ordering::Relaxed);
-            }
+            let broken = connection.await.is_err();
+            note_end(&ended, broken);
         });
         Ok(Self {
             sender,
             service,
             local,
-            broken,
+            end,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -133,7 +134,13 @@
     /// Tells whether the connection ended by anything but a close between two requests.
     #[must_use]
     pub fn is_broken(&self) -> bool {
-        self.broken.load(Ordering::Relaxed)
+        self.end.lock().is_some_and(|end| end.broken)
+    }
+
+    /// Returns when the connection ended, if it has, since the stand-ins were first used.
+    #[must_use]
+    pub fn ended(&self) -> Option<Duration> {
+        self.end.lock().map(|end| end.at)
     }
 
     /// Sends a request and waits for its whole answer.
@@ -144,7 +151,7 @@
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<CallerAnswer> {
         let result = self.exchange(request).await;
         if matches!(result, Err(Error::Broken(_) | Error::Short(..))) {
-            self.broken.store(true, Ordering::Relaxed);
+            note_end(&self.end, true);
         }
         result
     }
@@ -166,6 +173,26 @@
     }
 }
 
+/// When and how a connection ended.
+#[derive(Clone, Copy)]
+struct ConnectionEnd {
+    at: Duration,
+    broken: bool,
+}
+
+/// Notes the end of a connection, which its driver and its last request may see in any order.
+fn note_end(end: &Mutex<Option<ConnectionEnd>>, broken: bool) {
+    let mut end = end.lock();
+    let first = end.unwrap_or(ConnectionEnd {
+        at: uptime(),
+        broken,
+    });
+    *end = Some(ConnectionEnd {
+        broken: first.broken || broken,
+        ..first
+    });
+}
+
 fn failure(err: hyper::Error) -> Error {
     if err.is_canceled() {
         Error::Unsent(err)
