--- a/crates/buckthornweir_flows/src/moving.rs
+++ b/crates/buckthornweir_flows/src/moving.rs
@@ -11,6 +11,7 @@
 
 use crate::NodeId;
 use crate::messages::FlowBody;
+use crate::ownership::Ownership;
 use crate::packet::FiveTuple;
 
 pub use giver::Giver;
@@ -34,6 +35,26 @@
     Adopt(QuietFlow),
     /// Start a stack again for a flow that no other agent has taken.
     Keep(QuietFlow),
+    /// Give a packet that was held to the stack of the flow, which was started before.
+    Deliver {
+        /// The flow.
+        tuple: FiveTuple,
+        /// The packet.
+        packet: Vec<u8>,
+    },
     /// Forget a flow: the agent that may have taken it is gone.
     Lose(FiveTuple),
 }
+
+/// Returns the deliveries of the packets that waited for a flow's owner.
+fn held_packets(
+    ownership: &Ownership,
+    tuple: &FiveTuple,
+) -> impl Iterator<Item = MoveAction> + use<> {
+    let tuple = *tuple;
+    let held = ownership.take_held(&tuple).into_iter();
+    held.map(move |forward| MoveAction::Deliver {
+        tuple,
+        packet: forward.packet,
+    })
+}
--- a/crates/buckthornweir_flows/src/ownership/arrivals.rs
+++ b/crates/buckthornweir_flows/src/ownership/arrivals.rs
@@ -46,6 +46,7 @@
         let mut shard = self.shard(&info.tuple);
         match shard.state(&info.tuple) {
             Some(FlowState::Established) => out.push(Action::Deliver(info.tuple)),
+            Some(FlowState::Moving) if shard.hold(forward, info.tuple) => out.push(Action::Hold),
             Some(FlowState::Moving) => out.push(Action::Drop(DropReason::NotOwner)),
             Some(FlowState::HalfOpen(sequence)) => {
                 self.half_open(&mut shard, arrival, sequence, out);
@@ -92,12 +93,14 @@
         if !is_ours && forward.bundle_version <= view.version {
             return refuse(view, forward, DropReason::WrongService, out);
         }
-        if !view.takes_flows() {
-            let owner = view.service.placement().owner(&info.tuple);
-            return match owner.filter(|&owner| owner != self.node) {
-                Some(owner) => self.pass_on(view, forward, owner, out),
-                None => out.push(Action::Drop(DropReason::NoOwner)),
-            };
+        let is_young = !view.is_settled && forward.hops == 0;
+        if is_young || !view.takes_flows() {
+            if let Some(other) = view.other_owner(&info.tuple) {
+                return self.pass_on(view, forward, other, out);
+            }
+            if !view.takes_flows() {
+                return out.push(Action::Drop(DropReason::NoOwner));
+            }
         }
         if self.len() >= self.limits.flows {
             return out.push(Action::Drop(DropReason::FlowsFull));
@@ -196,7 +199,7 @@
             return out.push(Action::Drop(DropReason::LookupsFull));
         }
         let number = self.next_question(&tuple);
-        let mut lookup = Lookup::new(number, view.suspects(&tuple), *info, now);
+        let mut lookup = Lookup::new(number, view, *info, now);
         lookup.hold(forward, info, now);
         out.push(Action::Hold);
         if self.advance(&mut lookup, view, now, out) {
@@ -240,9 +243,8 @@
         out: &mut Vec<Action>,
     ) -> bool {
         let tuple = lookup.last.tuple;
-        let suspects = view.suspects(&tuple);
-        if suspects != lookup.suspects || lookup.is_stale(now) {
-            lookup.restart(self.next_question(&tuple), suspects, now);
+        if lookup.digest != view.suspects_digest() || lookup.is_stale(now) {
+            lookup.restart(self.next_question(&tuple), view, now);
             return self.advance(lookup, view, now, out);
         }
         if let Some(reason) = doubt(lookup, view) {
@@ -306,6 +308,7 @@
             state: state.into(),
             owner: owner.unwrap_or_default(),
             bundle_version: view.version,
+            members: view.service.digest(),
         };
         out.push(Action::Send {
             to: forward.sender,
