Wait until no backend server is cold before the load starts

Change: the load starts when the longest cold time has passed; the event 'cold' is how a scenario makes one cold.

--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -46,7 +46,7 @@
 }
 
 impl Deployment {
-    /// Starts everything and waits until each service answers.
+    /// Starts everything, and waits until each service answers and no backend server is cold.
     ///
     /// # Errors
     ///
@@ -71,6 +71,7 @@
         deployment.start_processes(scenario, daemon, folder, &roles)?;
         deployment.put_in_force().await?;
         deployment.wait_ready(scenario).await?;
+        wait_warm(scenario).await;
         Ok(deployment)
     }
 
@@ -231,6 +232,16 @@
     }
 }
 
+/// Waits until no backend server is cold, so that only events make one cold under load.
+async fn wait_warm(scenario: &Scenario) {
+    let longest = scenario
+        .services
+        .iter()
+        .map(|service| service.cold_time)
+        .max();
+    tokio::time::sleep(longest.unwrap_or_default()).await;
+}
+
 /// Sends one request, and returns what was seen when it was not answered.
 async fn probe(fabric: &Fabric, service: &Service) -> std::result::Result<(), String> {
     let error = |err: buckthornweir_standins::CallerError| err.to_string();
