Push through the operators' client, and plan processes in one place

Cause: settings of processes stood twice, in the plan of the tests and in the load tool, and bundles went past the client that operators use. Change: the plan gives each process an IP number of its own on request; the load tool uses the plan, and runs 'buckthornweir' for pushes and failure domains. A service's deadline is its own key, since it was equal to the callers' patience and a caller gave up just before the agent's honest 504.

--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -1,31 +1,40 @@
 //! The processes of a scenario, on loopback.
 
-mod addresses;
 mod operator;
 mod process;
-mod settings;
 mod spray;
 
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService, SigningKey};
-use buckthornweir_standins::{Backend, BackendConfig, Fabric, FabricConfig, HttpCaller, uptime};
+use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService};
+use buckthornweir_standins::{
+    Backend, BackendConfig, Fabric, FabricConfig, Hosts, HttpCaller, Plan, PlannedNode, uptime,
+};
 use smol_str::SmolStr;
 
 use crate::fault::{Fault, Result};
 use crate::scenario::{Action, Scenario, Service, agent_name};
-use addresses::{Addresses, Host};
 use operator::Operator;
 use process::Process;
-
-use settings::{Role, SettingsText};
 use spray::Spray;
 
 /// How long the processes may take until each service answers.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(100);
 const CONNECT_LIMIT: Duration = Duration::from_secs(3);
+const FABRIC_PORT: u16 = 7004;
+const BACKEND_PORT: u16 = 8080;
+
+/// The programs that a deployment runs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The daemon, `buckthornweird`.
+    pub daemon: PathBuf,
+    /// The operators' client, `buckthornweir`.
+    pub client: PathBuf,
+}
 
 /// A backend server with its failure domain.
 pub struct PlacedBackend {
@@ -52,24 +61,27 @@
     ///
     /// Returns an error when a process can't be started, the bundle is refused, or a service
     /// doesn't answer within the time limit.
-    pub async fn start(scenario: &Scenario, daemon: &Path, folder: &Path) -> Result<Self> {
-        if !daemon.is_file() {
-            return Err(Fault::NoProgram(daemon.to_owned()));
+    pub async fn start(scenario: &Scenario, programs: &Programs, folder: &Path) -> Result<Self> {
+        for program in [&programs.daemon, &programs.client] {
+            if !program.is_file() {
+                return Err(Fault::NoProgram(program.clone()));
+            }
         }
-        let addresses = Addresses::new();
-        let config = FabricConfig::new(addresses.fabric(), scenario.seed);
+        let mut hosts = Hosts::new();
+        let config = FabricConfig::new(hosts.next_addr(FABRIC_PORT), scenario.seed);
         let fabric = Fabric::start(config.with_connect_limit(CONNECT_LIMIT)).await?;
         let mut deployment = Self {
             spray: Spray::new(&fabric, scenario.notice),
             fabric,
             backends: Vec::new(),
             processes: Vec::new(),
-            operator: Operator::new(SigningKey::generate()),
+            operator: Operator::new(&programs.client, folder),
             bundle: bundle(scenario),
         };
-        let roles = deployment.place(scenario, addresses).await?;
-        deployment.start_processes(scenario, daemon, folder, &roles)?;
-        deployment.put_in_force().await?;
+        deployment.start_backends(scenario, &mut hosts).await?;
+        let nodes = deployment.plan(scenario, hosts, folder)?;
+        deployment.start_processes(&nodes, programs, folder)?;
+        deployment.operator.push(deployment.bundle.clone()).await?;
         deployment.wait_ready(scenario).await?;
         wait_warm(scenario).await;
         Ok(deployment)
@@ -109,10 +121,7 @@
             Action::Thaw(name) => self.process(name)?.signal("CONT"),
             Action::DomainOut(name) => self.set_domain(name, true).await,
             Action::DomainBack(name) => self.set_domain(name, false).await,
-            Action::Push => {
-                self.bundle.version += 1;
-                self.put_in_force().await
-            }
+            Action::Push => self.push_next().await,
             Action::Fault(name, fault) => {
                 let placed = self
                     .backends
@@ -142,49 +151,55 @@
         }
     }
 
-    /// Starts the backend servers, and returns the settings of each process to come.
-    async fn place(&mut self, scenario: &Scenario, mut addresses: Addresses) -> Result<Vec<Role>> {
-        let mut roles = Vec::new();
-        let controls = scenario.controls();
-        let founders: Vec<_> = controls.iter().map(|placed| placed.name.clone()).collect();
-        for placed in controls {
-            let host = addresses.next_host();
-            self.operator.add_control(host.control());
-            roles.push(Role::control(placed, host, founders.clone()));
-        }
-        for placed in scenario.balancers() {
-            let host = addresses.next_host();
-            self.spray.add(&placed.name, host.fabric());
-            roles.push(Role::balancer(placed, host));
-        }
+    async fn start_backends(&mut self, scenario: &Scenario, hosts: &mut Hosts) -> Result<()> {
         for service in &scenario.services {
             for placed in scenario.backends(service) {
-                let host = addresses.next_host();
-                let config = backend_config(service, host, &placed.name);
-                let backend = Backend::start(config).await?;
-                let domain = placed.domain.clone();
-                let name = agent_name(&placed.name);
-                let addr = backend.addr();
-                roles.push(Role::agent(name, domain.clone(), host, &service.name, addr));
+                let addr = hosts.next_addr(BACKEND_PORT);
+                let backend = Backend::start(backend_config(service, addr, &placed.name)).await?;
+                let domain = placed.domain;
                 self.backends.push(PlacedBackend { backend, domain });
             }
         }
-        Ok(roles)
+        Ok(())
+    }
+
+    /// Returns the settings of each process to come, and writes those of the client.
+    fn plan(&self, scenario: &Scenario, hosts: Hosts, folder: &Path) -> Result<Vec<PlannedNode>> {
+        let controls = scenario.controls();
+        let founders: Vec<_> = controls.iter().map(|placed| placed.name.as_str()).collect();
+        let plan = Plan::new(self.operator.trusted()).with_founders(&founders);
+        let mut plan = plan.with_hosts(hosts).with_log("info");
+        let mut nodes = Vec::new();
+        for placed in &controls {
+            let data = folder.join(&*placed.name);
+            nodes.push(plan.control(&placed.name, &placed.domain, &data));
+        }
+        let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.control).collect();
+        self.operator
+            .write_settings(&addresses, plan.cluster_key())?;
+        for placed in scenario.balancers() {
+            let node = plan.balancer(&placed.name, &placed.domain);
+            if let Some(addr) = node.fabric {
+                self.spray.add(&placed.name, addr);
+            }
+            nodes.push(node);
+        }
+        for PlacedBackend { backend, domain } in &self.backends {
+            let name = agent_name(backend.name());
+            let fabric = self.fabric.addr();
+            nodes.push(plan.agent(&name, domain, backend.service(), backend.addr(), fabric));
+        }
+        Ok(nodes)
     }
 
     fn start_processes(
         &mut self,
-        scenario: &Scenario,
-        daemon: &Path,
+        nodes: &[PlannedNode],
+        programs: &Programs,
         folder: &Path,
-        roles: &[Role],
     ) -> Result<()> {
-        let seeds: Vec<_> = roles.iter().map(|role| role.host.gossip()).collect();
-        let seeds = &seeds[..seeds.len().min(scenario.controls + scenario.balancers)];
-        let trusted = self.operator.key().public();
-        for role in roles {
-            let text = SettingsText::new(role, seeds, &trusted, self.fabric.addr(), folder);
-            let mut process = Process::new(&role.name, daemon, folder, text.as_str())?;
+        for node in nodes {
+            let mut process = Process::new(node, &programs.daemon, folder)?;
             process.start()?;
             self.processes.push(process);
         }
@@ -195,11 +210,11 @@
         if let Some(bundle) = self.bundle.with_domain_out(name, out) {
             self.bundle = bundle;
         }
-        self.put_in_force().await
+        self.operator.set_domain(name, out).await
     }
 
-    /// Pushes the bundle, until its outcome is known.
-    async fn put_in_force(&mut self) -> Result<()> {
+    async fn push_next(&mut self) -> Result<()> {
+        self.bundle.version += 1;
         self.operator.push(self.bundle.clone()).await
     }
 
@@ -256,8 +271,8 @@
     }
 }
 
-fn backend_config(service: &Service, host: Host, name: &str) -> BackendConfig {
-    BackendConfig::new(host.backend(), name, service.name.clone())
+fn backend_config(service: &Service, addr: SocketAddr, name: &str) -> BackendConfig {
+    BackendConfig::new(addr, name, service.name.clone())
         .with_slots(service.slots)
         .with_connections(service.connections)
         .with_work(service.work)
@@ -280,7 +295,7 @@
         cold: service.cold_slots as u32,
         connections: service.connections as u32,
         queue: 20,
-        deadline: scenario.patience,
+        deadline: service.deadline,
     };
     Bundle {
         version: 1,
--- a/crates/buckthornweir_load/src/deployment/operator.rs
+++ b/crates/buckthornweir_load/src/deployment/operator.rs
@@ -1,81 +1,104 @@
-//! Pushes bundles to the control processes, as the operators' client does.
+//! Runs the operators' client, which pushes bundles.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use buckthornweir_bundle::{Bundle, SignedBundle, SigningKey};
+use buckthornweir_settings::value;
 use buckthornweir_standins::uptime;
-use buckthornweir_wire::{
-    Body, ClusterKey, Envelope, Link, OperatorMessage, PushOutcome, PushReply, PushRequest, Reply,
-    Request,
-};
 
-use super::settings::CLUSTER_KEY;
 use crate::fault::{Fault, Result};
 
-/// How long a push is repeated while its outcome is not known.
-const PUSH_LIMIT: Duration = Duration::from_secs(30);
-const PUSH_PAUSE: Duration = Duration::from_millis(100);
-/// How long one control process may take to answer.
-const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// How long a command is repeated while it fails.
+const LIMIT: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(100);
 
-/// Signs bundles and pushes them.
+/// Runs `buckthornweir` with settings of its own.
 pub(crate) struct Operator {
+    client: PathBuf,
+    folder: PathBuf,
     key: SigningKey,
-    controls: Vec<SocketAddr>,
 }
 
 impl Operator {
-    pub(crate) fn new(key: SigningKey) -> Self {
+    pub(crate) fn new(client: &Path, folder: &Path) -> Self {
         Self {
-            key,
-            controls: Vec::new(),
+            client: client.to_owned(),
+            folder: folder.to_owned(),
+            key: SigningKey::generate(),
         }
     }
 
-    pub(crate) fn key(&self) -> &SigningKey {
-        &self.key
+    /// Returns the key that processes trust, in hexadecimal digits.
+    pub(crate) fn trusted(&self) -> String {
+        value::to_hex(&self.key.public())
     }
 
-    pub(crate) fn add_control(&mut self, control: SocketAddr) {
-        self.controls.push(control);
+    /// Writes the client's settings.
+    pub(crate) fn write_settings(&self, controls: &[SocketAddr], cluster: &str) -> Result<()> {
+        let nodes: Vec<_> = controls.iter().map(ToString::to_string).collect();
+        let key = self.write("operator.key", &value::to_hex(&self.key.secret()))?;
+        let text = format!(
+            "[client]\nnodes = {}\nkey = {cluster}\nsigning-key = {}\n",
+            nodes.join(", "),
+            key.display()
+        );
+        self.write("client.ini", &text)?;
+        Ok(())
     }
 
-    /// Pushes a bundle until it is accepted; sending it again is safe.
+    /// Pushes a bundle; sending it again is safe.
     pub(crate) async fn push(&self, bundle: Bundle) -> Result<()> {
+        let name = format!("bundle-{}.ini", bundle.version);
         let text = SignedBundle::sign(bundle, &self.key).to_text();
-        let limit = uptime() + PUSH_LIMIT;
-        let mut last = PushOutcome::Unspecified;
-        while uptime() < limit {
-            for control in &self.controls {
-                let reply = push_to(*control, text.clone()).await;
-                last = reply.map_or(PushOutcome::Unknown, |reply| reply.outcome());
-                if matches!(last, PushOutcome::Accepted | PushOutcome::Same) {
-                    return Ok(());
-                }
+        let path = self.write(&name, &text)?;
+        self.run(&["push", &path.display().to_string()]).await
+    }
+
+    /// Takes a failure domain out, or back in.
+    pub(crate) async fn set_domain(&self, name: &str, out: bool) -> Result<()> {
+        self.run(&["domain", if out { "out" } else { "back" }, name])
+            .await
+    }
+
+    /// Runs a command until it succeeds.
+    async fn run(&self, arguments: &[&str]) -> Result<()> {
+        let limit = uptime() + LIMIT;
+        loop {
+            match self.run_once(arguments).await? {
+                None => return Ok(()),
+                Some(message) if uptime() > limit => return Err(Fault::NotInForce(message)),
+                Some(_) => tokio::time::sleep(PAUSE).await,
             }
-            tokio::time::sleep(PUSH_PAUSE).await;
         }
-        Err(Fault::NotInForce(last))
     }
-}
 
-/// Pushes to one control process; nothing comes back when it doesn't answer in time.
-async fn push_to(control: SocketAddr, text: String) -> Option<PushReply> {
-    let key = ClusterKey::new(CLUSTER_KEY);
-    let mut link = Link::dial(control, &key, ANSWER_LIMIT).await.ok()?;
-    let message = OperatorMessage::ask(1, Request::Push(PushRequest { text }));
-    let envelope = Envelope::new(0, Body::Operator(Box::new(message)));
-    link.send(&envelope).await.ok()?;
-    let limit = uptime() + ANSWER_LIMIT;
-    while uptime() < limit {
-        let body = link.receive(ANSWER_LIMIT).await.ok()?.body;
-        let Some(Body::Operator(message)) = body else {
-            continue;
-        };
-        if let Some(Reply::Push(reply)) = message.reply {
-            return Some(reply);
+    /// Runs a command, and returns what it says when it fails.
+    async fn run_once(&self, arguments: &[&str]) -> Result<Option<String>> {
+        let mut command = Command::new(&self.client);
+        let settings = self.folder.join("client.ini");
+        command
+            .arg("--settings")
+            .arg(settings)
+            .args(arguments)
+            .stdin(Stdio::null());
+        let fault = |err| Fault::Process("buckthornweir".into(), err);
+        let run = tokio::task::spawn_blocking(move || command.output()).await;
+        let output = run.map_err(|err| fault(err.into()))?.map_err(fault)?;
+        if output.status.success() {
+            return Ok(None);
         }
+        Ok(Some(
+            String::from_utf8_lossy(&output.stderr).trim().to_owned(),
+        ))
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<PathBuf> {
+        let path = self.folder.join(name);
+        fs::write(&path, text).map_err(|err| Fault::File(path.clone(), err))?;
+        Ok(path)
     }
-    None
 }
--- a/crates/buckthornweir_load/src/deployment/process.rs
+++ b/crates/buckthornweir_load/src/deployment/process.rs
@@ -6,11 +6,11 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use buckthornweir_standins::{PlannedNode, uptime};
 use smol_str::SmolStr;
 
 use crate::fault::{Fault, Result};
 use crate::scenario::Name;
-use buckthornweir_standins::uptime;
 
 /// How long a process that was asked to end may take before it is killed.
 const STOP_LIMIT: Duration = Duration::from_secs(40);
@@ -29,14 +29,16 @@
 
 impl Process {
     /// Writes the settings of a process that is yet to start.
-    pub(crate) fn new(name: &Name, program: &Path, folder: &Path, text: &str) -> Result<Self> {
+    pub(crate) fn new(node: &PlannedNode, program: &Path, folder: &Path) -> Result<Self> {
+        let name = Name::from(node.name.as_str());
         let settings = folder.join(format!("{name}.ini"));
-        fs::write(&settings, text).map_err(|err| Fault::File(settings.clone(), err))?;
+        fs::write(&settings, &node.settings).map_err(|err| Fault::File(settings.clone(), err))?;
+        let log = folder.join(format!("{name}.log"));
         Ok(Self {
-            name: name.clone(),
+            name,
             program: program.to_owned(),
             settings,
-            log: folder.join(format!("{name}.log")),
+            log,
             child: None,
             asked: false,
         })
--- a/crates/buckthornweir_load/src/fault.rs
+++ b/crates/buckthornweir_load/src/fault.rs
@@ -4,7 +4,6 @@
 use std::path::PathBuf;
 
 use buckthornweir_standins::{BackendError, FabricError};
-use buckthornweir_wire::PushOutcome;
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
@@ -54,8 +53,8 @@
             display("{name}: {err}")
         }
         /// A bundle was not accepted within the time limit.
-        NotInForce(last: PushOutcome) {
-            display("the bundle was not accepted within the time limit; last: {last:?}")
+        NotInForce(last: String) {
+            display("the bundle was not accepted within the time limit; last: {last}")
         }
         /// No service answered within the time limit after the start.
         NotReady(service: SmolStr, last: String) {
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -39,7 +39,7 @@
 mod scenario;
 
 pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, draft};
-pub use deployment::{Deployment, PlacedBackend};
+pub use deployment::{Deployment, PlacedBackend, Programs};
 pub use fault::{Fault, Result};
 pub use figures::{
     BackendEvidence, BackendFigures, DomainFigures, EventMark, Evidence, Figures, FlowFigures,
@@ -53,5 +53,5 @@
 
 /// Names that most users of this crate import.
 pub mod prelude {
-    pub use crate::{Fault, Figures, Scenario, run};
+    pub use crate::{Fault, Figures, Programs, Scenario, run};
 }
--- a/crates/buckthornweir_load/src/main.rs
+++ b/crates/buckthornweir_load/src/main.rs
@@ -44,7 +44,7 @@
     let runtime = tokio::runtime::Runtime::new().map_err(Fault::Runtime)?;
     let figures = runtime.block_on(run(
         &scenario,
-        &options.daemon_path(),
+        &options.programs(),
         folder.path(),
         |progress| {
             show(&bar, progress);
--- a/crates/buckthornweir_load/src/options.rs
+++ b/crates/buckthornweir_load/src/options.rs
@@ -4,7 +4,9 @@
 
 use gumdrop::Options;
 
-/// What the command line asks for.
+use crate::deployment::Programs;
+
+/// buckthornweir-load: runs a scenario on this machine, and measures it.
 #[derive(Debug, Options)]
 pub struct LoadOptions {
     /// The scenario's file.
@@ -23,6 +25,13 @@
         meta = "PATH"
     )]
     pub daemon: Option<PathBuf>,
+    /// The operators' client.
+    #[options(
+        no_short,
+        help = "the client buckthornweir; default: beside this program",
+        meta = "PATH"
+    )]
+    pub client: Option<PathBuf>,
     /// The seed, in place of the scenario's.
     #[options(no_short, help = "seed in place of the scenario's", meta = "NUMBER")]
     pub seed: Option<u64>,
@@ -42,11 +51,16 @@
 }
 
 impl LoadOptions {
-    /// Returns the path of the daemon.
+    /// Returns the paths of the programs to run.
     #[must_use]
-    pub fn daemon_path(&self) -> PathBuf {
+    pub fn programs(&self) -> Programs {
         let own = std::env::current_exe().unwrap_or_default();
-        let beside = || own.with_file_name("buckthornweird");
-        self.daemon.clone().unwrap_or_else(beside)
+        let beside = |given: &Option<PathBuf>, name: &str| {
+            given.clone().unwrap_or_else(|| own.with_file_name(name))
+        };
+        Programs {
+            daemon: beside(&self.daemon, "buckthornweird"),
+            client: beside(&self.client, "buckthornweir"),
+        }
     }
 }
--- a/crates/buckthornweir_load/src/run.rs
+++ b/crates/buckthornweir_load/src/run.rs
@@ -8,7 +8,7 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::callers::{self, Ledger, LedgerCounts};
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Programs};
 use crate::fault::Result;
 use crate::figures::{BackendEvidence, EventMark, Evidence, Figures, figures};
 use crate::scenario::{Event, Scenario};
@@ -34,11 +34,11 @@
 /// load is no error: it is in the figures.
 pub async fn run(
     scenario: &Scenario,
-    daemon: &Path,
+    programs: &Programs,
     folder: &Path,
     mut report: impl FnMut(&Progress),
 ) -> Result<Figures> {
-    let mut deployment = Deployment::start(scenario, daemon, folder).await?;
+    let mut deployment = Deployment::start(scenario, programs, folder).await?;
     let ledger = Arc::new(Ledger::default());
     let start = uptime();
     let load = {
--- a/crates/buckthornweir_load/src/scenario/mod.rs
+++ b/crates/buckthornweir_load/src/scenario/mod.rs
@@ -65,6 +65,8 @@
     pub connections: usize,
     /// How long the work on one request takes.
     pub work: Duration,
+    /// How long a request may take in all.
+    pub deadline: Duration,
     /// The load of the service's callers.
     pub load: Load,
 }
--- a/crates/buckthornweir_load/src/scenario/read.rs
+++ b/crates/buckthornweir_load/src/scenario/read.rs
@@ -100,6 +100,11 @@
         cold_time: section.or("cold-time", ZERO, value::duration(ZERO..=TIME_LIMIT))?,
         connections: section.or("connections", 2000, value::number(1..=100_000))?,
         work: section.or("work", ZERO, value::duration(ZERO..=TIME_LIMIT))?,
+        deadline: section.or(
+            "deadline",
+            10 * SECOND,
+            value::duration(10 * MILLISECOND..=TIME_LIMIT),
+        )?,
         load: read_load(&mut section)?,
     };
     section.finish()?;
--- a/crates/buckthornweir_load/tests/scenario.rs
+++ b/crates/buckthornweir_load/tests/scenario.rs
@@ -73,7 +73,7 @@
         s.ini:10: [service orders] rate = "20001" is not allowed; allowed: a whole number from 0 to 20000
         s.ini:11: [service orders] hot = "101%" is not allowed; allowed: a share from 0% to 100%
         s.ini:12: [service orders] cold-slots = "3" is not allowed; allowed: a whole number from 1 to 2
-        s.ini:11: [service orders] speed is not a known key; allowed: slots, address, backends, cold-slots, cold-time, connections, work, flows, rate, requests, once, keyed, bytes, hot, burst, burst-every
+        s.ini:11: [service orders] speed is not a known key; allowed: slots, address, backends, cold-slots, cold-time, connections, work, deadline, flows, rate, requests, once, keyed, bytes, hot, burst, burst-every
         s.ini:6: [service Orders] NAME = "Orders" is not allowed; allowed: a name of 1 to 63 lower-case letters, digits and hyphens
         s.ini:12: [event 1] at = "11s" is not allowed; allowed: a length of time from 0s to 10s, such as 250ms or 2s
         s.ini:13: [event 1] do = "burn" is not allowed; allowed: kill, stop, start, restart, freeze, thaw, domain-out, domain-back, push, heal, shed, drain, cold, late, silent, cut-before-answer, cut-after-headers, cut-mid-body, lying-health, lying-load
--- a/crates/buckthornweir_standins/src/lib.rs
+++ b/crates/buckthornweir_standins/src/lib.rs
@@ -25,6 +25,7 @@
 mod clock;
 mod echo;
 mod fabric;
+mod hosts;
 mod plan;
 
 pub use backend::{
@@ -39,6 +40,7 @@
     CallerStream, Error as FabricError, Fabric, FabricConfig, FabricCounters,
     Result as FabricResult,
 };
+pub use hosts::Hosts;
 pub use plan::{Plan, PlannedNode, free_tcp, free_udp};
 
 /// Names that most users of this crate import.
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -4,9 +4,17 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 
+use crate::hosts::Hosts;
+
 /// The shared key of every deployment on loopback, in hexadecimal digits.
 const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
 
+const GOSSIP: u16 = 7000;
+const PACKETS: u16 = 7001;
+const CONTROL: u16 = 7002;
+const METRICS: u16 = 7003;
+const FABRIC: u16 = 7004;
+
 /// Writes the settings of processes that know one another. Every process gets ports of its own.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -14,6 +22,16 @@
     seeds: Vec<SocketAddr>,
     founders: Vec<String>,
     log: String,
+    hosts: Option<Hosts>,
+}
+
+/// The addresses of one process.
+struct Addresses {
+    gossip: SocketAddr,
+    packets: SocketAddr,
+    control: SocketAddr,
+    metrics: SocketAddr,
+    fabric: SocketAddr,
 }
 
 /// Where one planned process is reached.
@@ -39,6 +57,7 @@
             seeds: Vec::new(),
             founders: vec!["control-1".into()],
             log: "warn".into(),
+            hosts: None,
         }
     }
 
@@ -49,6 +68,14 @@
         self
     }
 
+    /// Gives every process an IP number of its own with the same ports, in place of ports of its
+    /// own.
+    #[must_use]
+    pub fn with_hosts(mut self, hosts: Hosts) -> Self {
+        self.hosts = Some(hosts);
+        self
+    }
+
     /// Sets the filter of the logs.
     #[must_use]
     pub fn with_log(mut self, filter: &str) -> Self {
@@ -63,9 +90,10 @@
 
     /// Plans a balancer.
     pub fn balancer(&mut self, name: &str, domain: &str) -> PlannedNode {
-        let fabric = free_udp();
+        let addresses = self.addresses();
+        let fabric = addresses.fabric;
         let role = format!("[balancer]\nfabric = {fabric}\n");
-        let mut node = self.node(name, domain, "balancer", &role, None);
+        let mut node = self.node(name, domain, "balancer", &role, None, &addresses);
         node.fabric = Some(fabric);
         node
     }
@@ -81,13 +109,22 @@
     ) -> PlannedNode {
         let role =
             format!("[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\n");
-        self.node(name, domain, "agent", &role, None)
+        let addresses = self.addresses();
+        self.node(name, domain, "agent", &role, None, &addresses)
     }
 
     /// Plans a control process that keeps its state in `data`.
     pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
         let role = format!("[control]\nfounders = {}\n", self.founders.join(", "));
-        self.node(name, domain, "control", &role, Some(data))
+        let addresses = self.addresses();
+        self.node(name, domain, "control", &role, Some(data), &addresses)
+    }
+
+    fn addresses(&mut self) -> Addresses {
+        match &mut self.hosts {
+            Some(hosts) => Addresses::on(hosts.next_ip()),
+            None => Addresses::free(),
+        }
     }
 
     fn node(
@@ -97,13 +134,18 @@
         roles: &str,
         role: &str,
         data: Option<&Path>,
+        addresses: &Addresses,
     ) -> PlannedNode {
-        let gossip = free_udp();
-        let control = free_tcp();
-        let metrics = free_tcp();
+        let Addresses {
+            gossip,
+            packets,
+            control,
+            metrics,
+            ..
+        } = *addresses;
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
+        let _ = writeln!(text, "gossip = {gossip}\npackets = {packets}");
         let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
         let _ = writeln!(text, "key = {CLUSTER_KEY}");
         if !self.seeds.is_empty() {
@@ -128,6 +170,30 @@
     }
 }
 
+impl Addresses {
+    /// Returns the same ports on every IP number.
+    fn on(ip: IpAddr) -> Self {
+        Self {
+            gossip: SocketAddr::new(ip, GOSSIP),
+            packets: SocketAddr::new(ip, PACKETS),
+            control: SocketAddr::new(ip, CONTROL),
+            metrics: SocketAddr::new(ip, METRICS),
+            fabric: SocketAddr::new(ip, FABRIC),
+        }
+    }
+
+    /// Returns ports that were free a moment ago.
+    fn free() -> Self {
+        Self {
+            gossip: free_udp(),
+            packets: free_udp(),
+            control: free_tcp(),
+            metrics: free_tcp(),
+            fabric: free_udp(),
+        }
+    }
+}
+
 /// Returns a loopback address whose UDP port was free a moment ago.
 ///
 /// # Panics
