--- a/crates/buckthornweir_load/src/deployment/operator.rs
+++ b/crates/buckthornweir_load/src/deployment/operator.rs
@@ -1,79 +1,104 @@
-//! The operators' client, which pushes bundles.
+//! Runs the operators' client, which pushes bundles.
 
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output, Stdio};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use buckthornweir_bundle::{Bundle, SignedBundle, SigningKey};
 use buckthornweir_settings::value;
 use buckthornweir_standins::uptime;
 
-use super::settings::CLUSTER_KEY;
 use crate::fault::{Fault, Result};
 
-/// How long a push is repeated while its outcome is not known.
-const PUSH_LIMIT: Duration = Duration::from_secs(30);
-const PUSH_PAUSE: Duration = Duration::from_millis(200);
+/// How long a command is repeated while it fails.
+const LIMIT: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(100);
 
-/// Runs `buckthornweir` against the control processes.
+/// Runs `buckthornweir` with settings of its own.
 pub(crate) struct Operator {
     client: PathBuf,
     folder: PathBuf,
     key: SigningKey,
-    controls: Vec<SocketAddr>,
 }
 
 impl Operator {
-    pub(crate) fn new(client: &Path, folder: &Path, key: &SigningKey) -> Self {
+    pub(crate) fn new(client: &Path, folder: &Path) -> Self {
         Self {
             client: client.to_owned(),
             folder: folder.to_owned(),
-            key: SigningKey::from_secret(&key.secret()),
-            controls: Vec::new(),
+            key: SigningKey::generate(),
         }
     }
 
-    pub(crate) fn add_control(&mut self, control: SocketAddr) {
-        self.controls.push(control);
+    /// Returns the key that processes trust, in hexadecimal digits.
+    pub(crate) fn trusted(&self) -> String {
+        value::to_hex(&self.key.public())
     }
 
-    /// Pushes a bundle; sending it again is safe, so an unknown outcome is tried again.
+    /// Writes the client's settings.
+    pub(crate) fn write_settings(&self, controls: &[SocketAddr], cluster: &str) -> Result<()> {
+        let nodes: Vec<_> = controls.iter().map(ToString::to_string).collect();
+        let key = self.write("operator.key", &value::to_hex(&self.key.secret()))?;
+        let text = format!(
+            "[client]\nnodes = {}\nkey = {cluster}\nsigning-key = {}\n",
+            nodes.join(", "),
+            key.display()
+        );
+        self.write("client.ini", &text)?;
+        Ok(())
+    }
+
+    /// Pushes a bundle; sending it again is safe.
     pub(crate) async fn push(&self, bundle: Bundle) -> Result<()> {
-        let path = self.folder.join(format!("bundle-{}.ini", bundle.version));
+        let name = format!("bundle-{}.ini", bundle.version);
         let text = SignedBundle::sign(bundle, &self.key).to_text();
-        fs::write(&path, text).map_err(|err| Fault::File(path.clone(), err))?;
-        let key = self.folder.join("cluster.key");
-        let written = fs::write(&key, value::to_hex(&CLUSTER_KEY));
-        written.map_err(|err| Fault::File(key.clone(), err))?;
-        let limit = uptime() + PUSH_LIMIT;
+        let path = self.write(&name, &text)?;
+        self.run(&["push", &path.display().to_string()]).await
+    }
+
+    /// Takes a failure domain out, or back in.
+    pub(crate) async fn set_domain(&self, name: &str, out: bool) -> Result<()> {
+        self.run(&["domain", if out { "out" } else { "back" }, name])
+            .await
+    }
+
+    /// Runs a command until it succeeds.
+    async fn run(&self, arguments: &[&str]) -> Result<()> {
+        let limit = uptime() + LIMIT;
         loop {
-            let output = self.run(&path, &key).await?;
-            if output.status.success() {
-                return Ok(());
-            }
-            if uptime() > limit {
-                let message = String::from_utf8_lossy(&output.stderr).trim().to_owned();
-                return Err(Fault::NotInForce(message));
+            match self.run_once(arguments).await? {
+                None => return Ok(()),
+                Some(message) if uptime() > limit => return Err(Fault::NotInForce(message)),
+                Some(_) => tokio::time::sleep(PAUSE).await,
             }
-            tokio::time::sleep(PUSH_PAUSE).await;
         }
     }
 
-    async fn run(&self, bundle: &Path, key: &Path) -> Result<Output> {
-        let controls: Vec<_> = self.controls.iter().map(ToString::to_string).collect();
+    /// Runs a command, and returns what it says when it fails.
+    async fn run_once(&self, arguments: &[&str]) -> Result<Option<String>> {
         let mut command = Command::new(&self.client);
+        let settings = self.folder.join("client.ini");
         command
-            .arg("--to")
-            .arg(controls.join(","))
-            .arg("--key-file")
-            .arg(key)
-            .arg("push")
-            .arg(bundle)
+            .arg("--settings")
+            .arg(settings)
+            .args(arguments)
             .stdin(Stdio::null());
         let fault = |err| Fault::Process("buckthornweir".into(), err);
         let run = tokio::task::spawn_blocking(move || command.output()).await;
-        run.map_err(|err| fault(err.into()))?.map_err(fault)
+        let output = run.map_err(|err| fault(err.into()))?.map_err(fault)?;
+        if output.status.success() {
+            return Ok(None);
+        }
+        Ok(Some(
+            String::from_utf8_lossy(&output.stderr).trim().to_owned(),
+        ))
+    }
+
+    fn write(&self, name: &str, text: &str) -> Result<PathBuf> {
+        let path = self.folder.join(name);
+        fs::write(&path, text).map_err(|err| Fault::File(path.clone(), err))?;
+        Ok(path)
     }
 }
--- a/crates/buckthornweir_load/src/fault.rs
+++ b/crates/buckthornweir_load/src/fault.rs
@@ -53,8 +53,8 @@
             display("{name}: {err}")
         }
         /// A bundle was not accepted within the time limit.
-        NotInForce(message: String) {
-            display("the bundle was not accepted within the time limit; last: {message}")
+        NotInForce(last: String) {
+            display("the bundle was not accepted within the time limit; last: {last}")
         }
         /// No service answered within the time limit after the start.
         NotReady(service: SmolStr, last: String) {
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -43,7 +43,8 @@
 pub use fault::{Fault, Result};
 pub use figures::{
     BackendEvidence, BackendFigures, DomainFigures, EventMark, Evidence, Figures, FlowFigures,
-    Imbalance, Latency, LoadSeries, Outcomes, ServiceFigures, WindowFigures, figures, imbalance,
+    Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures, Trouble, WindowFigures, figures,
+    imbalance,
 };
 pub use options::LoadOptions;
 pub use output::{Line, Plot, draw, page, tables, write_lines};
--- a/crates/buckthornweir_load/src/options.rs
+++ b/crates/buckthornweir_load/src/options.rs
@@ -6,7 +6,7 @@
 
 use crate::deployment::Programs;
 
-/// What the command line asks for.
+/// buckthornweir-load: runs a scenario on this machine, and measures it.
 #[derive(Debug, Options)]
 pub struct LoadOptions {
     /// The scenario's file.
--- a/crates/buckthornweir_load/src/scenario/mod.rs
+++ b/crates/buckthornweir_load/src/scenario/mod.rs
@@ -30,6 +30,8 @@
     pub window: Duration,
     /// How long a caller waits for an answer.
     pub patience: Duration,
+    /// How long the fabric goes on to send packets to a balancer that is gone.
+    pub notice: Duration,
     /// How many balancers run.
     pub balancers: usize,
     /// How many control processes run.
@@ -63,6 +65,8 @@
     pub connections: usize,
     /// How long the work on one request takes.
     pub work: Duration,
+    /// How long a request may take in all.
+    pub deadline: Duration,
     /// The load of the service's callers.
     pub load: Load,
 }
--- a/crates/buckthornweir_load/src/scenario/read.rs
+++ b/crates/buckthornweir_load/src/scenario/read.rs
@@ -54,6 +54,7 @@
             20 * SECOND,
             value::duration(SECOND..=TIME_LIMIT),
         )?,
+        notice: head.or("notice", SECOND, value::duration(ZERO..=TIME_LIMIT))?,
         balancers: head.or("balancers", 3, value::number(1..=PROCESS_LIMIT))?,
         controls: head.or(
             "controls",
@@ -99,6 +100,11 @@
         cold_time: section.or("cold-time", ZERO, value::duration(ZERO..=TIME_LIMIT))?,
         connections: section.or("connections", 2000, value::number(1..=100_000))?,
         work: section.or("work", ZERO, value::duration(ZERO..=TIME_LIMIT))?,
+        deadline: section.or(
+            "deadline",
+            10 * SECOND,
+            value::duration(10 * MILLISECOND..=TIME_LIMIT),
+        )?,
         load: read_load(&mut section)?,
     };
     section.finish()?;
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -5,9 +5,17 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use crate::hosts::Hosts;
+
 /// The shared key of every deployment on loopback, in hexadecimal digits.
 const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
 
+const GOSSIP: u16 = 7000;
+const PACKETS: u16 = 7001;
+const CONTROL: u16 = 7002;
+const METRICS: u16 = 7003;
+const FABRIC: u16 = 7004;
+
 /// The first port that a process takes.
 const FIRST_PORT: u16 = 10_000;
 
@@ -19,9 +27,20 @@
 pub struct Plan {
     trusted: String,
     seeds: Vec<SocketAddr>,
-    peers: Vec<SocketAddr>,
+    control: Vec<Addresses>,
     controls: usize,
     log: String,
+    hosts: Option<Hosts>,
+}
+
+/// The addresses of one process.
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    gossip: SocketAddr,
+    packets: SocketAddr,
+    control: SocketAddr,
+    metrics: SocketAddr,
+    fabric: SocketAddr,
 }
 
 /// Where one planned process is reached.
@@ -45,17 +64,26 @@
         Self {
             trusted: trusted.into(),
             seeds: Vec::new(),
-            peers: Vec::new(),
+            control: Vec::new(),
             controls: 0,
             log: "warn".into(),
+            hosts: None,
         }
     }
 
+    /// Gives every process an IP number of its own with the same ports, in place of ports of its
+    /// own.
+    #[must_use]
+    pub fn with_hosts(mut self, hosts: Hosts) -> Self {
+        self.hosts = Some(hosts);
+        self
+    }
+
     /// Sets how many control processes there will be; each call of [`Plan::control`] takes the next
     /// of their addresses.
     #[must_use]
     pub fn with_control(mut self, count: usize) -> Self {
-        self.peers = (0..count).map(|_| free_tcp()).collect();
+        self.control = (0..count).map(|_| self.addresses()).collect();
         self
     }
 
@@ -73,9 +101,10 @@
 
     /// Plans a balancer.
     pub fn balancer(&mut self, name: &str, domain: &str) -> PlannedNode {
-        let fabric = free_udp();
+        let addresses = self.addresses();
+        let fabric = addresses.fabric;
         let role = format!("[balancer]\nfabric = {fabric}\n");
-        let mut node = self.node(name, domain, "balancer", &role, None);
+        let mut node = self.node(name, domain, "balancer", &role, None, &addresses);
         node.fabric = Some(fabric);
         node
     }
@@ -91,47 +120,49 @@
     ) -> PlannedNode {
         let role =
             format!("[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\n");
-        self.node(name, domain, "agent", &role, None)
+        let addresses = self.addresses();
+        self.node(name, domain, "agent", &role, None, &addresses)
     }
 
-    /// Plans a control process that keeps its state in `data`. The first one may found the log.
+    /// Plans a control process that keeps its state in `data`; each of them may found the log.
     pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
-        if self.peers.is_empty() {
-            self.peers.push(free_tcp());
+        if self.control.is_empty() {
+            let addresses = self.addresses();
+            self.control.push(addresses);
         }
-        let at = self.controls.min(self.peers.len() - 1);
-        self.controls += 1;
-        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let peers: Vec<String> = self.control.iter().map(|a| a.control.to_string()).collect();
         let role = format!("[control]\npeers = {}\nfound = yes\n", peers.join(", "));
-        let own = self.peers[at];
-        self.node_at(own, name, domain, "control", &role, Some(data))
+        let addresses = self.control[self.controls % self.control.len()];
+        self.controls += 1;
+        self.node(name, domain, "control", &role, Some(data), &addresses)
     }
 
-    fn node(
-        &mut self,
-        name: &str,
-        domain: &str,
-        roles: &str,
-        role: &str,
-        data: Option<&Path>,
-    ) -> PlannedNode {
-        self.node_at(free_tcp(), name, domain, roles, role, data)
+    fn addresses(&mut self) -> Addresses {
+        match &mut self.hosts {
+            Some(hosts) => Addresses::on(hosts.next_ip()),
+            None => Addresses::free(),
+        }
     }
 
-    fn node_at(
+    fn node(
         &mut self,
-        control: SocketAddr,
         name: &str,
         domain: &str,
         roles: &str,
         role: &str,
         data: Option<&Path>,
+        addresses: &Addresses,
     ) -> PlannedNode {
-        let gossip = free_udp();
-        let metrics = free_tcp();
+        let Addresses {
+            gossip,
+            packets,
+            control,
+            metrics,
+            ..
+        } = *addresses;
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
+        let _ = writeln!(text, "gossip = {gossip}\npackets = {packets}");
         let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
         let _ = writeln!(text, "key = {CLUSTER_KEY}");
         if !self.seeds.is_empty() {
@@ -156,6 +187,30 @@
     }
 }
 
+impl Addresses {
+    /// Returns the same ports on every IP number.
+    fn on(ip: IpAddr) -> Self {
+        Self {
+            gossip: SocketAddr::new(ip, GOSSIP),
+            packets: SocketAddr::new(ip, PACKETS),
+            control: SocketAddr::new(ip, CONTROL),
+            metrics: SocketAddr::new(ip, METRICS),
+            fabric: SocketAddr::new(ip, FABRIC),
+        }
+    }
+
+    /// Returns ports that were free a moment ago.
+    fn free() -> Self {
+        Self {
+            gossip: free_udp(),
+            packets: free_udp(),
+            control: free_tcp(),
+            metrics: free_tcp(),
+            fabric: free_udp(),
+        }
+    }
+}
+
 /// Returns a loopback address with a UDP port that nothing else on the machine takes.
 pub fn free_udp() -> SocketAddr {
     own_address()
