Let a learner whose addition was lost join again; add property tests

Cause: random faults with five members found a learner that only a leader cut short had added: the entry was rolled back, the learner still saw itself as a member, and nobody sent to it again. Ruled out: having the daemon notice it (it sees a member with a log, as any other); keeping the addition from the learner until it is committed (it would still be lost with a restart). Change: a member that doesn't vote and hears no leader asks a voter again, once a second. Property tests with fixed seeds: random faults on three and five members, every decoder on random and on changed bytes, folders with changed bytes. Conclusion: repairs end also when the leader changes in the middle of them.

--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
 use smol_str::SmolStr;
 
 use super::replication::Progress;
@@ -47,22 +48,39 @@
         self.finish()
     }
 
+    /// Repeats the request to join while this member doesn't vote and hears no leader.
+    ///
+    /// The addition of a learner may be lost together with the leader that made it.
     pub(super) fn tick_join(&mut self, now: Duration) {
-        let Some(via) = self.join.via else { return };
-        if self.members.get(self.id).is_some() {
-            self.join.via = None;
+        let known = self.members.get(self.id).map(|m| m.standing);
+        let settled = known == Some(Standing::Voter) || (known.is_some() && self.leader.is_some());
+        if settled || now < self.join.next {
             return;
         }
-        if now >= self.join.next {
-            self.join.next = now + JOIN_RETRY;
-            let address = self.config.address.to_string();
-            self.send(
-                via,
-                Kind::Join(Join {
-                    id: self.id,
-                    address,
-                }),
-            );
+        let Some(via) = self.join_target(known.is_some()) else {
+            return;
+        };
+        self.join.next = now + JOIN_RETRY;
+        let address = self.config.address.to_string();
+        self.send(
+            via,
+            Kind::Join(Join {
+                id: self.id,
+                address,
+            }),
+        );
+    }
+
+    /// Returns the member to ask: a known voter by chance, or the one that the caller named.
+    fn join_target(&mut self, is_known: bool) -> Option<NodeId> {
+        let voters = if is_known {
+            self.other_voters()
+        } else {
+            Vec::new()
+        };
+        match voters.is_empty() {
+            true => self.join.via,
+            false => voters.get(self.rng.random_range(0..voters.len())).copied(),
         }
     }
 
--- a/crates/buckthornweir_quorum/tests/quorum/bench.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/bench.rs
@@ -251,6 +251,24 @@
         }
     }
 
+    /// Lets VMs without a log join through one that has a log, as their daemon does.
+    pub(crate) fn rejoin(&mut self) {
+        for at in 0..self.vms.len() {
+            let has_log = |at: &usize| {
+                let core = self.vms[*at].core.as_ref();
+                !self.cut.contains(at) && core.is_some_and(|core| core.cluster() != 0)
+            };
+            let blank = self.vms[at]
+                .core
+                .as_ref()
+                .is_some_and(|core| core.cluster() == 0);
+            let via = (0..self.vms.len()).find(has_log);
+            if let Some(via) = via.filter(|_| blank) {
+                self.join(at, via);
+            }
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
--- a/crates/buckthornweir_quorum/tests/quorum/changes.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/changes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use buckthornweir_quorum::messages::Kind;
 use buckthornweir_quorum::prelude::*;
 
 use crate::bench::{Answer, Bench};
@@ -189,3 +190,36 @@
         "an emptied learner takes its own place"
     );
 }
+
+#[test]
+fn learner_whose_addition_was_lost_with_the_leader_joins_again() {
+    for restart in [false, true] {
+        let mut bench = Bench::founded(3);
+        bench.accept(1, 1);
+        let leader = bench.elect();
+        let new = bench.add_vm();
+        let voters = [0, 1, 2].map(|at: usize| bench.vms[at].id);
+        bench.copies = Some(Box::new(move |message| {
+            let appends =
+                matches!(message.kind, Some(Kind::Append(ref a)) if !a.entries.is_empty());
+            usize::from(!(appends && voters.contains(&message.to)))
+        }));
+        bench.join(new, leader);
+        bench.run(SECOND);
+        assert_eq!(
+            bench.core(new).members().len(),
+            4,
+            "only the leader and the learner know"
+        );
+        bench.kill(leader);
+        bench.copies = None;
+        if restart {
+            bench.restart(new);
+        }
+        bench.elect();
+        bench.run(5 * SECOND);
+        bench.accept(2, 1);
+        bench.run(SECOND);
+        bench.assert_all(2);
+    }
+}
--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -6,5 +6,6 @@
 mod disk;
 mod faults;
 mod founding;
+mod properties;
 mod replication;
 mod search;
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/properties.rs
@@ -0,0 +1,311 @@
+//! Properties under random faults and random bytes, with fixed seeds.
+
+use std::time::Duration;
+
+use buckthornweir_quorum::messages::Message;
+use buckthornweir_quorum::prelude::*;
+use buckthornweir_quorum::storage::next_frame;
+use buckthornweir_quorum::{Payload, Snapshot};
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunConfig, RngAlgorithm, TestRng, TestRunner};
+
+use crate::bench::{Answer, Bench, bundle, push};
+use crate::disk::FakeDisk;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn runner(cases: u32, seed: u8) -> TestRunner {
+    let config = RunConfig {
+        cases,
+        failure_persistence: None,
+        ..RunConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    TestRunner::new_with_rng(config, rng)
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Run(u64),
+    Push(usize, u64, u8),
+    Restart(usize),
+    Kill(usize),
+    Start(usize),
+    Cut(usize),
+    Heal,
+    LoseDisk(usize),
+    Transfer,
+    Shuffle(usize),
+}
+
+fn step(count: usize) -> impl Strategy<Value = Step> {
+    let vm = 0..count;
+    prop_oneof![
+        4 => (1..40_u64).prop_map(Step::Run),
+        4 => (vm.clone(), 1..30_u64, 1..4_u8).prop_map(|(at, v, m)| Step::Push(at, v, m)),
+        1 => vm.clone().prop_map(Step::Restart),
+        1 => vm.clone().prop_map(Step::Kill),
+        1 => vm.clone().prop_map(Step::Start),
+        1 => vm.clone().prop_map(Step::Cut),
+        2 => Just(Step::Heal),
+        1 => vm.clone().prop_map(Step::LoseDisk),
+        1 => Just(Step::Transfer),
+        1 => (1..5_usize).prop_map(Step::Shuffle),
+    ]
+}
+
+/// Tells whether all members run, are whole and hold one log: then one may lose its disk.
+fn is_whole(bench: &Bench) -> bool {
+    let leader = bench.leader();
+    let voters: Vec<_> = bench.vms.iter().map(|vm| vm.id).collect();
+    leader.is_some_and(|leader| {
+        let core = bench.core(leader);
+        let agreed = voters.iter().all(|id| core.members().is_voter(*id));
+        let stored = bench.vms.iter().all(|vm| {
+            vm.core
+                .as_ref()
+                .is_some_and(|c| c.commit() == core.commit())
+        });
+        agreed && stored && bench.cut.is_empty() && !core.is_changing()
+    })
+}
+
+fn apply(bench: &mut Bench, step: &Step, token: u64) {
+    match *step {
+        Step::Run(tenths) => {
+            bench.rejoin();
+            bench.run(Duration::from_millis(tenths * 100));
+        }
+        Step::Push(at, version, mark) => {
+            let at = bench.leader().unwrap_or(at);
+            bench.act(at, |core, now| {
+                core.propose(now, token, push(version, mark))
+            });
+        }
+        Step::Restart(at) => bench.restart(at),
+        Step::Kill(at) => bench.kill(at),
+        Step::Start(at) if bench.vms[at].core.is_none() => assert!(bench.start(at)),
+        Step::Start(_) => {}
+        Step::Cut(at) => drop(bench.cut.insert(at)),
+        Step::Heal => bench.cut.clear(),
+        Step::LoseDisk(at) => {
+            let via = (0..bench.vms.len()).find(|via| *via != at);
+            if let Some(via) = via.filter(|_| is_whole(bench)) {
+                bench.lose_disk(at, via);
+            }
+        }
+        Step::Transfer => {
+            if let Some(leader) = bench.leader() {
+                bench.act(leader, Core::transfer);
+            }
+        }
+        Step::Shuffle(by) => {
+            let by = by.min(bench.queue.len());
+            bench.queue.rotate_left(by);
+        }
+    }
+}
+
+/// Checks that all answers given to pushes are still true at every member.
+fn check_answers(bench: &mut Bench, steps: &[Step]) {
+    for at in 0..bench.vms.len() {
+        if bench.vms[at].core.is_none() {
+            assert!(bench.start(at));
+        }
+    }
+    bench.cut.clear();
+    bench.rejoin();
+    bench.run(20 * SECOND);
+    bench.accept(1000, 1);
+    bench.run(10 * SECOND);
+    bench.assert_all(1000);
+    for (token, step) in (1..).zip(steps) {
+        let Step::Push(_, version, mark) = step else {
+            continue;
+        };
+        for answer in bench.answers.get(&token).into_iter().flatten() {
+            let Answer::Push(result) = answer else {
+                continue;
+            };
+            for at in 0..bench.vms.len() {
+                let held = bench.core(at).bundles().digest_of(*version);
+                match result {
+                    PushResult::Conflict { winner, .. } => assert_eq!(held, Some(*winner)),
+                    PushResult::Stale { .. } => assert_ne!(held, Some([*mark; 32])),
+                    _ => assert_eq!(held, Some([*mark; 32]), "accepted {version} was lost"),
+                }
+            }
+        }
+    }
+}
+
+fn survive(count: usize, cases: u32, seed: u8) {
+    let steps = vec(step(count), 1..60);
+    let outcome = runner(cases, seed).run(&steps, |steps| {
+        let config = Config::default().with_compaction(6, usize::MAX);
+        let mut bench = Bench::with_config(count, config);
+        for (token, step) in (1..).zip(&steps) {
+            let before: Vec<_> = (0..count).map(|at| version_at(&bench, at)).collect();
+            apply(&mut bench, step, token);
+            for (at, before) in before.into_iter().enumerate() {
+                let lost = matches!(step, Step::LoseDisk(_));
+                let after = version_at(&bench, at);
+                let known = bench.vms[at].core.is_some();
+                assert!(
+                    lost || !known || after >= before || restarted(step),
+                    "VM {at} reverts"
+                );
+            }
+        }
+        check_answers(&mut bench, &steps);
+        Ok(())
+    });
+    outcome.expect("every run keeps the invariants");
+}
+
+/// Tells whether the state machine begins at the snapshot again, until the leader is heard.
+fn restarted(step: &Step) -> bool {
+    matches!(step, Step::Restart(_) | Step::Start(_) | Step::Kill(_))
+}
+
+fn version_at(bench: &Bench, at: usize) -> u64 {
+    bench.vms[at]
+        .core
+        .as_ref()
+        .map_or(0, |core| core.bundles().newest_version())
+}
+
+#[test]
+fn three_members_keep_the_invariants_under_random_faults() {
+    survive(3, 400, 3);
+}
+
+#[test]
+fn five_members_keep_the_invariants_under_random_faults() {
+    survive(5, 200, 5);
+}
+
+fn sample_messages() -> Vec<Bytes> {
+    let mut bench = Bench::founded(3);
+    let mut seen = Vec::new();
+    for version in 1..=3 {
+        let leader = bench.elect();
+        bench.act(leader, |core, now| {
+            core.propose(now, version, push(version, 1))
+        });
+        seen.extend(bench.queue.iter().map(|(_, _, message)| message.to_bytes()));
+        bench.kill(leader);
+        assert!(bench.start(leader));
+        bench.now += 3 * SECOND;
+        bench.act(leader, Core::tick);
+        seen.extend(bench.queue.iter().map(|(_, _, message)| message.to_bytes()));
+        bench.deliver();
+    }
+    assert!(seen.len() > 4);
+    seen
+}
+
+fn decode_all(data: &[u8]) {
+    let bytes = Bytes::copy_from_slice(data);
+    let _ = Message::from_bytes(bytes.clone());
+    let _ = Presence::from_bytes(bytes.clone());
+    let _ = Bundles::decode(bytes.clone());
+    let _ = Snapshot::decode(bytes);
+    let _ = Payload::decode(data);
+    let _ = next_frame(data);
+}
+
+#[test]
+fn decoders_take_any_bytes() {
+    let random = vec(any::<u8>(), 0..300);
+    runner(2000, 1)
+        .run(&random, |data| {
+            decode_all(&data);
+            Ok(())
+        })
+        .expect("no panic");
+}
+
+#[test]
+fn decoders_take_changed_messages_and_cores_handle_them() {
+    let samples = sample_messages();
+    let edits = (
+        any::<prop::sample::Index>(),
+        vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+    );
+    let mut core = Core::new(Config::default(), Restored::blank(1), 1, Duration::ZERO);
+    let members = [1, 2, 3].map(|id| Member::voter(id, "192.0.2.1:7000"));
+    core.found(
+        Duration::ZERO,
+        Founding {
+            cluster: 77,
+            members: Members::new(members),
+            floor: 0,
+        },
+    );
+    let outcome = runner(2000, 2).run(&edits, |(sample, edits)| {
+        let mut data = sample.get(&samples).to_vec();
+        for (at, byte) in edits {
+            let at = at.index(data.len());
+            data[at] = byte;
+        }
+        decode_all(&data);
+        if let Ok(mut message) = Message::from_bytes(data.into()) {
+            let mut core = core.clone();
+            message.to = 1;
+            message.cluster = 77;
+            core.handle(SECOND, 2, message);
+            core.tick(10 * SECOND);
+        }
+        Ok(())
+    });
+    outcome.expect("no panic");
+}
+
+#[test]
+fn decoders_refuse_what_is_too_large() {
+    let large = vec![0_u8; 9 * 1024 * 1024];
+    assert!(Message::from_bytes(large.clone().into()).is_err());
+    assert!(Snapshot::decode(large.clone().into()).is_err());
+    assert!(Presence::from_bytes(large.clone().into()).is_err());
+    assert!(Payload::decode(&large).is_err());
+    let limit = buckthornweir_quorum::BUNDLE_LIMIT;
+    let over = Bundle {
+        bytes: vec![0; limit + 1],
+        ..bundle(1, 1)
+    };
+    assert!(Payload::decode(&Payload::Command(Command::Push(over)).encode()).is_err());
+}
+
+#[test]
+fn folders_with_changed_bytes_open() {
+    let edits = (
+        0..3_usize,
+        any::<prop::sample::Index>(),
+        any::<u8>(),
+        any::<bool>(),
+    );
+    let outcome = runner(500, 4).run(&edits, |(file, at, byte, cut)| {
+        let disk = FakeDisk::default();
+        let (mut storage, _) = Storage::open_on(Box::new(disk.clone()), 1).expect("empty folder");
+        for term in 1..5 {
+            storage
+                .persist(&[Record::Vote { term, vote: None }])
+                .expect("working disk");
+        }
+        drop(storage);
+        disk.edit(["identity", "log-", "lock"][file], |data| {
+            let at = at.index(data.len());
+            match cut {
+                true => data.truncate(at),
+                false => data[at] = byte,
+            }
+        });
+        let (_, restored) = Storage::open_on(Box::new(disk), 9).expect("disk works");
+        prop_assert!(restored.id == 9 || restored.term <= 4);
+        Ok(())
+    });
+    outcome.expect("every folder opens");
+}
