--- a/crates/buckthornweir_quorum/tests/quorum/bench.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/bench.rs
@@ -31,6 +31,8 @@
     pub(crate) queue: VecDeque<(NodeId, NodeId, Message)>,
     /// Addresses that hear nothing and are not heard.
     pub(crate) cut: BTreeSet<usize>,
+    /// Links, from one address to another, that carry nothing.
+    pub(crate) broken: BTreeSet<(usize, usize)>,
     /// Decides whether a message is lost, once or twice delivered.
     pub(crate) copies: Option<Copies>,
     pub(crate) answers: BTreeMap<Token, Vec<Answer>>,
@@ -246,11 +248,30 @@
         let (Some(source), Some(target)) = (find(from), find(to)) else {
             return;
         };
-        if !self.cut.contains(&source) && !self.cut.contains(&target) {
+        let open = !self.broken.contains(&(source, target));
+        if open && !self.cut.contains(&source) && !self.cut.contains(&target) {
             self.act(target, |core, now| core.handle(now, from, message));
         }
     }
 
+    /// Lets VMs without a log join through one that has a log, as their daemon does.
+    pub(crate) fn rejoin(&mut self) {
+        for at in 0..self.vms.len() {
+            let has_log = |at: &usize| {
+                let core = self.vms[*at].core.as_ref();
+                !self.cut.contains(at) && core.is_some_and(|core| core.cluster() != 0)
+            };
+            let blank = self.vms[at]
+                .core
+                .as_ref()
+                .is_some_and(|core| core.cluster() == 0);
+            let via = (0..self.vms.len()).find(has_log);
+            if let Some(via) = via.filter(|_| blank) {
+                self.join(at, via);
+            }
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
