Run keyed requests once, and keep reservations when the bundle arrives

Cause: one order of about 4,100 ended with an unknown outcome in planned restarts: a restarted agent granted a slot before it had the bundle, replaced its admission when the bundle came, and no longer knew the reservation that the order came with. Ruled out: idle backend connections (bounded before), links (the refused request was the first of a fresh agent, without any try).

--- a/crates/buckthornweir_daemon/src/agent/body.rs
+++ b/crates/buckthornweir_daemon/src/agent/body.rs
@@ -38,11 +38,19 @@
 
 impl<B, F: FnOnce(BodyEnd)> WatchedBody<B, F> {
     /// Returns `inner` with a function that is called with its end.
-    pub(crate) fn new(inner: B, done: F) -> Self {
-        Self {
+    pub(crate) fn new(inner: B, done: F) -> Self
+    where
+        B: Body,
+    {
+        let mut body = Self {
             inner,
             done: Some(done),
+        };
+        if body.inner.is_end_stream() {
+            // Nobody asks for the frames of an empty body.
+            body.end(BodyEnd::Whole);
         }
+        body
     }
 
     fn end(&mut self, end: BodyEnd) {
@@ -131,3 +139,85 @@
         self.inner.size_hint()
     }
 }
+
+/// A body that keeps what passes, up to a limit, and tells once how it ended.
+struct RecordingBody<F: FnOnce(BodyEnd, Option<Vec<u8>>)> {
+    inner: AnswerBody,
+    kept: Option<Vec<u8>>,
+    limit: usize,
+    done: Option<F>,
+}
+
+/// Returns `body` with a function that is called with its end, and with its bytes if there were at
+/// most `limit`.
+pub(crate) fn recording<F>(body: AnswerBody, limit: usize, done: F) -> AnswerBody
+where
+    F: FnOnce(BodyEnd, Option<Vec<u8>>) + Send + Unpin + 'static,
+{
+    let mut recording = RecordingBody {
+        inner: body,
+        kept: Some(Vec::new()),
+        limit,
+        done: Some(done),
+    };
+    if recording.inner.is_end_stream() {
+        recording.end(BodyEnd::Whole);
+    }
+    recording.boxed_unsync()
+}
+
+impl<F: FnOnce(BodyEnd, Option<Vec<u8>>)> RecordingBody<F> {
+    fn keep(&mut self, data: &[u8]) {
+        let limit = self.limit;
+        self.kept = self.kept.take().filter(|k| k.len() + data.len() <= limit);
+        if let Some(kept) = &mut self.kept {
+            kept.extend_from_slice(data);
+        }
+    }
+
+    fn end(&mut self, end: BodyEnd) {
+        if let Some(done) = self.done.take() {
+            done(end, self.kept.take());
+        }
+    }
+}
+
+impl<F: FnOnce(BodyEnd, Option<Vec<u8>>) + Unpin> Body for RecordingBody<F> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        match &polled {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    self.keep(data);
+                }
+                if self.inner.is_end_stream() {
+                    self.end(BodyEnd::Whole);
+                }
+            }
+            Poll::Ready(Some(Err(_))) => self.end(BodyEnd::Cut),
+            Poll::Ready(None) => self.end(BodyEnd::Whole),
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<F: FnOnce(BodyEnd, Option<Vec<u8>>)> Drop for RecordingBody<F> {
+    fn drop(&mut self) {
+        self.end(BodyEnd::Dropped);
+    }
+}
--- a/crates/buckthornweir_daemon/src/agent/desk.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk.rs
@@ -27,6 +27,7 @@
 use super::Backend;
 use super::hand_links::HandLinks;
 use super::handed;
+use super::keyed::KeyDesk;
 use crate::board::{Blackboard, Member};
 use crate::links::{LinkSender, Links};
 
@@ -64,6 +65,7 @@
     backend: Arc<Backend>,
     links: Arc<Links>,
     hands: HandLinks,
+    keys: Arc<KeyDesk>,
     runtime: Handle,
     is_leaving: AtomicBool,
     state: Mutex<State>,
@@ -96,14 +98,19 @@
         board: Arc<Blackboard>,
         backend: Arc<Backend>,
         links: Arc<Links>,
+        keys: Arc<KeyDesk>,
         runtime: Handle,
     ) -> Arc<Self> {
-        let admission = Admission::new(AdmissionConfig::default(), rand::random(), board.now());
+        let now = board.now();
+        let mut admission = Admission::new(AdmissionConfig::default(), rand::random(), now);
+        // No request is open yet, so nothing follows.
+        let _ = admission.set_state(now, ServingState::Out);
         Arc::new(Self {
             hands: HandLinks::new(board.clone(), runtime.clone()),
             board,
             backend,
             links,
+            keys,
             runtime,
             is_leaving: AtomicBool::new(false),
             state: Mutex::new(State {
@@ -131,6 +138,11 @@
         &self.hands
     }
 
+    /// Returns the records of idempotency keys.
+    pub(crate) fn keys(&self) -> &Arc<KeyDesk> {
+        &self.keys
+    }
+
     /// Returns the runtime that carries requests.
     pub(crate) fn runtime(&self) -> &Handle {
         &self.runtime
@@ -251,7 +263,11 @@
                 drop(state);
                 handed::take(self.clone(), from, request, back.clone());
             }
-            _ => {}
+            RequestBody::HandedAnswer(_)
+            | RequestBody::BodyPart(_)
+            | RequestBody::CancelHanded(_)
+            | RequestBody::Load(_) => {}
+            about_keys => self.keys.receive(from, about_keys),
         }
     }
 
@@ -347,6 +363,7 @@
     }
 
     fn tick(&self) {
+        self.keys.tick();
         let mut state = self.state.lock();
         let actions = state.admission.tick(self.board.now());
         self.carry_out(&mut state, actions, None);
@@ -388,6 +405,7 @@
             state.service = found;
         }
         drop(state);
+        self.keys.follow(&agent.service);
         self.set_state(self.serving_state(&agent.service));
     }
 
@@ -395,7 +413,8 @@
         let domain = &self.board.settings.node.domain;
         let serves = self.board.with_bundle(|b| b.serves(service, domain));
         match serves {
-            Some(false) => ServingState::Out,
+            // Nothing is granted before the limits are known.
+            None | Some(false) => ServingState::Out,
             _ if self.is_leaving.load(Ordering::Relaxed) => ServingState::Draining,
             _ => ServingState::Ready,
         }
@@ -516,7 +535,8 @@
         }
     }
 
-    fn count_refusal(&self, refusal: &Refusal) {
+    /// Counts a refusal.
+    pub(crate) fn count_refusal(&self, refusal: &Refusal) {
         let count = if refusal.not_run {
             Count::RequestsRefused
         } else {
@@ -573,13 +593,11 @@
         let limit = LimitConfig::default()
             .with_slots(service.slots)
             .with_cold(service.cold);
-        if self.admission.open() == 0 {
-            let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
-            let config = AdmissionConfig::default()
-                .with_limit(limit)
-                .with_queue(queue);
-            self.admission = Admission::new(config, rand::random(), now);
-        }
+        let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
+        let config = AdmissionConfig::default()
+            .with_limit(limit)
+            .with_queue(queue);
+        self.admission.reconfigure(config, now);
     }
 }
 
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod handed;
 mod health;
 mod http_flow;
+mod keyed;
 mod mover;
 mod outlet;
 mod relay;
@@ -36,6 +37,7 @@
 pub(crate) use backend::Backend;
 pub(crate) use desk::Desk;
 pub(crate) use flow_server::FlowServer;
+use keyed::KeyDesk;
 use mover::Mover;
 use outlet::Outlet;
 use serve::Server;
@@ -82,6 +84,7 @@
         board.clone(),
         backend.clone(),
         links.clone(),
+        KeyDesk::new(board.clone(), links.clone(), settings),
         runtime.clone(),
     );
     let mover = Arc::new(Mover::new(board.clone(), ownership.clone(), incarnation));
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
-use http::{Method, Request, Response, StatusCode, request};
+use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -20,6 +20,7 @@
 use super::body::{AnswerBody, BodyEnd, WatchedBody, whole};
 use super::desk::{Desk, Directive, Opened};
 use super::hand_links::hand_over;
+use super::keyed::Verdict;
 
 /// The largest body of a request in bytes.
 const BODY_LIMIT: usize = 8 << 20;
@@ -97,14 +98,44 @@
             body,
             arrival,
         };
-        let opened = self.arrive(arrival);
-        match self.serve(request, opened).await {
+        match self.serve_once(request).await {
             Served::Answer(response) => Ok(response),
             Served::Refused(refusal) => Ok(refusal_response(&refusal)),
             Served::Cut => Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
 
+    /// Serves a request; one with an idempotency key runs only with leave of the key's holders.
+    async fn serve_once(self: &Arc<Self>, request: ReadRequest) -> Served {
+        let arrival = request.arrival;
+        let Some(key) = request.head.headers.get(KEY_HEADER).cloned() else {
+            return self.serve(request, self.arrive(arrival)).await;
+        };
+        let asked = self.keys().claim(
+            key.as_bytes(),
+            &request.head,
+            &request.body,
+            arrival.deadline,
+        );
+        let mut claim = match asked.await {
+            Verdict::Run(claim) => claim,
+            Verdict::Replay(response) => return Served::Answer(response),
+            Verdict::Refuse(refusal) => {
+                self.count_refusal(&refusal);
+                return Served::Refused(refusal);
+            }
+        };
+        claim.start();
+        match self.serve(request, self.arrive(arrival)).await {
+            Served::Answer(response) => Served::Answer(claim.answered(response)),
+            Served::Refused(refusal) => {
+                claim.refused(&refusal);
+                Served::Refused(refusal)
+            }
+            Served::Cut => Served::Cut,
+        }
+    }
+
     /// Follows the directives for one request until it has ended.
     pub(crate) async fn serve(self: &Arc<Self>, request: ReadRequest, opened: Opened) -> Served {
         let mut directives = opened.directives;
@@ -398,10 +429,10 @@
     }
 }
 
-/// Returns whether running a request twice does no harm.
+/// Returns whether running a request twice does no harm. A request with an idempotency key runs at
+/// most once, whatever its method.
 fn is_repeatable(head: &request::Parts) -> bool {
-    head.method.is_idempotent() && head.method != Method::CONNECT
-        || head.headers.contains_key(KEY_HEADER)
+    head.method.is_idempotent() && !head.headers.contains_key(KEY_HEADER)
 }
 
 fn deadline_of(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -111,6 +111,7 @@
         if let Some(agent) = &self.agent {
             let announced = limit.min(Instant::now() + ANNOUNCE);
             self.board.leave(Leaving::Process);
+            agent.desk.keys().leave();
             wait_until(limit, || agent.flows.is_drained()).await;
             all_ended = agent.flows.is_drained();
             // Packets that come until all others have heard are still passed on.
--- a/crates/buckthornweir_daemon/src/settings.rs
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -87,6 +87,8 @@
     pub idle: Duration,
     /// The most open flows.
     pub flows: usize,
+    /// Whether the service starts for the first time, so that no idempotency record can exist.
+    pub first_start: bool,
 }
 
 /// The control role.
@@ -266,6 +268,7 @@
             value::duration(idle_range),
         )?,
         flows: section.or("flows", 20_000, value::number(1..=1_000_000))?,
+        first_start: section.or("first-start", false, value::yes_no)?,
     };
     section.finish()?;
     Ok(agent)
--- a/crates/buckthornweir_requests/src/admission/mod.rs
+++ b/crates/buckthornweir_requests/src/admission/mod.rs
@@ -112,6 +112,12 @@
         self.siblings.set(siblings);
     }
 
+    /// Takes over other limits; what runs and waits goes on.
+    pub fn reconfigure(&mut self, config: AdmissionConfig, now: Duration) {
+        self.limit.reconfigure(config.limit, now);
+        self.config = config;
+    }
+
     /// Notes that the backend server is known to have restarted.
     pub fn turn_cold(&mut self, now: Duration) {
         self.limit.turn_cold(now);
--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -119,6 +119,20 @@
         self.latencies.recent()
     }
 
+    /// Takes over another configuration. The limit stays where it is, within the new bounds.
+    pub fn reconfigure(&mut self, config: LimitConfig, now: Duration) {
+        let config = config.with_slots(config.slots).with_cold(config.cold);
+        let lowest = config.cold.min(config.slots);
+        let limit = self.limit.clamp(lowest, config.slots);
+        if limit < self.limit {
+            self.set_lower(limit, now);
+        } else {
+            self.limit = limit;
+        }
+        self.peak = self.peak.clamp(limit, config.slots);
+        self.config = config;
+    }
+
     /// Takes a slot; returns false where none is free.
     pub fn try_acquire(&mut self, now: Duration) -> bool {
         self.distrust_after_idle(now);
