Ask siblings that declined again after a fixed short time, and share load earlier

Cause: at load 0.9 hand-off still refused 0.019 of the requests. A sibling that declined was passed over for times that doubled up to 5 s, though declining is usual under load. Ruled out: asking more than two siblings (each costs 3 ms before the request runs). Change: a sibling that declined is passed over for 20 ms each time, one whose backend server failed for times that double; load is shared from 1.02 times the mean on, before from 1.05.

--- a/crates/buckthornweir_requests/src/admission/config.rs
+++ b/crates/buckthornweir_requests/src/admission/config.rs
@@ -59,7 +59,7 @@
             hold: Duration::from_millis(100),
             memory: Duration::from_secs(10),
             tries: 3,
-            share_above: 1.05,
+            share_above: 1.02,
         }
     }
 }
--- a/crates/buckthornweir_requests/src/admission/ending.rs
+++ b/crates/buckthornweir_requests/src/admission/ending.rs
@@ -231,7 +231,8 @@
     ) {
         match outcome {
             Outcome::Done => self.siblings.note_done(sibling),
-            Outcome::Refused | Outcome::Failed => self.siblings.note_declined(sibling, now),
+            Outcome::Refused => self.siblings.note_declined(sibling, now),
+            Outcome::Failed => self.siblings.note_failed(sibling, now),
             Outcome::Cut | Outcome::Silent if progress <= Progress::Written => {
                 self.siblings.note_lost(sibling, now);
             }
--- a/crates/buckthornweir_requests/src/sibling.rs
+++ b/crates/buckthornweir_requests/src/sibling.rs
@@ -9,8 +9,10 @@
 
 use crate::NodeId;
 
-/// How long a sibling that declined is passed over at first.
+/// How long a sibling that declined is passed over.
 const DECLINED_PAUSE: Duration = Duration::from_millis(20);
+/// How long a sibling whose backend server failed is passed over at first.
+const FAILED_PAUSE: Duration = Duration::from_millis(20);
 /// How long a sibling that was lost or silent is passed over at first.
 const LOST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which a sibling is passed over.
@@ -159,7 +161,14 @@
     pub(crate) fn note_declined(&mut self, node: NodeId, now: Duration) {
         if let Some(known) = self.find(node) {
             known.sibling.free = 0;
-            known.avoid(now, DECLINED_PAUSE);
+            known.avoided = known.avoided.max(now + DECLINED_PAUSE);
+        }
+    }
+
+    /// Notes that a sibling's backend server answered with an error of its own.
+    pub(crate) fn note_failed(&mut self, node: NodeId, now: Duration) {
+        if let Some(known) = self.find(node) {
+            known.avoid(now, FAILED_PAUSE);
         }
     }
 
