--- a/crates/buckthornweir_requests/benches/decisions.rs
+++ b/crates/buckthornweir_requests/benches/decisions.rs
@@ -3,6 +3,8 @@
 use std::hint::black_box;
 use std::time::Duration;
 
+use buckthornweir_requests::idempotency::{KeyAction, Keys, KeysConfig, Member};
+use buckthornweir_requests::messages::KeyEnd;
 use buckthornweir_requests::prelude::*;
 use criterion::{Criterion, criterion_group, criterion_main};
 
@@ -86,5 +88,59 @@
     });
 }
 
-criterion_group!(benches, decisions);
+fn keys(c: &mut Criterion) {
+    let config = KeysConfig {
+        settle: ms(0),
+        ..KeysConfig::default()
+    };
+    let start = |node: u64| {
+        let config = config.clone().with_first_start(true);
+        let mut keys = Keys::new(Member::new(node, format!("{node}")), config, node, ms(0));
+        let others = (1..=7).filter(|other| *other != node);
+        let others: Vec<_> = others.map(|n| Member::new(n, format!("{n}"))).collect();
+        let _ = keys.set_members(ms(0), &others);
+        let _ = keys.tick(ms(1));
+        keys
+    };
+    c.bench_function(
+        "claim, grant by three holders, run and end, 7 members",
+        |b| {
+            let mut agents: Vec<_> = (1..=7).map(start).collect();
+            let mut number = 0u64;
+            b.iter(|| {
+                number += 1;
+                // Old records expire as time passes.
+                let now = ms(1) * u32::try_from(number).unwrap_or(u32::MAX) * 20;
+                let key = number.to_be_bytes();
+                let (claim, actions) = agents[0].claim(now, &key, 1, now + ms(1_000));
+                let runs = settle(&mut agents, now, actions);
+                assert_eq!(runs, 1);
+                let ended = agents[0].finished(now, claim, KeyEnd::Done, None);
+                settle(&mut agents, now, ended);
+                for agent in &mut agents {
+                    black_box(agent.tick(now));
+                }
+            });
+        },
+    );
+}
+
+/// Delivers messages until none is left; returns how many requests may run.
+fn settle(agents: &mut [Keys], now: Duration, actions: Vec<KeyAction>) -> usize {
+    let mut open: Vec<_> = actions.into_iter().map(|action| (1, action)).collect();
+    let mut runs = 0;
+    while let Some((from, action)) = open.pop() {
+        match action {
+            KeyAction::Send { to, body } => {
+                let answers = agents[to as usize - 1].received(now, from, body);
+                open.extend(answers.into_iter().map(|action| (to, action)));
+            }
+            KeyAction::Run { .. } => runs += 1,
+            _ => {}
+        }
+    }
+    runs
+}
+
+criterion_group!(benches, decisions, keys);
 criterion_main!(benches);
