--- a/crates/buckthornweir_requests/src/messages/keys.rs
+++ b/crates/buckthornweir_requests/src/messages/keys.rs
@@ -1,6 +1,7 @@
 //! Messages about idempotency keys.
 
 use super::Header;
+use crate::Refusal;
 
 /// Asks a holder of a key's record for leave to run a request.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -86,6 +87,17 @@
     NotRun = 2,
 }
 
+impl KeyEnd {
+    /// Returns the end of a request that was refused.
+    pub fn of_refusal(refusal: &Refusal) -> Self {
+        if refusal.not_run {
+            Self::NotRun
+        } else {
+            Self::Unknown
+        }
+    }
+}
+
 /// Tells that a [`KeyDone`] was noted.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct KeyStored {
--- /dev/null
+++ b/crates/buckthornweir_requests/tests/idempotency/holder.rs
@@ -0,0 +1,214 @@
+//! One holder, step by step.
+
+use std::time::Duration;
+
+use buckthornweir_requests::idempotency::{KeyAction, Keys, KeysConfig, Member};
+use buckthornweir_requests::messages::{
+    KeyClaim, KeyDone, KeyEnd, KeySync, KeyVerdict, RequestBody, StoredAnswer,
+};
+use buckthornweir_requests::{NodeId, ProblemKind, Refusal};
+
+const OWN: NodeId = 1;
+const ASKER: NodeId = 9;
+const NOW: Duration = Duration::from_secs(1);
+
+fn holder(change: impl Fn(&mut KeysConfig)) -> Keys {
+    let mut config = KeysConfig {
+        settle: Duration::ZERO,
+        ..KeysConfig::default()
+    };
+    config.first_start = true;
+    change(&mut config);
+    let mut keys = Keys::new(Member::new(OWN, "a"), config, 7, Duration::ZERO);
+    let _ = keys.tick(Duration::from_millis(1));
+    keys
+}
+
+fn claim(claim: u64, key: &str) -> KeyClaim {
+    KeyClaim {
+        claim,
+        key: key.into(),
+        digest: 1,
+        remaining_us: 1_000_000,
+        holders: vec![OWN],
+    }
+}
+
+fn done(claim: u64, end: KeyEnd, answer: Option<usize>) -> KeyDone {
+    let body = |size| StoredAnswer {
+        status: 201,
+        body: vec![1; size],
+        ..StoredAnswer::default()
+    };
+    let answer = answer.map(body);
+    KeyDone {
+        claim,
+        key: "order".into(),
+        digest: 1,
+        end: end.into(),
+        answer,
+    }
+}
+
+/// Returns the verdict on a claim and whether it came with the answer.
+fn ask(keys: &mut Keys, now: Duration, message: KeyClaim) -> (KeyVerdict, bool) {
+    let actions = keys.received(now, ASKER, RequestBody::KeyClaim(message));
+    match &actions[..] {
+        [
+            KeyAction::Send {
+                to: ASKER,
+                body: RequestBody::KeyAnswer(answer),
+            },
+        ] => (
+            answer.verdict.try_into().expect("known verdict"),
+            answer.answer.is_some(),
+        ),
+        _ => panic!("{actions:?}"),
+    }
+}
+
+fn tell(keys: &mut Keys, message: KeyDone) {
+    let actions = keys.received(NOW, ASKER, RequestBody::KeyDone(message));
+    assert_eq!(actions.len(), 1, "{actions:?}");
+}
+
+#[test]
+fn ends_decide_about_the_next_claim() {
+    use KeyEnd::{Done, NotRun, Unknown};
+    // ends told after claim 1 was granted, what claim 3 gets, whether with the answer
+    type Row = (&'static [(u64, KeyEnd)], KeyVerdict, bool);
+    let table: [Row; 9] = [
+        (&[], KeyVerdict::Running, false),
+        (&[(1, NotRun)], KeyVerdict::Granted, false),
+        (&[(2, NotRun)], KeyVerdict::Running, false),
+        (&[(1, Unknown)], KeyVerdict::Unknown, false),
+        (&[(1, Unknown), (1, NotRun)], KeyVerdict::Granted, false),
+        (&[(1, Unknown), (1, Done)], KeyVerdict::Done, true),
+        (&[(2, Done)], KeyVerdict::Done, true),
+        (&[(2, Done), (1, NotRun)], KeyVerdict::Done, true),
+        (&[(1, Done), (1, NotRun)], KeyVerdict::Done, true),
+    ];
+    for (ends, verdict, with_answer) in table {
+        let mut keys = holder(|_| {});
+        assert_eq!(
+            ask(&mut keys, NOW, claim(1, "order")),
+            (KeyVerdict::Granted, false)
+        );
+        assert_eq!(
+            ask(&mut keys, NOW, claim(1, "order")),
+            (KeyVerdict::Granted, false)
+        );
+        for &(id, end) in ends {
+            tell(&mut keys, done(id, end, (end == Done).then_some(5)));
+        }
+        assert_eq!(
+            ask(&mut keys, NOW, claim(3, "order")),
+            (verdict, with_answer),
+            "{ends:?}"
+        );
+    }
+}
+
+#[test]
+fn records_expire_and_are_bounded() {
+    let mut keys = holder(|config| config.records = 2);
+    for (id, key) in [(1, "a"), (2, "b")] {
+        assert_eq!(ask(&mut keys, NOW, claim(id, key)).0, KeyVerdict::Granted);
+    }
+    assert_eq!(ask(&mut keys, NOW, claim(3, "c")).0, KeyVerdict::NotReady);
+    let deadline = NOW + Duration::from_secs(1);
+    let keep = KeysConfig::default().keep;
+    let early = deadline + keep - Duration::from_millis(1);
+    assert_eq!(ask(&mut keys, early, claim(4, "a")).0, KeyVerdict::Unknown);
+    let _ = keys.tick(deadline + keep);
+    assert_eq!(keys.held(), 0);
+    assert_eq!(
+        ask(&mut keys, deadline + keep, claim(5, "a")).0,
+        KeyVerdict::Granted
+    );
+}
+
+#[test]
+fn answers_are_bounded_and_the_record_stays() {
+    for (size, most, kept) in [(50, 4_096, true), (5_000, 4_096, false), (50, 20, false)] {
+        let mut keys = holder(|config| {
+            config.answer_most = most;
+            config.answers_most = 8_192;
+        });
+        assert_eq!(
+            ask(&mut keys, NOW, claim(1, "order")).0,
+            KeyVerdict::Granted
+        );
+        tell(&mut keys, done(1, KeyEnd::Done, Some(size)));
+        let found = ask(&mut keys, NOW, claim(2, "order"));
+        assert_eq!(found, (KeyVerdict::Done, kept), "{size} of {most}");
+    }
+}
+
+#[test]
+fn claims_are_not_granted_where_it_can_not_be_told() {
+    let other_holders = |claim: KeyClaim| KeyClaim {
+        holders: vec![OWN, 2],
+        ..claim
+    };
+    let not_a_holder = |claim: KeyClaim| KeyClaim {
+        holders: vec![2],
+        ..claim
+    };
+    let mut keys = holder(|_| {});
+    for change in [other_holders, not_a_holder] {
+        let verdict = ask(&mut keys, NOW, change(claim(1, "order"))).0;
+        assert_eq!(verdict, KeyVerdict::NotReady);
+    }
+    let mut restarted = holder(|config| config.first_start = false);
+    assert_eq!(
+        ask(&mut restarted, NOW, claim(1, "order")).0,
+        KeyVerdict::NotReady
+    );
+    let mut leaving = holder(|_| {});
+    let _ = leaving.leave(NOW);
+    assert_eq!(
+        ask(&mut leaving, NOW, claim(1, "order")).0,
+        KeyVerdict::NotReady
+    );
+    // Operators may found a service anew whose agents were all lost.
+    restarted.found(NOW);
+    assert_eq!(
+        ask(&mut restarted, NOW, claim(1, "order")).0,
+        KeyVerdict::Granted
+    );
+}
+
+#[test]
+fn records_go_only_to_members_that_count() {
+    let mut keys = holder(|_| {});
+    assert_eq!(
+        ask(&mut keys, NOW, claim(1, "order")).0,
+        KeyVerdict::Granted
+    );
+    let sync = RequestBody::KeySync(KeySync { token: 5 });
+    let actions = keys.received(NOW, ASKER, sync);
+    let [
+        KeyAction::Send {
+            body: RequestBody::KeyRecords(records),
+            ..
+        },
+    ] = &actions[..]
+    else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((records.records.len(), records.settled.len()), (0, 1));
+}
+
+#[test]
+fn end_of_a_refusal_follows_what_it_says() {
+    let problem = ProblemKind::NoSlot;
+    assert_eq!(
+        KeyEnd::of_refusal(&Refusal::not_run(problem)),
+        KeyEnd::NotRun
+    );
+    assert_eq!(
+        KeyEnd::of_refusal(&Refusal::unknown(problem)),
+        KeyEnd::Unknown
+    );
+}
--- a/crates/buckthornweir_requests/tests/idempotency/main.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/main.rs
@@ -1,5 +1,6 @@
 //! Requests with an idempotency key run at most once, whatever fails.
 
+mod holder;
 mod net;
 mod random;
 mod table;
