Try a repeatable request elsewhere when its connection went silent

Cause: open connections can go silent for good while new ones work; a repeatable request waited for its whole deadline and was then refused. Ruled out: giving the try up without a retry left (an early "unknown" is worse than waiting on); ending a handed try in the core at once (the daemon reports the end of every try, which would then be taken for that of the next). Change: after 500 ms or 8 times the usual latency the try is aborted and made elsewhere, within the tries and the budget; otherwise it goes on to its deadline. Conclusion: a request that may not be repeated still waits for its deadline and says "unknown".

--- a/crates/buckthornweir_requests/src/admission/action.rs
+++ b/crates/buckthornweir_requests/src/admission/action.rs
@@ -64,7 +64,10 @@
         /// The request.
         request: RequestKey,
     },
-    /// Tell the sibling that the request is given up.
+    /// Tell the sibling that the request is given up. Where no final action follows, report with
+    /// [`finished`] that the try was silent: it is made elsewhere.
+    ///
+    /// [`finished`]: super::Admission::finished
     CancelHanded {
         /// The request.
         request: RequestKey,
--- a/crates/buckthornweir_requests/src/admission/config.rs
+++ b/crates/buckthornweir_requests/src/admission/config.rs
@@ -41,6 +41,10 @@
     pub memory: Duration,
     /// Most tries of a request, the first included.
     pub tries: u32,
+    /// Least time without an answer after which a repeatable request is tried elsewhere.
+    pub try_time: Duration,
+    /// Multiple of the usual latency after which a repeatable request is tried elsewhere.
+    pub try_factor: f64,
     /// Multiple of the service's mean rate above which load is shared; infinite for never.
     pub share_above: f64,
 }
@@ -59,6 +63,8 @@
             hold: Duration::from_millis(100),
             memory: Duration::from_secs(10),
             tries: 3,
+            try_time: Duration::from_millis(500),
+            try_factor: 8.0,
             share_above: 1.02,
         }
     }
--- a/crates/buckthornweir_requests/src/admission/ending.rs
+++ b/crates/buckthornweir_requests/src/admission/ending.rs
@@ -90,10 +90,16 @@
 
     /// Acts on a request of which the deadline, the queue time or the wait for a sibling is over.
     pub(super) fn act_on_due(&mut self, now: Duration, key: RequestKey, out: &mut Vec<Action>) {
+        let may_retry = self.has_tries_left(key);
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
         let is_late = request.arrival.deadline <= now;
+        if !is_late && !request.is_waiting() && !may_retry {
+            // Waiting on is better than an answer that says "unknown" early.
+            request.retry_at = None;
+            return;
+        }
         match &mut request.place {
             Place::Running { stopping, .. } => {
                 *stopping = true;
@@ -109,6 +115,11 @@
                     sibling,
                     reservation,
                 });
+                if !is_late {
+                    // The end of this try is reported, as that of a try at the own backend server.
+                    request.retry_at = None;
+                    return;
+                }
                 self.siblings.note_lost(sibling, now);
                 self.conclude(now, key, Progress::Written, Outcome::Silent, out);
             }
@@ -222,6 +233,19 @@
         true
     }
 
+    /// Plans to try a repeatable request elsewhere if its connection went silent.
+    pub(super) fn plan_retry(&mut self, now: Duration, key: RequestKey) {
+        let usual = self.limit.usual_latency().mul_f64(self.config.try_factor);
+        let request = &mut self.requests[key];
+        let is_free = request.arrival.repeatable && !request.is_guest;
+        request.retry_at = is_free.then(|| now + usual.max(self.config.try_time));
+    }
+
+    fn has_tries_left(&self, key: RequestKey) -> bool {
+        let tries = self.requests.get(key).map_or(0, |r| r.tries);
+        self.budget.left() > 0 && tries + 1 < self.config.tries
+    }
+
     fn note_sibling(
         &mut self,
         now: Duration,
--- a/crates/buckthornweir_requests/src/admission/handoff.rs
+++ b/crates/buckthornweir_requests/src/admission/handoff.rs
@@ -43,6 +43,7 @@
             sibling,
             reservation,
         };
+        self.plan_retry(now, request);
         out.push(Action::HandOver {
             request,
             sibling,
--- a/crates/buckthornweir_requests/src/admission/mod.rs
+++ b/crates/buckthornweir_requests/src/admission/mod.rs
@@ -205,6 +205,7 @@
             since: now,
             stopping: false,
         };
+        self.plan_retry(now, key);
         out.push(Action::Run { request: key });
     }
 
--- a/crates/buckthornweir_requests/src/admission/request.rs
+++ b/crates/buckthornweir_requests/src/admission/request.rs
@@ -53,6 +53,8 @@
     pub(crate) maybe_run: bool,
     /// Whether the answer's head was seen, so that the deadline is met.
     pub(crate) answering: bool,
+    /// When a repeatable request is to be tried elsewhere if no answer came.
+    pub(crate) retry_at: Option<Duration>,
     /// Whether the caller gave the request up.
     pub(crate) gone: bool,
 }
@@ -69,6 +71,7 @@
             shared: false,
             maybe_run: false,
             answering: false,
+            retry_at: None,
             gone: false,
         }
     }
@@ -105,7 +108,9 @@
             }
             Place::Running { stopping: true, .. } => None,
             Place::Running { .. } | Place::Handed { .. } if self.answering => None,
-            Place::Running { .. } | Place::Handed { .. } => Some(deadline),
+            Place::Running { .. } | Place::Handed { .. } => {
+                Some(self.retry_at.map_or(deadline, |at| at.min(deadline)))
+            }
         }
     }
 }
--- a/crates/buckthornweir_requests/src/latencies.rs
+++ b/crates/buckthornweir_requests/src/latencies.rs
@@ -39,6 +39,11 @@
         self.recent.map(Duration::from_secs_f64)
     }
 
+    /// Returns the usual latency; zero without a sample.
+    pub(crate) fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.usual)
+    }
+
     /// Takes the latency of a good answer in.
     pub(crate) fn learn(&mut self, latency: Duration) {
         let sample = latency.as_secs_f64();
--- a/crates/buckthornweir_requests/src/limit/config.rs
+++ b/crates/buckthornweir_requests/src/limit/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Settings of a [`Limit`].
+/// Settings of a [`Limit`](super::Limit).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitConfig {
     /// Most requests that the backend server runs at a time.
--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -119,6 +119,11 @@
         self.latencies.recent()
     }
 
+    /// Returns the usual latency of good answers; zero before the first.
+    pub fn usual_latency(&self) -> Duration {
+        self.latencies.usual()
+    }
+
     /// Takes a slot; returns false where none is free.
     pub fn try_acquire(&mut self, now: Duration) -> bool {
         self.distrust_after_idle(now);
