--- a/crates/buckthornweir_quorum/src/core/config.rs
+++ b/crates/buckthornweir_quorum/src/core/config.rs
@@ -17,7 +17,7 @@
     pub proposal: Duration,
     /// Number of entries after which the log is compacted.
     pub compact_entries: usize,
-    /// Size of the entries after which the log is compacted, in bytes.
+    /// Size of the entries after which the log is compacted at the latest, in bytes.
     pub compact_bytes: usize,
     /// Number of proposals that may wait to be committed.
     pub proposals: usize,
--- a/crates/buckthornweir_quorum/src/core/snapshots.rs
+++ b/crates/buckthornweir_quorum/src/core/snapshots.rs
@@ -11,6 +11,11 @@
 use crate::messages::{Kind, PART_LIMIT, SnapshotPart, SnapshotReply};
 use crate::storage::{Record, Reset};
 
+/// Size of the entries, in sizes of the state, after which they are compacted.
+const ENTRIES_PER_STATE: usize = 4;
+/// Smallest size of entries that is compacted, in bytes.
+const SMALLEST_COMPACTION: usize = 64 * 1024;
+
 /// A snapshot of which parts have arrived.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct SnapshotBuffer {
@@ -53,7 +58,7 @@
     pub(super) fn maybe_compact(&mut self) {
         let covered = self.commit - self.log.snapshot.index;
         let many = covered >= self.config.compact_entries as Index;
-        let large = self.log.bytes() >= self.config.compact_bytes;
+        let large = self.log.bytes() >= self.compact_size();
         if covered == 0 || !(many || large) {
             return;
         }
@@ -68,6 +73,16 @@
         self.record_reset();
     }
 
+    /// Returns the size of the entries after which a snapshot is worth its writing, in bytes.
+    ///
+    /// A member that catches up is sent the snapshot and the entries after it, so these stay in
+    /// proportion to the snapshot.
+    fn compact_size(&self) -> usize {
+        let state = self.log.snapshot.state.len();
+        let worth = (state * ENTRIES_PER_STATE).max(SMALLEST_COMPACTION);
+        worth.min(self.config.compact_bytes)
+    }
+
     /// Takes a snapshot in place of the state; tells whether the state covers it now.
     pub(super) fn install(&mut self, snapshot: Snapshot) -> bool {
         if snapshot.index <= self.commit {
