--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use smol_str::SmolStr;
 
-use super::replication::Progress;
+use super::progress::Progress;
 use super::{Action, Core, Reject, State, Token};
 use crate::entry::{ClusterId, Payload};
 use crate::members::{MemberChange, Members, NodeId, Standing};
--- a/crates/buckthornweir_quorum/src/core/election.rs
+++ b/crates/buckthornweir_quorum/src/core/election.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use super::replication::Progress;
+use super::progress::Progress;
 use super::{Action, Core, Leadership, State, Transfer};
 use crate::entry::{Payload, Snapshot, Term};
 use crate::members::NodeId;
--- a/crates/buckthornweir_quorum/src/core/fingerprint.rs
+++ b/crates/buckthornweir_quorum/src/core/fingerprint.rs
@@ -14,8 +14,8 @@
         let mut hasher = DefaultHasher::new();
         (self.id, self.term, self.vote, self.leader, self.commit).hash(&mut hasher);
         self.log.hash(&mut hasher);
-        self.entry_buffer.hash(&mut hasher);
-        self.snapshot_buffer.hash(&mut hasher);
+        self.entry_parts.hash(&mut hasher);
+        self.snapshot_parts.hash(&mut hasher);
         self.hears_leader(now).hash(&mut hasher);
         match &self.state {
             State::Follower => 0.hash(&mut hasher),
--- a/crates/buckthornweir_quorum/src/core/mod.rs
+++ b/crates/buckthornweir_quorum/src/core/mod.rs
@@ -10,6 +10,8 @@
 mod config;
 mod election;
 mod fingerprint;
+mod parts;
+mod progress;
 mod proposals;
 mod replication;
 mod snapshots;
@@ -23,8 +25,9 @@
 pub use self::actions::{Action, Reject, Role, Token};
 pub use self::config::Config;
 use self::election::Votes;
+use self::parts::Parts;
+use self::progress::Progress;
 use self::proposals::{Proposal, Read};
-use self::replication::Progress;
 use crate::bundles::Bundles;
 use crate::entry::{ClusterId, Entry, Index, Snapshot, Term};
 use crate::log::Log;
@@ -64,8 +67,8 @@
     leader: Option<NodeId>,
     heard: Option<Duration>,
     deadline: Duration,
-    entry_buffer: replication::EntryBuffer,
-    snapshot_buffer: snapshots::SnapshotBuffer,
+    entry_parts: Parts,
+    snapshot_parts: Parts,
     join: changes::JoinState,
     records: Vec<Record>,
     actions: Vec<Action>,
@@ -133,8 +136,8 @@
             leader: None,
             heard: None,
             deadline: now,
-            entry_buffer: replication::EntryBuffer::default(),
-            snapshot_buffer: snapshots::SnapshotBuffer::default(),
+            entry_parts: Parts::default(),
+            snapshot_parts: Parts::default(),
             join: changes::JoinState::default(),
             records: Vec::new(),
             actions: Vec::new(),
--- a/crates/buckthornweir_quorum/src/core/replication.rs
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -2,126 +2,14 @@
 
 use std::time::Duration;
 
+use super::parts::PartsKey;
+use super::progress::Progress;
 use super::{Action, Core, State};
 use crate::entry::{Entry, Index, Payload, Term};
 use crate::members::NodeId;
 use crate::messages::{Append, AppendReply, ENTRIES_LIMIT, EntryPart, Fragment, Kind, PART_LIMIT};
 use crate::storage::Record;
 
-/// What a leader knows of one peer.
-#[derive(Debug, Clone)]
-pub(super) struct Progress {
-    /// Index of the next entry to send.
-    pub(super) next: Index,
-    /// Last index known to be stored by the peer.
-    pub(super) matched: Index,
-    /// Bytes that the peer holds of the entry or snapshot being sent.
-    pub(super) offset: u64,
-    /// Index of the snapshot being sent; zero while entries are sent.
-    pub(super) snapshot: Index,
-    /// Round whose reply is awaited.
-    pub(super) outstanding: Option<u64>,
-    /// Highest round that the peer has answered.
-    pub(super) confirmed: u64,
-    /// Commit index that the peer was last told.
-    pub(super) commit: Index,
-    /// Time of the last message to the peer.
-    pub(super) sent: Duration,
-    /// Time of the last message from the peer.
-    pub(super) heard: Duration,
-}
-
-impl Progress {
-    pub(super) fn new(next: Index, now: Duration) -> Self {
-        Self {
-            next,
-            matched: 0,
-            offset: 0,
-            snapshot: 0,
-            outstanding: None,
-            confirmed: 0,
-            commit: 0,
-            sent: now,
-            heard: Duration::ZERO,
-        }
-    }
-
-    /// Notes a reply; tells whether it answers the outstanding message.
-    pub(super) fn note_reply(&mut self, now: Duration, round: u64) -> bool {
-        self.heard = now;
-        self.confirmed = self.confirmed.max(round);
-        let answers = self.outstanding == Some(round);
-        if answers {
-            self.outstanding = None;
-        }
-        answers
-    }
-
-    /// Notes that the peer's log has to be sent from `index` on; tells whether the peer has lost
-    /// entries that it had confirmed.
-    fn note_mismatch(&mut self, index: Index, last: Index) -> bool {
-        self.next = index.clamp(1, last + 1);
-        self.offset = 0;
-        let forgot = self.next <= self.matched;
-        self.matched = self.matched.min(self.next - 1);
-        forgot
-    }
-
-    pub(super) fn note_match(&mut self, index: Index) {
-        self.matched = self.matched.max(index);
-        if self.next <= self.matched {
-            self.next = self.matched + 1;
-            self.offset = 0;
-        }
-    }
-}
-
-/// An entry of which parts have arrived.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub(super) struct EntryBuffer {
-    index: Index,
-    term: Term,
-    total: u64,
-    data: Vec<u8>,
-}
-
-impl EntryBuffer {
-    /// Adds a part; returns the entry once it is whole.
-    fn add(&mut self, index: Index, part: &Fragment) -> Option<Entry> {
-        let same = (self.index, self.term, self.total) == (index, part.term, part.total);
-        if !same || part.offset == 0 {
-            *self = Self {
-                index,
-                term: part.term,
-                total: part.total,
-                data: Vec::new(),
-            };
-        }
-        if part.offset != self.data.len() as u64 {
-            return None;
-        }
-        self.data.extend_from_slice(&part.data);
-        if (self.data.len() as u64) < self.total {
-            return None;
-        }
-        let data = std::mem::take(self).data.into();
-        Some(Entry {
-            index,
-            term: part.term,
-            data,
-        })
-    }
-
-    /// Returns the bytes held of the entry at `index`.
-    fn held(&self, index: Index) -> u64 {
-        if self.index == index {
-            self.data.len() as u64
-        } else {
-            0
-        }
-    }
-}
-
 impl Core {
     pub(super) fn tick_leader(&mut self, now: Duration) {
         if !self.check_quorum(now) {
@@ -247,20 +135,36 @@
             return;
         };
         let start = append.prev_index + 1;
-        if let Some(part) = &append.fragment {
-            match self.entry_buffer.add(start, part) {
-                Some(entry) if Payload::decode(&entry.data).is_ok() => entries.push(entry),
-                Some(_) | None => {}
-            }
-        }
+        entries.extend(
+            append
+                .fragment
+                .as_ref()
+                .and_then(|part| self.add_fragment(start, part)),
+        );
         let matched = append.prev_index + entries.len() as Index;
         self.store_entries(entries);
         self.apply_to(append.commit.min(matched));
         self.maybe_compact();
-        let held = self.entry_buffer.held(matched + 1);
+        let held = self.entry_parts.held(matched + 1);
         self.reply_append(from, round, true, matched, held);
     }
 
+    /// Adds a part of the entry at `index`; returns the entry once it is whole.
+    fn add_fragment(&mut self, index: Index, part: &Fragment) -> Option<Entry> {
+        let key = PartsKey {
+            index,
+            term: part.term,
+            total: part.total,
+        };
+        let data = self.entry_parts.add(key, part.offset, &part.data)?;
+        Payload::decode(&data).ok()?;
+        Some(Entry {
+            index,
+            term: part.term,
+            data,
+        })
+    }
+
     /// Follows the leader of `term`, which is not below the current one.
     pub(super) fn follow(&mut self, now: Duration, leader: NodeId, term: Term) {
         let follows = matches!(self.state, State::Follower) && self.leader == Some(leader);
--- a/crates/buckthornweir_quorum/src/core/snapshots.rs
+++ b/crates/buckthornweir_quorum/src/core/snapshots.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-
+use super::parts::PartsKey;
 use super::{Action, Core, State};
 use crate::bundles::Bundles;
 use crate::entry::{Index, Snapshot, Term};
@@ -16,43 +15,6 @@
 /// Smallest size of entries that is compacted, in bytes.
 const SMALLEST_COMPACTION: usize = 64 * 1024;
 
-/// A snapshot of which parts have arrived.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub(super) struct SnapshotBuffer {
-    index: Index,
-    total: u64,
-    data: Vec<u8>,
-}
-
-impl SnapshotBuffer {
-    /// Adds a part; returns the encoded snapshot once it is whole.
-    fn add(&mut self, part: &SnapshotPart) -> Option<Bytes> {
-        if (self.index, self.total) != (part.index, part.total) || part.offset == 0 {
-            *self = Self {
-                index: part.index,
-                total: part.total,
-                data: Vec::new(),
-            };
-        }
-        if part.offset != self.data.len() as u64 {
-            return None;
-        }
-        self.data.extend_from_slice(&part.data);
-        if (self.data.len() as u64) < self.total {
-            return None;
-        }
-        Some(std::mem::take(self).data.into())
-    }
-
-    fn held(&self, index: Index) -> u64 {
-        if self.index == index {
-            self.data.len() as u64
-        } else {
-            0
-        }
-    }
-}
-
 impl Core {
     /// Puts a snapshot in place of the applied entries once they are many or large.
     pub(super) fn maybe_compact(&mut self) {
@@ -154,7 +116,7 @@
             self.follow(now, from, term);
         }
         let done = term == self.term && self.take_part(part);
-        let offset = self.snapshot_buffer.held(index);
+        let offset = self.snapshot_parts.held(index);
         self.send(
             from,
             Kind::SnapshotReply(SnapshotReply {
@@ -170,7 +132,12 @@
         if part.index <= self.commit {
             return true;
         }
-        let Some(data) = self.snapshot_buffer.add(part) else {
+        let key = PartsKey {
+            index: part.index,
+            term: 0,
+            total: part.total,
+        };
+        let Some(data) = self.snapshot_parts.add(key, part.offset, &part.data) else {
             return false;
         };
         let Ok(snapshot) = Snapshot::decode(data) else {
