Bound the files set aside, and tell a first start cut short from damage

Cause: repeated damage filled the folder with files set aside; a crash during the first start was reported as damage. Ruled out: removing damaged files at once (operators may want to look at them). Change: files set aside before are removed at the next damage; a folder that holds the first segment alone counts as empty. A test holds the folder's size to the stated limit. Conclusion: the folder stays bounded, and damage means damage.

--- a/crates/buckthornweir_quorum/src/storage/recovery.rs
+++ b/crates/buckthornweir_quorum/src/storage/recovery.rs
@@ -9,6 +9,9 @@
 use crate::entry::{Entry, Index, Snapshot};
 use crate::members::NodeId;
 
+/// The file that a first start writes before the identity.
+const FIRST_SEGMENT: FileName = FileName::Segment(1);
+
 /// What was read of a segment so far.
 struct Replay {
     restored: Restored,
@@ -25,7 +28,8 @@
             .iter()
             .filter_map(|name| FileName::parse(name))
             .collect();
-        if files.is_empty() {
+        let is_unfinished = files == [FIRST_SEGMENT];
+        if files.is_empty() || is_unfinished {
             return self.start_fresh(fresh, Origin::Empty, &names);
         }
         match self.read_files(&files)? {
@@ -34,6 +38,7 @@
                 Ok(restored)
             }
             Err(damage) => {
+                self.remove_matching(&names, |name| name.starts_with(DAMAGED_PREFIX))?;
                 self.set_aside(&files)?;
                 self.start_fresh(fresh, Origin::Damaged(damage), &[])
             }
@@ -42,9 +47,7 @@
 
     fn start_fresh(&mut self, id: NodeId, origin: Origin, drafts: &[String]) -> Result<Restored> {
         self.snapshot = 0;
-        for name in drafts.iter().filter(|name| name.ends_with(DRAFT_SUFFIX)) {
-            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
-        }
+        self.remove_matching(drafts, |name| name.ends_with(DRAFT_SUFFIX))?;
         let restored = Restored {
             origin,
             ..Restored::blank(id)
@@ -107,20 +110,25 @@
     /// Removes drafts and the older segment or snapshot.
     fn clean(&mut self, names: &[String]) -> Result<()> {
         let (segment, snapshot) = (self.segment, self.snapshot);
-        let obsolete = |name: &String| match FileName::parse(name) {
+        let obsolete = |name: &str| match FileName::parse(name) {
             Some(FileName::Segment(number)) => number != segment,
             Some(FileName::Snapshot(index)) => index != snapshot,
             Some(FileName::Identity) => false,
             None => name.ends_with(DRAFT_SUFFIX),
         };
-        for name in names.iter().filter(|name| obsolete(name)) {
-            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
-        }
+        self.remove_matching(names, obsolete)?;
         self.disk
             .sync_dir()
             .map_err(|e| Error::at("sync folder", e))
     }
 
+    fn remove_matching(&mut self, names: &[String], obsolete: impl Fn(&str) -> bool) -> Result<()> {
+        for name in names.iter().filter(|name| obsolete(name)) {
+            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
+        }
+        Ok(())
+    }
+
     /// Renames all files, the identity first and for good, so that it is never used again.
     fn set_aside(&mut self, files: &[FileName]) -> Result<()> {
         let (identity, others): (Vec<_>, Vec<_>) = files.iter().partition(|f| **f == IDENTITY);
--- a/crates/buckthornweir_quorum/tests/quorum/crashes.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/crashes.rs
@@ -164,6 +164,40 @@
     }
 }
 
+#[test]
+fn crash_during_the_first_start_is_no_damage() {
+    for step in 0..12 {
+        let disk = FakeDisk::default();
+        disk.fail_at(step, Fault::Kill);
+        let first = open(&disk, 8).is_ok();
+        disk.crash(|_| usize::MAX);
+        let (_, restored) = open(&disk, 9).expect("disk works again");
+        let damaged = matches!(restored.origin, Origin::Damaged(_));
+        assert!(
+            !damaged && (!first || restored.id == 8),
+            "step {step}: {restored:?}"
+        );
+    }
+}
+
+#[test]
+fn only_the_files_of_the_last_damage_are_kept() {
+    let disk = FakeDisk::default();
+    for fresh in 1..=5 {
+        let (mut storage, _) = open(&disk, fresh).expect("disk works");
+        let large = Record::Reset(Box::new(reset(fresh * 10, vec![])));
+        storage.persist(&[large]).expect("working disk");
+        disk.edit("identity", |data| data[25] ^= 1);
+    }
+    open(&disk, 6).expect("disk works");
+    let aside = disk
+        .names()
+        .iter()
+        .filter(|name| name.starts_with("damaged-"))
+        .count();
+    assert_eq!(aside, 3, "{:?}", disk.names());
+}
+
 #[test]
 fn crash_while_opening_keeps_everything() {
     let states = states();
--- a/crates/buckthornweir_quorum/tests/quorum/replication.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/replication.rs
@@ -68,6 +68,28 @@
     bench.assert_all(1);
 }
 
+#[test]
+fn folder_stays_in_proportion_to_the_newest_bundles() {
+    const SIZE: usize = 300_000;
+    let mut bench = Bench::founded(3);
+    for version in 1..=60 {
+        let leader = bench.elect();
+        let bytes = vec![3; SIZE];
+        let command = Command::Push(Bundle {
+            version,
+            digest: [3; 32],
+            bytes,
+        });
+        bench.push_at(leader, version, command);
+        bench.run(Duration::from_millis(300));
+        for vm in &bench.vms {
+            let held = vm.storage.as_ref().map_or(0, Storage::segment_bytes);
+            assert!(held <= 4 * 1024 * 1024 + SIZE as u64, "{held} bytes");
+        }
+    }
+    bench.assert_all(60);
+}
+
 #[test]
 fn too_large_a_bundle_is_answered_at_once() {
     let mut bench = Bench::founded(3);
