--- a/crates/buckthornweir_quorum/src/storage/recovery.rs
+++ b/crates/buckthornweir_quorum/src/storage/recovery.rs
@@ -3,12 +3,15 @@
 use bytes::Bytes;
 
 use super::files::{DAMAGED_PREFIX, DRAFT_SUFFIX, FileName, IDENTITY};
-use super::frame::{later_batch, next_frame};
+use super::frame::{next_frame, synced_proof};
 use super::record::{Identity, RecordBody};
-use super::{Damage, Error, Origin, Restored, Result, Storage};
+use super::{Damage, Error, Origin, Restored, Result, SegmentStart, Storage};
 use crate::entry::{Entry, Index, Snapshot};
 use crate::members::NodeId;
 
+/// The file that a first start writes before the identity.
+const FIRST_SEGMENT: FileName = FileName::Segment(1);
+
 /// What was read of a segment so far.
 struct Replay {
     restored: Restored,
@@ -25,7 +28,8 @@
             .iter()
             .filter_map(|name| FileName::parse(name))
             .collect();
-        if files.is_empty() {
+        let is_unfinished = files == [FIRST_SEGMENT];
+        if files.is_empty() || is_unfinished {
             return self.start_fresh(fresh, Origin::Empty, &names);
         }
         match self.read_files(&files)? {
@@ -34,6 +38,7 @@
                 Ok(restored)
             }
             Err(damage) => {
+                self.remove_matching(&names, |name| name.starts_with(DAMAGED_PREFIX))?;
                 self.set_aside(&files)?;
                 self.start_fresh(fresh, Origin::Damaged(damage), &[])
             }
@@ -42,15 +47,14 @@
 
     fn start_fresh(&mut self, id: NodeId, origin: Origin, drafts: &[String]) -> Result<Restored> {
         self.snapshot = 0;
-        for name in drafts.iter().filter(|name| name.ends_with(DRAFT_SUFFIX)) {
-            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
-        }
-        self.start_segment(1, 0, (0, None), &[])?;
-        self.write_identity(id)?;
-        Ok(Restored {
+        self.remove_matching(drafts, |name| name.ends_with(DRAFT_SUFFIX))?;
+        let restored = Restored {
             origin,
             ..Restored::blank(id)
-        })
+        };
+        self.start_segment(1, 0, &SegmentStart::of_restored(&restored))?;
+        self.write_identity(id)?;
+        Ok(restored)
     }
 
     /// Reads the newest segment and its snapshot, and writes the segment anew.
@@ -87,8 +91,7 @@
             origin: Origin::Whole { torn },
             ..replay.restored
         };
-        let vote = (restored.term, restored.vote);
-        self.start_segment(segment + 1, base, vote, &restored.entries)?;
+        self.start_segment(segment + 1, base, &SegmentStart::of_restored(&restored))?;
         Ok(Ok(restored))
     }
 
@@ -107,20 +110,25 @@
     /// Removes drafts and the older segment or snapshot.
     fn clean(&mut self, names: &[String]) -> Result<()> {
         let (segment, snapshot) = (self.segment, self.snapshot);
-        let obsolete = |name: &String| match FileName::parse(name) {
+        let obsolete = |name: &str| match FileName::parse(name) {
             Some(FileName::Segment(number)) => number != segment,
             Some(FileName::Snapshot(index)) => index != snapshot,
             Some(FileName::Identity) => false,
             None => name.ends_with(DRAFT_SUFFIX),
         };
-        for name in names.iter().filter(|name| obsolete(name)) {
-            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
-        }
+        self.remove_matching(names, obsolete)?;
         self.disk
             .sync_dir()
             .map_err(|e| Error::at("sync folder", e))
     }
 
+    fn remove_matching(&mut self, names: &[String], obsolete: impl Fn(&str) -> bool) -> Result<()> {
+        for name in names.iter().filter(|name| obsolete(name)) {
+            self.disk.remove(name).map_err(|e| Error::at("remove", e))?;
+        }
+        Ok(())
+    }
+
     /// Renames all files, the identity first and for good, so that it is never used again.
     fn set_aside(&mut self, files: &[FileName]) -> Result<()> {
         let (identity, others): (Vec<_>, Vec<_>) = files.iter().partition(|f| **f == IDENTITY);
@@ -172,7 +180,7 @@
     }
     replay.end = at as u64;
     let base = base.ok_or(Damage::Record(0))?;
-    if later_batch(data, at).is_some() {
+    if synced_proof(data, at).is_some() {
         return Err(Damage::Record(at as u64));
     }
     Ok((replay, base))
@@ -190,9 +198,10 @@
                 let (index, term, data) = (entry.index, entry.term, entry.data);
                 self.entries.push(Entry { index, term, data });
             }
-            RecordBody::Truncate(truncate) if truncate.from > base => {
+            RecordBody::Truncate(truncate) if truncate.from > base.max(self.commit) => {
                 self.entries.retain(|e| e.index < truncate.from);
             }
+            RecordBody::Commit(commit) => self.commit = self.commit.max(commit.index.min(next - 1)),
             RecordBody::Synced(_) => {}
             RecordBody::Entry(entry) => return Err(Damage::Sequence(entry.index)),
             RecordBody::Truncate(truncate) => return Err(Damage::Sequence(truncate.from)),
--- a/crates/buckthornweir_quorum/tests/quorum/properties.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/properties.rs
@@ -38,6 +38,7 @@
     LoseDisk(usize),
     Transfer,
     Shuffle(usize),
+    Change(usize, usize),
 }
 
 fn step(count: usize) -> impl Strategy<Value = Step> {
@@ -101,6 +102,17 @@
                 bench.act(leader, Core::transfer);
             }
         }
+        Step::Change(kind, at) => {
+            let (id, address) = (bench.vms[at].id, bench.vms[at].address.as_str().into());
+            let change = match kind {
+                0 => MemberChange::AddLearner { id, address },
+                1 => MemberChange::Promote { id },
+                _ => MemberChange::Remove { id },
+            };
+            if let Some(leader) = bench.leader() {
+                bench.act(leader, |core, now| core.change_members(now, token, change));
+            }
+        }
         Step::Shuffle(by) => {
             let by = by.min(bench.queue.len());
             bench.queue.rotate_left(by);
@@ -146,17 +158,17 @@
     let outcome = runner(cases, seed).run(&steps, |steps| {
         let config = Config::default().with_compaction(6, usize::MAX);
         let mut bench = Bench::with_config(count, config);
+        let mut shown = vec![0; count];
         for (token, step) in (1..).zip(&steps) {
-            let before: Vec<_> = (0..count).map(|at| version_at(&bench, at)).collect();
             apply(&mut bench, step, token);
-            for (at, before) in before.into_iter().enumerate() {
-                let lost = matches!(step, Step::LoseDisk(_));
-                let after = version_at(&bench, at);
-                let known = bench.vms[at].core.is_some();
-                assert!(
-                    lost || !known || after >= before || restarted(step),
-                    "VM {at} reverts"
-                );
+            for (at, shown) in shown.iter_mut().enumerate() {
+                if matches!(step, Step::LoseDisk(lost) if *lost == at) {
+                    *shown = 0;
+                }
+                if bench.vms[at].core.is_some() {
+                    assert!(bench.newest(at) >= *shown, "VM {at} reverts");
+                    *shown = bench.newest(at);
+                }
             }
         }
         check_answers(&mut bench, &steps);
@@ -165,16 +177,52 @@
     outcome.expect("every run keeps the invariants");
 }
 
-/// Tells whether the state machine begins at the snapshot again, until the leader is heard.
-fn restarted(step: &Step) -> bool {
-    matches!(step, Step::Restart(_) | Step::Start(_) | Step::Kill(_))
+fn change_step(count: usize) -> impl Strategy<Value = Step> {
+    let change = (0..3_usize, 0..count).prop_map(|(kind, at)| Step::Change(kind, at));
+    prop_oneof![3 => step(count), 2 => change]
+}
+
+/// Tells whether a step fits a run in which members come and go.
+fn keeps_disks(step: &Step) -> bool {
+    !matches!(step, Step::LoseDisk(_))
+}
+
+/// Checks that the members that the last leader knows agree.
+fn check_members(bench: &mut Bench) {
+    for at in 0..bench.vms.len() {
+        if bench.vms[at].core.is_none() {
+            assert!(bench.start(at));
+        }
+    }
+    bench.cut.clear();
+    bench.run(20 * SECOND);
+    bench.accept(1000, 1);
+    bench.run(10 * SECOND);
+    let leader = bench.elect();
+    let members = bench.core(leader).members().clone();
+    for at in 0..bench.vms.len() {
+        if members.get(bench.vms[at].id).is_some() {
+            assert_eq!(bench.newest(at), 1000, "VM {at}");
+            assert_eq!(bench.core(at).members(), &members, "VM {at}");
+        }
+    }
 }
 
-fn version_at(bench: &Bench, at: usize) -> u64 {
-    bench.vms[at]
-        .core
-        .as_ref()
-        .map_or(0, |core| core.bundles().newest_version())
+#[test]
+fn members_that_come_and_go_keep_the_invariants() {
+    let steps = vec(change_step(5).prop_filter("disks stay", keeps_disks), 1..60);
+    let outcome = runner(200, 7).run(&steps, |steps| {
+        let config = Config::default().with_compaction(6, usize::MAX);
+        let mut bench = Bench::with_config(3, config);
+        bench.add_vm();
+        bench.add_vm();
+        for (token, step) in (1..).zip(&steps) {
+            apply(&mut bench, step, token);
+        }
+        check_members(&mut bench);
+        Ok(())
+    });
+    outcome.expect("every run keeps the invariants");
 }
 
 #[test]
