--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -1,37 +1,27 @@
 //! The settings of a small deployment on loopback.
 
 use std::fmt::Write;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-
-use crate::hosts::Hosts;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The shared key of every deployment on loopback, in hexadecimal digits.
 const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
 
-const GOSSIP: u16 = 7000;
-const PACKETS: u16 = 7001;
-const CONTROL: u16 = 7002;
-const METRICS: u16 = 7003;
-const FABRIC: u16 = 7004;
+/// The first port that a process takes.
+const FIRST_PORT: u16 = 10_000;
+
+/// How many ports a process takes before it starts over.
+const PORTS: u16 = 20_000;
 
 /// Writes the settings of processes that know one another. Every process gets ports of its own.
 #[derive(Clone, Debug)]
 pub struct Plan {
     trusted: String,
     seeds: Vec<SocketAddr>,
-    founders: Vec<String>,
+    peers: Vec<SocketAddr>,
+    controls: usize,
     log: String,
-    hosts: Option<Hosts>,
-}
-
-/// The addresses of one process.
-struct Addresses {
-    gossip: SocketAddr,
-    packets: SocketAddr,
-    control: SocketAddr,
-    metrics: SocketAddr,
-    fabric: SocketAddr,
 }
 
 /// Where one planned process is reached.
@@ -55,24 +45,17 @@
         Self {
             trusted: trusted.into(),
             seeds: Vec::new(),
-            founders: vec!["control-1".into()],
+            peers: Vec::new(),
+            controls: 0,
             log: "warn".into(),
-            hosts: None,
         }
     }
 
-    /// Sets the control processes that found the cluster.
-    #[must_use]
-    pub fn with_founders(mut self, founders: &[&str]) -> Self {
-        self.founders = founders.iter().map(ToString::to_string).collect();
-        self
-    }
-
-    /// Gives every process an IP number of its own with the same ports, in place of ports of its
-    /// own.
+    /// Sets how many control processes there will be; each call of [`Plan::control`] takes the next
+    /// of their addresses.
     #[must_use]
-    pub fn with_hosts(mut self, hosts: Hosts) -> Self {
-        self.hosts = Some(hosts);
+    pub fn with_control(mut self, count: usize) -> Self {
+        self.peers = (0..count).map(|_| free_tcp()).collect();
         self
     }
 
@@ -90,10 +73,9 @@
 
     /// Plans a balancer.
     pub fn balancer(&mut self, name: &str, domain: &str) -> PlannedNode {
-        let addresses = self.addresses();
-        let fabric = addresses.fabric;
+        let fabric = free_udp();
         let role = format!("[balancer]\nfabric = {fabric}\n");
-        let mut node = self.node(name, domain, "balancer", &role, None, &addresses);
+        let mut node = self.node(name, domain, "balancer", &role, None);
         node.fabric = Some(fabric);
         node
     }
@@ -109,22 +91,20 @@
     ) -> PlannedNode {
         let role =
             format!("[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\n");
-        let addresses = self.addresses();
-        self.node(name, domain, "agent", &role, None, &addresses)
+        self.node(name, domain, "agent", &role, None)
     }
 
-    /// Plans a control process that keeps its state in `data`.
+    /// Plans a control process that keeps its state in `data`. The first one may found the log.
     pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
-        let role = format!("[control]\nfounders = {}\n", self.founders.join(", "));
-        let addresses = self.addresses();
-        self.node(name, domain, "control", &role, Some(data), &addresses)
-    }
-
-    fn addresses(&mut self) -> Addresses {
-        match &mut self.hosts {
-            Some(hosts) => Addresses::on(hosts.next_ip()),
-            None => Addresses::free(),
+        if self.peers.is_empty() {
+            self.peers.push(free_tcp());
         }
+        let at = self.controls.min(self.peers.len() - 1);
+        self.controls += 1;
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let role = format!("[control]\npeers = {}\nfound = yes\n", peers.join(", "));
+        let own = self.peers[at];
+        self.node_at(own, name, domain, "control", &role, Some(data))
     }
 
     fn node(
@@ -134,18 +114,24 @@
         roles: &str,
         role: &str,
         data: Option<&Path>,
-        addresses: &Addresses,
     ) -> PlannedNode {
-        let Addresses {
-            gossip,
-            packets,
-            control,
-            metrics,
-            ..
-        } = *addresses;
+        self.node_at(free_tcp(), name, domain, roles, role, data)
+    }
+
+    fn node_at(
+        &mut self,
+        control: SocketAddr,
+        name: &str,
+        domain: &str,
+        roles: &str,
+        role: &str,
+        data: Option<&Path>,
+    ) -> PlannedNode {
+        let gossip = free_udp();
+        let metrics = free_tcp();
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "gossip = {gossip}\npackets = {packets}");
+        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
         let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
         let _ = writeln!(text, "key = {CLUSTER_KEY}");
         if !self.seeds.is_empty() {
@@ -170,50 +156,24 @@
     }
 }
 
-impl Addresses {
-    /// Returns the same ports on every IP number.
-    fn on(ip: IpAddr) -> Self {
-        Self {
-            gossip: SocketAddr::new(ip, GOSSIP),
-            packets: SocketAddr::new(ip, PACKETS),
-            control: SocketAddr::new(ip, CONTROL),
-            metrics: SocketAddr::new(ip, METRICS),
-            fabric: SocketAddr::new(ip, FABRIC),
-        }
-    }
-
-    /// Returns ports that were free a moment ago.
-    fn free() -> Self {
-        Self {
-            gossip: free_udp(),
-            packets: free_udp(),
-            control: free_tcp(),
-            metrics: free_tcp(),
-            fabric: free_udp(),
-        }
-    }
-}
-
-/// Returns a loopback address whose UDP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics when the machine has no free port left.
+/// Returns a loopback address with a UDP port that nothing else on the machine takes.
 pub fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind(any_port()).and_then(|s| s.local_addr());
-    socket.expect("a free UDP port")
+    own_address()
 }
 
-/// Returns a loopback address whose TCP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics when the machine has no free port left.
+/// Returns a loopback address with a TCP port that nothing else on the machine takes.
 pub fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind(any_port()).and_then(|l| l.local_addr());
-    listener.expect("a free TCP port")
+    own_address()
 }
 
-fn any_port() -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)
+/// Returns the next port of this process's own loopback address. Each process has an address of its
+/// own, and the ports are below those that the system gives to outgoing connections.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let process = std::process::id();
+    let [_, high, middle, low] = process.to_be_bytes();
+    // 127.0.0.1 itself stays with everybody.
+    let ip = Ipv4Addr::new(127, 1 + high % 64, middle, low.max(1));
+    let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+    SocketAddr::new(IpAddr::V4(ip), port)
 }
