--- a/crates/buckthornweir_load/src/callers/mod.rs
+++ b/crates/buckthornweir_load/src/callers/mod.rs
@@ -27,6 +27,8 @@
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) service: Service,
     pub(crate) patience: Duration,
+    /// When the load begins, on the clock of the stand-ins.
+    pub(crate) start: Duration,
     /// When the load ends, on the clock of the stand-ins.
     pub(crate) end: Duration,
 }
@@ -45,6 +47,7 @@
             ledger: ledger.clone(),
             service: service.clone(),
             patience: scenario.patience,
+            start,
             end: start + scenario.time,
         });
         let stream = index as u64 * STREAMS_A_SERVICE;
@@ -83,7 +86,7 @@
 async fn bursts(shared: Arc<Shared>, mut rng: ChaCha8Rng) {
     let load = &shared.service.load;
     let mut tasks = JoinSet::new();
-    let mut at = uptime() + load.burst_every;
+    let mut at = shared.start + load.burst_every;
     while at < shared.end {
         tokio::time::sleep(at.saturating_sub(uptime())).await;
         for _ in 0..load.burst {
--- a/crates/buckthornweir_load/src/callers/slot.rs
+++ b/crates/buckthornweir_load/src/callers/slot.rs
@@ -44,7 +44,7 @@
     /// Sends requests until the load ends.
     pub(crate) async fn run(mut self) {
         let first: f64 = self.rng.random();
-        let mut due = uptime() + self.gap.mul_f64(first);
+        let mut due = self.shared.start + self.gap.mul_f64(first);
         while due < self.shared.end {
             tokio::time::sleep(due.saturating_sub(uptime())).await;
             self.request(due).await;
