--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -10,7 +10,8 @@
 
 use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService};
 use buckthornweir_standins::{
-    Backend, BackendConfig, Fabric, FabricConfig, Hosts, HttpCaller, Plan, PlannedNode, uptime,
+    Backend, BackendConfig, Fabric, FabricConfig, HttpCaller, Plan, PlannedNode, free_tcp,
+    free_udp, uptime,
 };
 use smol_str::SmolStr;
 
@@ -24,8 +25,6 @@
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(100);
 const CONNECT_LIMIT: Duration = Duration::from_secs(3);
-const FABRIC_PORT: u16 = 7004;
-const BACKEND_PORT: u16 = 8080;
 
 /// The programs that a deployment runs.
 #[derive(Clone, Debug)]
@@ -67,8 +66,7 @@
                 return Err(Fault::NoProgram(program.clone()));
             }
         }
-        let mut hosts = Hosts::new();
-        let config = FabricConfig::new(hosts.next_addr(FABRIC_PORT), scenario.seed);
+        let config = FabricConfig::new(free_udp(), scenario.seed);
         let fabric = Fabric::start(config.with_connect_limit(CONNECT_LIMIT)).await?;
         let mut deployment = Self {
             spray: Spray::new(&fabric, scenario.notice),
@@ -78,8 +76,8 @@
             operator: Operator::new(&programs.client, folder),
             bundle: bundle(scenario),
         };
-        deployment.start_backends(scenario, &mut hosts).await?;
-        let nodes = deployment.plan(scenario, hosts, folder)?;
+        deployment.start_backends(scenario).await?;
+        let nodes = deployment.plan(scenario, folder)?;
         deployment.start_processes(&nodes, programs, folder)?;
         deployment.operator.push(deployment.bundle.clone()).await?;
         deployment.wait_ready(scenario).await?;
@@ -151,10 +149,10 @@
         }
     }
 
-    async fn start_backends(&mut self, scenario: &Scenario, hosts: &mut Hosts) -> Result<()> {
+    async fn start_backends(&mut self, scenario: &Scenario) -> Result<()> {
         for service in &scenario.services {
             for placed in scenario.backends(service) {
-                let addr = hosts.next_addr(BACKEND_PORT);
+                let addr = free_tcp();
                 let backend = Backend::start(backend_config(service, addr, &placed.name)).await?;
                 let domain = placed.domain;
                 self.backends.push(PlacedBackend { backend, domain });
@@ -164,9 +162,9 @@
     }
 
     /// Returns the settings of each process to come, and writes those of the client.
-    fn plan(&self, scenario: &Scenario, hosts: Hosts, folder: &Path) -> Result<Vec<PlannedNode>> {
+    fn plan(&self, scenario: &Scenario, folder: &Path) -> Result<Vec<PlannedNode>> {
         let controls = scenario.controls();
-        let plan = Plan::new(self.operator.trusted()).with_hosts(hosts);
+        let plan = Plan::new(self.operator.trusted());
         let mut plan = plan.with_control(controls.len()).with_log("info");
         let mut nodes = Vec::new();
         for placed in &controls {
