Settings: bound lists and excerpts, one name for one section, strict hex

Run against the old source the new rows failed: '[log x]' and '[log x]' were two sections with one label, so a bundle could hold a service twice; '+f' passed as a hexadecimal byte; '= b' made a key without a name; a fault showed the whole bad text, up to 4 MiB; a value ruled out by other keys was reported at its section's line; a file whose size the system doesn't tell was read without limit; a list had no limit. Change: also skips a byte order mark, as Windows editors write it.

The load tool's table names line 4 for 'balancers' now, where the key stands; line 1 was its section.

--- a/crates/buckthornweir_load/tests/scenario.rs
+++ b/crates/buckthornweir_load/tests/scenario.rs
@@ -67,7 +67,7 @@
         s.ini:1: [scenario] time is missing
         s.ini:4: [scenario] warm-up = "11s" is not allowed; allowed: a length of time from 0s to 10s, such as 250ms or 2s
         s.ini:4: [scenario] controls = "2" is not allowed; allowed: 1, 3, 5, 7
-        s.ini:1: [scenario] balancers = "202" is not allowed; allowed: at most 200 processes in all
+        s.ini:4: [scenario] balancers = "202" is not allowed; allowed: at most 200 processes in all
         s.ini:5: [scenario] domains = "fj-west-a, fj-west-a" is not allowed; allowed: a list separated by commas in which no item stands twice
         s.ini:8: [service orders] backends = "201" is not allowed; allowed: a whole number from 1 to 200
         s.ini:10: [service orders] rate = "20001" is not allowed; allowed: a whole number from 0 to 20000
--- a/crates/buckthornweir_settings/src/document.rs
+++ b/crates/buckthornweir_settings/src/document.rs
@@ -1,6 +1,8 @@
 //! An INI document whose sections and keys are taken one by one; what is left over is unknown.
 
-use std::fs;
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{self, ErrorKind, Read};
 use std::path::Path;
 
 use ini_core::{Item, Parser};
@@ -9,7 +11,10 @@
 use crate::fault::{Fault, Place, Result};
 
 /// The largest text in bytes that is read.
-const TEXT_LIMIT: u64 = 4 << 20;
+const TEXT_LIMIT: usize = 4 << 20;
+
+/// How many characters of a bad text a fault shows.
+const EXCERPT_LIMIT: usize = 100;
 
 /// One `key = value` line.
 #[derive(Clone, Debug)]
@@ -35,9 +40,19 @@
     name: SmolStr,
     line: u32,
     entries: Vec<Entry>,
-    asked: Vec<&'static str>,
+    asked: Vec<Asked>,
+}
+
+/// A key that was asked for, and the line where it stands.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    key: &'static str,
+    line: Option<u32>,
 }
 
+/// The line where each section, or each key of the last section, first stands.
+type FirstLines = HashMap<SmolStr, u32>;
+
 impl Document {
     /// Reads and parses the file at `path`.
     ///
@@ -47,10 +62,10 @@
     /// [`Document::parse`].
     pub fn read(path: &Path) -> Result<Self> {
         let file = path.display().to_smolstr();
-        let text = read_limited(path).map_err(|source| Fault::Unreadable {
-            file: file.clone(),
-            source,
-        })?;
+        let text = match read_limited(path) {
+            Ok(text) => text,
+            Err(source) => return Err(Fault::Unreadable { file, source }),
+        };
         Self::parse(file, &text)
     }
 
@@ -58,20 +73,37 @@
     ///
     /// # Errors
     ///
-    /// Returns a fault for a line that is not INI and for a section or key that stands twice.
+    /// Returns a fault for a text over the size limit, for a line that is not INI, and for a section
+    /// or key that stands twice.
     pub fn parse(file: impl Into<SmolStr>, text: &str) -> Result<Self> {
         let file = file.into();
+        if text.len() > TEXT_LIMIT {
+            let source = ErrorKind::FileTooLarge.into();
+            return Err(Fault::Unreadable { file, source });
+        }
         let mut sections: Vec<Section> = Vec::new();
+        let mut headers = FirstLines::new();
+        let mut keys = FirstLines::new();
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
         let mut parser = Parser::new(text).auto_trim(true);
         while let Some(item) = parser.next() {
             let line = parser.line();
             match item {
                 Item::Blank | Item::Comment(_) | Item::SectionEnd => {}
-                Item::Section(name) => open_section(&file, &mut sections, name, line)?,
-                Item::Property(key, Some(value)) => {
-                    add_entry(&file, &mut sections, Entry::new(key, value, line))?;
+                Item::Section(header) => {
+                    let section = Section::new(&file, header, line);
+                    check_first(&mut headers, &section.name, section.place("", line))?;
+                    sections.push(section);
+                    keys.clear();
                 }
-                Item::Property(text, None) | Item::Error(text) => {
+                Item::Property(key, Some(value)) if !key.is_empty() => {
+                    let Some(section) = sections.last_mut() else {
+                        return Err(syntax(&file, line, key));
+                    };
+                    check_first(&mut keys, key, section.place(key, line))?;
+                    section.entries.push(Entry::new(key, value, line));
+                }
+                Item::Property(text, None) | Item::Property(_, Some(text)) | Item::Error(text) => {
                     return Err(syntax(&file, line, text));
                 }
             }
@@ -130,6 +162,18 @@
 }
 
 impl Section {
+    /// Returns an empty section; its name has one space between words.
+    fn new(file: &SmolStr, header: &str, line: u32) -> Self {
+        let words: Vec<&str> = header.split_whitespace().collect();
+        Self {
+            file: file.clone(),
+            name: words.join(" ").into(),
+            line,
+            entries: Vec::new(),
+            asked: Vec::new(),
+        }
+    }
+
     /// Returns the first word of the header.
     pub fn kind(&self) -> &str {
         self.name
@@ -139,9 +183,7 @@
 
     /// Returns the header without its first word.
     pub fn label(&self) -> &str {
-        self.name
-            .split_once(' ')
-            .map_or("", |(_, label)| label.trim())
+        self.name.split_once(' ').map_or("", |(_, label)| label)
     }
 
     /// Returns the line of the header.
@@ -175,8 +217,10 @@
         key: &'static str,
         parse: impl FnOnce(&str) -> std::result::Result<T, A>,
     ) -> Result<Option<T>> {
-        self.asked.push(key);
-        let Some(at) = self.entries.iter().position(|e| e.key == key) else {
+        let found = self.entries.iter().position(|e| e.key == key);
+        let line = found.map(|at| self.entries[at].line);
+        self.asked.push(Asked { key, line });
+        let Some(at) = found else {
             return Ok(None);
         };
         let entry = self.entries.remove(at);
@@ -203,25 +247,34 @@
     /// Returns the fault that `key` has a value which other parts of the text rule out.
     pub fn rejects(&self, key: &str, value: &str, allowed: &str) -> Fault {
         Fault::BadValue {
-            place: self.place(key, self.line),
-            value: value.into(),
+            place: self.place_of(key),
+            value: excerpt(value),
             allowed: allowed.into(),
         }
     }
 
+    /// Returns where `key` stands, or the section's header when it was not there when it was asked
+    /// for.
+    pub fn place_of(&self, key: &str) -> Box<Place> {
+        let asked = self.asked.iter().find(|asked| asked.key == key);
+        let line = asked.and_then(|asked| asked.line);
+        self.place(key, line.unwrap_or(self.line))
+    }
+
     /// Checks that every key has been taken.
     ///
     /// # Errors
     ///
     /// Returns [`Fault::UnknownKey`] for the first one left.
     pub fn finish(self) -> Result<()> {
-        match self.entries.into_iter().next() {
-            None => Ok(()),
-            Some(entry) => Err(Fault::UnknownKey {
-                place: place(&self.file, &self.name, &entry.key, entry.line),
-                allowed: self.asked.join(", ").into(),
-            }),
-        }
+        let Some(entry) = self.entries.first() else {
+            return Ok(());
+        };
+        let known: Vec<&str> = self.asked.iter().map(|asked| asked.key).collect();
+        Err(Fault::UnknownKey {
+            place: self.place(&entry.key, entry.line),
+            allowed: known.join(", ").into(),
+        })
     }
 
     fn missing(&self, key: &str) -> Fault {
@@ -233,13 +286,18 @@
     fn bad(&self, entry: &Entry, allowed: &str) -> Fault {
         Fault::BadValue {
             place: self.place(&entry.key, entry.line),
-            value: entry.value.clone(),
+            value: excerpt(&entry.value),
             allowed: allowed.into(),
         }
     }
 
     fn place(&self, key: &str, line: u32) -> Box<Place> {
-        place(&self.file, &self.name, key, line)
+        Box::new(Place {
+            file: self.file.clone(),
+            line,
+            section: self.name.clone(),
+            key: key.into(),
+        })
     }
 }
 
@@ -253,58 +311,41 @@
     }
 }
 
-fn read_limited(path: &Path) -> std::io::Result<String> {
-    let size = fs::metadata(path)?.len();
-    if size > TEXT_LIMIT {
-        return Err(std::io::Error::from(std::io::ErrorKind::FileTooLarge));
+fn read_limited(path: &Path) -> io::Result<String> {
+    let mut bytes = Vec::new();
+    let limit = TEXT_LIMIT as u64 + 1;
+    File::open(path)?.take(limit).read_to_end(&mut bytes)?;
+    if bytes.len() > TEXT_LIMIT {
+        return Err(ErrorKind::FileTooLarge.into());
     }
-    fs::read_to_string(path)
-}
-
-fn place(file: &SmolStr, section: &str, key: &str, line: u32) -> Box<Place> {
-    Box::new(Place {
-        file: file.clone(),
-        line,
-        section: section.into(),
-        key: key.into(),
-    })
+    String::from_utf8(bytes).map_err(|source| io::Error::new(ErrorKind::InvalidData, source))
 }
 
 fn syntax(file: &SmolStr, line: u32, text: &str) -> Fault {
     Fault::Syntax {
         file: file.clone(),
         line,
-        text: text.into(),
+        text: excerpt(text),
     }
 }
 
-fn open_section(file: &SmolStr, sections: &mut Vec<Section>, name: &str, line: u32) -> Result<()> {
-    if let Some(first) = sections.iter().find(|s| s.name == name) {
-        return Err(Fault::Duplicate {
-            place: place(file, name, "", line),
-            first: first.line,
-        });
+/// Returns the start of a text, for a fault to show.
+fn excerpt(text: &str) -> SmolStr {
+    match text.char_indices().nth(EXCERPT_LIMIT) {
+        None => text.into(),
+        Some((end, _)) => format!("{}...", &text[..end]).into(),
     }
-    sections.push(Section {
-        file: file.clone(),
-        name: name.into(),
-        line,
-        entries: Vec::new(),
-        asked: Vec::new(),
-    });
-    Ok(())
 }
 
-fn add_entry(file: &SmolStr, sections: &mut [Section], entry: Entry) -> Result<()> {
-    let Some(section) = sections.last_mut() else {
-        return Err(syntax(file, entry.line, &entry.key));
-    };
-    if let Some(first) = section.entries.iter().find(|e| e.key == entry.key) {
-        return Err(Fault::Duplicate {
-            place: place(file, &section.name, &entry.key, entry.line),
-            first: first.line,
-        });
+fn check_first(seen: &mut FirstLines, name: &str, place: Box<Place>) -> Result<()> {
+    match seen.get(name) {
+        None => {
+            seen.insert(name.into(), place.line);
+            Ok(())
+        }
+        Some(first) => Err(Fault::Duplicate {
+            place,
+            first: *first,
+        }),
     }
-    section.entries.push(entry);
-    Ok(())
 }
--- a/crates/buckthornweir_settings/src/value.rs
+++ b/crates/buckthornweir_settings/src/value.rs
@@ -9,6 +9,9 @@
 /// What is allowed where a value was refused.
 pub type Allowed = String;
 
+/// The most items of a list.
+const LIST_LIMIT: usize = 1_024;
+
 /// The result of reading one value.
 pub type Result<T> = std::result::Result<T, Allowed>;
 
@@ -119,7 +122,7 @@
 }
 
 /// Returns a reader of a comma-separated list whose items are read by `item`; an item that stands
-/// twice is refused.
+/// twice is refused, and so is a list of more than 1,024 items.
 pub fn list<T: PartialEq>(item: impl Fn(&str) -> Result<T>) -> impl FnOnce(&str) -> Result<Vec<T>> {
     move |value| {
         let mut items = Vec::new();
@@ -129,6 +132,9 @@
             if items.contains(&read) {
                 return Err("a list separated by commas in which no item stands twice".into());
             }
+            if items.len() >= LIST_LIMIT {
+                return Err(format!("a list of at most {LIST_LIMIT} items"));
+            }
             items.push(read);
         }
         Ok(items)
@@ -142,7 +148,7 @@
 /// Returns what is allowed.
 pub fn hex<const N: usize>(value: &str) -> Result<[u8; N]> {
     let allowed = || format!("{} hexadecimal digits", 2 * N);
-    if value.len() != 2 * N || !value.is_ascii() {
+    if value.len() != 2 * N || !value.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(allowed());
     }
     let mut bytes = [0; N];
--- a/crates/buckthornweir_settings/tests/faults.rs
+++ b/crates/buckthornweir_settings/tests/faults.rs
@@ -2,6 +2,8 @@
 
 use buckthornweir_settings::prelude::*;
 use expect_test::{Expect, expect};
+use std::fs;
+use std::path::Path;
 use std::time::Duration;
 
 fn read(text: &str) -> Result<(), Fault> {
@@ -109,6 +111,56 @@
             "[node]\nname = a\nprotocol = udp\n",
             expect![[r#"a.ini:3: [node] protocol = "udp" is not allowed; allowed: tcp, http"#]],
         ),
+        (
+            "\r\n[node]\r\nname = a ; \r\n",
+            expect![[
+                r#"a.ini:3: [node] name = "a ;" is not allowed; allowed: a name of 1 to 63 lower-case letters, digits and hyphens"#
+            ]],
+        ),
+        ("[ node ]\r\n;x = 1\r\nname=a\r\n", expect!["ok"]),
+        (
+            "[node]\nname = a\n[log  x]\n[log x]\n",
+            expect!["a.ini:4: [log x] stands twice, first on line 3; allowed: once"],
+        ),
+        (
+            "[node]\nname = a\n = b\n",
+            expect![[r#"a.ini:3: "b" is not allowed; allowed: [section], key = value, ; comment"#]],
+        ),
+        (
+            "[node]\nname = a\n[]\n",
+            expect!["a.ini:3: [] is not a known section; allowed: [node]"],
+        ),
+        (
+            "[node]\nname =\n",
+            expect![[
+                r#"a.ini:2: [node] name = "" is not allowed; allowed: a name of 1 to 63 lower-case letters, digits and hyphens"#
+            ]],
+        ),
+        (
+            "[node]\nname = a\nslots = 0x5\n",
+            expect![[
+                r#"a.ini:3: [node] slots = "0x5" is not allowed; allowed: a whole number from 1 to 64"#
+            ]],
+        ),
+        (
+            "[node]\nname = a\nlimit = 5\n",
+            expect![[
+                r#"a.ini:3: [node] limit = "5" is not allowed; allowed: a length of time from 1ms to 1m, such as 250ms or 2s"#
+            ]],
+        ),
+        (
+            "[node]\nname = a\ndomains = x,\n",
+            expect![[
+                r#"a.ini:3: [node] domains = "x," is not allowed; allowed: a list separated by commas, each a name of 1 to 63 lower-case letters, digits and hyphens"#
+            ]],
+        ),
+        ("\u{feff}[node]\nname = a\n", expect!["ok"]),
+        (
+            "[node]\nname = a\nkey = +f00\n",
+            expect![[
+                r#"a.ini:3: [node] key = "+f00" is not allowed; allowed: 4 hexadecimal digits"#
+            ]],
+        ),
         (
             "[node]\nname = a\nkey = zz00\n",
             expect![[
@@ -120,3 +172,68 @@
         check(text, &expected);
     }
 }
+
+#[test]
+fn a_long_text_is_shown_in_part() {
+    let long = "ü".repeat(10_000);
+    for text in [long.clone(), format!("[node]\nname = {long}\n")] {
+        let fault = read(&text).unwrap_err().to_string();
+        assert!(fault.len() < 400, "{} bytes", fault.len());
+    }
+}
+
+#[test]
+fn a_value_is_rejected_at_its_own_line() {
+    let mut document = Document::parse("a.ini", "[node]\n\nname = a\n").unwrap();
+    let mut node = document.take("node").unwrap();
+    node.required("name", value::name::<String>).unwrap();
+    let fault = node.rejects("name", "a", "another name");
+    expect![[r#"a.ini:3: [node] name = "a" is not allowed; allowed: another name"#]]
+        .assert_eq(&fault.to_string());
+}
+
+#[test]
+fn a_list_has_a_limit() {
+    let numbers = |count: u32| (0..count).map(|n| n.to_string()).collect::<Vec<_>>();
+    let read =
+        |count| value::list(|item| value::number(0..=u32::MAX)(item))(&numbers(count).join(","));
+    assert_eq!(read(1_024).unwrap().len(), 1_024);
+    expect!["a list of at most 1024 items"].assert_eq(&read(1_025).unwrap_err());
+}
+
+#[test]
+fn files_that_cannot_be_settings_are_refused() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let limit = 4 << 20;
+    let comment = |length: usize| [b";".as_slice(), &vec![b'x'; length - 1]].concat();
+    let rows = [
+        ("limit.ini", Some(comment(limit)), "ok"),
+        ("huge.ini", Some(comment(limit + 1)), "file too large"),
+        (
+            "bytes.ini",
+            Some(vec![b'[', 0xff, b']']),
+            "invalid utf-8 sequence",
+        ),
+        ("gone.ini", None, "No such file"),
+    ];
+    for (name, content, expected) in rows {
+        let path = folder.join(name);
+        if let Some(content) = content {
+            fs::write(&path, content).unwrap();
+        }
+        let seen = match Document::read(&path) {
+            Ok(_) => "ok".to_owned(),
+            Err(fault) => fault.to_string(),
+        };
+        assert!(seen.contains(expected), "{seen}");
+        assert!(seen == "ok" || seen.contains(name), "{seen}");
+    }
+}
+
+#[test]
+fn hundreds_of_thousands_of_sections_and_keys_are_read() {
+    let sections: String = (0..300_000).map(|n| format!("[s{n}]\n")).collect();
+    assert!(Document::parse("a.ini", &sections).is_ok());
+    let keys: String = (0..300_000).map(|n| format!("k{n}=\n")).collect();
+    assert!(Document::parse("a.ini", &format!("[s]\n{keys}")).is_ok());
+}
