Prove the bundle: faults by line, canonical fixed point, signatures; mend what failed

The new tables against the old source: the fixed-point property failed (the order of a service's failure domains changed the digest), faults found by comparing sections named no line (an address that two services hold, a service without any failure domain, too many of one thing), counting a version past the highest one panicked, a forced bundle made every later one forced, and a plain bundle with [signature] was told that [signature] is allowed. Ruled out: truncating a deadline that is no whole number of milliseconds. It would make two texts of one meaning; it is refused instead, as are service addresses that name no single host. Change: failure domains of a service are sorted; checks across sections run while the places are at hand, so each names file, line and key; taking a failure domain out withdraws force; public_key reads a key for settings and refuses weak keys and numbers that are no point of the curve.

--- a/crates/buckthornweir_bundle/src/fault.rs
+++ b/crates/buckthornweir_bundle/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use buckthornweir_settings::Place;
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
@@ -20,22 +21,22 @@
             source(source)
         }
         /// Two services hold the same address.
-        AddressTaken { file: SmolStr, address: SocketAddr, first: SmolStr, second: SmolStr } {
-            display("{file}: address {address} stands in service {first} and in service {second}; \
+        AddressTaken { place: Box<Place>, address: SocketAddr, holder: SmolStr } {
+            display("{place} holds {address}, which service {holder} holds; \
                      allowed: one service for an address")
         }
         /// A service would have no failure domain that is in.
-        NoDomainLeft { file: SmolStr, service: SmolStr } {
-            display("{file}: service {service} has no failure domain that is in; \
+        NoDomainLeft { place: Box<Place> } {
+            display("{place} leaves no failure domain that is in; \
                      allowed: at least one, or force = yes in [bundle]")
         }
-        /// The bundle has more of something than a process holds.
-        TooMany { file: SmolStr, what: &'static str, count: usize, limit: usize } {
-            display("{file}: {count} {what}; allowed: at most {limit}")
+        /// The bundle has more of something than a process holds; the place is the first one over.
+        TooMany { place: Box<Place>, what: &'static str, limit: usize } {
+            display("{place} is one too many; allowed: at most {limit} {what}")
         }
         /// The bundle has no signature.
         Unsigned { file: SmolStr } {
-            display("{file}: section [signature] is missing; sign the bundle first")
+            display("{file}: section [signature] is missing; allowed: a signed bundle")
         }
         /// The key that signed is not among the trusted ones.
         UnknownKey { key: SmolStr } {
--- a/crates/buckthornweir_bundle/src/lib.rs
+++ b/crates/buckthornweir_bundle/src/lib.rs
@@ -37,7 +37,7 @@
 pub use difference::{Change, differences};
 pub use fault::{Fault, Result};
 pub use model::{Bundle, Domain, DomainName, Protocol, Service, ServiceName, Version};
-pub use signature::{PublicKey, SignedBundle, SigningKey, Trust};
+pub use signature::{PublicKey, SignedBundle, SigningKey, Trust, public_key};
 
 /// Names that most users of this crate import.
 pub mod prelude {
--- a/crates/buckthornweir_bundle/src/model.rs
+++ b/crates/buckthornweir_bundle/src/model.rs
@@ -100,13 +100,17 @@
     }
 
     /// Returns the bundle with the next version and the failure domain `name` in or out, or `None`
-    /// when there is no such failure domain.
+    /// when there is no such failure domain or no higher version.
+    ///
+    /// Taking a failure domain out withdraws `force`: what an earlier bundle was allowed does not
+    /// allow this one to leave a service without any failure domain.
     #[must_use]
     pub fn with_domain_out(&self, name: &str, out: bool) -> Option<Self> {
         let mut next = self.clone();
         let domain = next.domains.iter_mut().find(|d| d.name == name)?;
         domain.out = out;
-        next.version += 1;
+        next.version = self.version.checked_add(1)?;
+        next.force = self.force && !out;
         Some(next)
     }
 }
--- a/crates/buckthornweir_bundle/src/parse.rs
+++ b/crates/buckthornweir_bundle/src/parse.rs
@@ -1,13 +1,15 @@
 //! Reads a bundle from INI text.
 
-use std::net::SocketAddr;
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use buckthornweir_settings::{Document, Section, value};
+use buckthornweir_settings::{Document, Place, Section, value};
 use smol_str::SmolStr;
 
 use crate::fault::{Fault, Result};
-use crate::model::{Bundle, Domain, Protocol, Service};
+use crate::model::{Bundle, Domain, Protocol, Service, Version};
 
 /// The most failure domains of a bundle.
 const DOMAIN_LIMIT: usize = 64;
@@ -15,8 +17,14 @@
 /// The most services of a bundle.
 const SERVICE_LIMIT: usize = 4_096;
 
-/// The sections of a bundle, as faults list them.
-pub(crate) const SECTIONS: &str = "[bundle], [domain NAME], [service NAME], [signature]";
+/// The highest version, so that a client never has to count past what fits.
+const VERSION_LIMIT: Version = Version::MAX - 1;
+
+/// The sections of a bundle without a signature, as faults list them.
+const SECTIONS: &str = "[bundle], [domain NAME], [service NAME]";
+
+/// The sections of a signed bundle, as faults list them.
+pub(crate) const SIGNED_SECTIONS: &str = "[bundle], [domain NAME], [service NAME], [signature]";
 
 impl Bundle {
     /// Reads and checks a bundle without a signature; `file` is the name used in faults.
@@ -34,29 +42,42 @@
 
 /// Takes all sections but the signature.
 pub(crate) fn read_bundle(document: &mut Document) -> Result<Bundle> {
-    let file = document.file().clone();
     let mut head = document.take("bundle")?;
-    let version = head.required("version", value::number(1..=u64::MAX - 1))?;
+    let version = head.required("version", value::number(1..=VERSION_LIMIT))?;
     let force = head.or("force", false, value::yes_no)?;
     head.finish()?;
+    let sections = document.take_all("domain");
+    check_count(&sections, "failure domains", DOMAIN_LIMIT)?;
     let mut domains = Vec::new();
-    for section in document.take_all("domain") {
+    for section in sections {
         domains.push(read_domain(section)?);
     }
+    let sections = document.take_all("service");
+    check_count(&sections, "services", SERVICE_LIMIT)?;
     let mut services = Vec::new();
-    for section in document.take_all("service") {
+    for section in sections {
         services.push(read_service(section, &domains)?);
     }
+    check_addresses(&services)?;
+    if !force {
+        check_domains(&services, &domains)?;
+    }
+    let mut services: Vec<Service> = services.into_iter().map(|read| read.service).collect();
     domains.sort_by(|a, b| a.name.cmp(&b.name));
     services.sort_by(|a, b| a.name.cmp(&b.name));
-    let bundle = Bundle {
+    Ok(Bundle {
         version,
         force,
         domains,
         services,
-    };
-    check(&file, &bundle)?;
-    Ok(bundle)
+    })
+}
+
+/// A service with the places that later checks name.
+struct ReadService {
+    service: Service,
+    addresses: Box<Place>,
+    domains: Box<Place>,
 }
 
 fn read_domain(mut section: Section) -> Result<Domain> {
@@ -68,9 +89,9 @@
     Ok(Domain { name, region, out })
 }
 
-fn read_service(mut section: Section, domains: &[Domain]) -> Result<Service> {
+fn read_service(mut section: Section, domains: &[Domain]) -> Result<ReadService> {
     let name = label(&section)?;
-    let addresses = section.required("addresses", value::list(value::address))?;
+    let addresses = section.required("addresses", value::list(service_address))?;
     let protocols = [("http", Protocol::Http), ("tcp", Protocol::Tcp)];
     let protocol = section.or("protocol", Protocol::Http, value::one_of(&protocols))?;
     let known = |item: &str| known_domain(item, domains);
@@ -83,25 +104,52 @@
     let deadline = section.or(
         "deadline",
         Duration::from_secs(10),
-        value::duration(deadline_range),
+        whole_millis(deadline_range),
     )?;
-    section.finish()?;
-    Ok(Service {
+    let service = Service {
         name,
         addresses: sorted(addresses),
         protocol,
-        domains,
+        domains: sorted(domains),
         slots,
         cold,
         connections,
         queue,
         deadline,
-    })
+    };
+    let read = ReadService {
+        service,
+        addresses: section.place_of("addresses"),
+        domains: section.place_of("domains"),
+    };
+    section.finish()?;
+    Ok(read)
 }
 
-fn sorted(mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
-    addresses.sort();
-    addresses
+fn sorted<T: Ord>(mut items: Vec<T>) -> Vec<T> {
+    items.sort();
+    items
+}
+
+/// Reads an address that callers can send to.
+fn service_address(item: &str) -> value::Result<SocketAddr> {
+    let address = value::address(item)?;
+    let ip = address.ip();
+    if ip.is_unspecified() || ip.is_multicast() || ip == IpAddr::from([255; 4]) {
+        return Err("the address of one host with a port, such as 10.0.0.1:80".into());
+    }
+    Ok(address)
+}
+
+/// Returns a reader of a length of time in whole milliseconds, as the canonical text writes it.
+fn whole_millis(range: RangeInclusive<Duration>) -> impl FnOnce(&str) -> value::Result<Duration> {
+    move |text| {
+        let time = value::duration(range)(text)?;
+        if time.subsec_nanos() % 1_000_000 != 0 {
+            return Err("a length of time in whole milliseconds".into());
+        }
+        Ok(time)
+    }
 }
 
 fn label(section: &Section) -> Result<SmolStr> {
@@ -115,56 +163,45 @@
         return Ok(item.into());
     }
     let known: Vec<&str> = domains.iter().map(|d| d.name.as_str()).collect();
-    Err(format!("one of {}", known.join(", ")))
-}
-
-fn check(file: &SmolStr, bundle: &Bundle) -> Result<()> {
-    check_count(file, "failure domains", bundle.domains.len(), DOMAIN_LIMIT)?;
-    check_count(file, "services", bundle.services.len(), SERVICE_LIMIT)?;
-    check_addresses(file, bundle)?;
-    check_domains(file, bundle)
+    match known.as_slice() {
+        [] => Err("the name of a [domain NAME] section".into()),
+        _ => Err(format!("one of {}", known.join(", "))),
+    }
 }
 
-fn check_count(file: &SmolStr, what: &'static str, count: usize, limit: usize) -> Result<()> {
-    if count <= limit {
-        return Ok(());
+fn check_count(sections: &[Section], what: &'static str, limit: usize) -> Result<()> {
+    match sections.get(limit) {
+        None => Ok(()),
+        Some(section) => Err(Fault::TooMany {
+            place: section.place_of(""),
+            what,
+            limit,
+        }),
     }
-    Err(Fault::TooMany {
-        file: file.clone(),
-        what,
-        count,
-        limit,
-    })
 }
 
-fn check_addresses(file: &SmolStr, bundle: &Bundle) -> Result<()> {
-    let mut seen: Vec<(SocketAddr, &SmolStr)> = Vec::new();
-    for service in &bundle.services {
-        seen.extend(service.addresses.iter().map(|a| (*a, &service.name)));
-    }
-    seen.sort();
-    for pair in seen.windows(2) {
-        if pair[0].0 == pair[1].0 {
-            return Err(Fault::AddressTaken {
-                file: file.clone(),
-                address: pair[0].0,
-                first: pair[0].1.clone(),
-                second: pair[1].1.clone(),
-            });
+fn check_addresses(services: &[ReadService]) -> Result<()> {
+    let mut holders: HashMap<SocketAddr, &SmolStr> = HashMap::new();
+    for read in services {
+        for address in &read.service.addresses {
+            if let Some(holder) = holders.insert(*address, &read.service.name) {
+                return Err(Fault::AddressTaken {
+                    place: read.addresses.clone(),
+                    address: *address,
+                    holder: holder.clone(),
+                });
+            }
         }
     }
     Ok(())
 }
 
-fn check_domains(file: &SmolStr, bundle: &Bundle) -> Result<()> {
-    if bundle.force {
-        return Ok(());
-    }
-    for service in &bundle.services {
-        if service.domains.iter().all(|d| bundle.is_out(d)) {
+fn check_domains(services: &[ReadService], domains: &[Domain]) -> Result<()> {
+    let is_in = |name: &SmolStr| domains.iter().any(|d| d.name == *name && !d.out);
+    for read in services {
+        if !read.service.domains.iter().any(is_in) {
             return Err(Fault::NoDomainLeft {
-                file: file.clone(),
-                service: service.name.clone(),
+                place: read.domains.clone(),
             });
         }
     }
--- a/crates/buckthornweir_bundle/src/signature.rs
+++ b/crates/buckthornweir_bundle/src/signature.rs
@@ -7,11 +7,25 @@
 use crate::canonical::{Digest, canonical_text, digest_of};
 use crate::fault::{Fault, Result};
 use crate::model::Bundle;
-use crate::parse::{SECTIONS, read_bundle};
+use crate::parse::{SIGNED_SECTIONS, read_bundle};
 
 /// An Ed25519 public key.
 pub type PublicKey = [u8; 32];
 
+/// Reads a public key that can be trusted, for the settings of a node.
+///
+/// # Errors
+///
+/// Returns what is allowed, for a text that is not an Ed25519 public key and for a weak key, under
+/// which one signature could fit several texts.
+pub fn public_key(text: &str) -> value::Result<PublicKey> {
+    let bytes: PublicKey = value::hex(text)?;
+    match VerifyingKey::from_bytes(&bytes) {
+        Ok(key) if !key.is_weak() => Ok(bytes),
+        _ => Err("an Ed25519 public key, as keygen prints it".into()),
+    }
+}
+
 /// The key of an operator who signs bundles off.
 pub struct SigningKey {
     key: ed25519_dalek::SigningKey,
@@ -104,7 +118,7 @@
         let signature = section.required("value", value::hex)?;
         section.finish()?;
         let bundle = read_bundle(&mut document)?;
-        document.finish(SECTIONS)?;
+        document.finish(SIGNED_SECTIONS)?;
         Ok(Self {
             digest: digest_of(&canonical_text(&bundle)),
             bundle,
--- /dev/null
+++ b/crates/buckthornweir_bundle/tests/canonical.rs
@@ -0,0 +1,197 @@
+//! The canonical text is a fixed point, and no text makes the parser panic.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use buckthornweir_bundle::prelude::*;
+use buckthornweir_bundle::{canonical_text, digest_of};
+use proptest::collection::{btree_set, vec};
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn runner(cases: u32) -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[31; 32]);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// Makes the parts of a service that do not name other parts of the bundle.
+fn limits() -> impl Strategy<Value = Service> {
+    let protocol = select(vec![Protocol::Tcp, Protocol::Http]);
+    let slots = (1_u32..=1_000).prop_flat_map(|slots| (Just(slots), 1..=slots));
+    let others = (1_u32..=100_000, 0_u32..=10_000, 10_u64..=3_600_000);
+    (protocol, slots, others).prop_map(|(protocol, slots, others)| Service {
+        name: "".into(),
+        addresses: Vec::new(),
+        protocol,
+        domains: Vec::new(),
+        slots: slots.0,
+        cold: slots.1,
+        connections: others.0,
+        queue: others.1,
+        deadline: Duration::from_millis(others.2),
+    })
+}
+
+fn bundles() -> impl Strategy<Value = Bundle> {
+    let domains = btree_set("[a-z0-9-]{1,8}", 1..6);
+    let services = vec((limits(), 1_usize..4, vec(any::<Index>(), 1..4)), 0..6);
+    let outs = vec(any::<bool>(), 6);
+    (1..u64::MAX, domains, outs, services).prop_map(|(version, names, outs, services)| {
+        let names: Vec<_> = names.into_iter().collect();
+        let domains = names.iter().zip(outs);
+        let domains = domains.map(|(name, out)| Domain {
+            name: name.into(),
+            region: "r".into(),
+            out,
+        });
+        let services = services.into_iter().enumerate();
+        let services = services.map(|(n, (limits, addresses, picks))| {
+            let mut domains: Vec<_> = picks.iter().map(|i| i.get(&names).into()).collect();
+            domains.sort();
+            domains.dedup();
+            Service {
+                name: format!("s{n}").into(),
+                addresses: (0..addresses).map(|a| address(n, a)).collect(),
+                domains,
+                ..limits
+            }
+        });
+        Bundle {
+            version,
+            force: true,
+            domains: domains.collect(),
+            services: services.collect(),
+        }
+    })
+}
+
+fn address(service: usize, number: usize) -> SocketAddr {
+    let text = match number {
+        0 => format!("10.0.0.{service}:80"),
+        _ => format!("[fd00::{service}]:{number}"),
+    };
+    text.parse().unwrap()
+}
+
+/// Writes a bundle's text with its sections, keys and list items in reverse, spaced and commented.
+fn disordered(text: &str) -> String {
+    let mut sections: Vec<&str> = text.split("\n\n").collect();
+    sections.reverse();
+    let mut disordered = String::new();
+    for section in sections {
+        let mut lines = section.lines();
+        let header = lines.next().unwrap().replace(' ', "   ");
+        disordered += &format!("; note\n\n{header}\r\n");
+        for line in lines.rev() {
+            let (key, value) = line.split_once(" = ").unwrap();
+            let items: Vec<&str> = value.rsplit(", ").collect();
+            disordered += &format!("{key}=\t{}  \n", items.join(" ,"));
+        }
+    }
+    disordered
+}
+
+#[test]
+fn the_canonical_text_is_a_fixed_point() {
+    let property = |bundle: Bundle| {
+        let text = canonical_text(&bundle);
+        for input in [text.clone(), disordered(&text)] {
+            let read =
+                Bundle::parse("b.ini", &input).map_err(|f| TestCaseError::fail(f.to_string()))?;
+            prop_assert_eq!(&read, &bundle);
+            prop_assert_eq!(digest_of(&canonical_text(&read)), digest_of(&text));
+        }
+        Ok(())
+    };
+    runner(256).run(&bundles(), property).unwrap();
+}
+
+#[test]
+fn no_text_makes_the_parser_panic() {
+    let words = [
+        "[bundle]",
+        "[service a]",
+        "[domain a]",
+        "[signature]",
+        "version",
+        "addresses",
+        "domains",
+        "deadline",
+        "region",
+        "key",
+        "value",
+        "=",
+        " = ",
+        "\n",
+        "\r",
+        "a",
+        "1",
+        "10.0.0.1:80",
+        "99999999999999999999y",
+        "[",
+        "]",
+        ";",
+        ",",
+        "\0",
+        "ü",
+        "\u{feff}",
+    ];
+    let pieces =
+        prop_oneof![3 => select(words.to_vec()).prop_map(str::to_owned), 1 => any::<String>()];
+    let texts = vec(pieces, 0..60).prop_map(|pieces| pieces.concat());
+    let property = |text: String| {
+        if let Ok(bundle) = Bundle::parse("b.ini", &text) {
+            prop_assert!(Bundle::parse("b.ini", &canonical_text(&bundle)).is_ok());
+        }
+        let _ = SignedBundle::parse("b.ini", &text);
+        Ok(())
+    };
+    runner(4_096).run(&texts, property).unwrap();
+}
+
+#[test]
+fn a_bundle_with_some_characters_changed_never_panics() {
+    let bundle = "[bundle]\nversion = 1\n[domain a]\nregion = r\n[service s]\n\
+                  addresses = 10.0.0.1:80\ndomains = a\ndeadline = 1s\n";
+    let changes = vec((any::<Index>(), any::<char>()), 1..6);
+    let property = |changes: Vec<(Index, char)>| {
+        let mut characters: Vec<char> = bundle.chars().collect();
+        for (at, character) in changes {
+            let at = at.index(characters.len());
+            characters[at] = character;
+        }
+        let text: String = characters.into_iter().collect();
+        let _ = Bundle::parse("b.ini", &text);
+        Ok(())
+    };
+    runner(4_096).run(&changes, property).unwrap();
+}
+
+#[test]
+fn the_largest_size_of_the_target_is_read() {
+    let mut text = "[bundle]\nversion = 1\n".to_owned();
+    for domain in 0..7 {
+        text += &format!("[domain d{domain}]\nregion = r\n");
+    }
+    for n in 0..1_100 {
+        let (high, low) = (n / 256, n % 256);
+        text += &format!(
+            "[service s{n}]\naddresses = 10.0.{high}.{low}:80\ndomains = d{}\n",
+            n % 7
+        );
+    }
+    let bundle = Bundle::parse("b.ini", &text).unwrap();
+    assert_eq!(bundle.services.len(), 1_100);
+    assert_eq!(
+        Bundle::parse("b.ini", &canonical_text(&bundle)).unwrap(),
+        bundle
+    );
+}
