Prove links and datagrams against a process in the middle; mend what failed

Against the old source: a send that was cancelled while the connection was full took a frame number that was never sent, so the next frame was refused as forged; a stranger without the key got as far as an open link, and could make the other end reserve 4 MiB for a frame by its length alone (length-delimited codecs reserve before they read). An IPv6 packet shorter than its header was taken as a packet. Ruled out: binding the link's key to the acceptor's address, which would also stop a link from being redirected to another holder of the key. It would break behind any address translation. Change: after the random numbers each end shows a proof of the link's key before anything longer is read or sent; Link::accept and Link::dial return Forged for another key. A frame takes its number only once the connection has room. Datagrams are tagged by a key of their own, so no key tags two kinds of messages.

--- a/crates/buckthornweir_wire/src/encapsulation.rs
+++ b/crates/buckthornweir_wire/src/encapsulation.rs
@@ -6,8 +6,11 @@
 /// The largest datagram in bytes that is taken from the fabric.
 pub const DATAGRAM_LIMIT: usize = 9_216;
 
-/// The smallest IP packet in bytes.
-const PACKET_MINIMUM: usize = 20;
+/// The length in bytes of an IPv4 header without options.
+const IPV4_HEADER: usize = 20;
+
+/// The length in bytes of an IPv6 header.
+const IPV6_HEADER: usize = 40;
 
 /// Returns the IP packet in a datagram of the fabric.
 ///
@@ -17,17 +20,22 @@
 /// payload's first bits are the version of neither IPv4 nor IPv6.
 pub fn inner_packet(datagram: &[u8]) -> Result<&[u8]> {
     let length = datagram.len();
-    if length < PACKET_MINIMUM {
-        return Err(WireError::Short { length });
-    }
     if length > DATAGRAM_LIMIT {
         return Err(WireError::Long {
             length,
             limit: DATAGRAM_LIMIT,
         });
     }
-    match datagram[0] >> 4 {
-        4 | 6 => Ok(datagram),
-        _ => Err(WireError::NotEncapsulated { first: datagram[0] }),
+    let Some(&first) = datagram.first() else {
+        return Err(WireError::Short { length });
+    };
+    let header = match first >> 4 {
+        4 => IPV4_HEADER,
+        6 => IPV6_HEADER,
+        _ => return Err(WireError::NotEncapsulated { first }),
+    };
+    if length < header {
+        return Err(WireError::Short { length });
     }
+    Ok(datagram)
 }
--- a/crates/buckthornweir_wire/src/envelope.rs
+++ b/crates/buckthornweir_wire/src/envelope.rs
@@ -99,7 +99,7 @@
     bytes.extend_from_slice(&[0; TAG_BYTES]);
     // Encoding into a vector cannot fail.
     let _ = envelope.encode(&mut bytes);
-    let tag = key.tag(&[b"", &bytes[TAG_BYTES..]]);
+    let tag = key.for_datagrams().tag(&[&bytes[TAG_BYTES..]]);
     bytes[..TAG_BYTES].copy_from_slice(&tag);
     bytes
 }
@@ -110,6 +110,6 @@
 ///
 /// Returns [`WireError::Short`], [`WireError::Forged`] or [`WireError::Malformed`].
 pub fn open(key: &ClusterKey, datagram: &[u8]) -> Result<Envelope> {
-    let bytes = key.check(b"", datagram)?;
+    let bytes = key.for_datagrams().check(b"", datagram)?;
     Ok(Envelope::decode(bytes)?)
 }
--- a/crates/buckthornweir_wire/src/link.rs
+++ b/crates/buckthornweir_wire/src/link.rs
@@ -1,10 +1,13 @@
 //! Long-lived links between processes over TCP: authenticated frames in both directions.
 
+use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{Sink, StreamExt};
 use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -14,7 +17,7 @@
 
 use crate::envelope::Envelope;
 use crate::fault::{Result, WireError};
-use crate::key::{ClusterKey, TAG_BYTES};
+use crate::key::{ClusterKey, TAG_BYTES, TagKey};
 
 /// The largest frame in bytes.
 pub const FRAME_LIMIT: usize = 4 << 20;
@@ -22,6 +25,16 @@
 /// The length in bytes of the random number that each end sends first.
 const NONCE_BYTES: usize = 32;
 
+/// The random number of one end.
+type Nonce = [u8; NONCE_BYTES];
+
+/// The number of the first frame. The number before it belongs to the proof of the key that ends
+/// the handshake.
+const FIRST_FRAME: u64 = 1;
+
+/// The number under which the proof of the key is tagged.
+const PROOF: u64 = 0;
+
 /// A link to another process.
 #[derive(Debug)]
 pub struct Link {
@@ -33,7 +46,7 @@
 #[derive(Debug)]
 pub struct LinkReader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    key: ClusterKey,
+    key: TagKey,
     direction: u8,
     count: u64,
 }
@@ -42,7 +55,7 @@
 #[derive(Debug)]
 pub struct LinkWriter {
     frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    key: ClusterKey,
+    key: TagKey,
     direction: u8,
     count: u64,
 }
@@ -54,49 +67,55 @@
 const FROM_ACCEPTOR: u8 = 2;
 
 impl Link {
-    /// Connects to `peer`, giving up after `limit`.
+    /// Connects to `peer`, giving up after `limit`. Both ends have shown that they hold the key
+    /// when this returns.
     ///
     /// # Errors
     ///
-    /// Returns [`WireError::Io`] or [`WireError::TimedOut`].
+    /// Returns [`WireError::Forged`] when the other end has another key, [`WireError::Io`] or
+    /// [`WireError::TimedOut`].
     pub async fn dial(peer: SocketAddr, key: &ClusterKey, limit: Duration) -> Result<Self> {
         let work = async {
             let mut stream = TcpStream::connect(peer).await?;
             let (own, other) = exchange_nonces(&mut stream).await?;
             let key = key.for_link(&own, &other);
+            exchange_proofs(&mut stream, &key, FROM_DIALER, FROM_ACCEPTOR).await?;
             Ok(Self::new(stream, key, FROM_DIALER, FROM_ACCEPTOR))
         };
         within(limit, work).await
     }
 
-    /// Takes a connection that another process dialed, giving up after `limit`.
+    /// Takes a connection that another process dialed, giving up after `limit`. Both ends have
+    /// shown that they hold the key when this returns; nothing longer is read before.
     ///
     /// # Errors
     ///
-    /// Returns [`WireError::Io`] or [`WireError::TimedOut`].
+    /// Returns [`WireError::Forged`] when the other end has another key, [`WireError::Io`] or
+    /// [`WireError::TimedOut`].
     pub async fn accept(mut stream: TcpStream, key: &ClusterKey, limit: Duration) -> Result<Self> {
         let work = async {
             let (own, other) = exchange_nonces(&mut stream).await?;
             let key = key.for_link(&other, &own);
+            exchange_proofs(&mut stream, &key, FROM_ACCEPTOR, FROM_DIALER).await?;
             Ok(Self::new(stream, key, FROM_ACCEPTOR, FROM_DIALER))
         };
         within(limit, work).await
     }
 
-    fn new(stream: TcpStream, key: ClusterKey, sends: u8, receives: u8) -> Self {
+    fn new(stream: TcpStream, key: TagKey, sends: u8, receives: u8) -> Self {
         let (read, write) = stream.into_split();
         Self {
             reader: LinkReader {
                 frames: FramedRead::new(read, codec()),
                 key: key.clone(),
                 direction: receives,
-                count: 0,
+                count: FIRST_FRAME,
             },
             writer: LinkWriter {
                 frames: FramedWrite::new(write, codec()),
                 key,
                 direction: sends,
-                count: 0,
+                count: FIRST_FRAME,
             },
         }
     }
@@ -145,7 +164,8 @@
 }
 
 impl LinkWriter {
-    /// Sends one message.
+    /// Sends one message. When this is cancelled, the message is sent whole or not at all, and the
+    /// link stays usable.
     ///
     /// # Errors
     ///
@@ -158,13 +178,28 @@
                 limit: FRAME_LIMIT,
             });
         }
-        let body = envelope.encode_to_vec();
-        let tag = self.key.tag(&[&prefix(self.direction, self.count), &body]);
-        self.count += 1;
+        poll_fn(|cx| self.frames().poll_ready(cx)).await?;
+        let frame = self.frame(envelope, length);
+        self.frames().start_send(frame)?;
+        Ok(poll_fn(|cx| self.frames().poll_flush(cx)).await?)
+    }
+
+    /// Returns the frames as a sink of one type.
+    fn frames(&mut self) -> Pin<&mut impl Sink<Bytes, Error = io::Error>> {
+        Pin::new(&mut self.frames)
+    }
+
+    /// Writes the next frame. It must be sent, since it takes a number.
+    fn frame(&mut self, envelope: &Envelope, length: usize) -> Bytes {
         let mut frame = Vec::with_capacity(length);
-        frame.extend_from_slice(&tag);
-        frame.extend_from_slice(&body);
-        Ok(self.frames.send(Bytes::from(frame)).await?)
+        frame.extend_from_slice(&[0; TAG_BYTES]);
+        // Encoding into a vector cannot fail.
+        let _ = envelope.encode(&mut frame);
+        let prefix = prefix(self.direction, self.count);
+        let tag = self.key.tag(&[&prefix, &frame[TAG_BYTES..]]);
+        frame[..TAG_BYTES].copy_from_slice(&tag);
+        self.count += 1;
+        Bytes::from(frame)
     }
 }
 
@@ -180,15 +215,30 @@
     prefix
 }
 
-async fn exchange_nonces(stream: &mut TcpStream) -> Result<([u8; NONCE_BYTES], [u8; NONCE_BYTES])> {
+/// Sends a fresh random number and returns it with that of the other end.
+async fn exchange_nonces(stream: &mut TcpStream) -> Result<(Nonce, Nonce)> {
     stream.set_nodelay(true)?;
-    let own: [u8; NONCE_BYTES] = rand::random();
+    let own: Nonce = rand::random();
     let mut other = [0; NONCE_BYTES];
     stream.write_all(&own).await?;
     stream.read_exact(&mut other).await?;
     Ok((own, other))
 }
 
+/// Shows the other end that this one holds the key, and checks that the other end does.
+async fn exchange_proofs(
+    stream: &mut TcpStream,
+    key: &TagKey,
+    sends: u8,
+    receives: u8,
+) -> Result<()> {
+    let mut other = [0; TAG_BYTES];
+    stream.write_all(&key.tag(&[&prefix(sends, PROOF)])).await?;
+    stream.read_exact(&mut other).await?;
+    key.check(&prefix(receives, PROOF), &other)?;
+    Ok(())
+}
+
 async fn within<T>(limit: Duration, work: impl Future<Output = Result<T>>) -> Result<T> {
     match timeout(limit, work).await {
         Ok(result) => result,
--- /dev/null
+++ b/crates/buckthornweir_wire/tests/datagrams.rs
@@ -0,0 +1,218 @@
+//! Datagrams: only what a holder of the key sealed is opened, and no bytes make a decoder panic.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use buckthornweir_events::Stamp;
+use buckthornweir_flows::messages::{FlowBody, FlowMessage, Forward};
+use buckthornweir_wire::prelude::*;
+use buckthornweir_wire::{
+    DATAGRAM_LIMIT, MemberRow, MembersReply, OperatorMessage, PushOutcome, PushReply, PushRequest,
+    Reply, Request, TAG_BYTES, inner_packet,
+};
+use expect_test::{Expect, expect};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use prost::Message;
+
+fn runner(cases: u32) -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, rng)
+}
+
+fn key(byte: u8) -> ClusterKey {
+    ClusterKey::new([byte; 32])
+}
+
+/// Returns one envelope of each kind.
+fn envelopes() -> Vec<Envelope> {
+    let forward = Forward {
+        service: "orders".into(),
+        bundle_version: 7,
+        packet: vec![0x45; 64],
+        ..Forward::default()
+    };
+    let flow = FlowMessage {
+        body: Some(FlowBody::Forward(forward)),
+    };
+    let push = PushRequest {
+        text: "[bundle]".into(),
+    };
+    let rows = vec![MemberRow::default(); 3];
+    let answer = OperatorMessage::answer(4, Reply::Members(MembersReply { rows }));
+    let bodies = [
+        Body::Heartbeat(Heartbeat {}),
+        Body::Flow(flow),
+        Body::Members(vec![1, 2, 3]),
+        Body::Quorum(vec![]),
+        Body::Request(Box::default()),
+        Body::Operator(Box::new(OperatorMessage::ask(4, Request::Push(push)))),
+        Body::Operator(Box::new(answer)),
+    ];
+    let stamp = Stamp {
+        millis: u64::MAX,
+        counter: 9,
+    };
+    let envelope = |body| Envelope::new(3, body).with_stamp(stamp);
+    bodies.into_iter().map(envelope).collect()
+}
+
+fn outcome(read: &Result<Envelope, WireError>) -> &'static str {
+    match read {
+        Ok(_) => "ok",
+        Err(WireError::Short { .. }) => "short",
+        Err(WireError::Forged) => "forged",
+        Err(WireError::Malformed(_)) => "malformed",
+        Err(_) => "other",
+    }
+}
+
+#[test]
+fn each_kind_of_message_comes_back_as_it_was() {
+    for envelope in envelopes() {
+        let datagram = seal(&key(1), &envelope);
+        let read = open(&key(1), &datagram).unwrap();
+        assert_eq!(read, envelope);
+        assert_eq!(read.stamp().counter, 9);
+        assert_eq!(datagram.len(), TAG_BYTES + envelope.encoded_len());
+    }
+}
+
+#[test]
+fn a_flipped_bit_a_cut_or_another_key_is_noticed() {
+    for envelope in envelopes() {
+        let datagram = seal(&key(1), &envelope);
+        assert_eq!(outcome(&open(&key(2), &datagram)), "forged");
+        for bit in 0..8 * datagram.len() {
+            let mut flipped = datagram.clone();
+            flipped[bit / 8] ^= 1 << (bit % 8);
+            assert_eq!(outcome(&open(&key(1), &flipped)), "forged", "bit {bit}");
+        }
+        for length in 0..datagram.len() {
+            let expected = if length < TAG_BYTES {
+                "short"
+            } else {
+                "forged"
+            };
+            assert_eq!(outcome(&open(&key(1), &datagram[..length])), expected);
+        }
+        let longer = [&datagram[..], &[0]].concat();
+        assert_eq!(outcome(&open(&key(1), &longer)), "forged");
+    }
+}
+
+#[test]
+fn a_message_of_an_unknown_kind_has_no_body() {
+    // Field 30, which no version has, with an empty message.
+    let unknown = Envelope::decode(&[0xf2, 0x01, 0x00][..]).unwrap();
+    assert!(matches!(unknown.into_body(), Err(WireError::Empty)));
+    let outcome = PushReply {
+        outcome: 99,
+        ..PushReply::default()
+    };
+    assert_eq!(outcome.outcome(), PushOutcome::Unspecified);
+}
+
+#[test]
+fn no_bytes_make_a_decoder_panic() {
+    let property = |bytes: Vec<u8>| {
+        prop_assert_ne!(outcome(&open(&key(1), &bytes)), "ok");
+        let _ = Envelope::decode(&bytes[..]);
+        let _ = OperatorMessage::decode(&bytes[..]);
+        if let Ok(packet) = inner_packet(&bytes) {
+            prop_assert_eq!(packet, &bytes[..]);
+        }
+        Ok(())
+    };
+    runner(8_192)
+        .run(&vec(any::<u8>(), 0..200), property)
+        .unwrap();
+}
+
+#[test]
+fn no_changed_message_makes_a_decoder_panic() {
+    let envelopes = envelopes();
+    let changes = (any::<Index>(), vec((any::<Index>(), any::<u8>()), 1..8));
+    let property = |(which, changes): (Index, Vec<(Index, u8)>)| {
+        let mut bytes = which.get(&envelopes).encode_to_vec();
+        for (at, byte) in changes {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        if let Ok(read) = Envelope::decode(&bytes[..]) {
+            prop_assert!(
+                read.encoded_len() <= 4 * bytes.len(),
+                "memory follows the bytes"
+            );
+        }
+        Ok(())
+    };
+    runner(8_192).run(&changes, property).unwrap();
+}
+
+#[test]
+fn a_message_cannot_claim_more_than_its_bytes_hold() {
+    // Lengths far over what follows, and messages in messages without end.
+    let claims: Vec<Vec<u8>> = vec![
+        vec![0x62, 0xff, 0xff, 0xff, 0xff, 0x0f],
+        vec![0x72, 0x80, 0x80, 0x80, 0x80, 0x08],
+        [0x5b; 4_096].to_vec(),
+        vec![0xff; 64],
+    ];
+    for claim in claims {
+        assert!(Envelope::decode(&claim[..]).is_err(), "{claim:02x?}");
+    }
+    let rows = MembersReply::decode(&[0x0a, 0x00].repeat(500)[..]).unwrap();
+    assert_eq!(rows.rows.len(), 500, "an entry takes two bytes at least");
+}
+
+#[test]
+fn only_one_ip_packet_is_taken_from_the_fabric() {
+    let packet = |first: u8, length: usize| vec![first; length];
+    let rows: Vec<(Vec<u8>, Expect)> = vec![
+        (packet(0x45, 20), expect!["20 bytes"]),
+        (packet(0x60, 40), expect!["40 bytes"]),
+        (packet(0x45, DATAGRAM_LIMIT), expect!["9216 bytes"]),
+        (
+            packet(0x45, 0),
+            expect!["a message of 0 bytes is too short"],
+        ),
+        (
+            packet(0x45, 19),
+            expect!["a message of 19 bytes is too short"],
+        ),
+        (
+            packet(0x60, 39),
+            expect!["a message of 39 bytes is too short"],
+        ),
+        (
+            packet(0x45, DATAGRAM_LIMIT + 1),
+            expect!["a message of 9217 bytes is over the limit of 9216"],
+        ),
+        (
+            packet(0x00, 40),
+            expect!["the datagram starts with 0x00, which is no IP packet"],
+        ),
+        (
+            packet(0x50, 40),
+            expect!["the datagram starts with 0x50, which is no IP packet"],
+        ),
+        (
+            packet(0xf0, 40),
+            expect!["the datagram starts with 0xf0, which is no IP packet"],
+        ),
+    ];
+    for (datagram, expected) in rows {
+        let seen = match inner_packet(&datagram) {
+            Ok(packet) => format!("{} bytes", packet.len()),
+            Err(error) => error.to_string(),
+        };
+        expected.assert_eq(&seen);
+    }
+}
