--- a/crates/buckthornweir_events/src/clock.rs
+++ b/crates/buckthornweir_events/src/clock.rs
@@ -40,7 +40,7 @@
     /// Moves the clock past a stamp that came with a message. Returns false when the stamp is more
     /// than [`DRIFT_LIMIT`] ahead of `wall` and was not followed.
     pub fn observe(&mut self, wall: Duration, seen: Stamp) -> bool {
-        if seen.millis > millis(wall + DRIFT_LIMIT) {
+        if seen.millis > millis(wall.saturating_add(DRIFT_LIMIT)) {
             return false;
         }
         self.last = self.last.max(seen);
--- a/crates/buckthornweir_events/src/event.rs
+++ b/crates/buckthornweir_events/src/event.rs
@@ -96,6 +96,24 @@
 }
 
 impl EventKind {
+    /// The names of all kinds.
+    pub const NAMES: [&'static str; 14] = [
+        "started",
+        "stopping",
+        "stopped",
+        "bundle-applied",
+        "bundle-refused",
+        "domain-out",
+        "domain-back",
+        "member-changed",
+        "role-changed",
+        "link-lost",
+        "backend-changed",
+        "flow-reset",
+        "flow-moved",
+        "request-ended",
+    ];
+
     /// Returns the name that `--kind` takes.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/buckthornweir_events/src/journal.rs
+++ b/crates/buckthornweir_events/src/journal.rs
@@ -35,11 +35,12 @@
 }
 
 impl Journal {
-    /// Returns an empty journal of the process called `node` that keeps `limit` events.
+    /// Returns an empty journal of the process called `node` that keeps `limit` events, at least
+    /// one.
     pub fn new(node: impl Into<SmolStr>, limit: usize) -> Self {
         Self {
             node: node.into(),
-            limit,
+            limit: limit.max(1),
             inner: Mutex::new(Inner::default()),
         }
     }
