--- a/crates/buckthornweir_bundle/src/fault.rs
+++ b/crates/buckthornweir_bundle/src/fault.rs
@@ -36,7 +36,7 @@
         }
         /// The bundle has no signature.
         Unsigned { file: SmolStr } {
-            display("{file}: section [signature] is missing; allowed: a signed bundle")
+            display("{file}: section [signature] is missing; sign the bundle first")
         }
         /// The key that signed is not among the trusted ones.
         UnknownKey { key: SmolStr } {
--- a/crates/buckthornweir_bundle/tests/signatures.rs
+++ b/crates/buckthornweir_bundle/tests/signatures.rs
@@ -162,7 +162,7 @@
         (
             "[signature]",
             "[signatures]".into(),
-            expect!["b.ini: section [signature] is missing; allowed: a signed bundle"],
+            expect!["b.ini: section [signature] is missing; sign the bundle first"],
         ),
     ];
     for (from, to, expected) in rows {
@@ -172,7 +172,7 @@
     let weakly = text.replace(&own, WEAK_KEY).replace(value, &weak);
     expect!["the signature by 0100000000000000000000000000000000000000000000000000000000000000 does not fit the bundle's text"].assert_eq(&outcome(&weakly, &trust));
     expect!["0200000000000000000000000000000000000000000000000000000000000000 is not an Ed25519 public key"].assert_eq(&outcome(&text.replace(&own, NO_POINT), &trust));
-    expect!["b.ini: section [signature] is missing; allowed: a signed bundle"]
+    expect!["b.ini: section [signature] is missing; sign the bundle first"]
         .assert_eq(&outcome(TEXT, &trust));
 }
 
