--- a/crates/buckthornweir_cli/tests/commands.rs
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -145,7 +145,7 @@
         &["domain", "out", "fj-west-a"],
         BAD_INPUT,
         &expect![[r#"
-            buckthornweir: the bundle was refused: push: service orders has no failure domain that is in; allowed: at least one, or force = yes in [bundle]
+            buckthornweir: the bundle was refused: push:16: [service orders] domains leaves no failure domain that is in; allowed: at least one, or force = yes in [bundle]
         "#]],
     );
     bench.run(
