--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -6,5 +6,7 @@
 mod disk;
 mod faults;
 mod founding;
+mod properties;
 mod replication;
+mod safety;
 mod search;
