--- a/crates/buckthornweir_events/src/lib.rs
+++ b/crates/buckthornweir_events/src/lib.rs
@@ -20,7 +20,7 @@
 pub use clock::{Clock, DRIFT_LIMIT, Stamp};
 pub use event::{Event, EventKind};
 pub use journal::{Filter, Journal, merge};
-pub use log::{LogError, LogFormat, start_logs};
+pub use log::{LogError, LogFormat, log_filter, start_logs};
 pub use metrics::{Count, Gauge, Metrics, MetricsError};
 
 /// Names that most users of this crate import.
--- a/crates/buckthornweir_events/src/log.rs
+++ b/crates/buckthornweir_events/src/log.rs
@@ -39,6 +39,19 @@
     Json,
 }
 
+/// Reads a filter for the settings of a process.
+///
+/// # Errors
+///
+/// Returns what is allowed.
+pub fn log_filter(text: &str) -> std::result::Result<SmolStr, &'static str> {
+    let understood = EnvFilter::try_new(text).is_ok();
+    if text.is_empty() || !understood {
+        return Err("a level such as info, or directives such as info,buckthornweir_daemon=debug");
+    }
+    Ok(text.into())
+}
+
 /// Starts logs to standard error; `filter` is a level such as `info`, or directives for modules.
 ///
 /// # Errors
