--- /dev/null
+++ b/crates/buckthornweir_flows/src/ownership/lookup.rs
@@ -0,0 +1,130 @@
+//! The search for the owner of one flow.
+
+use std::time::Duration;
+
+use super::held::Held;
+use crate::NodeId;
+use crate::messages::Forward;
+use crate::packet::PacketInfo;
+use crate::view::{AgentView, Suspect};
+
+/// Number of members that are asked first; each wave asks twice as many as the last one.
+const FIRST_WAVE: usize = 2;
+
+/// Time after which the next wave is asked, and members that haven't answered are asked again.
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+
+/// Longest time between two waves.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Time after which answers no longer count.
+pub(super) const LIFETIME: Duration = Duration::from_secs(10);
+
+/// The search for the owner of one flow.
+#[derive(Debug)]
+pub(super) struct Lookup {
+    pub(super) number: u64,
+    /// What [`AgentView::suspects_digest`](crate::view::AgentView::suspects_digest) gave at the start.
+    pub(super) digest: u64,
+    suspects: Vec<Suspect>,
+    /// For each suspect, whether it has said that it isn't the owner.
+    denied: Vec<bool>,
+    denials: usize,
+    pub(super) last: PacketInfo,
+    pub(super) held: Held,
+    /// Newest bundle version that an answer or a packet told.
+    pub(super) newest: u64,
+    asked: usize,
+    wait: Duration,
+    /// Time of the next wave.
+    pub(super) next: Duration,
+    started: Duration,
+    touched: Duration,
+}
+
+impl Lookup {
+    pub(super) fn new(number: u64, view: &AgentView, last: PacketInfo, now: Duration) -> Self {
+        let suspects = view.suspects(&last.tuple);
+        Self {
+            number,
+            digest: view.suspects_digest(),
+            denied: vec![false; suspects.len()],
+            denials: 0,
+            suspects,
+            last,
+            held: Held::default(),
+            newest: 0,
+            asked: 0,
+            wait: FIRST_WAIT,
+            next: now,
+            started: now,
+            touched: now,
+        }
+    }
+
+    /// Takes another packet of the flow.
+    pub(super) fn hold(&mut self, forward: &Forward, info: &PacketInfo, now: Duration) {
+        self.last = *info;
+        self.touched = now;
+        self.newest = self.newest.max(forward.bundle_version);
+        self.held.push(forward);
+    }
+
+    /// Starts over: earlier answers no longer count.
+    pub(super) fn restart(&mut self, number: u64, view: &AgentView, now: Duration) {
+        self.number = number;
+        self.digest = view.suspects_digest();
+        self.suspects = view.suspects(&self.last.tuple);
+        self.newest = 0;
+        self.denied = vec![false; self.suspects.len()];
+        self.denials = 0;
+        self.asked = 0;
+        self.wait = FIRST_WAIT;
+        self.next = now;
+        self.started = now;
+    }
+
+    /// Returns whether no packet has come for so long that the search is pointless.
+    pub(super) fn is_over(&self, now: Duration) -> bool {
+        now >= self.touched.saturating_add(LIFETIME)
+    }
+
+    /// Returns whether its first answers are too old to count.
+    pub(super) fn is_stale(&self, now: Duration) -> bool {
+        now >= self.started.saturating_add(LIFETIME)
+    }
+
+    /// Returns the members to ask now: those that haven't answered, and a wave of new ones.
+    pub(super) fn next_wave(&mut self, now: Duration) -> Vec<Suspect> {
+        let wave = self.asked.max(FIRST_WAVE);
+        self.asked = self.asked.saturating_add(wave).min(self.suspects.len());
+        self.next = now.saturating_add(self.wait);
+        self.wait = (self.wait * 2).min(MAX_WAIT);
+        let asked = self.suspects[..self.asked].iter().zip(&self.denied);
+        asked
+            .filter(|&(_, &is_denied)| !is_denied)
+            .map(|(suspect, _)| suspect.clone())
+            .collect()
+    }
+
+    /// Takes the answer that a member isn't the owner.
+    pub(super) fn deny(&mut self, node: NodeId) {
+        let mut asked = self.suspects[..self.asked].iter();
+        let index = asked.position(|suspect| suspect.node == node);
+        let Some(index) = index.filter(|&index| !self.denied[index]) else {
+            return;
+        };
+        self.denied[index] = true;
+        self.denials += 1;
+    }
+
+    /// Returns whether every member that was asked isn't the owner.
+    pub(super) fn is_wave_denied(&self) -> bool {
+        self.denials == self.asked
+    }
+
+    /// Returns whether no member is the owner.
+    pub(super) fn is_denied(&self) -> bool {
+        self.denials == self.suspects.len()
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -0,0 +1,305 @@
+//! The processes of a scenario, on loopback.
+
+mod operator;
+mod process;
+mod spray;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService};
+use buckthornweir_standins::{
+    Backend, BackendConfig, Fabric, FabricConfig, Hosts, HttpCaller, Plan, PlannedNode, uptime,
+};
+use smol_str::SmolStr;
+
+use crate::fault::{Fault, Result};
+use crate::scenario::{Action, Scenario, Service, agent_name};
+use operator::Operator;
+use process::Process;
+use spray::Spray;
+
+/// How long the processes may take until each service answers.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const READY_PAUSE: Duration = Duration::from_millis(100);
+const CONNECT_LIMIT: Duration = Duration::from_secs(3);
+const FABRIC_PORT: u16 = 7004;
+const BACKEND_PORT: u16 = 8080;
+
+/// The programs that a deployment runs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The daemon, `buckthornweird`.
+    pub daemon: PathBuf,
+    /// The operators' client, `buckthornweir`.
+    pub client: PathBuf,
+}
+
+/// A backend server with its failure domain.
+pub struct PlacedBackend {
+    /// The backend server.
+    pub backend: Backend,
+    /// Its failure domain.
+    pub domain: SmolStr,
+}
+
+/// All processes of a scenario, the backend servers and the fabric.
+pub struct Deployment {
+    fabric: Fabric,
+    spray: Spray,
+    backends: Vec<PlacedBackend>,
+    processes: Vec<Process>,
+    operator: Operator,
+    bundle: Bundle,
+}
+
+impl Deployment {
+    /// Starts everything, and waits until each service answers and no backend server is cold.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process can't be started, the bundle is refused, or a service
+    /// doesn't answer within the time limit.
+    pub async fn start(scenario: &Scenario, programs: &Programs, folder: &Path) -> Result<Self> {
+        for program in [&programs.daemon, &programs.client] {
+            if !program.is_file() {
+                return Err(Fault::NoProgram(program.clone()));
+            }
+        }
+        let mut hosts = Hosts::new();
+        let config = FabricConfig::new(hosts.next_addr(FABRIC_PORT), scenario.seed);
+        let fabric = Fabric::start(config.with_connect_limit(CONNECT_LIMIT)).await?;
+        let mut deployment = Self {
+            spray: Spray::new(&fabric, scenario.notice),
+            fabric,
+            backends: Vec::new(),
+            processes: Vec::new(),
+            operator: Operator::new(&programs.client, folder),
+            bundle: bundle(scenario),
+        };
+        deployment.start_backends(scenario, &mut hosts).await?;
+        let nodes = deployment.plan(scenario, hosts, folder)?;
+        deployment.start_processes(&nodes, programs, folder)?;
+        deployment.operator.push(deployment.bundle.clone()).await?;
+        deployment.wait_ready(scenario).await?;
+        wait_warm(scenario).await;
+        Ok(deployment)
+    }
+
+    /// Returns the fabric.
+    #[must_use]
+    pub fn fabric(&self) -> &Fabric {
+        &self.fabric
+    }
+
+    /// Returns the backend servers.
+    #[must_use]
+    pub fn backends(&self) -> &[PlacedBackend] {
+        &self.backends
+    }
+
+    /// Returns the names of processes that have ended without being asked to.
+    pub fn crashed(&mut self) -> Vec<SmolStr> {
+        let crashed = self.processes.iter_mut().filter_map(Process::crashed);
+        crashed.collect()
+    }
+
+    /// Does what an event says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process can't be signalled or started, or the bundle is refused.
+    pub async fn act(&mut self, action: &Action) -> Result<()> {
+        self.tell_fabric(action);
+        match action {
+            Action::Kill(name) => self.process(name)?.kill(),
+            Action::Stop(name) => self.process(name)?.stop(),
+            Action::Start(name) => self.process(name)?.start(),
+            Action::Restart(name) => self.process(name)?.restart().await,
+            Action::Freeze(name) => self.process(name)?.signal("STOP"),
+            Action::Thaw(name) => self.process(name)?.signal("CONT"),
+            Action::DomainOut(name) => self.set_domain(name, true).await,
+            Action::DomainBack(name) => self.set_domain(name, false).await,
+            Action::Push => self.push_next().await,
+            Action::Fault(name, fault) => {
+                let placed = self
+                    .backends
+                    .iter()
+                    .filter(|placed| placed.backend.name() == name);
+                placed.for_each(|placed| placed.backend.set_fault(*fault));
+                Ok(())
+            }
+        }
+    }
+
+    /// Tells the fabric when an action takes a balancer away or brings it back.
+    fn tell_fabric(&self, action: &Action) {
+        match action {
+            Action::Kill(name) | Action::Stop(name) | Action::Freeze(name) => {
+                self.spray.set(name, false);
+            }
+            Action::Start(name) | Action::Thaw(name) => self.spray.set(name, true),
+            _ => {}
+        }
+    }
+
+    /// Ends all processes, those that were asked to and those that were not.
+    pub fn end(&mut self) {
+        for process in &mut self.processes {
+            process.end();
+        }
+    }
+
+    async fn start_backends(&mut self, scenario: &Scenario, hosts: &mut Hosts) -> Result<()> {
+        for service in &scenario.services {
+            for placed in scenario.backends(service) {
+                let addr = hosts.next_addr(BACKEND_PORT);
+                let backend = Backend::start(backend_config(service, addr, &placed.name)).await?;
+                let domain = placed.domain;
+                self.backends.push(PlacedBackend { backend, domain });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the settings of each process to come, and writes those of the client.
+    fn plan(&self, scenario: &Scenario, hosts: Hosts, folder: &Path) -> Result<Vec<PlannedNode>> {
+        let controls = scenario.controls();
+        let plan = Plan::new(self.operator.trusted()).with_hosts(hosts);
+        let mut plan = plan.with_control(controls.len()).with_log("info");
+        let mut nodes = Vec::new();
+        for placed in &controls {
+            let data = folder.join(&*placed.name);
+            nodes.push(plan.control(&placed.name, &placed.domain, &data));
+        }
+        let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.control).collect();
+        self.operator
+            .write_settings(&addresses, plan.cluster_key())?;
+        for placed in scenario.balancers() {
+            let node = plan.balancer(&placed.name, &placed.domain);
+            if let Some(addr) = node.fabric {
+                self.spray.add(&placed.name, addr);
+            }
+            nodes.push(node);
+        }
+        for PlacedBackend { backend, domain } in &self.backends {
+            let name = agent_name(backend.name());
+            let fabric = self.fabric.addr();
+            nodes.push(plan.agent(&name, domain, backend.service(), backend.addr(), fabric));
+        }
+        Ok(nodes)
+    }
+
+    fn start_processes(
+        &mut self,
+        nodes: &[PlannedNode],
+        programs: &Programs,
+        folder: &Path,
+    ) -> Result<()> {
+        for node in nodes {
+            let mut process = Process::new(node, &programs.daemon, folder)?;
+            process.start()?;
+            self.processes.push(process);
+        }
+        Ok(())
+    }
+
+    async fn set_domain(&mut self, name: &str, out: bool) -> Result<()> {
+        if let Some(bundle) = self.bundle.with_domain_out(name, out) {
+            self.bundle = bundle;
+        }
+        self.operator.set_domain(name, out).await
+    }
+
+    async fn push_next(&mut self) -> Result<()> {
+        self.bundle.version += 1;
+        self.operator.push(self.bundle.clone()).await
+    }
+
+    /// Waits until each service has answered a request.
+    async fn wait_ready(&self, scenario: &Scenario) -> Result<()> {
+        let limit = uptime() + READY_LIMIT;
+        for service in &scenario.services {
+            while let Err(last) = probe(&self.fabric, service).await {
+                if uptime() > limit {
+                    return Err(Fault::NotReady(service.name.clone(), last));
+                }
+                tokio::time::sleep(READY_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn process(&mut self, name: &str) -> Result<&mut Process> {
+        let unknown = || Fault::Process(name.into(), std::io::ErrorKind::NotFound.into());
+        self.processes
+            .iter_mut()
+            .find(|process| process.name() == name)
+            .ok_or_else(unknown)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// Waits until no backend server is cold, so that only events make one cold under load.
+async fn wait_warm(scenario: &Scenario) {
+    let longest = scenario
+        .services
+        .iter()
+        .map(|service| service.cold_time)
+        .max();
+    tokio::time::sleep(longest.unwrap_or_default()).await;
+}
+
+/// Sends one request, and returns what was seen when it was not answered.
+async fn probe(fabric: &Fabric, service: &Service) -> std::result::Result<(), String> {
+    let error = |err: buckthornweir_standins::CallerError| err.to_string();
+    let mut caller = HttpCaller::connect(fabric, service.address)
+        .await
+        .map_err(error)?;
+    let answer = caller.send(http::Request::default()).await.map_err(error)?;
+    if answer.status.is_success() {
+        Ok(())
+    } else {
+        Err(answer.status.to_string())
+    }
+}
+
+fn backend_config(service: &Service, addr: SocketAddr, name: &str) -> BackendConfig {
+    BackendConfig::new(addr, name, service.name.clone())
+        .with_slots(service.slots)
+        .with_connections(service.connections)
+        .with_work(service.work)
+        .with_cold_start(service.cold_time, service.cold_slots)
+}
+
+/// Returns the first bundle of a scenario.
+fn bundle(scenario: &Scenario) -> Bundle {
+    let domain = |name: &SmolStr| Domain {
+        name: name.clone(),
+        region: scenario.region.clone(),
+        out: false,
+    };
+    let service = |service: &Service| BundleService {
+        name: service.name.clone(),
+        addresses: vec![service.address],
+        protocol: Protocol::Http,
+        domains: scenario.domains.clone(),
+        slots: service.slots as u32,
+        cold: service.cold_slots as u32,
+        connections: service.connections as u32,
+        queue: 20,
+        deadline: service.deadline,
+    };
+    Bundle {
+        version: 1,
+        force: false,
+        domains: scenario.domains.iter().map(domain).collect(),
+        services: scenario.services.iter().map(service).collect(),
+    }
+}
--- a/crates/buckthornweir_requests/src/messages/mod.rs
+++ b/crates/buckthornweir_requests/src/messages/mod.rs
@@ -63,7 +63,7 @@
     /// What it is about.
     #[prost(
         oneof = "RequestBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 20"
     )]
     pub body: Option<RequestBody>,
 }
@@ -113,6 +113,9 @@
     /// Records.
     #[prost(message, tag = "14")]
     KeyRecords(KeyRecords),
+    /// Load of the backend server, told now and then.
+    #[prost(message, tag = "20")]
+    Load(Load),
 }
 
 impl RequestMessage {
--- a/crates/buckthornweir_requests/tests/limit.rs
+++ b/crates/buckthornweir_requests/tests/limit.rs
@@ -157,3 +157,23 @@
         {"type":"urn:buckthornweir:problem:no-slot","title":"No backend server has a free slot","detail":"The request was not run.","status":503,"not_run":true,"instance":"a\"b\\c\n\u0001é"}
     "#]].assert_eq(&text);
 }
+
+#[test]
+fn other_settings_keep_the_limit_within_their_bounds() {
+    // slots before, slots after, limit after
+    for (before, after, expected) in [(5, 3, 3), (5, 8, 5), (5, 5, 5)] {
+        let config = LimitConfig::default().with_slots(before);
+        let mut limit = Limit::new(config, ms(0));
+        let mut now = ms(0);
+        run(&mut limit, &mut now, Outcome::Done, 400);
+        assert!(limit.try_acquire(now));
+        limit.reconfigure(config.with_slots(after), now);
+        assert_eq!(
+            (limit.limit(), limit.in_flight()),
+            (expected, 1),
+            "{before} to {after}"
+        );
+        run(&mut limit, &mut now, Outcome::Done, 400);
+        assert_eq!(limit.limit(), after, "{before} to {after}");
+    }
+}
