Withdraw claims whose caller left, and never replay a part of an answer

Cause: read beside the daemon's use of the records: a claim that was ended before its holders had answered stayed with the agent for ever (1,024 of them and it refuses every key), and an answer whose body was too large was replayed with an empty body as if that were whole. Ruled out: asking the daemon to wait for the grant before it ends a claim (its task is gone by then). Change: `Keys::finished` withdraws a claim that was not granted; a granted one that nobody ends turns "unknown" when its records would expire; an answer without its body counts as not kept. Conclusion: the agent's claims are bounded by time as well as by number.

--- a/crates/buckthornweir_requests/src/idempotency/asking.rs
+++ b/crates/buckthornweir_requests/src/idempotency/asking.rs
@@ -20,6 +20,8 @@
     key: Vec<u8>,
     digest: u64,
     holders: Vec<NodeId>,
+    /// When it is given up if nobody told how its request ended.
+    expires: Duration,
     phase: Phase,
 }
 
@@ -48,7 +50,7 @@
     pub(crate) fn next_due(&self) -> Option<Duration> {
         match self.phase {
             Phase::Asking { until, .. } => Some(until),
-            Phase::Running => None,
+            Phase::Running => Some(self.expires),
             Phase::Ended { next, .. } => Some(next),
         }
     }
@@ -82,6 +84,7 @@
             key: key.to_vec(),
             digest,
             holders: holders.clone(),
+            expires: deadline + self.config.keep,
             phase,
         };
         let claim_key = self.claims.insert(claim);
@@ -118,6 +121,8 @@
     }
 
     /// Notes how a request that ran with a claim ended, and tells the holders.
+    ///
+    /// A claim that is ended before it was granted is withdrawn.
     pub fn finished(
         &mut self,
         now: Duration,
@@ -126,12 +131,13 @@
         answer: Option<StoredAnswer>,
     ) -> Vec<KeyAction> {
         let mut out = Vec::new();
-        let is_running = self
-            .claims
-            .get(claim)
-            .is_some_and(|c| matches!(c.phase, Phase::Running));
-        if is_running {
-            self.end_claim(now, claim, end, answer, &mut out);
+        match self.claims.get(claim).map(|c| &c.phase) {
+            Some(Phase::Running) => self.end_claim(now, claim, end, answer, &mut out),
+            // The caller left before the holders had answered.
+            Some(Phase::Asking { .. }) => {
+                self.end_claim(now, claim, KeyEnd::NotRun, None, &mut out);
+            }
+            Some(Phase::Ended { .. }) | None => {}
         }
         out
     }
@@ -175,7 +181,7 @@
                     self.end_claim(now, key, KeyEnd::NotRun, None, out);
                     self.refuse_unreachable(key, out);
                 }
-                Phase::Running => {}
+                Phase::Running => self.end_claim(now, key, KeyEnd::Unknown, None, out),
                 Phase::Ended { .. } => self.send_end(now, key, out),
             }
         }
@@ -211,7 +217,9 @@
         match verdict {
             KeyVerdict::Granted => granted.push(from),
             KeyVerdict::NotReady => failed.push(from),
-            KeyVerdict::Done if answer.is_some() => return self.replay(now, key, answer, out),
+            KeyVerdict::Done if answer.as_ref().is_some_and(|a| !a.body_dropped) => {
+                return self.replay(now, key, answer, out);
+            }
             KeyVerdict::Done => {
                 *done = true;
                 failed.push(from);
--- a/crates/buckthornweir_requests/src/idempotency/records.rs
+++ b/crates/buckthornweir_requests/src/idempotency/records.rs
@@ -240,6 +240,8 @@
     }
 
     fn bounded(&self, answer: Option<StoredAnswer>) -> Option<StoredAnswer> {
+        // A part of an answer must never be taken for the whole.
+        let answer = answer.filter(|a| !a.body_dropped);
         let size = answer.as_ref()?.encoded_len();
         let fits = size <= self.answer_most && self.answer_bytes + size <= self.answers_most;
         answer.filter(|_| fits)
--- a/crates/buckthornweir_requests/src/messages/keys.rs
+++ b/crates/buckthornweir_requests/src/messages/keys.rs
@@ -198,7 +198,7 @@
     /// Body.
     #[prost(bytes = "vec", tag = "3")]
     pub body: Vec<u8>,
-    /// Whether the body was too large to be kept.
+    /// Whether the body was too large to be kept; such an answer is not given again.
     #[prost(bool, tag = "4")]
     pub body_dropped: bool,
 }
--- a/crates/buckthornweir_requests/tests/idempotency/holder.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/holder.rs
@@ -212,3 +212,49 @@
         KeyEnd::Unknown
     );
 }
+
+#[test]
+fn answer_without_its_body_is_not_given_again() {
+    let mut keys = holder(|_| {});
+    assert_eq!(
+        ask(&mut keys, NOW, claim(1, "order")).0,
+        KeyVerdict::Granted
+    );
+    let mut message = done(1, KeyEnd::Done, Some(0));
+    message.answer.as_mut().expect("an answer").body_dropped = true;
+    tell(&mut keys, message);
+    assert_eq!(
+        ask(&mut keys, NOW, claim(2, "order")),
+        (KeyVerdict::Done, false)
+    );
+    let (_, actions) = keys.claim(NOW, b"order", 1, NOW + Duration::from_secs(1));
+    let [KeyAction::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("{actions:?}")
+    };
+    assert_eq!(refusal.problem, ProblemKind::AnswerNotKept);
+}
+
+#[test]
+fn claim_that_is_withdrawn_or_forgotten_ends() {
+    // Two agents, so that the second must answer before the claim is granted.
+    let mut config = KeysConfig {
+        settle: Duration::ZERO,
+        ..KeysConfig::default()
+    };
+    config.first_start = true;
+    let mut keys = Keys::new(Member::new(OWN, "a"), config, 7, Duration::ZERO);
+    let _ = keys.set_members(Duration::from_millis(1), &[Member::new(2, "b")]);
+    let (first, actions) = keys.claim(NOW, b"order", 1, NOW + Duration::from_secs(1));
+    assert_eq!(actions.len(), 1, "{actions:?}");
+    let _ = keys.finished(NOW, first, KeyEnd::NotRun, None);
+    assert_eq!(keys.held(), 0);
+
+    let mut keys = holder(|_| {});
+    let deadline = NOW + Duration::from_secs(1);
+    let (_, actions) = keys.claim(NOW, b"order", 1, deadline);
+    assert!(matches!(actions[..], [KeyAction::Run { .. }]));
+    let late = deadline + KeysConfig::default().keep;
+    let _ = keys.tick(late);
+    let (verdict, _) = ask(&mut keys, late, claim(2, "order"));
+    assert_eq!(verdict, KeyVerdict::Unknown);
+}
