--- a/crates/buckthornweir_daemon/src/agent/keyed.rs
+++ b/crates/buckthornweir_daemon/src/agent/keyed.rs
@@ -106,7 +106,7 @@
                 Verdict::Refuse(refusal)
             }
             Ok(KeyAction::Send { .. }) | Err(_) => {
-                Verdict::Refuse(Refusal::not_run(ProblemKind::KeyHomeUnreachable))
+                Verdict::Refuse(Refusal::unknown(ProblemKind::KeyHomeUnreachable))
             }
         }
     }
--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -119,6 +119,11 @@
         self.latencies.recent()
     }
 
+    /// Returns the usual latency of good answers; zero before the first.
+    pub fn usual_latency(&self) -> Duration {
+        self.latencies.usual()
+    }
+
     /// Takes over another configuration. The limit stays where it is, within the new bounds.
     pub fn reconfigure(&mut self, config: LimitConfig, now: Duration) {
         let config = config.with_slots(config.slots).with_cold(config.cold);
@@ -133,11 +138,6 @@
         self.config = config;
     }
 
-    /// Returns the usual latency of good answers; zero before the first.
-    pub fn usual_latency(&self) -> Duration {
-        self.latencies.usual()
-    }
-
     /// Takes a slot; returns false where none is free.
     pub fn try_acquire(&mut self, now: Duration) -> bool {
         self.distrust_after_idle(now);
