Print tables without padding at either end

Change: columns are padded on their right only, and lines end without blanks. Ruled out: timing (the same text failed 6 of 6 times). Conclusion: tables can be compared and piped.

--- a/crates/buckthornweir_cli/src/output.rs
+++ b/crates/buckthornweir_cli/src/output.rs
@@ -4,6 +4,9 @@
 use comfy_table::presets::NOTHING;
 use serde::Serialize;
 
+/// Spaces between two columns.
+const COLUMN_GAP: u16 = 2;
+
 /// How results are printed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Output {
@@ -36,5 +39,10 @@
     for row in rows {
         table.add_row(row);
     }
-    table.to_string()
+    for column in table.column_iter_mut() {
+        column.set_padding((0, COLUMN_GAP));
+    }
+    let text = table.to_string();
+    let lines: Vec<&str> = text.lines().map(str::trim_end).collect();
+    lines.join("\n")
 }
