Take an unreadable state for damage, and refuse counts that could overflow

Ruled out: checks at each addition (the limit at the decoders covers them all). Conclusion: a member starts with what it had or as a learner, never with less under its old name.

--- a/crates/buckthornweir_quorum/src/entry.rs
+++ b/crates/buckthornweir_quorum/src/entry.rs
@@ -21,6 +21,8 @@
 pub const ENTRY_LIMIT: usize = BUNDLE_LIMIT + 1024;
 /// Largest encoded snapshot, in bytes.
 pub const SNAPSHOT_LIMIT: usize = 8 * 1024 * 1024;
+/// Largest term and index that is taken.
+pub(crate) const COUNT_LIMIT: u64 = 1 << 62;
 /// Largest number of members in an entry or a snapshot.
 pub const MEMBER_LIMIT: usize = 32;
 /// Largest text of a socket address, in bytes.
@@ -137,6 +139,8 @@
     pub fn decode(data: Bytes) -> Result<Self> {
         check_size("snapshot", data.len(), SNAPSHOT_LIMIT)?;
         let record = SnapshotRecord::decode(data)?;
+        check_count("snapshot index", record.index)?;
+        check_count("snapshot term", record.term)?;
         if record.cluster == 0 || record.index == 0 {
             return Err(DecodeError::Missing("cluster or index"));
         }
@@ -153,6 +157,14 @@
     }
 }
 
+/// Refuses counts that could overflow when they grow further.
+pub(crate) fn check_count(part: &'static str, count: u64) -> Result<()> {
+    if count > COUNT_LIMIT {
+        return Err(DecodeError::OutOfRange(part, count));
+    }
+    Ok(())
+}
+
 pub(crate) fn check_size(part: &'static str, size: usize, limit: usize) -> Result<()> {
     if size > limit {
         return Err(DecodeError::OutOfRange(part, size as u64));
--- a/crates/buckthornweir_quorum/src/messages.rs
+++ b/crates/buckthornweir_quorum/src/messages.rs
@@ -5,7 +5,7 @@
 
 use crate::entry::{
     ADDRESS_LIMIT, ClusterId, DecodeError, ENTRY_LIMIT, Entry, Index, Payload, Result,
-    SNAPSHOT_LIMIT, Term, check_size,
+    SNAPSHOT_LIMIT, Term, check_count, check_size,
 };
 use crate::members::NodeId;
 
@@ -253,6 +253,7 @@
     }
 
     fn check(&self) -> Result<()> {
+        check_count("term", self.term)?;
         match self.kind.as_ref().ok_or(DecodeError::Missing("kind"))? {
             Kind::Append(append) => check_append(append),
             Kind::Snapshot(part) => {
--- a/crates/buckthornweir_quorum/src/storage/recovery.rs
+++ b/crates/buckthornweir_quorum/src/storage/recovery.rs
@@ -6,6 +6,7 @@
 use super::frame::{next_frame, synced_proof};
 use super::record::{Identity, RecordBody};
 use super::{Damage, Error, Origin, Restored, Result, SegmentStart, Storage};
+use crate::bundles::Bundles;
 use crate::entry::{Entry, Index, Snapshot};
 use crate::members::NodeId;
 
@@ -103,7 +104,8 @@
         let data = self.read(name)?;
         let payload = next_frame(&data).map(|f| Bytes::copy_from_slice(f.payload));
         let snapshot = payload.and_then(|payload| Snapshot::decode(payload).ok());
-        let snapshot = snapshot.filter(|s| s.index == index);
+        let readable = |s: &Snapshot| s.index == index && Bundles::decode(s.state.clone()).is_ok();
+        let snapshot = snapshot.filter(readable);
         Ok(snapshot.ok_or(Damage::Snapshot(index)))
     }
 
--- a/crates/buckthornweir_quorum/tests/quorum/crashes.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/crashes.rs
@@ -308,6 +308,18 @@
     }
 }
 
+#[test]
+fn snapshot_whose_state_cant_be_read_is_damage() {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = open(&disk, 1).expect("empty folder");
+    let mut unreadable = reset(3, vec![]);
+    unreadable.snapshot.state = vec![0xff; 8].into();
+    let record = Record::Reset(Box::new(unreadable));
+    storage.persist(&[record]).expect("working disk");
+    let (_, restored) = open(&disk, 9).expect("disk works");
+    assert_eq!(restored.origin, Origin::Damaged(Damage::Snapshot(3)));
+}
+
 #[test]
 fn crash_while_setting_damage_aside_never_brings_the_old_identity_back() {
     for fault in [Fault::Kill, Fault::Tear, Fault::Fail] {
--- a/crates/buckthornweir_quorum/tests/quorum/properties.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/properties.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::messages::Message;
+use buckthornweir_quorum::messages::{Campaign, Kind, Message};
 use buckthornweir_quorum::prelude::*;
 use buckthornweir_quorum::storage::next_frame;
 use buckthornweir_quorum::{Payload, Snapshot};
@@ -327,6 +327,27 @@
     assert!(Payload::decode(&Payload::Command(Command::Push(over)).encode()).is_err());
 }
 
+#[test]
+fn decoders_refuse_counts_that_could_overflow() {
+    let message = |term| Message {
+        cluster: 7,
+        to: 1,
+        term,
+        kind: Some(Kind::Campaign(Campaign {})),
+    };
+    assert!(Message::from_bytes(message(1).to_bytes()).is_ok());
+    assert!(Message::from_bytes(message(u64::MAX).to_bytes()).is_err());
+    let snapshot = |index, term| Snapshot {
+        cluster: 7,
+        index,
+        term,
+        ..Snapshot::default()
+    };
+    assert!(Snapshot::decode(snapshot(1, 1).encode()).is_ok());
+    assert!(Snapshot::decode(snapshot(u64::MAX, 1).encode()).is_err());
+    assert!(Snapshot::decode(snapshot(1, u64::MAX).encode()).is_err());
+}
+
 #[test]
 fn folders_with_changed_bytes_open() {
     let edits = (
