Run two test deployments at a time, and record requests with an unknown outcome

Change: a semaphore lets two deployments run at a time; no check is eased. The time line records requests that end with an unknown outcome by the caller's request id, and flows that move by count.

--- a/crates/buckthornweir_daemon/src/agent/mover.rs
+++ b/crates/buckthornweir_daemon/src/agent/mover.rs
@@ -8,7 +8,6 @@
 use buckthornweir_flows::ownership::Ownership;
 use buckthornweir_flows::view::AgentView;
 use parking_lot::Mutex;
-use smol_str::format_smolstr;
 
 use crate::board::Blackboard;
 
@@ -87,8 +86,8 @@
             return;
         }
         let to = self.board.member(taken.from).map(|m| m.record.name);
-        self.board.record(EventKind::FlowMoved {
-            flow: format_smolstr!("{moved} flows"),
+        self.board.record(EventKind::FlowsMoved {
+            count: moved as u64,
             to: to.unwrap_or_default(),
         });
     }
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_events::Count;
+use buckthornweir_events::{Count, EventKind};
 use buckthornweir_requests::{
     Arrival, Outcome, ProblemKind, Progress, Refusal, RequestKey, problem_document,
 };
@@ -37,6 +37,9 @@
 /// The key of a request that may be sent again.
 const KEY_HEADER: &str = "idempotency-key";
 
+/// The id that a caller gives a request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -98,13 +101,29 @@
             body,
             arrival,
         };
+        let id = request.head.headers.get(REQUEST_ID_HEADER).cloned();
         match self.serve_once(request).await {
             Served::Answer(response) => Ok(response),
-            Served::Refused(refusal) => Ok(refusal_response(&refusal)),
+            Served::Refused(refusal) => {
+                self.record_unknown(id.as_ref(), &refusal);
+                Ok(refusal_response(&refusal))
+            }
             Served::Cut => Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
 
+    /// Records a request whose outcome is unknown under the id that its caller gave it.
+    fn record_unknown(&self, id: Option<&HeaderValue>, refusal: &Refusal) {
+        if refusal.not_run {
+            return;
+        }
+        let request = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        self.board().record(EventKind::RequestEnded {
+            request: request.into(),
+            reason: refusal.problem.name().into(),
+        });
+    }
+
     /// Serves a request; one with an idempotency key runs only with leave of the key's holders.
     async fn serve_once(self: &Arc<Self>, request: ReadRequest) -> Served {
         let arrival = request.arrival;
--- a/crates/buckthornweir_daemon/tests/support/deployment.rs
+++ b/crates/buckthornweir_daemon/tests/support/deployment.rs
@@ -9,6 +9,7 @@
 use buckthornweir_standins::{Traits, free_tcp};
 use buckthornweir_wire::PushOutcome;
 use tempfile::TempDir;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::JoinHandle;
 
 use super::{Process, alive, connect, plan, push, signed, status, wait_for};
@@ -26,8 +27,13 @@
     pub(crate) balancers: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     groups: AtomicUsize,
+    _room: SemaphorePermit<'static>,
 }
 
+/// How many deployments run at a time, so that processes do not wait for a processor longer than
+/// their limits allow.
+static ROOM: Semaphore = Semaphore::const_new(2);
+
 /// Returns the text of a bundle; `out` names the failure domain that is out, or is empty.
 pub(crate) fn bundle(version: u64, out: &str) -> String {
     let mut text = format!("[bundle]\nversion = {version}\n");
@@ -46,6 +52,7 @@
     /// Starts a control process, balancers, and agents with their backend servers, and pushes the
     /// first bundle.
     pub(crate) async fn start(balancers: usize, agents: usize) -> Self {
+        let room = ROOM.acquire().await.unwrap();
         let mut plan = plan();
         let folder = tempfile::tempdir().unwrap();
         let bind = "127.0.0.1:0".parse().unwrap();
@@ -61,6 +68,7 @@
             folder,
             control,
             groups: AtomicUsize::new(0),
+            _room: room,
         };
         for number in 0..balancers {
             deployment.add_balancer(number);
--- a/crates/buckthornweir_events/src/event.rs
+++ b/crates/buckthornweir_events/src/event.rs
@@ -79,14 +79,14 @@
         /// Why.
         reason: SmolStr,
     },
-    /// A flow moved to another agent.
-    FlowMoved {
-        /// The flow, caller and service address.
-        flow: SmolStr,
-        /// The agent that owns it now.
+    /// Flows moved to another agent.
+    FlowsMoved {
+        /// How many.
+        count: u64,
+        /// The agent that owns them now.
         to: SmolStr,
     },
-    /// A request was refused or given up.
+    /// A request ended with an unknown outcome.
     RequestEnded {
         /// The request's id.
         request: SmolStr,
@@ -110,7 +110,7 @@
         "link-lost",
         "backend-changed",
         "flow-reset",
-        "flow-moved",
+        "flows-moved",
         "request-ended",
     ];
 
@@ -129,7 +129,7 @@
             Self::LinkLost { .. } => "link-lost",
             Self::BackendChanged { .. } => "backend-changed",
             Self::FlowReset { .. } => "flow-reset",
-            Self::FlowMoved { .. } => "flow-moved",
+            Self::FlowsMoved { .. } => "flows-moved",
             Self::RequestEnded { .. } => "request-ended",
         }
     }
@@ -137,7 +137,7 @@
     /// Returns the flow or request that the event is about, if any.
     pub fn subject(&self) -> Option<&SmolStr> {
         match self {
-            Self::FlowReset { flow, .. } | Self::FlowMoved { flow, .. } => Some(flow),
+            Self::FlowReset { flow, .. } => Some(flow),
             Self::RequestEnded { request, .. } => Some(request),
             _ => None,
         }
--- a/crates/buckthornweir_events/tests/timeline.rs
+++ b/crates/buckthornweir_events/tests/timeline.rs
@@ -53,8 +53,8 @@
             flow: "f".into(),
             reason: reason(),
         },
-        FlowMoved {
-            flow: "f".into(),
+        FlowsMoved {
+            count: 3,
             to: "agent-2".into(),
         },
         RequestEnded {
@@ -216,11 +216,11 @@
     }
     let rows = [
         (0, "", "", expect!["14"]),
-        (11, "", "", expect!["flow-moved, request-ended"]),
+        (11, "", "", expect!["flows-moved, request-ended"]),
         (0, "domain-out", "", expect!["domain-out"]),
-        (0, "", "f", expect!["flow-reset, flow-moved"]),
-        (0, "flow-moved", "f", expect!["flow-moved"]),
-        (0, "flow-moved", "r", expect![""]),
+        (0, "", "f", expect!["flow-reset"]),
+        (0, "flows-moved", "", expect!["flows-moved"]),
+        (0, "flows-moved", "f", expect![""]),
         (0, "unknown", "", expect![""]),
         (99, "", "", expect![""]),
     ];
