--- a/crates/buckthornweir_daemon/src/control/push.rs
+++ b/crates/buckthornweir_daemon/src/control/push.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Returns the reply for a bundle whose version is far above the newest one.
+pub(super) fn too_high(allowed: u64) -> PushReply {
+    PushReply {
+        outcome: PushOutcome::Invalid.into(),
+        fault: format!("the version is too high; allowed: at most {allowed}"),
+        ..PushReply::default()
+    }
+}
+
 /// Returns the text that tells an operator about a rejection.
 pub(super) fn reject_text(reject: Reject) -> String {
     match reject {
--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame::{QuorumBody, QuorumFrame};
-use super::push::{invalid, reject_text, reply_to, reply_to_reject};
+use super::push::{invalid, reject_text, reply_to, reply_to_reject, too_high};
 use super::{ChangeDone, Event, PushDone, standing_word};
 use crate::board::{Blackboard, QuorumState};
 use crate::bundles;
@@ -30,6 +30,9 @@
 /// How often control VMs tell what they are, and look whether a voter is to be replaced.
 const PRESENCE_PERIOD: Duration = Duration::from_secs(1);
 
+/// How far above the newest version a push may be.
+const VERSION_STEP: u64 = 1_000_000;
+
 /// The token of changes that this process makes by itself.
 const OWN_TOKEN: Token = 0;
 
@@ -159,6 +162,10 @@
                 return Ok(());
             }
         };
+        if signed.bundle().version > self.newest_allowed() {
+            done(too_high(self.newest_allowed()));
+            return Ok(());
+        }
         let token = self.take_token();
         self.pushes.insert(token, done);
         let command = Command::Push(Bundle {
@@ -170,6 +177,14 @@
         self.carry_out(actions)
     }
 
+    /// Returns the highest version that a push may have, so that a slip does not use all versions up.
+    fn newest_allowed(&self) -> u64 {
+        let newest = self.core.bundles().newest_version();
+        newest
+            .max(self.board.version())
+            .saturating_add(VERSION_STEP)
+    }
+
     fn change(&mut self, change: Option<MemberChange>, done: ChangeDone) -> Result<(), DiskFailed> {
         let Some(change) = change else {
             done(self.members_reply());
--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -189,6 +189,17 @@
     cluster.everywhere(5).await;
 }
 
+/// A version that is far too high by a slip is refused, and the next one is accepted as usual.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_far_above_the_newest_is_refused() {
+    let cluster = Cluster::start(1).await;
+    assert_eq!(cluster.push(1, "").await, PushOutcome::Accepted);
+    for version in [1_000_002, u64::MAX - 1] {
+        assert_eq!(cluster.push(version, "").await, PushOutcome::Invalid);
+    }
+    assert_eq!(cluster.push(1_000_001, "").await, PushOutcome::Accepted);
+}
+
 /// A leader that is frozen for long and thaws does not bring old state back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_frozen_leader_thaws_as_a_follower() {
