--- a/crates/buckthornweir_daemon/tests/settings.rs
+++ b/crates/buckthornweir_daemon/tests/settings.rs
@@ -59,8 +59,8 @@
     std::fs::write(folder.path().join("s.ini"), text).unwrap();
     let mut said = Vec::new();
     for arguments in [
-        &["--settings", "s.ini"][..],
-        &["--settings", "s.ini", "--check"],
+        &["--settings", "s.ini", "--check"][..],
+        &["--settings", "s.ini"],
     ] {
         let output = run(folder, arguments);
         assert_eq!(output.status.code(), Some(2), "{text}");
