--- a/crates/buckthornweir_quorum/src/storage/mod.rs
+++ b/crates/buckthornweir_quorum/src/storage/mod.rs
@@ -1,7 +1,7 @@
 //! Storage of the log on one data folder.
 //!
 //! The folder holds the member's identity, one snapshot, and one segment of records after it.
-//! Each record has a checksum and names the start of its batch, which tells a write that was
+//! Each record has a checksum and names how much was synced before it, which tells a write that was
 //! torn by a crash from damage to what was synced before. A torn write is cut off. After damage,
 //! or in an empty folder, the member gets a new identity and has to join again: it never votes
 //! with a memory that it lost.
@@ -35,8 +35,8 @@
 use self::files::{FileName, IDENTITY};
 pub use self::folder::Folder;
 pub use self::frame::{FRAME_HEADER, Frame, next_frame};
+use self::record::{Commit, RecordBody, Start as StartRecord, Synced};
 pub use self::record::{Record, Reset};
-use self::record::{RecordBody, Start as StartRecord, Synced};
 use crate::entry::{Entry, Index, Snapshot, Term};
 use crate::members::NodeId;
 
@@ -51,6 +51,8 @@
     pub term: Term,
     /// Vote given in that term.
     pub vote: Option<NodeId>,
+    /// Index up to which the entries are known to be committed.
+    pub commit: Index,
     /// Snapshot, if there is one.
     pub snapshot: Option<Snapshot>,
     /// Entries after the snapshot.
@@ -61,12 +63,12 @@
     /// Returns the state of a folder that was empty.
     #[must_use]
     pub fn blank(id: NodeId) -> Self {
-        let origin = Origin::Empty;
         Self {
             id,
-            origin,
+            origin: Origin::Empty,
             term: 0,
             vote: None,
+            commit: 0,
             snapshot: None,
             entries: Vec::new(),
         }
@@ -87,11 +89,44 @@
     },
 }
 
+/// What the first records of a segment hold.
+struct SegmentStart<'a> {
+    term: Term,
+    vote: Option<NodeId>,
+    commit: Index,
+    entries: &'a [Entry],
+}
+
+impl<'a> SegmentStart<'a> {
+    fn of_reset(reset: &'a Reset) -> Self {
+        let commit = reset.snapshot.index;
+        Self {
+            term: reset.term,
+            vote: reset.vote,
+            commit,
+            entries: &reset.entries,
+        }
+    }
+
+    fn of_restored(restored: &'a Restored) -> Self {
+        let Restored {
+            term, vote, commit, ..
+        } = *restored;
+        Self {
+            term,
+            vote,
+            commit,
+            entries: &restored.entries,
+        }
+    }
+}
+
 /// The records of one member on its data folder.
 pub struct Storage {
     disk: Box<dyn Disk + Send>,
     segment: u64,
     length: u64,
+    synced: u64,
     snapshot: u64,
     failed: bool,
 }
@@ -117,6 +152,7 @@
             disk,
             segment: 0,
             length: 0,
+            synced: 0,
             snapshot: 0,
             failed: false,
         };
@@ -164,10 +200,10 @@
         if records.is_empty() {
             return Ok(());
         }
-        let batch = self.length;
+        let synced = self.synced;
         let mut data = Vec::new();
         for body in records.iter().filter_map(RecordBody::of) {
-            body.encode_to(batch, &mut data);
+            body.encode_to(synced, &mut data);
         }
         let name = FileName::Segment(self.segment).to_string();
         self.disk
@@ -175,13 +211,14 @@
             .map_err(|e| Error::at("append", e))?;
         self.disk.sync(&name).map_err(|e| Error::at("sync", e))?;
         self.length += data.len() as u64;
+        self.synced = self.length;
         self.append_mark(&name)
     }
 
     /// Notes, without a sync of its own, that everything before was synced.
     fn append_mark(&mut self, name: &str) -> Result<()> {
         let mut mark = Vec::new();
-        RecordBody::Synced(Synced {}).encode_to(self.length, &mut mark);
+        RecordBody::Synced(Synced {}).encode_to(self.synced, &mut mark);
         self.disk
             .append(name, &mark)
             .map_err(|e| Error::at("append", e))?;
@@ -196,12 +233,7 @@
         let mut data = Vec::new();
         frame::encode(0, &reset.snapshot.encode(), &mut data);
         self.write_file(FileName::Snapshot(index), &data)?;
-        self.start_segment(
-            old_segment + 1,
-            index,
-            (reset.term, reset.vote),
-            &reset.entries,
-        )?;
+        self.start_segment(old_segment + 1, index, &SegmentStart::of_reset(reset))?;
         self.snapshot = index;
         self.remove(FileName::Segment(old_segment))?;
         if old_snapshot != index && old_snapshot != 0 {
@@ -215,20 +247,24 @@
         &mut self,
         segment: u64,
         snapshot: Index,
-        (term, vote): (Term, Option<NodeId>),
-        entries: &[Entry],
+        start: &SegmentStart<'_>,
     ) -> Result<()> {
         let mut data = Vec::new();
         RecordBody::Start(StartRecord { snapshot }).encode_to(0, &mut data);
-        RecordBody::vote(term, vote).encode_to(0, &mut data);
-        for entry in entries {
+        RecordBody::vote(start.term, start.vote).encode_to(0, &mut data);
+        for entry in start.entries {
             RecordBody::entry(entry).encode_to(0, &mut data);
         }
+        RecordBody::Commit(Commit {
+            index: start.commit,
+        })
+        .encode_to(0, &mut data);
         let end = data.len() as u64;
         RecordBody::Synced(Synced {}).encode_to(end, &mut data);
         self.write_file(FileName::Segment(segment), &data)?;
         self.segment = segment;
         self.length = data.len() as u64;
+        self.synced = self.length;
         Ok(())
     }
 
--- a/crates/buckthornweir_quorum/tests/quorum/crashes.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/crashes.rs
@@ -17,7 +17,7 @@
             vote: Some(1),
         }],
         vec![Record::Reset(Box::new(reset(1, vec![])))],
-        vec![entry(2, 1), entry(3, 1)],
+        vec![entry(2, 1), entry(3, 1), Record::Commit { index: 2 }],
         vec![
             Record::Vote {
                 term: 2,
@@ -28,6 +28,7 @@
         ],
         vec![Record::Reset(Box::new(reset(3, vec![plain(4, 2)])))],
         vec![entry(5, 2)],
+        vec![Record::Commit { index: 5 }],
     ]
 }
 
@@ -141,6 +142,62 @@
     }
 }
 
+/// The system may write out the later part of a batch first. Nobody was told of that batch, so it
+/// is cut off and no damage.
+#[test]
+fn hole_in_a_write_that_was_not_synced_is_no_damage() {
+    let states = states();
+    let (_, _, steps) = run_until(usize::MAX, Fault::Kill);
+    for hole in [1, 10, 22, 30, 60, 200] {
+        for step in 0..steps {
+            let (disk, done, _) = run_until(step, Fault::Kill);
+            disk.crash_with_hole(|_| usize::MAX, hole);
+            let (_, restored) = open(&disk, 9).expect("disk works again");
+            let Some(done) = done else { continue };
+            let allowed = &states[records_in(done)..=records_in(done + 1)];
+            let restored = whole(restored);
+            assert!(
+                allowed.contains(&restored),
+                "hole {hole} at {step}: {restored:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn crash_during_the_first_start_is_no_damage() {
+    for step in 0..12 {
+        let disk = FakeDisk::default();
+        disk.fail_at(step, Fault::Kill);
+        let first = open(&disk, 8).is_ok();
+        disk.crash(|_| usize::MAX);
+        let (_, restored) = open(&disk, 9).expect("disk works again");
+        let damaged = matches!(restored.origin, Origin::Damaged(_));
+        assert!(
+            !damaged && (!first || restored.id == 8),
+            "step {step}: {restored:?}"
+        );
+    }
+}
+
+#[test]
+fn only_the_files_of_the_last_damage_are_kept() {
+    let disk = FakeDisk::default();
+    for fresh in 1..=5 {
+        let (mut storage, _) = open(&disk, fresh).expect("disk works");
+        let large = Record::Reset(Box::new(reset(fresh * 10, vec![])));
+        storage.persist(&[large]).expect("working disk");
+        disk.edit("identity", |data| data[25] ^= 1);
+    }
+    open(&disk, 6).expect("disk works");
+    let aside = disk
+        .names()
+        .iter()
+        .filter(|name| name.starts_with("damaged-"))
+        .count();
+    assert_eq!(aside, 3, "{:?}", disk.names());
+}
+
 #[test]
 fn crash_while_opening_keeps_everything() {
     let states = states();
@@ -251,6 +308,18 @@
     }
 }
 
+#[test]
+fn snapshot_whose_state_cant_be_read_is_damage() {
+    let disk = FakeDisk::default();
+    let (mut storage, _) = open(&disk, 1).expect("empty folder");
+    let mut unreadable = reset(3, vec![]);
+    unreadable.snapshot.state = vec![0xff; 8].into();
+    let record = Record::Reset(Box::new(unreadable));
+    storage.persist(&[record]).expect("working disk");
+    let (_, restored) = open(&disk, 9).expect("disk works");
+    assert_eq!(restored.origin, Origin::Damaged(Damage::Snapshot(3)));
+}
+
 #[test]
 fn crash_while_setting_damage_aside_never_brings_the_old_identity_back() {
     for fault in [Fault::Kill, Fault::Tear, Fault::Fail] {
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -5,17 +5,9 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering};
 
-use crate::hosts::Hosts;
-
 /// The shared key of every deployment on loopback, in hexadecimal digits.
 const CLUSTER_KEY: &str = "5b1d8c7e9f20314253647586978899aabbccddeeff00112233445566778899aa";
 
-const GOSSIP: u16 = 7000;
-const PACKETS: u16 = 7001;
-const CONTROL: u16 = 7002;
-const METRICS: u16 = 7003;
-const FABRIC: u16 = 7004;
-
 /// The first port that a process takes.
 const FIRST_PORT: u16 = 10_000;
 
@@ -27,20 +19,9 @@
 pub struct Plan {
     trusted: String,
     seeds: Vec<SocketAddr>,
-    control: Vec<Addresses>,
+    peers: Vec<SocketAddr>,
     controls: usize,
     log: String,
-    hosts: Option<Hosts>,
-}
-
-/// The addresses of one process.
-#[derive(Clone, Copy, Debug)]
-struct Addresses {
-    gossip: SocketAddr,
-    packets: SocketAddr,
-    control: SocketAddr,
-    metrics: SocketAddr,
-    fabric: SocketAddr,
 }
 
 /// Where one planned process is reached.
@@ -64,26 +45,17 @@
         Self {
             trusted: trusted.into(),
             seeds: Vec::new(),
-            control: Vec::new(),
+            peers: Vec::new(),
             controls: 0,
             log: "warn".into(),
-            hosts: None,
         }
     }
 
-    /// Gives every process an IP number of its own with the same ports, in place of ports of its
-    /// own.
-    #[must_use]
-    pub fn with_hosts(mut self, hosts: Hosts) -> Self {
-        self.hosts = Some(hosts);
-        self
-    }
-
     /// Sets how many control processes there will be; each call of [`Plan::control`] takes the next
     /// of their addresses.
     #[must_use]
     pub fn with_control(mut self, count: usize) -> Self {
-        self.control = (0..count).map(|_| self.addresses()).collect();
+        self.peers = (0..count).map(|_| free_tcp()).collect();
         self
     }
 
@@ -101,10 +73,9 @@
 
     /// Plans a balancer.
     pub fn balancer(&mut self, name: &str, domain: &str) -> PlannedNode {
-        let addresses = self.addresses();
-        let fabric = addresses.fabric;
+        let fabric = free_udp();
         let role = format!("[balancer]\nfabric = {fabric}\n");
-        let mut node = self.node(name, domain, "balancer", &role, None, &addresses);
+        let mut node = self.node(name, domain, "balancer", &role, None);
         node.fabric = Some(fabric);
         node
     }
@@ -118,51 +89,50 @@
         backend: SocketAddr,
         fabric: SocketAddr,
     ) -> PlannedNode {
-        let role =
-            format!("[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\n");
-        let addresses = self.addresses();
-        self.node(name, domain, "agent", &role, None, &addresses)
+        let role = format!(
+            "[agent]\nfabric = {fabric}\nservice = {service}\nbackend = {backend}\nfirst-start = yes\n"
+        );
+        self.node(name, domain, "agent", &role, None)
     }
 
-    /// Plans a control process that keeps its state in `data`; each of them may found the log.
+    /// Plans a control process that keeps its state in `data`. The first one may found the log.
     pub fn control(&mut self, name: &str, domain: &str, data: &Path) -> PlannedNode {
-        if self.control.is_empty() {
-            let addresses = self.addresses();
-            self.control.push(addresses);
+        if self.peers.is_empty() {
+            self.peers.push(free_tcp());
         }
-        let peers: Vec<String> = self.control.iter().map(|a| a.control.to_string()).collect();
-        let role = format!("[control]\npeers = {}\nfound = yes\n", peers.join(", "));
-        let addresses = self.control[self.controls % self.control.len()];
+        let at = self.controls.min(self.peers.len() - 1);
         self.controls += 1;
-        self.node(name, domain, "control", &role, Some(data), &addresses)
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let role = format!("[control]\npeers = {}\nfound = yes\n", peers.join(", "));
+        let own = self.peers[at];
+        self.node_at(own, name, domain, "control", &role, Some(data))
     }
 
-    fn addresses(&mut self) -> Addresses {
-        match &mut self.hosts {
-            Some(hosts) => Addresses::on(hosts.next_ip()),
-            None => Addresses::free(),
-        }
+    fn node(
+        &mut self,
+        name: &str,
+        domain: &str,
+        roles: &str,
+        role: &str,
+        data: Option<&Path>,
+    ) -> PlannedNode {
+        self.node_at(free_tcp(), name, domain, roles, role, data)
     }
 
-    fn node(
+    fn node_at(
         &mut self,
+        control: SocketAddr,
         name: &str,
         domain: &str,
         roles: &str,
         role: &str,
         data: Option<&Path>,
-        addresses: &Addresses,
     ) -> PlannedNode {
-        let Addresses {
-            gossip,
-            packets,
-            control,
-            metrics,
-            ..
-        } = *addresses;
+        let gossip = free_udp();
+        let metrics = free_tcp();
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "gossip = {gossip}\npackets = {packets}");
+        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
         let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
         let _ = writeln!(text, "key = {CLUSTER_KEY}");
         if !self.seeds.is_empty() {
@@ -187,30 +157,6 @@
     }
 }
 
-impl Addresses {
-    /// Returns the same ports on every IP number.
-    fn on(ip: IpAddr) -> Self {
-        Self {
-            gossip: SocketAddr::new(ip, GOSSIP),
-            packets: SocketAddr::new(ip, PACKETS),
-            control: SocketAddr::new(ip, CONTROL),
-            metrics: SocketAddr::new(ip, METRICS),
-            fabric: SocketAddr::new(ip, FABRIC),
-        }
-    }
-
-    /// Returns ports that were free a moment ago.
-    fn free() -> Self {
-        Self {
-            gossip: free_udp(),
-            packets: free_udp(),
-            control: free_tcp(),
-            metrics: free_tcp(),
-            fabric: free_udp(),
-        }
-    }
-}
-
 /// Returns a loopback address with a UDP port that nothing else on the machine takes.
 pub fn free_udp() -> SocketAddr {
     own_address()
