--- a/crates/buckthornweir_load/src/callers/ledger.rs
+++ b/crates/buckthornweir_load/src/callers/ledger.rs
@@ -14,6 +14,8 @@
     pub record: CallerRecord,
     /// Whether it carried an idempotency key.
     pub keyed: bool,
+    /// What an answer that is no success gives as its reason.
+    pub problem: Option<SmolStr>,
     /// When the request was due, on the clock of the stand-ins.
     pub due: Duration,
     /// When the caller had its answer, or gave up.
--- a/crates/buckthornweir_load/src/callers/slot.rs
+++ b/crates/buckthornweir_load/src/callers/slot.rs
@@ -8,6 +8,7 @@
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
 
 use super::Shared;
 use super::ledger::{FlowEnd, FlowRecord, RequestRecord};
@@ -22,6 +23,8 @@
     /// Requests on one flow.
     budget: u32,
     flow: Option<Flow>,
+    /// The reason that the last answer gave, if it was no success.
+    problem: Option<SmolStr>,
 }
 
 struct Flow {
@@ -38,6 +41,7 @@
             gap,
             budget,
             flow: None,
+            problem: None,
         }
     }
 
@@ -85,6 +89,7 @@
                 outcome,
             },
             keyed: draft.key.is_some(),
+            problem: self.problem.take(),
             due,
             ended: uptime(),
         });
@@ -117,7 +122,8 @@
             return Outcome::TimedOut;
         };
         match &result {
-            Ok(_) => {}
+            Ok(answer) if answer.status.is_success() => {}
+            Ok(answer) => self.problem = answer.problem().map(SmolStr::from),
             Err(CallerError::Unsent(_)) => self.drop_closed(),
             Err(_) => self.finish(FlowEnd::Broken),
         }
--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -4,15 +4,18 @@
 mod process;
 mod spray;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService};
+use buckthornweir_bundle::{Bundle, Domain, Protocol, Service as BundleService, Version};
 use buckthornweir_standins::{
     Backend, BackendConfig, Fabric, FabricConfig, HttpCaller, Plan, PlannedNode, free_tcp,
     free_udp, uptime,
 };
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 
 use crate::fault::{Fault, Result};
@@ -49,8 +52,10 @@
     spray: Spray,
     backends: Vec<PlacedBackend>,
     processes: Vec<Process>,
-    operator: Operator,
+    operator: Arc<Operator>,
     bundle: Bundle,
+    /// How long each version took from its push until every process held it.
+    spread: Arc<Mutex<HashMap<Version, Duration>>>,
 }
 
 impl Deployment {
@@ -73,13 +78,15 @@
             fabric,
             backends: Vec::new(),
             processes: Vec::new(),
-            operator: Operator::new(&programs.client, folder),
+            operator: Arc::new(Operator::new(&programs.client, folder)),
             bundle: bundle(scenario),
+            spread: Arc::default(),
         };
         deployment.start_backends(scenario).await?;
         let nodes = deployment.plan(scenario, folder)?;
         deployment.start_processes(&nodes, programs, folder)?;
         deployment.operator.push(deployment.bundle.clone()).await?;
+        deployment.wait_settled().await?;
         deployment.wait_ready(scenario).await?;
         wait_warm(scenario).await;
         Ok(deployment)
@@ -97,6 +104,19 @@
         &self.backends
     }
 
+    /// Returns the latest version of the bundle that was pushed.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.bundle.version
+    }
+
+    /// Returns how long a version took from its push until every running process held it, if it
+    /// has come to that.
+    #[must_use]
+    pub fn spread(&self, version: Version) -> Option<Duration> {
+        self.spread.lock().get(&version).copied()
+    }
+
     /// Returns the names of processes that have ended without being asked to.
     pub fn crashed(&mut self) -> Vec<SmolStr> {
         let crashed = self.processes.iter_mut().filter_map(Process::crashed);
@@ -207,14 +227,42 @@
         if let Some(bundle) = self.bundle.with_domain_out(name, out) {
             self.bundle = bundle;
         }
+        self.watch_spread();
         self.operator.set_domain(name, out).await
     }
 
     async fn push_next(&mut self) -> Result<()> {
         self.bundle.version += 1;
+        self.watch_spread();
         self.operator.push(self.bundle.clone()).await
     }
 
+    /// Waits until every process holds the bundle and knows all others.
+    async fn wait_settled(&self) -> Result<()> {
+        let count = self.processes.len();
+        let settled = self
+            .operator
+            .wait_in_force(self.bundle.version, count, count)
+            .await;
+        settled.map(drop).ok_or(Fault::NotSettled)
+    }
+
+    /// Finds out, in the background, how long the latest version takes to be in force everywhere.
+    fn watch_spread(&mut self) {
+        let running = self
+            .processes
+            .iter_mut()
+            .filter_map(|process| process.is_running().ok());
+        let count = running.filter(|running| *running).count();
+        let (operator, spread) = (self.operator.clone(), self.spread.clone());
+        let version = self.bundle.version;
+        tokio::spawn(async move {
+            if let Some(time) = operator.wait_in_force(version, count, 0).await {
+                spread.lock().insert(version, time);
+            }
+        });
+    }
+
     /// Waits until each service has answered a request.
     async fn wait_ready(&self, scenario: &Scenario) -> Result<()> {
         let limit = uptime() + READY_LIMIT;
--- a/crates/buckthornweir_load/src/deployment/operator.rs
+++ b/crates/buckthornweir_load/src/deployment/operator.rs
@@ -3,12 +3,13 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::Duration;
 
-use buckthornweir_bundle::{Bundle, SignedBundle, SigningKey};
+use buckthornweir_bundle::{Bundle, SignedBundle, SigningKey, Version};
 use buckthornweir_settings::value;
 use buckthornweir_standins::uptime;
+use serde::Deserialize;
 
 use crate::fault::{Fault, Result};
 
@@ -16,6 +17,13 @@
 const LIMIT: Duration = Duration::from_secs(30);
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// What is read of a process's line in `status`.
+#[derive(Deserialize)]
+struct ProcessStatus {
+    version: Version,
+    members: u64,
+}
+
 /// Runs `buckthornweir` with settings of its own.
 pub(crate) struct Operator {
     client: PathBuf,
@@ -64,6 +72,34 @@
             .await
     }
 
+    /// Waits until this many processes hold a version of the bundle, or a higher one, and know
+    /// this many members; returns how long that took, or nothing after the time limit.
+    pub(crate) async fn wait_in_force(
+        &self,
+        version: Version,
+        processes: usize,
+        members: usize,
+    ) -> Option<Duration> {
+        let start = uptime();
+        let holds = |process: &&ProcessStatus| {
+            process.version >= version && process.members >= members as u64
+        };
+        while uptime() < start + LIMIT {
+            let status = self.status().await.unwrap_or_default();
+            if status.iter().filter(holds).count() >= processes {
+                return Some(uptime() - start);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        None
+    }
+
+    /// Asks how every process stands.
+    async fn status(&self) -> Result<Vec<ProcessStatus>> {
+        let output = self.output(&["--json", "status"]).await?;
+        Ok(serde_json::from_slice(&output.stdout)?)
+    }
+
     /// Runs a command until it succeeds.
     async fn run(&self, arguments: &[&str]) -> Result<()> {
         let limit = uptime() + LIMIT;
@@ -78,6 +114,16 @@
 
     /// Runs a command, and returns what it says when it fails.
     async fn run_once(&self, arguments: &[&str]) -> Result<Option<String>> {
+        let output = self.output(arguments).await?;
+        if output.status.success() {
+            return Ok(None);
+        }
+        Ok(Some(
+            String::from_utf8_lossy(&output.stderr).trim().to_owned(),
+        ))
+    }
+
+    async fn output(&self, arguments: &[&str]) -> Result<Output> {
         let mut command = Command::new(&self.client);
         let settings = self.folder.join("client.ini");
         command
@@ -87,13 +133,7 @@
             .stdin(Stdio::null());
         let fault = |err| Fault::Process("buckthornweir".into(), err);
         let run = tokio::task::spawn_blocking(move || command.output()).await;
-        let output = run.map_err(|err| fault(err.into()))?.map_err(fault)?;
-        if output.status.success() {
-            return Ok(None);
-        }
-        Ok(Some(
-            String::from_utf8_lossy(&output.stderr).trim().to_owned(),
-        ))
+        run.map_err(|err| fault(err.into()))?.map_err(fault)
     }
 
     fn write(&self, name: &str, text: &str) -> Result<PathBuf> {
--- a/crates/buckthornweir_load/src/deployment/process.rs
+++ b/crates/buckthornweir_load/src/deployment/process.rs
@@ -133,7 +133,8 @@
         }
     }
 
-    fn is_running(&mut self) -> Result<bool> {
+    /// Tells whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> Result<bool> {
         let Some(child) = &mut self.child else {
             return Ok(false);
         };
--- a/crates/buckthornweir_load/src/fault.rs
+++ b/crates/buckthornweir_load/src/fault.rs
@@ -56,6 +56,10 @@
         NotInForce(last: String) {
             display("the bundle was not accepted within the time limit; last: {last}")
         }
+        /// Some process did not hold the bundle or know the others in time.
+        NotSettled {
+            display("some process did not hold the bundle, or did not know all others, in time")
+        }
         /// No service answered within the time limit after the start.
         NotReady(service: SmolStr, last: String) {
             display("{service} did not answer within the time limit after the start; last: {last}")
--- a/crates/buckthornweir_load/src/figures/service.rs
+++ b/crates/buckthornweir_load/src/figures/service.rs
@@ -1,5 +1,6 @@
 //! The figures of one service.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use buckthornweir_standins::{BackendBooks, CallerRecord, End, tally};
@@ -10,7 +11,7 @@
 use super::load::{Imbalance, LoadSeries, imbalance, series};
 use super::timeline::{WindowFigures, windows};
 use super::{BackendEvidence, Evidence};
-use crate::callers::FlowEnd;
+use crate::callers::{FlowEnd, RequestRecord};
 
 /// Significant decimal digits of a latency.
 const DIGITS: u8 = 3;
@@ -24,6 +25,8 @@
     pub service: SmolStr,
     /// What became of its requests.
     pub outcomes: Outcomes,
+    /// How often each reason was given for an answer that is no success.
+    pub problems: BTreeMap<SmolStr, usize>,
     /// What became of its flows.
     pub flows: FlowFigures,
     /// The latency of whole answers after the warm-up.
@@ -70,6 +73,14 @@
     pub unfounded: usize,
 }
 
+fn problems<'a>(requests: impl Iterator<Item = &'a RequestRecord>) -> BTreeMap<SmolStr, usize> {
+    let mut problems = BTreeMap::new();
+    for problem in requests.filter_map(|request| request.problem.clone()) {
+        *problems.entry(problem).or_default() += 1;
+    }
+    problems
+}
+
 impl Outcomes {
     /// Counts from the books of both ends; `keyed` are those of the records that had a key.
     fn of(records: &[CallerRecord], keyed: &[CallerRecord], books: &[BackendBooks]) -> Self {
@@ -172,9 +183,7 @@
         .collect();
     let warm = evidence.start + scenario.warm_up;
     let measured = requests().filter(|request| request.is_answered() && request.due >= warm);
-    let latencies: Vec<_> = measured
-        .map(crate::callers::RequestRecord::latency)
-        .collect();
+    let latencies: Vec<_> = measured.map(RequestRecord::latency).collect();
     let load = series(evidence, service);
     let (window, warm_up) = (
         scenario.window.as_secs_f64(),
@@ -187,6 +196,7 @@
     ServiceFigures {
         service: service.clone(),
         outcomes: Outcomes::of(&records, &keyed, books),
+        problems: problems(requests()),
         flows: FlowFigures::of(evidence, service),
         latency: Latency::of(&latencies),
         imbalance: imbalance(&load, window, warm_up),
--- a/crates/buckthornweir_load/src/figures/timeline.rs
+++ b/crates/buckthornweir_load/src/figures/timeline.rs
@@ -18,6 +18,10 @@
     pub at: f64,
     /// When it was done, such as a bundle accepted or a process started again.
     pub done: f64,
+    /// The version of the bundle that it pushed.
+    pub version: Option<u64>,
+    /// Seconds from when it began until every running process held that version.
+    pub everywhere: Option<f64>,
     /// What happened, as a scenario writes it.
     pub what: SmolStr,
     /// Whether it was taken back: the fault of an event that failed.
--- a/crates/buckthornweir_load/src/output/lines.rs
+++ b/crates/buckthornweir_load/src/output/lines.rs
@@ -1,5 +1,6 @@
 //! Figures as JSON lines, for scripts.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 
 use serde::Serialize;
@@ -25,6 +26,7 @@
     Service {
         service: &'a SmolStr,
         outcomes: &'a Outcomes,
+        problems: &'a BTreeMap<SmolStr, usize>,
         flows: &'a FlowFigures,
         latency: &'a Latency,
         imbalance: &'a Imbalance,
@@ -76,6 +78,7 @@
             &Line::Service {
                 service: &service.service,
                 outcomes: &service.outcomes,
+                problems: &service.problems,
                 flows: &service.flows,
                 latency: &service.latency,
                 imbalance: &service.imbalance,
--- a/crates/buckthornweir_load/src/output/table.rs
+++ b/crates/buckthornweir_load/src/output/table.rs
@@ -17,6 +17,13 @@
         outcomes(&figures.services).to_string(),
         backends(&figures.services).to_string(),
     ];
+    if figures
+        .services
+        .iter()
+        .any(|service| !service.problems.is_empty())
+    {
+        parts.push(problems(&figures.services).to_string());
+    }
     if !figures.domains.is_empty() {
         parts.push(domains(&figures.domains).to_string());
     }
@@ -114,6 +121,20 @@
     table
 }
 
+fn problems(services: &[ServiceFigures]) -> Table {
+    let mut table = table(["service", "reason of a refusal or error", "requests"]);
+    for figures in services {
+        for (problem, count) in &figures.problems {
+            table.add_row([
+                figures.service.to_string(),
+                problem.to_string(),
+                count.to_string(),
+            ]);
+        }
+    }
+    table
+}
+
 fn backends(services: &[ServiceFigures]) -> Table {
     let mut table = table([
         "backend server",
@@ -173,12 +194,21 @@
 }
 
 fn events(events: &[EventMark]) -> Table {
-    let mut table = table(["event", "at s", "done after s", "failed"]);
+    let mut table = table([
+        "event",
+        "at s",
+        "done after s",
+        "everywhere after s",
+        "failed",
+    ]);
     for event in events {
         table.add_row([
             event.what.to_string(),
             format!("{:.1}", event.at),
             format!("{:.2}", event.done - event.at),
+            event
+                .everywhere
+                .map_or(String::new(), |seconds| format!("{seconds:.2}")),
             event.failed.clone().unwrap_or_default(),
         ]);
     }
--- a/crates/buckthornweir_load/src/run.rs
+++ b/crates/buckthornweir_load/src/run.rs
@@ -11,7 +11,7 @@
 use crate::deployment::{Deployment, Programs};
 use crate::fault::Result;
 use crate::figures::{BackendEvidence, EventMark, Evidence, Figures, figures};
-use crate::scenario::{Event, Scenario};
+use crate::scenario::{Action, Event, Scenario};
 
 const PROGRESS_PAUSE: Duration = Duration::from_millis(250);
 
@@ -73,6 +73,10 @@
             .map_or(PROGRESS_PAUSE, |event| event.at.saturating_sub(elapsed));
         tokio::time::sleep(next.min(PROGRESS_PAUSE)).await;
     }
+    for mark in &mut marks {
+        let spread = mark.version.and_then(|version| deployment.spread(version));
+        mark.everywhere = spread.map(|time| time.as_secs_f64());
+    }
     let figures = collect(scenario, &deployment, &ledger, &marks, start);
     deployment.end();
     Ok(figures)
@@ -83,9 +87,15 @@
     let since = || uptime().saturating_sub(start).as_secs_f64();
     let at = since();
     let result = deployment.act(&event.action).await;
+    let pushes = matches!(
+        event.action,
+        Action::DomainOut(_) | Action::DomainBack(_) | Action::Push
+    );
     EventMark {
         at,
         done: since(),
+        version: pushes.then(|| deployment.version()),
+        everywhere: None,
         what: format_smolstr!("{}", event.action),
         failed: result.err().map(|fault| fault.to_string()),
         action: Some(event.action.clone()),
@@ -97,6 +107,8 @@
     EventMark {
         at,
         done: at,
+        version: None,
+        everywhere: None,
         what,
         failed: None,
         action: None,
--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -52,6 +52,7 @@
             outcome,
         },
         keyed: false,
+        problem: None,
         due: at(seconds),
         ended: at(seconds) + Duration::from_millis(25),
     }
@@ -127,6 +128,8 @@
             at: event.at.as_secs_f64(),
             done: event.at.as_secs_f64() + 0.5,
             what: event.action.to_string().into(),
+            version: Some(2),
+            everywhere: Some(1.25),
             failed: None,
             action: Some(event.action.clone()),
         })
@@ -177,12 +180,12 @@
         │ fj-west-b      ┆     10.0 ┆      20.0 ┆                     2.00 ┆                       3.00 ┆    3 ┆ 2 (66.67 %) ┆            1 ┆                 0 │
         └────────────────┴──────────┴───────────┴──────────────────────────┴────────────────────────────┴──────┴─────────────┴──────────────┴───────────────────┘
 
-        ┌───────────────────────┬──────┬──────────────┬────────┐
-        │ event                 ┆ at s ┆ done after s ┆ failed │
-        ╞═══════════════════════╪══════╪══════════════╪════════╡
-        │ domain-out fj-west-b  ┆ 10.0 ┆         0.50 ┆        │
-        │ domain-back fj-west-b ┆ 20.0 ┆         0.50 ┆        │
-        └───────────────────────┴──────┴──────────────┴────────┘"#]]
+        ┌───────────────────────┬──────┬──────────────┬────────────────────┬────────┐
+        │ event                 ┆ at s ┆ done after s ┆ everywhere after s ┆ failed │
+        ╞═══════════════════════╪══════╪══════════════╪════════════════════╪════════╡
+        │ domain-out fj-west-b  ┆ 10.0 ┆         0.50 ┆               1.25 ┆        │
+        │ domain-back fj-west-b ┆ 20.0 ┆         0.50 ┆               1.25 ┆        │
+        └───────────────────────┴──────┴──────────────┴────────────────────┴────────┘"#]]
     .assert_eq(&tables(&made_up()));
 }
 
--- a/crates/buckthornweir_standins/src/caller.rs
+++ b/crates/buckthornweir_standins/src/caller.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use quick_error::quick_error;
+use serde::Deserialize;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::backend::{AnswerBody, headers};
@@ -67,6 +68,17 @@
         serde_json::from_slice(&self.body).ok()
     }
 
+    /// Returns the title of the answer's problem document, if it is one.
+    #[must_use]
+    pub fn problem(&self) -> Option<String> {
+        #[derive(Deserialize)]
+        struct Problem {
+            title: String,
+        }
+        let problem: Problem = serde_json::from_slice(&self.body).ok()?;
+        Some(problem.title)
+    }
+
     /// Tells whether the answer says that the request was not run.
     #[must_use]
     pub fn says_not_run(&self) -> bool {
