--- /dev/null
+++ b/benches/bundles.rs
@@ -0,0 +1,52 @@
+//! Size of a signed bundle, and the time to read and verify it, against its services.
+//!
+//! `cargo bench --bench bundles` prints the tables.
+
+mod slopes;
+
+use std::hint::black_box;
+
+use buckthornweir_bundle::prelude::*;
+use slopes::{Point, median_nanos, print_slope};
+
+const SERVICES: [usize; 3] = [10, 100, 1_100];
+const DOMAINS: usize = 7;
+const ROUNDS: usize = 15;
+
+fn main() -> buckthornweir_bundle::Result<()> {
+    let key = SigningKey::from_secret(&[1; 32]);
+    let trust = Trust::new().with_key(key.public());
+    let (mut bytes, mut reading, mut verifying) = (Vec::new(), Vec::new(), Vec::new());
+    for count in SERVICES {
+        let bundle = Bundle::parse("bench.ini", &bundle_text(count))?;
+        let signed = SignedBundle::sign(bundle, &key);
+        let text = signed.to_text();
+        bytes.push(Point::new(count, text.len() as f64));
+        let nanos = median_nanos(ROUNDS, 20, || {
+            let _ = black_box(SignedBundle::parse("bench.ini", black_box(&text)));
+        });
+        reading.push(Point::new(count, nanos / 1e3));
+        let nanos = median_nanos(ROUNDS, 20, || {
+            let _ = black_box(signed.verify(black_box(&trust)));
+        });
+        verifying.push(Point::new(count, nanos / 1e3));
+    }
+    print_slope("signed bundle", "services", "bytes", &bytes);
+    print_slope("read a bundle", "services", "microseconds", &reading);
+    print_slope("verify a bundle", "services", "microseconds", &verifying);
+    Ok(())
+}
+
+/// Returns a bundle whose services have one address each and run in three failure domains.
+fn bundle_text(services: usize) -> String {
+    let mut text = "[bundle]\nversion = 1\n".to_owned();
+    for domain in 0..DOMAINS {
+        text += &format!("[domain fj-west-{domain}]\nregion = fj-west\n");
+    }
+    for number in 0..services {
+        let address = format!("10.0.{}.{}:80", number / 256, number % 256);
+        text += &format!("[service orders-{number}]\naddresses = {address}\n");
+        text += "domains = fj-west-0, fj-west-1, fj-west-2\n";
+    }
+    text
+}
--- /dev/null
+++ b/benches/processes/main.rs
@@ -0,0 +1,144 @@
+//! What whole processes of the daemon cost: idle, against services, with open flows, with requests.
+//!
+//! `cargo build --release -p buckthornweir_daemon` comes first. Then `cargo bench --bench processes`
+//! measures idle processes with 3, 10 and 30 agents, and
+//! `cargo bench --bench processes -- services 10 100 1100`, `-- flows 1000 4000 7143` and
+//! `-- requests 200 500 1000` (a second) the rest.
+
+#[path = "../slopes/mod.rs"]
+mod slopes;
+
+mod deployment;
+mod load;
+mod usage;
+
+use std::time::Duration;
+
+use deployment::{Deployment, Process, Size};
+use slopes::{Point, arguments, print_slope};
+use usage::{Rate, Usage};
+
+/// How long processes are measured.
+pub(crate) const LENGTH: Duration = Duration::from_secs(20);
+
+/// How long processes are left alone before they are measured.
+pub(crate) const QUIET: Duration = Duration::from_secs(10);
+
+const ROLES: [&str; 3] = ["control", "balancer", "agent"];
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() {
+    let given = arguments();
+    let name = given.first().map_or("idle", String::as_str);
+    let sizes: Vec<usize> = given.iter().filter_map(|text| text.parse().ok()).collect();
+    let or = |default: [usize; 3]| match sizes.is_empty() {
+        true => default.to_vec(),
+        false => sizes.clone(),
+    };
+    match name {
+        "services" => services(&or([10, 100, 1_100])).await,
+        "flows" => load::flows(&or([1_000, 4_000, 7_143])).await,
+        "requests" => load::requests(&or([200, 500, 1_000])).await,
+        _ => idle(&or([3, 10, 30])).await,
+    }
+}
+
+/// The mean over the processes of one role.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    resident: f64,
+    private: f64,
+    core: f64,
+    sent: f64,
+    received: f64,
+}
+
+/// Measures all processes for a while, and returns the mean for each role.
+async fn measure(deployment: &Deployment) -> Vec<Mean> {
+    let read = || -> Vec<Usage> { deployment.processes.iter().map(Process::usage).collect() };
+    let before = read();
+    tokio::time::sleep(LENGTH).await;
+    let after = read();
+    let of_role = |role| {
+        let mut mean = Mean::default();
+        let count = deployment.role(role).count() as f64;
+        let all = deployment.processes.iter().zip(before.iter().zip(&after));
+        for (_, (before, after)) in all.filter(|(process, _)| process.role == role) {
+            let rate: Rate = after.since(before);
+            mean.resident += after.resident / count;
+            mean.private += after.private / count;
+            mean.core += rate.core / count;
+            mean.sent += rate.sent / count;
+            mean.received += rate.received / count;
+        }
+        mean
+    };
+    ROLES.map(of_role).to_vec()
+}
+
+fn print_roles(sizes: &str, measured: &[(usize, Vec<Mean>)]) {
+    for (at, role) in ROLES.iter().enumerate() {
+        let print = |what: &str, unit: &str, part: fn(&Mean) -> f64| {
+            let point = |(size, means): &(usize, Vec<Mean>)| Point::new(*size, part(&means[at]));
+            let points: Vec<Point> = measured.iter().map(point).collect();
+            print_slope(&format!("{role}: {what}"), sizes, unit, &points);
+        };
+        print("resident memory", "MB", |mean| mean.resident);
+        print("of it no file", "MB", |mean| mean.private);
+        print("processor", "% of a core", |mean| mean.core);
+        print("control sent", "B/s", |mean| mean.sent);
+        print("control received", "B/s", |mean| mean.received);
+    }
+}
+
+async fn idle(agents: &[usize]) {
+    let mut measured = Vec::new();
+    for &agents in agents {
+        let size = Size {
+            balancers: 2,
+            agents,
+            services: 1,
+        };
+        let deployment = Deployment::start(size).await;
+        tokio::time::sleep(QUIET).await;
+        let members = deployment.processes.len();
+        measured.push((members, measure(&deployment).await));
+    }
+    print_roles("members", &measured);
+}
+
+/// Measures idle processes that hold a bundle of some services, after three pushes of it.
+async fn services(services: &[usize]) {
+    let (mut measured, mut pushes, mut busy) = (Vec::new(), Vec::new(), Vec::new());
+    for &services in services {
+        let size = Size {
+            balancers: 1,
+            agents: 3,
+            services,
+        };
+        let deployment = Deployment::start(size).await;
+        tokio::time::sleep(QUIET).await;
+        let balancer =
+            |deployment: &Deployment| deployment.role("balancer").next().map(Process::usage);
+        let before = balancer(&deployment);
+        let mut slowest = Duration::ZERO;
+        for version in 2..=4 {
+            let took = deployment.push(version).await;
+            slowest = slowest.max(took.unwrap_or(Duration::MAX));
+        }
+        tokio::time::sleep(QUIET).await;
+        if let (Some(before), Some(after)) = (before, balancer(&deployment)) {
+            busy.push(Point::new(services, after.since(&before).busy / 3.0 * 1e3));
+        }
+        pushes.push(Point::new(services, slowest.as_secs_f64()));
+        measured.push((services, measure(&deployment).await));
+    }
+    print_roles("services", &measured);
+    print_slope(
+        "slowest of three pushes, in force",
+        "services",
+        "s",
+        &pushes,
+    );
+    print_slope("balancer: processor a push", "services", "ms", &busy);
+}
--- /dev/null
+++ b/benches/views.rs
@@ -0,0 +1,192 @@
+//! What a packet costs at a balancer, and what a change of members costs, against services and
+//! members.
+//!
+//! `cargo bench --bench views` prints the tables.
+
+#[path = "../crates/buckthornweir_flows/benches/common/mod.rs"]
+mod common;
+mod slopes;
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use buckthornweir_flows::balancer::HintLimits;
+use buckthornweir_flows::messages::{FlowBody, FlowKey, FlowMessage, Hint};
+use buckthornweir_flows::prelude::*;
+use buckthornweir_wire::{Body, ClusterKey, Envelope, open, seal};
+use common::{KEY, forward, member, packet, tuple};
+use slopes::{Point, median_nanos, print_slope, resident};
+
+/// Services of a bundle.
+const SERVICES: [usize; 3] = [10, 100, 1_100];
+
+/// Agents of one service.
+const MEMBERS: [usize; 4] = [3, 30, 300, 2_800];
+
+/// Agents of all services together.
+const AGENTS: usize = 2_800;
+
+/// Flows whose packets take turns.
+const FLOWS: u32 = 10_000;
+
+/// Bytes of the packets that are authenticated.
+const LENGTHS: [usize; 3] = [64, 576, 1_400];
+
+const NOW: Duration = Duration::from_secs(1);
+const ROUNDS: usize = 15;
+
+fn main() {
+    route_by_services();
+    route_by_members();
+    authenticate();
+    views_by_services();
+    view_by_members();
+}
+
+fn address(service: usize) -> SocketAddr {
+    let [high, low] = (service as u16).to_be_bytes();
+    SocketAddr::from(([198, 51, high, low], 80))
+}
+
+fn members(numbers: impl Iterator<Item = usize>) -> Vec<Member> {
+    numbers.map(|number| member(1 + number as u64)).collect()
+}
+
+/// Returns the view of one service out of `services` that share all agents.
+fn service_of(services: usize, service: usize) -> ServiceView {
+    let agents = members((service..AGENTS).step_by(services));
+    let name = format!("service-{service}").into();
+    ServiceView::new(name, vec![address(service)], agents, &BTreeSet::new(), KEY)
+}
+
+/// Returns the time of parsing a packet and deciding about it.
+fn route(view: &BalancerView, services: usize, with_hints: bool) -> f64 {
+    let balancer = Balancer::new(KEY, &HintLimits::default());
+    let mut packets = Vec::new();
+    for number in 0..FLOWS {
+        let service = address(number as usize % services);
+        let flow = FiveTuple {
+            service,
+            ..tuple(number)
+        };
+        packets.push(packet(&flow, false, &[0; 64]));
+        let owner = view.service(service).map(|known| known.members()[0].node);
+        let hint = Hint {
+            flow: Some(FlowKey::from(&flow)),
+            owner: owner.unwrap_or_default(),
+            ..Hint::default()
+        };
+        if with_hints {
+            let _ = balancer.hint(&hint, NOW);
+        }
+    }
+    let mut turn = packets.iter().cycle();
+    median_nanos(ROUNDS, 100_000, || {
+        if let Some(Ok(info)) = turn.next().map(|bytes| parse(bytes)) {
+            black_box(balancer.route(view, &info, NOW));
+        }
+    })
+}
+
+fn route_by_services() {
+    let (mut plain, mut hinted) = (Vec::new(), Vec::new());
+    for count in SERVICES {
+        let views = (0..count).map(|service| service_of(count, service));
+        let view = BalancerView::new(1, views.collect());
+        plain.push(Point::new(count, route(&view, count, false)));
+        hinted.push(Point::new(count, route(&view, count, true)));
+    }
+    print_slope("balancer: parse and route", "services", "ns/packet", &plain);
+    print_slope(
+        "balancer: parse and route by hint",
+        "services",
+        "ns/packet",
+        &hinted,
+    );
+}
+
+fn route_by_members() {
+    let point = |count: usize| {
+        let agents = members(0..count);
+        let name = "service-0".into();
+        let service = ServiceView::new(name, vec![address(0)], agents, &BTreeSet::new(), KEY);
+        let view = BalancerView::new(1, vec![service]);
+        Point::new(count, route(&view, 1, false))
+    };
+    let points = MEMBERS.map(point);
+    print_slope("balancer: parse and route", "members", "ns/packet", &points);
+}
+
+/// Measures the envelope and tag of a forwarded packet, at both ends.
+fn authenticate() {
+    let key = ClusterKey::new([7; 32]);
+    let (mut sealing, mut opening) = (Vec::new(), Vec::new());
+    for length in LENGTHS {
+        let body = Some(FlowBody::Forward(forward(&vec![0x45; length])));
+        let envelope = Envelope::new(1, Body::Flow(FlowMessage { body }));
+        let datagram = seal(&key, &envelope);
+        let nanos = median_nanos(ROUNDS, 20_000, || {
+            black_box(seal(&key, black_box(&envelope)));
+        });
+        sealing.push(Point::new(length, nanos));
+        let nanos = median_nanos(ROUNDS, 20_000, || {
+            let _ = black_box(open(&key, black_box(&datagram)));
+        });
+        opening.push(Point::new(length, nanos));
+    }
+    print_slope("balancer: seal", "bytes", "ns/packet", &sealing);
+    print_slope("agent: open", "bytes", "ns/packet", &opening);
+}
+
+/// Measures all views at a start, then what the daemon does at a change of one service's members:
+/// it works that service's view out and clones those of the others.
+fn views_by_services() {
+    let (mut first, mut one, mut all, mut memory) =
+        (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    for count in SERVICES {
+        let build = || {
+            (0..count)
+                .map(|service| service_of(count, service))
+                .collect()
+        };
+        let nanos = median_nanos(3, 1, || {
+            let views: Vec<ServiceView> = build();
+            black_box(views);
+        });
+        first.push(Point::new(count, nanos / 1e6));
+        let before = resident();
+        let made: Vec<ServiceView> = build();
+        memory.push(Point::new(count, (resident() - before) / 1e6));
+        let nanos = median_nanos(ROUNDS, 1, || {
+            black_box(service_of(count, 0));
+        });
+        one.push(Point::new(count, nanos / 1e6));
+        let nanos = median_nanos(ROUNDS, 1, || {
+            let mut views = vec![service_of(count, 0)];
+            views.extend(made[1..].iter().cloned());
+            black_box(BalancerView::new(1, views));
+        });
+        all.push(Point::new(count, nanos / 1e6));
+    }
+    let title = |what| format!("{AGENTS} agents in all: {what}");
+    print_slope(&title("all views at a start"), "services", "ms", &first);
+    print_slope(&title("one view"), "services", "ms", &one);
+    print_slope(&title("one change"), "services", "ms", &all);
+    print_slope(&title("one copy of all views"), "services", "MB", &memory);
+}
+
+fn view_by_members() {
+    let point = |count: usize| {
+        let nanos = median_nanos(3, 1, || {
+            let agents = members(0..count);
+            let name = "service-0".into();
+            let out = BTreeSet::new();
+            black_box(ServiceView::new(name, vec![address(0)], agents, &out, KEY));
+        });
+        Point::new(count, nanos / 1e6)
+    };
+    let points = MEMBERS.map(point);
+    print_slope("one view of one service", "members", "ms", &points);
+}
