Daemon: keep an older bundle from replacing a newer, count refused links, stricter settings

Cause: (1) found by reading: on a control VM the log's thread and the pull task both put bundles in force; both could pass the version check before either had set its bundle, so an older one could replace a newer one, and both write the same file. (2) Link::accept refuses strangers itself now, so links_forged_total no longer counted them. Ruled out: a test that hits the race of (1) through real processes; it would pass by luck. Change: the check, the file and the change of the bundle are one step under a lock; accept's error is counted; the settings use public_key and log_filter, and five rows more (failing before: the row of the key started the program). One row's text names the sections of the roles that are listed.

--- a/crates/buckthornweir_daemon/src/board.rs
+++ b/crates/buckthornweir_daemon/src/board.rs
@@ -8,7 +8,7 @@
 use buckthornweir_events::{Event, EventKind, Journal, Metrics};
 use buckthornweir_members::{BundleStamp, Health, MemberState, Record};
 use buckthornweir_wire::{Body, Envelope, NodeId};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
 use crate::fault::Result;
@@ -74,6 +74,7 @@
     pub journal: Journal,
     started: Instant,
     bundle: ArcSwapOption<SignedBundle>,
+    applying: Mutex<()>,
     members: ArcSwap<Vec<Member>>,
     own: Mutex<OwnState>,
     quorum: Mutex<QuorumState>,
@@ -100,6 +101,7 @@
             settings,
             started: Instant::now(),
             bundle: ArcSwapOption::empty(),
+            applying: Mutex::default(),
             members: ArcSwap::default(),
             own: Mutex::new(own),
             quorum: Mutex::default(),
@@ -166,6 +168,11 @@
         }
     }
 
+    /// Holds off others that put a bundle in force, so that an older one never replaces a newer.
+    pub(crate) fn hold_bundle(&self) -> MutexGuard<'_, ()> {
+        self.applying.lock()
+    }
+
     /// Puts a bundle in force and returns the one before.
     pub(crate) fn set_bundle(&self, bundle: Arc<SignedBundle>) -> Option<Arc<SignedBundle>> {
         let before = self.bundle.swap(Some(bundle));
--- a/crates/buckthornweir_daemon/src/bundles.rs
+++ b/crates/buckthornweir_daemon/src/bundles.rs
@@ -63,6 +63,7 @@
         refuse(board, version, &fault);
         return;
     }
+    let _held = board.hold_bundle();
     if version <= board.version() {
         return;
     }
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -299,8 +299,9 @@
         self.runtime.spawn(async move {
             let _permit = permit;
             let key = &board.settings.node.key;
-            let Ok(link) = Link::accept(stream, key, DIAL_LIMIT).await else {
-                return;
+            let link = match Link::accept(stream, key, DIAL_LIMIT).await {
+                Ok(link) => link,
+                Err(error) => return note(&board, &error),
             };
             let (sender, receiver) = mpsc::channel(WAITING);
             let parts = LinkParts {
@@ -335,18 +336,19 @@
         loop {
             let received = match timeout(SILENCE_LIMIT, reader.receive()).await {
                 Ok(Ok(envelope)) => envelope,
-                Ok(Err(error)) => return self.note(&error),
+                Ok(Err(error)) => return note(&self.board, &error),
                 Err(_) => return,
             };
             self.board.observe(&received);
             self.dispatch.receive(received, &self.back);
         }
     }
+}
 
-    fn note(&self, error: &buckthornweir_wire::WireError) {
-        if matches!(error, buckthornweir_wire::WireError::Forged) {
-            self.board.metrics.count(Count::LinksForged);
-        }
+/// Counts a link that fails authentication.
+fn note(board: &Blackboard, error: &buckthornweir_wire::WireError) {
+    if matches!(error, buckthornweir_wire::WireError::Forged) {
+        board.metrics.count(Count::LinksForged);
     }
 }
 
--- a/crates/buckthornweir_daemon/src/settings.rs
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use buckthornweir_bundle::{PublicKey, Trust};
-use buckthornweir_events::LogFormat;
+use buckthornweir_bundle::{PublicKey, Trust, public_key};
+use buckthornweir_events::{LogFormat, log_filter};
 use buckthornweir_settings::{Document, Fault, Section, value};
 use buckthornweir_wire::{ClusterKey, NodeId};
 use smol_str::SmolStr;
@@ -13,9 +13,6 @@
 /// The result of reading settings.
 pub(crate) type Result<T> = std::result::Result<T, Fault>;
 
-/// The sections of the settings, as faults list them.
-const SECTIONS: &str = "[node], [balancer], [agent], [control], [trust], [log]";
-
 /// The most control processes.
 const CONTROL_LIMIT: usize = 7;
 
@@ -146,7 +143,9 @@
         let durable = roles.contains(&Role::Control);
         let node = read_node(section, durable)?;
         let settings = Self {
-            balancer: read_role(&mut document, &roles, Role::Balancer, read_balancer)?,
+            balancer: read_role(&mut document, &roles, Role::Balancer, |section| {
+                read_balancer(section, &node)
+            })?,
             agent: read_role(&mut document, &roles, Role::Agent, read_agent)?,
             control: read_role(&mut document, &roles, Role::Control, |section| {
                 read_control(section, node.control)
@@ -155,7 +154,7 @@
             log: read_log(document.take_optional("log"))?,
             node,
         };
-        document.finish(SECTIONS)?;
+        document.finish(&sections(&roles))?;
         Ok(settings)
     }
 }
@@ -184,6 +183,12 @@
     }
 }
 
+/// Returns the sections of a process with these roles, as faults list them.
+fn sections(roles: &[Role]) -> String {
+    let roles: Vec<String> = roles.iter().map(|r| format!("[{}]", r.word())).collect();
+    format!("[node], {}, [trust], [log]", roles.join(", "))
+}
+
 fn read_roles(section: &mut Section) -> Result<Vec<Role>> {
     let role = |item: &str| value::one_of(&Role::WORDS)(item);
     section.required("roles", value::list(role))
@@ -199,9 +204,9 @@
     let node = NodeSettings {
         name: section.required("name", value::name)?,
         domain: section.required("domain", value::name)?,
-        gossip: section.required("gossip", value::address)?,
-        packets: section.required("packets", value::address)?,
-        control: section.required("control", value::address)?,
+        gossip: section.required("gossip", reachable)?,
+        packets: section.required("packets", reachable)?,
+        control: section.required("control", reachable)?,
         metrics: section.optional("metrics", value::address)?,
         seeds: section.or("seeds", Vec::new(), value::list(value::address))?,
         key: ClusterKey::new(section.required("key", value::hex)?),
@@ -217,6 +222,23 @@
     Ok(node)
 }
 
+/// Reads an address that other processes can send to.
+fn reachable(text: &str) -> value::Result<SocketAddr> {
+    let address = value::address(text)?;
+    if address.ip().is_unspecified() {
+        return Err("an address that other processes reach, with a port".into());
+    }
+    Ok(address)
+}
+
+/// Reads the path of a URL.
+fn path(text: &str) -> value::Result<SmolStr> {
+    if !text.starts_with('/') || text.contains(|c: char| c.is_whitespace() || c.is_control()) {
+        return Err("a path that starts with / and has no spaces".into());
+    }
+    Ok(text.into())
+}
+
 fn check_distinct(section: &Section, node: &NodeSettings) -> Result<()> {
     if node.gossip == node.packets {
         let allowed = "an address other than gossip's";
@@ -245,11 +267,15 @@
     section.or("threads", 2, value::number(1..=64))
 }
 
-fn read_balancer(mut section: Section) -> Result<BalancerSettings> {
+fn read_balancer(mut section: Section, node: &NodeSettings) -> Result<BalancerSettings> {
     let balancer = BalancerSettings {
         fabric: section.required("fabric", value::address)?,
         threads: read_threads(&mut section)?,
     };
+    if [node.gossip, node.packets].contains(&balancer.fabric) {
+        let allowed = "an address other than gossip's and packets'";
+        return Err(section.rejects("fabric", &balancer.fabric.to_string(), allowed));
+    }
     section.finish()?;
     Ok(balancer)
 }
@@ -260,7 +286,7 @@
         fabric: section.required("fabric", value::address)?,
         service: section.required("service", value::name)?,
         backend: section.required("backend", value::address)?,
-        health: section.or("health", SmolStr::new("/-/health"), value::text)?,
+        health: section.or("health", SmolStr::new("/-/health"), path)?,
         threads: read_threads(&mut section)?,
         idle: section.or(
             "idle",
@@ -287,7 +313,7 @@
 }
 
 fn read_trust(mut section: Section) -> Result<Trust> {
-    let keys: Vec<PublicKey> = section.required("keys", value::list(value::hex))?;
+    let keys: Vec<PublicKey> = section.required("keys", value::list(public_key))?;
     let revoked: Vec<PublicKey> = section.or("revoked", Vec::new(), value::list(value::hex))?;
     section.finish()?;
     let trust = keys.into_iter().fold(Trust::new(), Trust::with_key);
@@ -304,7 +330,7 @@
     let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
     let log = LogSettings {
         format: section.or("format", LogFormat::Text, value::one_of(&formats))?,
-        filter: section.or("filter", SmolStr::new("info"), value::text)?,
+        filter: section.or("filter", SmolStr::new("info"), log_filter)?,
     };
     section.finish()?;
     Ok(log)
--- a/crates/buckthornweir_daemon/tests/settings.rs
+++ b/crates/buckthornweir_daemon/tests/settings.rs
@@ -46,6 +46,12 @@
 filter = info
 ";
 
+/// The trusted key of these settings.
+const KEY: &str = "ea4a6c63e29c520abef5507b132ec5f9954776aebebe7b92421eea691446d22c";
+
+/// A number that is no point of the curve of the keys.
+const NO_POINT: &str = "0200000000000000000000000000000000000000000000000000000000000000";
+
 fn run(folder: &TempDir, arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_buckthornweird"))
         .current_dir(folder.path())
@@ -172,7 +178,7 @@
             "balancer, agent, control",
             "agent, control",
             expect![
-                "s.ini:13: [balancer] is not a known section; allowed: [node], [balancer], [agent], [control], [trust], [log]"
+                "s.ini:13: [balancer] is not a known section; allowed: [node], [agent], [control], [trust], [log]"
             ],
         ),
         (
@@ -346,7 +352,42 @@
             "filter = info",
             "filter =",
             expect![[
-                r#"s.ini:29: [log] filter = "" is not allowed; allowed: a text that is not empty"#
+                r#"s.ini:29: [log] filter = "" is not allowed; allowed: a level such as info, or directives such as info,buckthornweir_daemon=debug"#
+            ]],
+        ),
+        (
+            "gossip = 127.0.0.1:7000",
+            "gossip = 0.0.0.0:7000",
+            expect![[
+                r#"s.ini:5: [node] gossip = "0.0.0.0:7000" is not allowed; allowed: an address that other processes reach, with a port"#
+            ]],
+        ),
+        (
+            "fabric = 127.0.0.1:6080",
+            "fabric = 127.0.0.1:7001",
+            expect![[
+                r#"s.ini:14: [balancer] fabric = "127.0.0.1:7001" is not allowed; allowed: an address other than gossip's and packets'"#
+            ]],
+        ),
+        (
+            "service = orders",
+            "service = orders\nhealth = health",
+            expect![[
+                r#"s.ini:19: [agent] health = "health" is not allowed; allowed: a path that starts with / and has no spaces"#
+            ]],
+        ),
+        (
+            KEY,
+            NO_POINT,
+            expect![[
+                r#"s.ini:26: [trust] keys = "0200000000000000000000000000000000000000000000000000000000000000" is not allowed; allowed: a list separated by commas, each an Ed25519 public key, as keygen prints it"#
+            ]],
+        ),
+        (
+            "filter = info",
+            "filter = a=b=c",
+            expect![[
+                r#"s.ini:29: [log] filter = "a=b=c" is not allowed; allowed: a level such as info, or directives such as info,buckthornweir_daemon=debug"#
             ]],
         ),
     ];
