Sign only bundles whose signature counts, and refuse unknown kinds of events

Cause: domain out and back signed the text of the first process that answered, without a look at its signature: whoever holds the cluster's key could have an altered bundle signed. Ruled out: asking a majority of processes, since one thief may answer for all of them. Conclusion: an operator's signature goes only on what an operator signed before.

--- a/crates/buckthornweir_cli/src/commands/bundle.rs
+++ b/crates/buckthornweir_cli/src/commands/bundle.rs
@@ -121,12 +121,13 @@
     Ok(())
 }
 
-/// Returns the bundle that the first process that answers holds.
+/// Returns the bundle that the first process that answers holds, when its signature counts.
 pub(crate) async fn in_force(settings: &ClientSettings) -> Result<Bundle> {
     let text = text_in_force(settings).await?;
-    Ok(SignedBundle::parse("the bundle in force", &text)?
-        .bundle()
-        .clone())
+    let signed = SignedBundle::parse("the bundle in force", &text)?;
+    // A process that is not to be trusted must not get an altered bundle signed.
+    signed.verify(&settings.trust)?;
+    Ok(signed.bundle().clone())
 }
 
 async fn text_in_force(settings: &ClientSettings) -> Result<String> {
--- a/crates/buckthornweir_cli/src/commands/timeline.rs
+++ b/crates/buckthornweir_cli/src/commands/timeline.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use buckthornweir_events::{Event, merge};
+use buckthornweir_events::{Event, EventKind, merge};
 use buckthornweir_wire::{MemberRow, Reply, Request, TimelineReply, TimelineRequest};
 
 use super::Context;
@@ -16,7 +16,7 @@
 pub(crate) async fn run(context: &Context, arguments: TimelineArguments) -> Result<()> {
     let request = TimelineRequest {
         since_millis: since_millis(arguments.since.as_deref())?,
-        kind: arguments.kind.unwrap_or_default(),
+        kind: known_kind(arguments.kind)?,
         subject: arguments.follow.unwrap_or_default(),
     };
     let mut parts = Vec::new();
@@ -57,6 +57,17 @@
         .collect()
 }
 
+fn known_kind(kind: Option<String>) -> Result<String> {
+    let kind = kind.unwrap_or_default();
+    if kind.is_empty() || EventKind::NAMES.contains(&kind.as_str()) {
+        return Ok(kind);
+    }
+    Err(Fault::NoKind {
+        kind: kind.into(),
+        known: EventKind::NAMES.join(", ").into(),
+    })
+}
+
 fn since_millis(text: Option<&str>) -> Result<u64> {
     let Some(text) = text else { return Ok(0) };
     let length = humantime::parse_duration(text).map_err(|_| Fault::Time { text: text.into() })?;
--- a/crates/buckthornweir_cli/src/fault.rs
+++ b/crates/buckthornweir_cli/src/fault.rs
@@ -86,6 +86,10 @@
         Time { text: SmolStr } {
             display("\"{text}\" is not a length of time; allowed: such as 10m or 2h")
         }
+        /// There is no such kind of event.
+        NoKind { kind: SmolStr, known: SmolStr } {
+            display("there is no event {kind}; allowed: {known}")
+        }
         /// There is no such failure domain in the bundle.
         NoDomain { domain: SmolStr, known: SmolStr } {
             display("there is no failure domain {domain}; allowed: {known}")
--- a/crates/buckthornweir_cli/src/files.rs
+++ b/crates/buckthornweir_cli/src/files.rs
@@ -6,8 +6,8 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
-use buckthornweir_bundle::SigningKey;
-use buckthornweir_settings::{Document, value};
+use buckthornweir_bundle::{PublicKey, SigningKey, Trust};
+use buckthornweir_settings::{Document, Section, value};
 use buckthornweir_wire::ClusterKey;
 use smol_str::ToSmolStr;
 
@@ -25,6 +25,8 @@
     pub(crate) key: ClusterKey,
     /// The file with the operator's signing key.
     pub(crate) signing_key: Option<PathBuf>,
+    /// The keys whose signatures on the bundle in force count.
+    pub(crate) trust: Trust,
 }
 
 /// Reads the client's settings.
@@ -35,12 +37,18 @@
         nodes: section.required("nodes", value::list(value::address))?,
         key: ClusterKey::new(section.required("key", value::hex)?),
         signing_key: section.optional("signing-key", value::text::<PathBuf>)?,
+        trust: read_trust(&mut section)?,
     };
     section.finish()?;
     document.finish("[client]")?;
     Ok(settings)
 }
 
+fn read_trust(section: &mut Section) -> Result<Trust> {
+    let keys: Vec<PublicKey> = section.or("trusted", Vec::new(), value::list(value::hex))?;
+    Ok(keys.into_iter().fold(Trust::new(), Trust::with_key))
+}
+
 /// Reads a whole file of text.
 pub(crate) fn read_text(path: &Path) -> Result<String> {
     fs::read_to_string(path).map_err(|source| Fault::File {
--- a/crates/buckthornweir_cli/tests/commands.rs
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -79,7 +79,7 @@
     bench.write(
         "client.ini",
         &format!(
-            "[client]\nnodes = {}\nkey = {}\nsigning-key = operator.key\n",
+            "[client]\nnodes = {}\nkey = {}\nsigning-key = operator.key\ntrusted = {public}\n",
             planned.control,
             plan.cluster_key()
         ),
@@ -165,6 +165,21 @@
         + [domain fj-west-b] state = in
     "#]],
     );
+    let settings = std::fs::read_to_string(bench.folder.path().join("client.ini")).unwrap();
+    let doubting = settings.lines().filter(|l| !l.starts_with("trusted"));
+    bench.write("doubting.ini", &doubting.collect::<Vec<_>>().join("\n"));
+    let arguments = ["--settings", "doubting.ini", "domain", "back", "fj-west-b"];
+    let output = run(bench.folder.path(), &arguments);
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(BAD_INPUT), "{text}");
+    assert!(text.ends_with("is not trusted\n"), "{text}");
+    bench.run(
+        &["timeline", "--kind", "domain-uot"],
+        BAD_INPUT,
+        &expect![[r#"
+            buckthornweir: there is no event domain-uot; allowed: started, stopping, stopped, bundle-applied, bundle-refused, domain-out, domain-back, member-changed, role-changed, link-lost, backend-changed, flow-reset, flows-moved, request-ended
+        "#]],
+    );
     bench.run(
         &["drain", "control-1"],
         BAD_INPUT,
--- a/crates/buckthornweir_daemon/tests/settings.rs
+++ b/crates/buckthornweir_daemon/tests/settings.rs
@@ -483,6 +483,9 @@
     section
         .required("signing-key", value::text::<String>)
         .unwrap();
+    section
+        .required("trusted", value::list(value::hex::<32>))
+        .unwrap();
     section.finish().unwrap();
     client.finish("[client]").unwrap();
 }
--- a/crates/buckthornweir_load/src/deployment/operator.rs
+++ b/crates/buckthornweir_load/src/deployment/operator.rs
@@ -50,9 +50,10 @@
         let nodes: Vec<_> = controls.iter().map(ToString::to_string).collect();
         let key = self.write("operator.key", &value::to_hex(&self.key.secret()))?;
         let text = format!(
-            "[client]\nnodes = {}\nkey = {cluster}\nsigning-key = {}\n",
+            "[client]\nnodes = {}\nkey = {cluster}\nsigning-key = {}\ntrusted = {}\n",
             nodes.join(", "),
-            key.display()
+            key.display(),
+            self.trusted()
         );
         self.write("client.ini", &text)?;
         Ok(())
