Show whether an agent holds keys, and prove that a restarted one does again

Change: gauges keys_ready and keys_held; the test. Conclusion: what is left is a restart in the first seconds of a service's life; it is listed as open.

--- a/crates/buckthornweir_daemon/src/agent/desk.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk.rs
@@ -372,6 +372,7 @@
     }
 
     fn report(&self) {
+        self.keys.report();
         let state = self.state.lock();
         let limit = state.admission.limit();
         let metrics = &self.board.metrics;
--- a/crates/buckthornweir_daemon/src/agent/keyed.rs
+++ b/crates/buckthornweir_daemon/src/agent/keyed.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use buckthornweir_events::Gauge;
 use buckthornweir_members::{Health, MemberState, Roles};
 use buckthornweir_requests::idempotency::{ClaimKey, KeyAction, Keys, KeysConfig, Member};
 use buckthornweir_requests::messages::{KeyEnd, RequestBody, RequestMessage, StoredAnswer};
@@ -130,6 +131,15 @@
         self.carry_out(&mut state, actions);
     }
 
+    /// Shows how the records stand.
+    pub(crate) fn report(&self) {
+        let state = self.state.lock();
+        let metrics = &self.board.metrics;
+        metrics.set(Gauge::KeysReady, i64::from(state.keys.is_ready()));
+        let held = i64::try_from(state.keys.held()).unwrap_or(i64::MAX);
+        metrics.set(Gauge::KeysHeld, held);
+    }
+
     /// Follows the members of the service.
     pub(crate) fn follow(&self, service: &str) {
         let members = self.board.members();
--- a/crates/buckthornweir_daemon/tests/failures.rs
+++ b/crates/buckthornweir_daemon/tests/failures.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use buckthornweir_standins::prelude::*;
-use buckthornweir_wire::{DrainRequest, Reply, Request};
+use buckthornweir_wire::{DrainRequest, MetricsRequest, Reply, Request};
 use support::deployment::{DOMAINS, Deployment};
 use support::{alive, ask, wait_for};
 
@@ -255,6 +255,56 @@
     }
 }
 
+/// An agent that was restarted as planned holds keys again, in about the time that news of members and
+/// a pull of all records take.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_restarted_agent_holds_keys_again() {
+    let mut deployment = Deployment::start(1, 3).await;
+    for agent in &deployment.agents {
+        wait_for_long("the first holders", async || {
+            keys_ready(&deployment, agent).await
+        })
+        .await;
+    }
+    let orders = tokio::spawn(keyed_orders(deployment.fabric.clone()));
+    work().await;
+    deployment.agents[0].signal("TERM");
+    assert_eq!(deployment.agents[0].ended().await, Some(0));
+    deployment.agents[0].restart();
+    deployment.settle(1).await;
+    orders.await.unwrap();
+    for agent in &deployment.agents {
+        wait_for_long("the holders after a restart", async || {
+            keys_ready(&deployment, agent).await
+        })
+        .await;
+    }
+}
+
+/// Sends keyed orders one after another, some of them while an agent restarts.
+async fn keyed_orders(fabric: std::sync::Arc<Fabric>) {
+    let service = support::deployment::ORDERS.parse().unwrap();
+    let mut caller = support::connect(&fabric, service).await;
+    for number in 0..500 {
+        let request = http::Request::post("/order?bytes=2000")
+            .header("idempotency-key", format!("many-{number}"))
+            .body(http_body_util::Full::from("one badge"))
+            .unwrap();
+        if caller.send(request).await.is_err() {
+            caller = support::connect(&fabric, service).await;
+        }
+    }
+}
+
+async fn keys_ready(deployment: &Deployment, agent: &support::Process) -> bool {
+    let key = deployment.plan.cluster_key();
+    let request = Request::Metrics(MetricsRequest {});
+    match ask(agent.planned.control, key, request).await {
+        Some(Reply::Metrics(reply)) => reply.text.contains("buckthornweir_keys_ready 1\n"),
+        _ => false,
+    }
+}
+
 fn runs_of(backend: &Backend, id: &str) -> usize {
     let books = backend.books();
     books
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -128,6 +128,10 @@
         RequestsWaiting = "requests_waiting", "Requests that wait for a slot";
         /// The admission limit.
         AdmissionLimit = "admission_limit", "Requests that the backend server may run at a time";
+        /// Whether this agent grants claims of idempotency keys.
+        KeysReady = "keys_ready", "1 when this agent grants claims of idempotency keys";
+        /// Records of idempotency keys.
+        KeysHeld = "keys_held", "Records of idempotency keys";
         /// The version of the bundle in force.
         BundleVersion = "bundle_version", "Version of the bundle in force";
         /// Members that are alive.
