Benches: measure copies of views apart, and silent flows within their 30 s

Cause: freed memory was reused, so that the memory of views read as 0; silent HTTP flows were measured after the agent had closed them (its limit for a request's head, 30 s, also ends silent flows). Change: the memory of views comes first; copies and new views are measured apart, since a line through both said nothing; silent flows are measured for 10 s and the bench prints how many are open.

--- a/benches/processes/load.rs
+++ b/benches/processes/load.rs
@@ -15,8 +15,14 @@
 use crate::usage::Usage;
 use crate::{LENGTH, QUIET};
 
+/// How long silent flows are measured. An agent closes an HTTP flow that is silent for 30 s.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// How long flows are left alone before they are measured.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// Flows that are opened at a time.
-const AT_ONCE: usize = 32;
+const AT_ONCE: usize = 128;
 
 /// Flows that carry the requests.
 const CALLERS: usize = 200;
@@ -60,16 +66,17 @@
         let empty = usage(&deployment, "agent");
         let callers = open(&deployment.fabric, count).await;
         let opened = usage(&deployment, "agent");
-        tokio::time::sleep(QUIET).await;
+        tokio::time::sleep(SETTLE).await;
         let before = usage(&deployment, "agent");
-        tokio::time::sleep(LENGTH).await;
+        tokio::time::sleep(SILENT).await;
         let after = usage(&deployment, "agent");
+        let open = [&before, &after].map(|usage| usage.metric("flows_open"));
         println!(
-            "{count} flows: {} open at the agent",
-            after.metric("flows_open")
+            "{count} flows: {} open at the agent, {} after {SILENT:?}",
+            open[0], open[1]
         );
         let idle = after.since(&before);
-        memory.push(Point::new(count, after.resident - empty.resident));
+        memory.push(Point::new(count, before.resident - empty.resident));
         core.push(Point::new(count, idle.core));
         opening.push(Point::new(count, opened.since(&empty).busy * 1e3));
         drop(callers);
--- a/benches/views.rs
+++ b/benches/views.rs
@@ -15,7 +15,8 @@
 use buckthornweir_flows::balancer::HintLimits;
 use buckthornweir_flows::messages::{FlowBody, FlowKey, FlowMessage, Hint};
 use buckthornweir_flows::prelude::*;
-use buckthornweir_wire::{Body, ClusterKey, Envelope, open, seal};
+use buckthornweir_requests::messages::{Load, RequestBody, RequestMessage};
+use buckthornweir_wire::{Body, ClusterKey, Envelope, Heartbeat, open, seal};
 use common::{KEY, forward, member, packet, tuple};
 use slopes::{Point, median_nanos, print_slope, resident};
 
@@ -38,11 +39,14 @@
 const ROUNDS: usize = 15;
 
 fn main() {
+    memory_by_services();
     route_by_services();
     route_by_members();
     authenticate();
+    copies_by_services();
     views_by_services();
     view_by_members();
+    message_bytes();
 }
 
 fn address(service: usize) -> SocketAddr {
@@ -140,41 +144,65 @@
     print_slope("agent: open", "bytes", "ns/packet", &opening);
 }
 
-/// Measures all views at a start, then what the daemon does at a change of one service's members:
-/// it works that service's view out and clones those of the others.
+/// Returns all views of a bundle.
+fn all_views(services: usize) -> Vec<ServiceView> {
+    let numbers = 0..services;
+    numbers
+        .map(|service| service_of(services, service))
+        .collect()
+}
+
+/// Measures the memory of one copy of all views. It comes first, while no freed memory is reused.
+fn memory_by_services() {
+    let mut kept = Vec::new();
+    let mut point = |count| {
+        let before = resident();
+        kept.push(all_views(count));
+        Point::new(count, (resident() - before) / 1e6)
+    };
+    let points = SERVICES.map(&mut point);
+    print_slope(
+        "one copy of all views, 2,800 agents in all",
+        "services",
+        "MB",
+        &points,
+    );
+}
+
+/// Measures what the daemon does at each change of members or bundle: it works out the views whose
+/// inputs have changed, and clones all others.
+fn copies_by_services() {
+    let point = |count| {
+        let made = all_views(count);
+        let nanos = median_nanos(ROUNDS, 1, || {
+            black_box(BalancerView::new(1, made.clone()));
+        });
+        Point::new(count, nanos / 1e6)
+    };
+    let points = SERVICES.map(point);
+    print_slope("copy of all views", "services", "ms", &points);
+}
+
+/// Measures all views at a start, and the largest one of a change.
 fn views_by_services() {
-    let (mut first, mut one, mut all, mut memory) =
-        (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    let (mut first, mut one) = (Vec::new(), Vec::new());
     for count in SERVICES {
-        let build = || {
-            (0..count)
-                .map(|service| service_of(count, service))
-                .collect()
-        };
         let nanos = median_nanos(3, 1, || {
-            let views: Vec<ServiceView> = build();
-            black_box(views);
+            black_box(all_views(count));
         });
         first.push(Point::new(count, nanos / 1e6));
-        let before = resident();
-        let made: Vec<ServiceView> = build();
-        memory.push(Point::new(count, (resident() - before) / 1e6));
         let nanos = median_nanos(ROUNDS, 1, || {
             black_box(service_of(count, 0));
         });
         one.push(Point::new(count, nanos / 1e6));
-        let nanos = median_nanos(ROUNDS, 1, || {
-            let mut views = vec![service_of(count, 0)];
-            views.extend(made[1..].iter().cloned());
-            black_box(BalancerView::new(1, views));
-        });
-        all.push(Point::new(count, nanos / 1e6));
     }
-    let title = |what| format!("{AGENTS} agents in all: {what}");
-    print_slope(&title("all views at a start"), "services", "ms", &first);
-    print_slope(&title("one view"), "services", "ms", &one);
-    print_slope(&title("one change"), "services", "ms", &all);
-    print_slope(&title("one copy of all views"), "services", "MB", &memory);
+    print_slope(
+        "all views at a start, 2,800 agents in all",
+        "services",
+        "ms",
+        &first,
+    );
+    print_slope("one view, 2,800 agents in all", "services", "ms", &one);
 }
 
 fn view_by_members() {
@@ -190,3 +218,20 @@
     let points = MEMBERS.map(point);
     print_slope("one view of one service", "members", "ms", &points);
 }
+
+/// Prints the bytes of messages that go out by the clock.
+fn message_bytes() {
+    let key = ClusterKey::new([7; 32]);
+    let print = |what: &str, body: Body| {
+        let mut envelope = Envelope::new(u64::MAX, body);
+        envelope.stamp_millis = 1_800_000_000_000;
+        println!("{what}: {} bytes with its tag", seal(&key, &envelope).len());
+    };
+    let load = Load {
+        free: 5,
+        rate_milli: 100_000,
+    };
+    let load = RequestMessage::new(RequestBody::Load(load));
+    print("load report", Body::Request(Box::new(load)));
+    print("heartbeat of a link", Body::Heartbeat(Heartbeat {}));
+}
