--- a/crates/buckthornweir_members/src/rumours.rs
+++ b/crates/buckthornweir_members/src/rumours.rs
@@ -25,7 +25,13 @@
 const FLOOD: usize = 16;
 
 /// The copies of each change that are sent in a flood.
-const FLOOD_COPIES: usize = 5;
+const FLOOD_COPIES: usize = 8;
+
+/// The length from which the queue counts as a large flood.
+const LARGE_FLOOD: usize = 128;
+
+/// The copies of each change that are sent in a large flood.
+const LARGE_FLOOD_COPIES: usize = 5;
 
 /// The copies of each full record that are sent in a flood. Anti-entropy carries the rest.
 const FULL_COPIES: usize = 2;
@@ -41,6 +47,14 @@
     pushed: usize,
 }
 
+/// How often changes are sent.
+struct Limits {
+    /// Copies of a change without the lasting part of the record.
+    brief: usize,
+    /// Copies of a full record.
+    full: usize,
+}
+
 /// The queue of changes that are still to be spread, one per node.
 #[derive(Debug, Default)]
 pub(crate) struct Rumours {
@@ -120,6 +134,7 @@
             return Vec::new();
         }
         let flood = self.is_flood();
+        let limits = self.limits(limit);
         let mut taken = Vec::new();
         for node in self.order() {
             if flood && self.is_doubt(node) {
@@ -136,7 +151,7 @@
             }
             room -= length;
             taken.push(rumour);
-            self.count(node, copies, limit, flood);
+            self.count(node, copies, &limits);
         }
         taken
     }
@@ -158,15 +173,25 @@
         Some(table.get(node)?.rumour(item.full))
     }
 
-    fn count(&mut self, node: NodeId, copies: usize, limit: usize, flood: bool) {
+    /// Returns how often changes are sent, given the length of the queue.
+    fn limits(&self, usual: usize) -> Limits {
+        let (brief, full) = match self.items.len() {
+            LARGE_FLOOD.. => (LARGE_FLOOD_COPIES, FULL_COPIES),
+            FLOOD.. => (FLOOD_COPIES, FULL_COPIES),
+            _ => (usual, usual),
+        };
+        Limits {
+            brief: brief.min(usual),
+            full: full.min(usual),
+        }
+    }
+
+    /// Counts copies of a change, and drops it when it was sent often enough.
+    fn count(&mut self, node: NodeId, copies: usize, limits: &Limits) {
         let Some(item) = self.items.get_mut(&node) else {
             return;
         };
-        let limit = match (flood, item.full) {
-            (false, _) => limit,
-            (true, false) => limit.min(FLOOD_COPIES),
-            (true, true) => limit.min(FULL_COPIES),
-        };
+        let limit = if item.full { limits.full } else { limits.brief };
         item.sent += copies;
         if item.sent >= limit {
             self.items.remove(&node);
--- a/crates/buckthornweir_members/tests/members/deaths.rs
+++ b/crates/buckthornweir_members/tests/members/deaths.rs
@@ -51,7 +51,7 @@
             .iter()
             .all(|&index| queue.all_hold(index, Health::Dead))
     };
-    assert!(queue.run_until(seconds(SPREAD_LIMIT), noticed).is_some());
+    assert!(queue.run_until(seconds(DEAD_LIMIT), noticed).is_some());
     assert!(
         queue
             .run_until(seconds(SPREAD_LIMIT), Queue::is_complete_without_dead)
