--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -1,6 +1,8 @@
 //! The core that decides about members.
 
 mod bundles;
+mod choosing;
+mod contacts;
 mod identity;
 mod merging;
 mod probing;
--- a/crates/buckthornweir_members/src/members/probing.rs
+++ b/crates/buckthornweir_members/src/members/probing.rs
@@ -7,7 +7,7 @@
 
 use super::Members;
 use crate::messages::Body;
-use crate::{Config, Health, MemberState, NodeId};
+use crate::{Config, Health, NodeId};
 
 /// The most probes of other members' behalf in flight.
 const MAX_RELAYS: usize = 64;
@@ -18,9 +18,6 @@
 /// The periods from one probe of a random member to the next.
 const RANDOM_PERIODS: u32 = 2;
 
-/// The seeds that are contacted at once by a process that knows no other.
-const SEEDS_AT_ONCE: usize = 3;
-
 /// How often the ping of a probe is repeated.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -30,9 +27,6 @@
 /// How long a helper tries to reach a member.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// The random draws for each member that is chosen.
-const DRAWS: usize = 4;
-
 #[derive(Debug)]
 struct Probe {
     target: NodeId,
@@ -331,122 +325,4 @@
             probe.replies += 1;
         }
     }
-
-    /// Looks for members beyond a cut: dead ones, and seeds that are no members.
-    pub(super) fn tick_contacts(&mut self) {
-        if self.now < self.next_contact {
-            return;
-        }
-        self.next_contact = self.now + self.config.contact_interval;
-        let table = &self.table;
-        let dead = table.dead().iter().copied();
-        let gone: Vec<_> = dead
-            .filter(|&node| table.get(node).is_some_and(|entry| !entry.has_left()))
-            .collect();
-        if let Some(node) = self.choose(&gone) {
-            self.send_to(node, Body::Ping { sequence: 0 });
-        }
-        let seeds = self.lost_seeds();
-        if let Some(seed) = self.choose(&seeds) {
-            self.greet(seed);
-        }
-    }
-
-    fn contact_seeds(&mut self) {
-        let mut seeds = self.lost_seeds();
-        for _ in 0..SEEDS_AT_ONCE.min(seeds.len()) {
-            let index = self.rng.random_range(0..seeds.len());
-            self.greet(seeds.swap_remove(index));
-        }
-    }
-
-    /// Returns the seeds at which no live member is known.
-    fn lost_seeds(&self) -> Vec<SocketAddr> {
-        let own = self.own().gossip;
-        let live = self
-            .table
-            .live()
-            .iter()
-            .filter_map(|&node| self.table.get(node));
-        let used: Vec<_> = live
-            .map(|entry| entry.record.gossip)
-            .filter(|address| self.seeds.contains(address))
-            .collect();
-        let seeds = self.seeds.iter().copied();
-        seeds
-            .filter(|seed| *seed != own && !used.contains(seed))
-            .collect()
-    }
-
-    pub(super) fn choose<T: Copy>(&mut self, items: &[T]) -> Option<T> {
-        if items.is_empty() {
-            return None;
-        }
-        Some(items[self.rng.random_range(0..items.len())])
-    }
-
-    pub(super) fn random_live(&mut self) -> Option<NodeId> {
-        let index = match self.table.live().len() {
-            0 => return None,
-            members => self.rng.random_range(0..members),
-        };
-        Some(self.table.live()[index])
-    }
-
-    /// Returns up to `count` different members that are alive.
-    pub(super) fn random_members(&mut self, count: usize, except: Option<NodeId>) -> Vec<NodeId> {
-        let mut chosen = Vec::with_capacity(count);
-        for _ in 0..count * DRAWS {
-            if let Some(node) = self.random_alive(except)
-                && !chosen.contains(&node)
-            {
-                chosen.push(node);
-            }
-            if chosen.len() == count {
-                break;
-            }
-        }
-        chosen
-    }
-
-    /// Returns helpers for a probe, in different failure domains as far as there are enough.
-    fn random_helpers(&mut self, target: NodeId) -> Vec<NodeId> {
-        let count = self.config.helpers;
-        let mut chosen = Vec::with_capacity(count);
-        let mut domains = Vec::with_capacity(count);
-        for _ in 0..count * DRAWS {
-            let Some(node) = self.random_alive(Some(target)) else {
-                continue;
-            };
-            let domain = self
-                .table
-                .get(node)
-                .map(|entry| entry.record.domain.clone());
-            if chosen.len() < count && !domains.contains(&domain) {
-                chosen.push(node);
-                domains.push(domain);
-            }
-        }
-        let others = self.random_members(count * 2, Some(target));
-        let others = others.into_iter().filter(|node| !chosen.contains(node));
-        let missing = count - chosen.len();
-        let others: Vec<_> = others.take(missing).collect();
-        chosen.extend(others);
-        chosen
-    }
-
-    /// Returns a random member, unless that is `except` or not alive.
-    fn random_alive(&mut self, except: Option<NodeId>) -> Option<NodeId> {
-        let node = self.random_live()?;
-        let alive = self
-            .table
-            .get(node)
-            .is_some_and(|entry| entry.health == Health::Alive);
-        (alive && Some(node) != except).then_some(node)
-    }
-
-    /// Returns whether the own record says that the node takes part.
-    pub(super) fn takes_part(&self) -> bool {
-        self.own().state != MemberState::Left
-    }
 }
--- a/crates/buckthornweir_members/src/members/spreading.rs
+++ b/crates/buckthornweir_members/src/members/spreading.rs
@@ -67,7 +67,7 @@
             self.send(from, None, Body::Gossip);
         }
         let nodes = std::mem::take(&mut self.wanted);
-        if !nodes.is_empty() && self.takes_part() {
+        if !nodes.is_empty() && !self.has_left() {
             self.send_optional(from, Body::Want { nodes }, Vec::new());
         }
     }
