--- a/benches/processes/deployment.rs
+++ b/benches/processes/deployment.rs
@@ -36,9 +36,10 @@
     pub(crate) processes: Vec<Process>,
     pub(crate) fabric: Arc<Fabric>,
     services: usize,
+    pub(crate) secret: &'static str,
     key: ClusterKey,
     _backends: Vec<Backend>,
-    _folder: TempDir,
+    pub(crate) folder: TempDir,
 }
 
 /// One process of the daemon, ended when it is dropped.
@@ -52,7 +53,7 @@
     fn start(role: &'static str, planned: PlannedNode, folder: &Path) -> Self {
         let settings = folder.join(format!("{}.ini", planned.name));
         std::fs::write(&settings, &planned.settings).expect("the folder is writable");
-        let mut command = Command::new(daemon());
+        let mut command = Command::new(program("buckthornweird"));
         let command = command.arg("--settings").arg(settings);
         let child = command.stdin(Stdio::null()).spawn();
         Self {
@@ -75,11 +76,11 @@
     }
 }
 
-/// Returns the daemon beside the folder of this bench.
-fn daemon() -> PathBuf {
+/// Returns a program beside the folder of this bench.
+pub(crate) fn program(name: &str) -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     let folder = own.ancestors().nth(2).unwrap_or(Path::new("."));
-    folder.join("buckthornweird")
+    folder.join(name)
 }
 
 fn signing_key() -> SigningKey {
@@ -122,14 +123,15 @@
             .iter()
             .filter_map(|process| process.planned.fabric);
         fabric.set_balancers(balancers.collect());
-        let secret = key_bytes(plan.cluster_key());
+        let secret = plan.cluster_key();
         let deployment = Self {
             processes,
             fabric: Arc::new(fabric),
             services: size.services,
-            key: ClusterKey::new(secret),
+            secret,
+            key: ClusterKey::new(key_bytes(secret)),
             _backends: backends,
-            _folder: folder,
+            folder,
         };
         let first = deployment.push(1).await;
         assert!(first.is_some(), "the first bundle isn't in force");
--- a/benches/processes/main.rs
+++ b/benches/processes/main.rs
@@ -3,11 +3,13 @@
 //! `cargo build --release -p buckthornweir_daemon` comes first. Then `cargo bench --bench processes`
 //! measures idle processes with 3, 10 and 30 agents, and
 //! `cargo bench --bench processes -- services 10 100 1100`, `-- flows 1000 4000 7143` and
-//! `-- requests 200 500 1000` (a second) the rest.
+//! `-- requests 200 500 1000` (a second) the rest, and `-- client 3 10 30` the command-line client after
+//! `cargo build --release -p buckthornweir_cli`.
 
 #[path = "../slopes/mod.rs"]
 mod slopes;
 
+mod client;
 mod deployment;
 mod load;
 mod usage;
@@ -37,6 +39,7 @@
     };
     match name {
         "services" => services(&or([10, 100, 1_100])).await,
+        "client" => client::status(&or([3, 10, 30])).await,
         "flows" => load::flows(&or([1_000, 4_000, 7_143])).await,
         "requests" => load::requests(&or([200, 500, 1_000])).await,
         _ => idle(&or([3, 10, 30])).await,
