--- a/benches/processes/main.rs
+++ b/benches/processes/main.rs
@@ -51,6 +51,7 @@
 struct Mean {
     resident: f64,
     private: f64,
+    sockets: f64,
     core: f64,
     sent: f64,
     received: f64,
@@ -70,6 +71,7 @@
             let rate: Rate = after.since(before);
             mean.resident += after.resident / count;
             mean.private += after.private / count;
+            mean.sockets += after.sockets / count;
             mean.core += rate.core / count;
             mean.sent += rate.sent / count;
             mean.received += rate.received / count;
@@ -88,6 +90,7 @@
         };
         print("resident memory", "MB", |mean| mean.resident);
         print("of it no file", "MB", |mean| mean.private);
+        print("open sockets", "sockets", |mean| mean.sockets);
         print("processor", "% of a core", |mean| mean.core);
         print("control sent", "B/s", |mean| mean.sent);
         print("control received", "B/s", |mean| mean.received);
--- a/benches/processes/usage.rs
+++ b/benches/processes/usage.rs
@@ -19,6 +19,8 @@
     pub(crate) resident: f64,
     /// The part of it that is no file, in MB.
     pub(crate) private: f64,
+    /// Open sockets.
+    pub(crate) sockets: f64,
     seconds: f64,
     metrics: String,
 }
@@ -45,6 +47,7 @@
             at: Instant::now(),
             resident: kilobytes(&status, "VmRSS:") / 1e3,
             private: kilobytes(&status, "RssAnon:") / 1e3,
+            sockets: sockets(process),
             seconds: seconds(&stat),
             metrics: page(metrics).unwrap_or_default(),
         }
@@ -72,6 +75,18 @@
     }
 }
 
+fn sockets(process: u32) -> f64 {
+    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return f64::NAN;
+    };
+    let targets = files
+        .flatten()
+        .filter_map(|file| fs::read_link(file.path()).ok());
+    targets
+        .filter(|target| target.to_string_lossy().starts_with("socket:"))
+        .count() as f64
+}
+
 fn kilobytes(status: &str, name: &str) -> f64 {
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     let value = line.and_then(|text| text.split_whitespace().next());
