Keep silent HTTP flows open, share views, and look at timers half as often

The stand-in caller gave idle connections up at 30 s as well. Change: no limit between requests but the stack's idle limit; callers probe idle connections; views are shared by Arc, indices of owners take one byte where they fit, agents work out related services only; timers of flows each 10 ms, of requests and lookups each 20 ms, of keys each 50 ms.

--- a/crates/buckthornweir_daemon/src/agent/desk/follow.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/follow.rs
@@ -16,7 +16,10 @@
 use crate::board::Member;
 
 /// How often due requests and reservations are looked for.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
+
+/// How often due claims of idempotency keys are looked for.
+const KEY_TICK: Duration = Duration::from_millis(50);
 
 /// How often the free slots go to the blackboard.
 const REPORT: Duration = Duration::from_millis(500);
@@ -25,12 +28,14 @@
     /// Runs the timers, and follows the blackboard, until `stop` is cancelled.
     pub(crate) async fn run_timers(self: Arc<Self>, stop: CancellationToken) {
         let mut ticks = tokio::time::interval(TICK);
+        let mut key_ticks = tokio::time::interval(KEY_TICK);
         let mut reports = tokio::time::interval(REPORT);
         let mut changes = self.board.changes();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = ticks.tick() => self.tick(),
+                _ = key_ticks.tick() => self.keys.tick(),
                 _ = reports.tick() => self.report(),
                 changed = changes.changed() => if changed.is_ok() { self.follow() },
             }
@@ -38,7 +43,6 @@
     }
 
     fn tick(&self) {
-        self.keys.tick();
         let mut state = self.state.lock();
         let actions = state.admission.tick(self.board.now());
         self.carry_out(&mut state, actions, None);
--- a/crates/buckthornweir_daemon/src/agent/flow_server.rs
+++ b/crates/buckthornweir_daemon/src/agent/flow_server.rs
@@ -26,7 +26,7 @@
 use crate::views::{GATHER, ViewBuilder};
 
 /// How often lookups and offers are repeated where an answer is missing.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 
 /// How long a leaving backend server still gets the requests of flows that have not moved yet.
 const LEAVING_GRACE: Duration = Duration::from_secs(2);
--- a/crates/buckthornweir_daemon/src/agent/http_flow.rs
+++ b/crates/buckthornweir_daemon/src/agent/http_flow.rs
@@ -18,7 +18,6 @@
 
 use super::desk::Desk;
 use super::mover::Mover;
-use super::serve::HEAD_LIMIT;
 use super::stream::FlowStream;
 
 /// How often a draining flow is looked at, whether it is quiet.
@@ -62,9 +61,10 @@
             let watch = stream.watch();
             let id = self.desk.flow_id(&stream.tuple());
             let service = service_fn(|request| self.answer(request, id));
+            // A flow may be silent between requests for as long as the stack's idle limit.
             let mut connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
+                .header_read_timeout(None)
                 .serve_connection(TokioIo::new(stream), service);
             let run = {
                 let mut looks = interval(LOOK);
--- a/crates/buckthornweir_daemon/src/agent/serve.rs
+++ b/crates/buckthornweir_daemon/src/agent/serve.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use buckthornweir_bundle::{Protocol, Service};
 use tokio::runtime::Handle;
@@ -112,6 +111,3 @@
         self.serving.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// How long the head of a request may take to arrive.
-pub(crate) const HEAD_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/buckthornweir_daemon/src/agent/timers.rs
+++ b/crates/buckthornweir_daemon/src/agent/timers.rs
@@ -11,7 +11,7 @@
 use crate::threads::spawn;
 
 /// How often due timers are looked for.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(10);
 
 /// Starts the thread; it runs until `stop` is cancelled.
 ///
--- a/crates/buckthornweir_daemon/src/views.rs
+++ b/crates/buckthornweir_daemon/src/views.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use buckthornweir_bundle::{Bundle, Service, ServiceName};
@@ -37,7 +38,7 @@
     addresses: Vec<SocketAddr>,
     members: Vec<Member>,
     out: BTreeSet<SmolStr>,
-    view: ServiceView,
+    view: Arc<ServiceView>,
 }
 
 impl ViewBuilder {
@@ -55,7 +56,7 @@
             return BalancerView::default();
         };
         let bundle = signed.bundle();
-        let views = self.services(bundle, &board.members());
+        let views = self.services(bundle, &board.members(), |_| true);
         BalancerView::new(bundle.version, views.into_values().collect())
     }
 
@@ -64,10 +65,11 @@
         let signed = board.signed_bundle()?;
         let bundle = signed.bundle();
         let members = board.members();
-        let mut views = self.services(bundle, &members);
         self.remember(bundle);
-        let own = views.remove(service)?;
         let related = self.related(service);
+        let is_needed = |name: &ServiceName| name == service || related.contains(name);
+        let mut views = self.services(bundle, &members, is_needed);
+        let own = views.remove(service)?;
         let domain = &board.settings.node.domain;
         Some(AgentView {
             node: board.id,
@@ -75,11 +77,8 @@
             state: flow_state(board.own().state),
             is_out: !bundle.serves(service, domain),
             is_settled: self.is_settled(board, members.len()),
-            others: related
-                .iter()
-                .filter_map(|name| views.remove(name))
-                .collect(),
-            service: own,
+            others: views.values().map(|view| (**view).clone()).collect(),
+            service: (*own).clone(),
         })
     }
 
@@ -87,11 +86,12 @@
         &mut self,
         bundle: &Bundle,
         members: &[board::Member],
-    ) -> BTreeMap<ServiceName, ServiceView> {
+        is_needed: impl Fn(&ServiceName) -> bool,
+    ) -> BTreeMap<ServiceName, Arc<ServiceView>> {
         let mut by_service = agents_by_service(members);
         self.made.retain(|name, _| bundle.service(name).is_some());
         let mut views = BTreeMap::new();
-        for service in &bundle.services {
+        for service in bundle.services.iter().filter(|s| is_needed(&s.name)) {
             let agents = by_service.remove(&service.name).unwrap_or_default();
             let view = self.service(bundle, service, agents);
             views.insert(service.name.clone(), view);
@@ -99,7 +99,12 @@
         views
     }
 
-    fn service(&mut self, bundle: &Bundle, service: &Service, agents: Vec<Member>) -> ServiceView {
+    fn service(
+        &mut self,
+        bundle: &Bundle,
+        service: &Service,
+        agents: Vec<Member>,
+    ) -> Arc<ServiceView> {
         let out = domains_out(bundle, service, &agents);
         if let Some(made) = self.made.get(&service.name)
             && made.addresses == service.addresses
@@ -108,13 +113,13 @@
         {
             return made.view.clone();
         }
-        let view = ServiceView::new(
+        let view = Arc::new(ServiceView::new(
             service.name.clone(),
             service.addresses.clone(),
             agents.clone(),
             &out,
             self.key,
-        );
+        ));
         let made = Made {
             addresses: service.addresses.clone(),
             members: agents,
--- a/crates/buckthornweir_daemon/tests/failures.rs
+++ b/crates/buckthornweir_daemon/tests/failures.rs
@@ -302,6 +302,21 @@
     }
 }
 
+/// A flow that is silent for longer than any other limit of the agent, but not for its idle limit, is
+/// still there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_silent_flow_stays_open() {
+    let deployment = Deployment::start(1, 1).await;
+    let service = support::deployment::ORDERS.parse().unwrap();
+    let mut caller = support::connect(&deployment.fabric, service).await;
+    for _ in 0..2 {
+        let request = http::Request::get("/stock").body(http_body_util::Full::default());
+        assert_eq!(caller.send(request.unwrap()).await.unwrap().status, 200);
+        tokio::time::sleep(Duration::from_secs(35)).await;
+        assert!(!caller.is_closed());
+    }
+}
+
 fn runs_of(backend: &Backend, id: &str) -> usize {
     let books = backend.books();
     books
--- a/crates/buckthornweir_flows/src/balancer.rs
+++ b/crates/buckthornweir_flows/src/balancer.rs
@@ -50,9 +50,11 @@
 
 impl BalancerView {
     /// Returns the view of a bundle and of the members of its services.
-    pub fn new(version: u64, services: Vec<ServiceView>) -> Self {
+    ///
+    /// Views that are shared are not copied.
+    pub fn new<V: Into<Arc<ServiceView>>>(version: u64, services: Vec<V>) -> Self {
         let mut by_address = HashMap::new();
-        for service in services.into_iter().map(Arc::new) {
+        for service in services.into_iter().map(Into::into) {
             for &address in &service.addresses {
                 by_address.insert(address, Arc::clone(&service));
             }
--- a/crates/buckthornweir_flows/src/placement.rs
+++ b/crates/buckthornweir_flows/src/placement.rs
@@ -3,11 +3,13 @@
 //! A keyed hash of the flow picks a bucket, and weighted rendezvous hashing picks the agent of each
 //! bucket, within a bound for each agent that keeps the table even. The table is worked out once for each change of the members and swapped whole.
 
+mod owners;
 mod table;
 
 use crate::NodeId;
 use crate::hash::{Purpose, flow_hash, mix};
 use crate::packet::FiveTuple;
+use owners::Owners;
 
 /// Number of buckets of a placement.
 pub const BUCKETS: u32 = 16_384;
@@ -46,7 +48,7 @@
 pub struct Placement {
     key: [u8; 16],
     candidates: Vec<Candidate>,
-    owners: Box<[u16]>,
+    owners: Owners,
 }
 
 impl Placement {
@@ -61,7 +63,7 @@
         for candidate in &mut candidates {
             candidate.weight = candidate.weight.min(MAX_WEIGHT);
         }
-        let owners = table::fill(bucket_seed(&key), &candidates);
+        let owners = Owners::new(&table::fill(bucket_seed(&key), &candidates));
         Self {
             key,
             candidates,
@@ -71,8 +73,8 @@
 
     /// Returns the agent that gets a new flow, or `None` when no candidate takes new flows.
     pub fn owner(&self, tuple: &FiveTuple) -> Option<NodeId> {
-        let index = self.owners[self.bucket(tuple) as usize];
-        let candidate = self.candidates.get(usize::from(index))?;
+        let index = self.owners.get(self.bucket(tuple) as usize)?;
+        let candidate = self.candidates.get(index)?;
         Some(candidate.node)
     }
 
--- a/crates/buckthornweir_standins/src/fabric/stack.rs
+++ b/crates/buckthornweir_standins/src/fabric/stack.rs
@@ -14,6 +14,9 @@
 
 use super::{Error, FabricConfig, Result};
 
+/// Probes of an idle connection in the time after which a silent peer is given up.
+const PROBES: u32 = 4;
+
 /// Largest IP packet of a caller, in bytes.
 const MTU: usize = 1500;
 
@@ -46,6 +49,8 @@
         iface.update_ip_addrs(|addrs| addrs.extend([cidr]));
         let mut socket = Socket::new(buffer(config.buffer), buffer(config.buffer));
         socket.set_timeout(Some(config.ack_limit.into()));
+        // The limit counts silence of any kind; probes keep an idle connection whose peer answers.
+        socket.set_keep_alive(Some((config.ack_limit / PROBES).into()));
         socket.set_nagle_enabled(false);
         socket
             .connect(
