--- /dev/null
+++ b/examples/sign_bundle.rs
@@ -0,0 +1,45 @@
+//! Shows the life of a bundle: written as INI text, checked, signed off, verified and compared with
+//! the next one.
+//!
+//! ```text
+//! cargo run --example sign_bundle
+//! ```
+
+use buckthornweir::bundle::{Bundle, Fault, SignedBundle, SigningKey, Trust, differences};
+use buckthornweir::settings::value::to_hex;
+
+const TEXT: &str = "
+[bundle]
+version = 1
+[domain gulberg]
+region = lahore
+[domain johar]
+region = lahore
+[service desk]
+addresses = 10.101.0.1:80
+domains = gulberg, johar
+";
+
+fn main() -> Result<(), Fault> {
+    let bundle = Bundle::parse("bundle.ini", TEXT)?;
+    if let Err(fault) = Bundle::parse("bundle.ini", &TEXT.replace("10.101.0.1:80", "desk")) {
+        println!("a fault names its line:\n  {fault}");
+    }
+
+    let key = SigningKey::generate();
+    let signed = SignedBundle::sign(bundle.clone(), &key);
+    println!("digest {}", to_hex(&signed.digest()));
+    signed.verify(&Trust::new().with_key(key.public()))?;
+    let stranger = SigningKey::generate();
+    if let Err(fault) = signed.verify(&Trust::new().with_key(stranger.public())) {
+        println!("elsewhere it does not count:\n  {fault}");
+    }
+
+    if let Some(next) = bundle.with_domain_out("johar", true) {
+        println!("taking johar out changes:");
+        for change in differences(&bundle, &next) {
+            println!("  {change}");
+        }
+    }
+    Ok(())
+}
