Let errors between good answers lower the limit when they are many

Ruled out: lowering at any error soon after a raise, which would hold a service with 5 % errors of its own at its cold limit. Change: the recent share of errors (weight 0.1) counts from 0.25 on: the limit falls by one and the gap before the next raise doubles. Figures: the new test failed before (limit 5 with every second request failing, 1 expected) and passes; one error in 20 or 50 leaves the limit at its slots before and after. Conclusion: mixed outcomes count now.

--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -12,6 +12,13 @@
 /// Most by which the time to warm up is lengthened.
 const WARM_UP_FACTOR: u32 = 8;
 
+/// Weight of one answer in the recent share of errors.
+const FAILING_WEIGHT: f64 = 0.1;
+
+/// Recent share of errors above which they count, though good answers come between them: a backend
+/// server that gets more than it bears fails some requests and answers others.
+const FAILING_SHARE: f64 = 0.25;
+
 /// Limit on the requests that one backend server runs at a time.
 ///
 /// The limit starts at `cold`, rises by one after a run of good outcomes while it was used up,
@@ -43,6 +50,8 @@
     bad: u32,
     /// Errors of the backend server's own in a row.
     failed: u32,
+    /// Recent share of errors among answers, from 0 to 1.
+    failing: f64,
     /// Answers in a row with a slow recent mean.
     slow: u32,
     /// Whether the limit was used up since the last change.
@@ -70,6 +79,7 @@
             good: 0,
             bad: 0,
             failed: 0,
+            failing: 0.0,
             slow: 0,
             full: false,
             raised: now,
@@ -185,6 +195,7 @@
     fn note_good(&mut self, latency: Duration, now: Duration) {
         self.bad = 0;
         self.failed = 0;
+        self.failing *= 1.0 - FAILING_WEIGHT;
         self.pause = self.config.pause;
         self.latencies.learn(latency);
         if self.latencies.is_slow() {
@@ -245,9 +256,16 @@
     fn note_failed(&mut self, started: Duration, now: Duration) {
         self.good = 0;
         self.failed += 1;
-        if self.failed <= self.config.cold_after || started < self.lowered {
+        self.failing += (1.0 - self.failing) * FAILING_WEIGHT;
+        let are_many = self.failing >= FAILING_SHARE;
+        let are_in_row = self.failed > self.config.cold_after;
+        if !(are_many || are_in_row) || started < self.lowered {
             return;
         }
+        if are_many {
+            self.failing = 0.0;
+            self.lengthen_gap();
+        }
         self.set_lower(self.limit - 1, now);
         if self.failed >= self.config.fail_after {
             self.take_pause(now);
--- a/crates/buckthornweir_requests/tests/limit.rs
+++ b/crates/buckthornweir_requests/tests/limit.rs
@@ -177,3 +177,28 @@
         assert_eq!(limit.limit(), after, "{before} to {after}");
     }
 }
+
+/// Gives the limit one request after another, of which every `nth` fails.
+fn run_failing_each(limit: &mut Limit, now: &mut Duration, nth: u32, count: u32) {
+    for number in 1..=count {
+        while limit.try_acquire(*now) {}
+        *now += ms(50);
+        let outcome = match number % nth {
+            0 => Outcome::Failed,
+            _ => Outcome::Done,
+        };
+        limit.release(outcome, ms(50), *now);
+    }
+}
+
+#[test]
+fn errors_between_good_answers_lower_the_limit_when_they_are_many() {
+    let config = LimitConfig::default();
+    // every how many requests one fails, limit after 400 requests from warm
+    let table = [(2, config.cold), (20, config.slots), (50, config.slots)];
+    for (nth, expected) in table {
+        let (mut limit, mut now) = warm();
+        run_failing_each(&mut limit, &mut now, nth, 400);
+        assert_eq!(limit.limit(), expected, "every {nth}");
+    }
+}
