Pull a bundle by the stamp that membership heard

A pull compared the blackboard's record of the sender, which membership does not publish for a stamp alone, found it no newer and gave up until membership asked again after 2 s. Ruled out: lost resets (all 80 were due between 0.1 and 2.0 s after the push, none ran); slow links. Change: the pull carries the stamp and compares that.

--- a/crates/buckthornweir_daemon/src/gossip.rs
+++ b/crates/buckthornweir_daemon/src/gossip.rs
@@ -15,7 +15,7 @@
 
 use crate::board::{Blackboard, Member, OwnState};
 use crate::fault::{DaemonError, Result};
-use crate::pull::PullSender;
+use crate::pull::{Pull, PullSender};
 use crate::settings::Settings;
 use crate::threads::{READ_LIMIT, bind_udp, spawn};
 
@@ -136,7 +136,7 @@
                     self.record_change(node);
                 }
                 Action::Removed { .. } => changed = true,
-                Action::PullBundle { from, .. } => pulls.push(from),
+                Action::PullBundle { from, stamp } => pulls.push(Pull { from, stamp }),
                 Action::Conflict { other, .. } => {
                     let state = format_smolstr!("same name at {other}");
                     self.record_state(self.board.settings.node.name.clone(), state);
@@ -147,8 +147,8 @@
             self.publish();
         }
         // A pull looks its member up on the blackboard.
-        for from in pulls {
-            self.pulls.pull(from);
+        for pull in pulls {
+            self.pulls.pull(pull);
         }
     }
 
--- a/crates/buckthornweir_daemon/src/pull.rs
+++ b/crates/buckthornweir_daemon/src/pull.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use buckthornweir_members::BundleStamp;
 use buckthornweir_wire::{
     Body, BundleRequest, Envelope, Link, NodeId, OperatorMessage, Reply, Request, WireError,
 };
@@ -19,16 +20,23 @@
 /// How many pulls may wait.
 const WAITING: usize = 64;
 
+/// A newer bundle and the member that said it has it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pull {
+    pub(crate) from: NodeId,
+    pub(crate) stamp: BundleStamp,
+}
+
 /// Asks for pulls.
 #[derive(Clone, Debug)]
 pub(crate) struct PullSender {
-    sender: mpsc::Sender<NodeId>,
+    sender: mpsc::Sender<Pull>,
 }
 
 impl PullSender {
-    /// Asks for the bundle of `from`. When too many wait, membership asks again later.
-    pub(crate) fn pull(&self, from: NodeId) {
-        let _ = self.sender.try_send(from);
+    /// Asks for a bundle. When too many wait, membership asks again later.
+    pub(crate) fn pull(&self, pull: Pull) {
+        let _ = self.sender.try_send(pull);
     }
 }
 
@@ -43,12 +51,12 @@
     let stop = stop.clone();
     runtime.spawn(async move {
         loop {
-            let from = tokio::select! {
+            let pull = tokio::select! {
                 () = stop.cancelled() => return,
-                from = receiver.recv() => from,
+                pull = receiver.recv() => pull,
             };
-            let Some(from) = from else { return };
-            if let Some(text) = fetch(&board, from).await {
+            let Some(pull) = pull else { return };
+            if let Some(text) = fetch(&board, pull).await {
                 let board = board.clone();
                 let applied = tokio::task::spawn_blocking(move || bundles::apply(&board, &text));
                 let _ = applied.await;
@@ -58,11 +66,13 @@
     PullSender { sender }
 }
 
-async fn fetch(board: &Blackboard, from: NodeId) -> Option<String> {
-    let member = board.member(from)?;
-    if member.record.bundle.version <= board.version() {
+/// Returns the newer bundle. The stamp that membership heard counts, since the blackboard may not have
+/// heard of it yet.
+async fn fetch(board: &Blackboard, pull: Pull) -> Option<String> {
+    if pull.stamp.version <= board.version() {
         return None;
     }
+    let member = board.member(pull.from)?;
     ask(board, member.record.control).await.ok()
 }
 
