Give what is allowed a type of its own

Cause: readers of values returned a bare String as their error; every failure is to have a type. Ruled out: an enum of all that can be allowed, since readers of other crates add their own. Change: value::Allowed is a type with Display and Error; texts stay as they are. Conclusion: no bare strings are returned as errors.

--- a/crates/buckthornweir_bundle/src/parse.rs
+++ b/crates/buckthornweir_bundle/src/parse.rs
@@ -155,7 +155,7 @@
 fn label(section: &Section) -> Result<SmolStr> {
     let label = section.label();
     let read = value::name::<SmolStr>(label);
-    Ok(read.map_err(|allowed| section.rejects("NAME", label, &allowed))?)
+    Ok(read.map_err(|allowed| section.rejects("NAME", label, allowed.as_ref()))?)
 }
 
 fn known_domain(item: &str, domains: &[Domain]) -> value::Result<SmolStr> {
@@ -165,7 +165,7 @@
     let known: Vec<&str> = domains.iter().map(|d| d.name.as_str()).collect();
     match known.as_slice() {
         [] => Err("the name of a [domain NAME] section".into()),
-        _ => Err(format!("one of {}", known.join(", "))),
+        _ => Err(format!("one of {}", known.join(", ")).into()),
     }
 }
 
--- a/crates/buckthornweir_load/src/scenario/read.rs
+++ b/crates/buckthornweir_load/src/scenario/read.rs
@@ -89,7 +89,8 @@
 
 fn read_service(mut section: Section) -> Result<Service> {
     let label = section.label().to_owned();
-    let name = value::name(&label).map_err(|allowed| section.rejects("NAME", &label, &allowed))?;
+    let name =
+        value::name(&label).map_err(|allowed| section.rejects("NAME", &label, allowed.as_ref()))?;
     let slots = section.or("slots", 5, value::number(1..=1000))?;
     let service = Service {
         name,
--- a/crates/buckthornweir_settings/src/value.rs
+++ b/crates/buckthornweir_settings/src/value.rs
@@ -1,13 +1,44 @@
 //! Readers of values. Each returns what is allowed as its error, for [`crate::Section`] to report.
 
-use std::fmt::Display;
+use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
 
-/// What is allowed where a value was refused.
-pub type Allowed = String;
+use smol_str::SmolStr;
+
+/// What is allowed where a value was refused, in words for an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Allowed {
+    text: SmolStr,
+}
+
+impl From<&str> for Allowed {
+    fn from(text: &str) -> Self {
+        Self { text: text.into() }
+    }
+}
+
+impl From<String> for Allowed {
+    fn from(text: String) -> Self {
+        Self { text: text.into() }
+    }
+}
+
+impl AsRef<str> for Allowed {
+    fn as_ref(&self) -> &str {
+        &self.text
+    }
+}
+
+impl std::error::Error for Allowed {}
+
+impl Display for Allowed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
 
 /// The most items of a list.
 const LIST_LIMIT: usize = 1_024;
@@ -76,11 +107,7 @@
 {
     move |value| match value.parse::<T>() {
         Ok(number) if range.contains(&number) => Ok(number),
-        _ => Err(format!(
-            "a whole number from {} to {}",
-            range.start(),
-            range.end()
-        )),
+        _ => Err(format!("a whole number from {} to {}", range.start(), range.end()).into()),
     }
 }
 
@@ -92,7 +119,8 @@
             "a length of time from {} to {}, such as 250ms or 2s",
             humantime::format_duration(*range.start()),
             humantime::format_duration(*range.end())
-        )),
+        )
+        .into()),
     }
 }
 
@@ -116,7 +144,7 @@
         Some((_, meaning)) => Ok(meaning.clone()),
         None => {
             let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
-            Err(known.join(", "))
+            Err(known.join(", ").into())
         }
     }
 }
@@ -133,7 +161,7 @@
                 return Err("a list separated by commas in which no item stands twice".into());
             }
             if items.len() >= LIST_LIMIT {
-                return Err(format!("a list of at most {LIST_LIMIT} items"));
+                return Err(format!("a list of at most {LIST_LIMIT} items").into());
             }
             items.push(read);
         }
@@ -147,7 +175,7 @@
 ///
 /// Returns what is allowed.
 pub fn hex<const N: usize>(value: &str) -> Result<[u8; N]> {
-    let allowed = || format!("{} hexadecimal digits", 2 * N);
+    let allowed = || Allowed::from(format!("{} hexadecimal digits", 2 * N));
     if value.len() != 2 * N || !value.bytes().all(|b| b.is_ascii_hexdigit()) {
         return Err(allowed());
     }
--- a/crates/buckthornweir_settings/tests/faults.rs
+++ b/crates/buckthornweir_settings/tests/faults.rs
@@ -198,7 +198,7 @@
     let read =
         |count| value::list(|item| value::number(0..=u32::MAX)(item))(&numbers(count).join(","));
     assert_eq!(read(1_024).unwrap().len(), 1_024);
-    expect!["a list of at most 1024 items"].assert_eq(&read(1_025).unwrap_err());
+    expect!["a list of at most 1024 items"].assert_eq(read(1_025).unwrap_err().as_ref());
 }
 
 #[test]
