--- a/crates/buckthornweir_daemon/src/agent/desk/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use buckthornweir_bundle::Service;
+use buckthornweir_bundle::{Protocol, Service};
 use buckthornweir_flows::packet::FiveTuple;
 use buckthornweir_requests::messages::Load;
 use buckthornweir_requests::{
@@ -251,8 +251,19 @@
         self.state.lock().admission.turn_cold(self.board.now());
     }
 
-    /// Returns the share of its slots that the backend server may use now, from 0 to 1.
+    /// Returns whether the service's bytes are relayed, so that no request is ever seen.
+    pub(crate) fn is_relayed(&self) -> bool {
+        let state = self.state.lock();
+        let service = state.service.as_ref();
+        service.is_some_and(|s| s.protocol == Protocol::Tcp)
+    }
+
+    /// Returns the share of its slots that the backend server may use now, from 0 to 1. Of a relayed
+    /// service nothing tells that it is cold.
     pub(crate) fn warmth(&self) -> f64 {
+        if self.is_relayed() {
+            return 1.0;
+        }
         let state = self.state.lock();
         let slots = state.service.as_ref().map_or(5, |s| s.slots);
         f64::from(state.admission.limit().limit()) / f64::from(slots.max(1))
--- a/crates/buckthornweir_daemon/src/agent/health.rs
+++ b/crates/buckthornweir_daemon/src/agent/health.rs
@@ -54,7 +54,7 @@
 ) {
     let mut watcher = Watcher {
         board,
-        desk,
+        desk: desk.clone(),
         failed: 0,
         unreachable: false,
     };
@@ -64,7 +64,11 @@
             () = stop.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let look = look(&backend, &path).await;
+        let look = if desk.is_relayed() {
+            look_at_port(&backend).await
+        } else {
+            look(&backend, &path).await
+        };
         watcher.note(look);
     }
 }
@@ -149,6 +153,14 @@
     (steps as u8).max(1)
 }
 
+/// Looks whether the backend server takes connections; all that bytes alone can tell.
+async fn look_at_port(backend: &Backend) -> Look {
+    match backend.connect().await {
+        Ok(_) => Look::Well,
+        Err(_) => Look::Unreachable,
+    }
+}
+
 async fn look(backend: &Backend, path: &str) -> Look {
     match timeout(ANSWER_LIMIT, ask(backend, path)).await {
         Ok(Some(look)) => look,
