Say once how a try ends, how microseconds are written, and who is an agent of a service

Cause: a read of the whole change found three pieces written twice in the agent: the end of a try in request.rs and hand_links.rs, the writing of microseconds in hand_links.rs and the desk, and the test for agents of a service in keyed.rs and the desk. Change: RequestGuard::end, desk::micros, Member::is_agent_of; behaviour and tests stay as they are. Conclusion: each of the three has one place.

--- a/crates/buckthornweir_daemon/src/agent/desk/carry_out.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/carry_out.rs
@@ -1,7 +1,5 @@
 //! Carrying out the decisions about requests.
 
-use std::time::Duration;
-
 use buckthornweir_events::Count;
 use buckthornweir_requests::messages::{
     Declined, Granted, Release, RequestBody, RequestMessage, Reserve,
@@ -9,7 +7,7 @@
 use buckthornweir_requests::{Action, Refusal, ReservationId};
 use buckthornweir_wire::{Body, NodeId};
 
-use super::{Ask, Desk, Directive, State};
+use super::{Ask, Desk, Directive, State, micros};
 use crate::links::LinkSender;
 
 impl Desk {
@@ -124,7 +122,3 @@
         }
     }
 }
-
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/buckthornweir_daemon/src/agent/desk/follow.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use buckthornweir_events::Gauge;
-use buckthornweir_members::{Health, MemberState, Roles};
+use buckthornweir_members::{Health, MemberState};
 use buckthornweir_requests::messages::Load;
 use buckthornweir_requests::{ServingState, Sibling, SiblingState};
 use buckthornweir_wire::NodeId;
@@ -103,11 +103,7 @@
     fn siblings(&self, service: &str, loads: &HashMap<NodeId, Load>) -> Vec<Sibling> {
         let members = self.board.members();
         let is_sibling = |m: &&Member| {
-            m.record.node != self.board.id
-                && m.record.roles.contains(Roles::AGENT)
-                && m.record.service == service
-                && m.record.state != MemberState::Left
-                && m.health == Health::Alive
+            m.record.node != self.board.id && m.is_agent_of(service) && m.health == Health::Alive
         };
         let found = members.iter().filter(is_sibling);
         let load = |m: &Member| loads.get(&m.record.node).copied();
--- a/crates/buckthornweir_daemon/src/agent/desk/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/mod.rs
@@ -313,3 +313,8 @@
         f.debug_struct("Desk").finish_non_exhaustive()
     }
 }
+
+/// Returns a length of time in microseconds, as messages carry it.
+pub(crate) fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/buckthornweir_daemon/src/agent/hand_links.rs
+++ b/crates/buckthornweir_daemon/src/agent/hand_links.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use buckthornweir_requests::messages::{
     BodyPart, HandedAnswer, HandedRequest, Header, RequestBody, RequestMessage,
@@ -21,6 +20,7 @@
 use tokio::runtime::Handle;
 
 use super::body::{AnswerBody, BodyEnd, whole};
+use super::desk::micros;
 use super::request::{ReadRequest, RequestGuard, Tried, outcome_of, strip_connection_headers};
 use crate::board::Blackboard;
 use crate::links::{HandLink, open_hand_link};
@@ -80,30 +80,25 @@
 ) -> Tried {
     guard.begin();
     if request.body.len() > HANDED_BODY_LIMIT {
-        return ended(guard, Outcome::Refused);
+        return guard.end(Outcome::Refused);
     }
     let Some(mut link) = guard.desk().hands().take(sibling).await else {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     };
     guard.note(Progress::Written);
     let message = handed_request(guard, request, reservation);
     let envelope = envelope(guard, RequestBody::HandedRequest(message));
     if !link.send(envelope).await {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     }
     match link.receive().await {
         Some(RequestBody::HandedAnswer(answer)) if answer.reservation == reservation => {
             take_answer(guard, sibling, link, answer).await
         }
-        _ => ended(guard, Outcome::Cut),
+        _ => guard.end(Outcome::Cut),
     }
 }
 
-fn ended(guard: &RequestGuard, outcome: Outcome) -> Tried {
-    guard.finish(outcome);
-    Tried::Ended(None)
-}
-
 fn envelope(guard: &RequestGuard, body: RequestBody) -> buckthornweir_wire::Envelope {
     let message = RequestMessage::new(body);
     guard
@@ -120,11 +115,11 @@
 ) -> Tried {
     if answer.refused {
         guard.desk().hands().give_back(sibling, link);
-        return ended(guard, refused_outcome(&answer));
+        return guard.end(refused_outcome(&answer));
     }
     guard.note(Progress::HeadersSeen);
     let Some((status, headers)) = read_head(&answer) else {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     };
     let outcome = outcome_of(status, &headers);
     if outcome == Outcome::Done {
@@ -132,7 +127,7 @@
         return Tried::Answer(response(status, headers, body));
     }
     if answer.body_follows {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     }
     guard.note(Progress::AnswerWhole);
     guard.desk().hands().give_back(sibling, link);
@@ -203,10 +198,6 @@
     }
 }
 
-fn micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn answer_body(
     guard: &RequestGuard,
     sibling: NodeId,
--- a/crates/buckthornweir_daemon/src/agent/keyed.rs
+++ b/crates/buckthornweir_daemon/src/agent/keyed.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use buckthornweir_events::Gauge;
-use buckthornweir_members::{Health, MemberState, Roles};
+use buckthornweir_members::Health;
 use buckthornweir_requests::idempotency::{ClaimKey, KeyAction, Keys, KeysConfig, Member};
 use buckthornweir_requests::messages::{KeyEnd, RequestBody, RequestMessage, StoredAnswer};
 use buckthornweir_requests::{ProblemKind, Refusal};
@@ -144,11 +144,7 @@
     pub(crate) fn follow(&self, service: &str) {
         let members = self.board.members();
         let is_present = |m: &&crate::board::Member| {
-            m.record.node != self.board.id
-                && m.record.roles.contains(Roles::AGENT)
-                && m.record.service == service
-                && m.record.state != MemberState::Left
-                && m.health != Health::Dead
+            m.record.node != self.board.id && m.is_agent_of(service) && m.health != Health::Dead
         };
         let present: Vec<Member> = members
             .iter()
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -268,6 +268,12 @@
             .finished(self.key, current.progress, outcome, latency);
     }
 
+    /// Reports how the try ended, without an answer at hand.
+    pub(crate) fn end(&self, outcome: Outcome) -> Tried {
+        self.finish(outcome);
+        Tried::Ended(None)
+    }
+
     /// Hands the duty to report over to a body; returns a function for its end.
     pub(crate) fn report_body(&self) -> impl FnOnce(BodyEnd) + Send + Unpin + use<> {
         self.disarm();
@@ -323,10 +329,7 @@
         directive = directives.recv() => directive,
     };
     match directive {
-        Some(Directive::Abort) => {
-            guard.finish(Outcome::Silent);
-            Tried::Ended(None)
-        }
+        Some(Directive::Abort) => guard.end(Outcome::Silent),
         Some(directive) => Tried::Directed(Some(directive)),
         None => Tried::Directed(Some(Directive::Cut)),
     }
@@ -335,7 +338,7 @@
 async fn exchange(guard: &RequestGuard, request: &ReadRequest) -> Tried {
     guard.begin();
     let Ok(mut connection) = connect(guard.desk(), request).await else {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     };
     guard.note(Progress::Written);
     let sent = connection.send(backend_request(guard, request)).await;
@@ -345,7 +348,7 @@
             if was_not_written(&error) {
                 guard.note(Progress::NotWritten);
             }
-            return ended(guard, Outcome::Cut);
+            return guard.end(Outcome::Cut);
         }
     };
     guard.note(Progress::HeadersSeen);
@@ -366,11 +369,6 @@
     }
 }
 
-fn ended(guard: &RequestGuard, outcome: Outcome) -> Tried {
-    guard.finish(outcome);
-    Tried::Ended(None)
-}
-
 fn was_not_written(error: &BackendError) -> bool {
     matches!(error, BackendError::Exchange(source) if source.is_canceled())
 }
@@ -402,7 +400,7 @@
 ) -> Tried {
     let (mut head, body) = response.into_parts();
     let Ok(body) = Limited::new(body, ERROR_BODY_LIMIT).collect().await else {
-        return ended(guard, Outcome::Cut);
+        return guard.end(Outcome::Cut);
     };
     guard.note(Progress::AnswerWhole);
     guard.desk().backend().give_back(connection);
--- a/crates/buckthornweir_daemon/src/board.rs
+++ b/crates/buckthornweir_daemon/src/board.rs
@@ -6,7 +6,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use buckthornweir_bundle::{Bundle, SignedBundle, Version};
 use buckthornweir_events::{Event, EventKind, Journal, Metrics};
-use buckthornweir_members::{BundleStamp, Health, MemberState, Record};
+use buckthornweir_members::{BundleStamp, Health, MemberState, Record, Roles};
 use buckthornweir_wire::{Body, Envelope, NodeId};
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::watch;
@@ -26,6 +26,15 @@
     pub health: Health,
 }
 
+impl Member {
+    /// Returns whether the member is an agent of `service` that has not left.
+    pub(crate) fn is_agent_of(&self, service: &str) -> bool {
+        self.record.roles.contains(Roles::AGENT)
+            && self.record.service == service
+            && self.record.state != MemberState::Left
+    }
+}
+
 /// What this process announces about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnState {
