Keep a flow whose connection still holds bytes of an answer

Cause: while an agent drains, it lets go of a flow when no request is being answered and the stack has nothing on its way. An answer that is larger than the stack's send buffer (8 KiB) waits in the connection's own buffer after its body has been read, and nothing counted these bytes. When a caller's acknowledgement emptied the stack between the connection's last write and the look at the flow, the rest of the answer was dropped.

Ruled out: crossed answers by this fault; bytes that are missing break the next answer's body, and the two crossed answers came whole.

Change: a stream notes whether its last write found no room; such a flow is not quiet. Handing over takes the stream by reference, since it is used again when the flow was not quiet.

Conclusion: mended; the test guards answers larger than the send buffer.

--- a/crates/buckthornweir_daemon/src/agent/http_flow.rs
+++ b/crates/buckthornweir_daemon/src/agent/http_flow.rs
@@ -93,9 +93,8 @@
                 stream.put_back(parts.read_buf);
                 continue;
             }
-            match stream.hand_over() {
-                Ok(flow) => return self.mover.give(flow),
-                Err(kept) => stream = kept,
+            if let Some(flow) = stream.hand_over() {
+                return self.mover.give(flow);
             }
         }
     }
--- a/crates/buckthornweir_daemon/src/agent/stream.rs
+++ b/crates/buckthornweir_daemon/src/agent/stream.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use buckthornweir_flows::moving::QuietFlow;
@@ -21,18 +22,22 @@
     tuple: FiveTuple,
     unread: Bytes,
     closed: bool,
+    /// Whether the last write found no room: whoever writes still holds bytes for the caller.
+    is_blocked: Arc<AtomicBool>,
 }
 
 /// Tells whether anything of a flow is on its way, while its stream is with a connection.
 pub(crate) struct QuietWatch {
     shard: Arc<Shard>,
     key: FlowKey,
+    is_blocked: Arc<AtomicBool>,
 }
 
 impl QuietWatch {
-    /// Returns whether nothing of the flow is on its way, either way.
+    /// Returns whether nothing of the flow is on its way, either way, and nothing waits to be
+    /// written to it.
     pub(crate) fn is_quiet(&self) -> bool {
-        self.shard.is_quiet(self.key)
+        !self.is_blocked.load(Ordering::Relaxed) && self.shard.is_quiet(self.key)
     }
 }
 
@@ -44,6 +49,7 @@
             tuple,
             unread: Bytes::new(),
             closed: false,
+            is_blocked: Arc::default(),
         }
     }
 
@@ -52,6 +58,7 @@
         QuietWatch {
             shard: self.shard.clone(),
             key: self.key,
+            is_blocked: self.is_blocked.clone(),
         }
     }
 
@@ -60,19 +67,12 @@
         self.unread = bytes;
     }
 
-    /// Stops the flow and takes its state for another agent, when it is quiet.
-    ///
-    /// # Errors
-    ///
-    /// Returns the stream itself when the flow is not quiet.
-    pub(crate) fn hand_over(mut self) -> Result<QuietFlow, Self> {
-        match self.shard.stop_quiet(self.key, &self.tuple) {
-            Some(flow) => {
-                self.closed = true;
-                Ok(flow)
-            }
-            None => Err(self),
-        }
+    /// Stops the flow and takes its state for another agent, when it is quiet; it goes on
+    /// otherwise.
+    pub(crate) fn hand_over(&mut self) -> Option<QuietFlow> {
+        let flow = self.shard.stop_quiet(self.key, &self.tuple)?;
+        self.closed = true;
+        Some(flow)
     }
 
     /// Returns the flow's two ends.
@@ -126,6 +126,8 @@
             }
             state
         });
+        let is_full = written == Some(WriteState::Full);
+        self.is_blocked.store(is_full, Ordering::Relaxed);
         match written {
             Some(WriteState::Accepted(length)) => Poll::Ready(Ok(length)),
             Some(WriteState::Full) => Poll::Pending,
--- a/crates/buckthornweir_daemon/tests/failures.rs
+++ b/crates/buckthornweir_daemon/tests/failures.rs
@@ -15,6 +15,9 @@
 /// How long callers work before, between and after events.
 const WHILE: Duration = Duration::from_millis(700);
 
+/// Bytes of an answer that is larger than a flow's send buffer.
+const LARGE_ANSWER: usize = 100_000;
+
 async fn work() {
     tokio::time::sleep(WHILE).await;
 }
@@ -160,6 +163,21 @@
     assert_unnoticed(&deployment, &seen);
 }
 
+/// A drained agent lets go of no flow whose answer waits for room in the flow's send buffer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_drained_agent_cuts_no_large_answer() {
+    let deployment = Deployment::start(2, 3).await;
+    let callers = deployment.callers_with(12, LARGE_ANSWER).await;
+    work().await;
+    let control = deployment.agents[0].planned.control;
+    let request = Request::Drain(DrainRequest {});
+    let reply = ask(control, deployment.plan.cluster_key(), request).await;
+    assert!(matches!(reply, Some(Reply::Drain(reply)) if reply.draining));
+    work().await;
+    let seen = callers.finish().await;
+    assert_unnoticed(&deployment, &seen);
+}
+
 /// A backend server says that it is leaving and later that it is back: as for a drain by an
 /// operator, and afterwards it gets work again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/buckthornweir_daemon/tests/support/deployment.rs
+++ b/crates/buckthornweir_daemon/tests/support/deployment.rs
@@ -30,6 +30,9 @@
     _room: SemaphorePermit<'static>,
 }
 
+/// Bytes of an answer, unless a test says otherwise.
+const ANSWER_BYTES: usize = 3000;
+
 /// How many deployments run at a time, so that processes do not wait for a processor longer than
 /// their limits allow.
 static ROOM: Semaphore = Semaphore::const_new(2);
@@ -147,6 +150,11 @@
 
     /// Starts callers that send requests one after another until they are told to stop.
     pub(crate) async fn callers(&self, count: usize) -> Callers {
+        self.callers_with(count, ANSWER_BYTES).await
+    }
+
+    /// Starts callers whose answers have some number of bytes.
+    pub(crate) async fn callers_with(&self, count: usize, bytes: usize) -> Callers {
         let stop = Arc::new(AtomicBool::new(false));
         let service: SocketAddr = ORDERS.parse().unwrap();
         let group = self.groups.fetch_add(1, Ordering::Relaxed);
@@ -154,7 +162,7 @@
         for number in 0..count {
             let caller = connect(&self.fabric, service).await;
             let name = format!("{group}-{number}");
-            tasks.push(tokio::spawn(call(caller, name, stop.clone())));
+            tasks.push(tokio::spawn(call(caller, name, bytes, stop.clone())));
         }
         Callers { stop, tasks }
     }
@@ -196,13 +204,13 @@
 }
 
 /// Sends orders on one flow until it breaks or `stop` is set. An order may not be repeated.
-async fn call(mut caller: HttpCaller, name: String, stop: Arc<AtomicBool>) -> Seen {
+async fn call(mut caller: HttpCaller, name: String, bytes: usize, stop: Arc<AtomicBool>) -> Seen {
     let mut seen = Seen::default();
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
         count += 1;
         let id = format!("order-{name}-{count}");
-        let request = http::Request::post(format!("/{id}?bytes=3000"))
+        let request = http::Request::post(format!("/{id}?bytes={bytes}"))
             .header("x-request-id", &id)
             .body(http_body_util::Full::from("twenty packets"))
             .unwrap();
