Watch bodies of answers in one place

Cause: three bodies of the agent (one that tells its end, one that holds a value, one that keeps what passes) forwarded frames with the same lines.

Ruled out: letting a held value go at the body's end instead of its drop; a flow would count as quiet before its last bytes were written.

Change: one body calls a closure with what passes: data, and the end once.

Conclusion: behaviour is the same.

--- a/crates/buckthornweir_daemon/src/agent/body.rs
+++ b/crates/buckthornweir_daemon/src/agent/body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 
 /// The body of an answer to a caller.
 pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
@@ -30,122 +30,45 @@
     Dropped,
 }
 
-/// A body that tells once how it ended.
-pub(crate) struct WatchedBody<B, F: FnOnce(BodyEnd)> {
-    inner: B,
-    done: Option<F>,
+/// What passes through a watched body.
+enum Passing<'a> {
+    /// Bytes of the answer.
+    Data(&'a [u8]),
+    /// The end, once.
+    End(BodyEnd),
 }
 
-impl<B, F: FnOnce(BodyEnd)> WatchedBody<B, F> {
-    /// Returns `inner` with a function that is called with its end.
-    pub(crate) fn new(inner: B, done: F) -> Self
-    where
-        B: Body,
-    {
-        let mut body = Self {
-            inner,
-            done: Some(done),
-        };
-        if body.inner.is_end_stream() {
-            // Nobody asks for the frames of an empty body.
-            body.end(BodyEnd::Whole);
-        }
-        body
-    }
-
-    fn end(&mut self, end: BodyEnd) {
-        if let Some(done) = self.done.take() {
-            done(end);
-        }
-    }
+/// A body that tells what passes.
+struct WatchedBody<B, F: FnMut(Passing<'_>)> {
+    inner: B,
+    has_ended: bool,
+    watch: F,
 }
 
-impl<F> Body for WatchedBody<Incoming, F>
+/// Returns `body` with a function that is called with its end.
+pub(crate) fn watched<B, F>(body: B, done: F) -> AnswerBody
 where
-    F: FnOnce(BodyEnd) + Unpin,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: std::error::Error + Send + Sync,
+    F: FnOnce(BodyEnd) + Send + Unpin + 'static,
 {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        match Pin::new(&mut self.inner).poll_frame(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(Ok(frame))) => {
-                if self.inner.is_end_stream() {
-                    self.end(BodyEnd::Whole);
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(Some(Err(error))) => {
-                self.end(BodyEnd::Cut);
-                Poll::Ready(Some(Err(io::Error::other(error))))
-            }
-            Poll::Ready(None) => {
-                self.end(BodyEnd::Whole);
-                Poll::Ready(None)
-            }
+    let mut done = Some(done);
+    let watch = move |passing: Passing<'_>| {
+        if let Passing::End(end) = passing
+            && let Some(done) = done.take()
+        {
+            done(end);
         }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
-impl<B, F: FnOnce(BodyEnd)> Drop for WatchedBody<B, F> {
-    fn drop(&mut self) {
-        self.end(BodyEnd::Dropped);
-    }
-}
-
-/// A body that holds a value until it is dropped.
-struct HoldingBody<T> {
-    inner: AnswerBody,
-    _held: T,
+    };
+    WatchedBody::new(body, watch).boxed_unsync()
 }
 
 /// Returns `body` with a value that is dropped together with it.
 pub(crate) fn holding<T: Send + Unpin + 'static>(body: AnswerBody, held: T) -> AnswerBody {
-    HoldingBody {
-        inner: body,
-        _held: held,
-    }
-    .boxed_unsync()
-}
-
-impl<T: Unpin> Body for HoldingBody<T> {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.inner).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
-/// A body that keeps what passes, up to a limit, and tells once how it ended.
-struct RecordingBody<F: FnOnce(BodyEnd, Option<Vec<u8>>)> {
-    inner: AnswerBody,
-    kept: Option<Vec<u8>>,
-    limit: usize,
-    done: Option<F>,
+    let watch = move |_: Passing<'_>| {
+        let _ = &held;
+    };
+    WatchedBody::new(body, watch).boxed_unsync()
 }
 
 /// Returns `body` with a function that is called with its end, and with its bytes if there were at
@@ -154,35 +77,54 @@
 where
     F: FnOnce(BodyEnd, Option<Vec<u8>>) + Send + Unpin + 'static,
 {
-    let mut recording = RecordingBody {
-        inner: body,
-        kept: Some(Vec::new()),
-        limit,
-        done: Some(done),
+    let mut kept = Some(Vec::new());
+    let mut done = Some(done);
+    let watch = move |passing: Passing<'_>| match passing {
+        Passing::Data(data) => {
+            kept = kept.take().filter(|k| k.len() + data.len() <= limit);
+            if let Some(kept) = &mut kept {
+                kept.extend_from_slice(data);
+            }
+        }
+        Passing::End(end) => {
+            if let Some(done) = done.take() {
+                done(end, kept.take());
+            }
+        }
     };
-    if recording.inner.is_end_stream() {
-        recording.end(BodyEnd::Whole);
-    }
-    recording.boxed_unsync()
+    WatchedBody::new(body, watch).boxed_unsync()
 }
 
-impl<F: FnOnce(BodyEnd, Option<Vec<u8>>)> RecordingBody<F> {
-    fn keep(&mut self, data: &[u8]) {
-        let limit = self.limit;
-        self.kept = self.kept.take().filter(|k| k.len() + data.len() <= limit);
-        if let Some(kept) = &mut self.kept {
-            kept.extend_from_slice(data);
+impl<B: Body, F: FnMut(Passing<'_>)> WatchedBody<B, F> {
+    fn new(inner: B, watch: F) -> Self {
+        let mut body = Self {
+            inner,
+            has_ended: false,
+            watch,
+        };
+        if body.inner.is_end_stream() {
+            // Nobody asks for the frames of an empty body.
+            body.end(BodyEnd::Whole);
         }
+        body
     }
+}
 
+impl<B, F: FnMut(Passing<'_>)> WatchedBody<B, F> {
     fn end(&mut self, end: BodyEnd) {
-        if let Some(done) = self.done.take() {
-            done(end, self.kept.take());
+        if !self.has_ended {
+            self.has_ended = true;
+            (self.watch)(Passing::End(end));
         }
     }
 }
 
-impl<F: FnOnce(BodyEnd, Option<Vec<u8>>) + Unpin> Body for RecordingBody<F> {
+impl<B, F> Body for WatchedBody<B, F>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::error::Error + Send + Sync + 'static,
+    F: FnMut(Passing<'_>) + Unpin,
+{
     type Data = Bytes;
     type Error = io::Error;
 
@@ -190,21 +132,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        match &polled {
-            Poll::Pending => {}
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
-                    self.keep(data);
+                    (self.watch)(Passing::Data(data));
                 }
                 if self.inner.is_end_stream() {
                     self.end(BodyEnd::Whole);
                 }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.end(BodyEnd::Cut);
+                Poll::Ready(Some(Err(io::Error::other(error))))
+            }
+            Poll::Ready(None) => {
+                self.end(BodyEnd::Whole);
+                Poll::Ready(None)
             }
-            Poll::Ready(Some(Err(_))) => self.end(BodyEnd::Cut),
-            Poll::Ready(None) => self.end(BodyEnd::Whole),
         }
-        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -216,7 +163,7 @@
     }
 }
 
-impl<F: FnOnce(BodyEnd, Option<Vec<u8>>)> Drop for RecordingBody<F> {
+impl<B, F: FnMut(Passing<'_>)> Drop for WatchedBody<B, F> {
     fn drop(&mut self) {
         self.end(BodyEnd::Dropped);
     }
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::backend::{BackendError, Connection};
-use super::body::{AnswerBody, BodyEnd, WatchedBody, whole};
+use super::body::{AnswerBody, BodyEnd, watched, whole};
 use super::desk::{Desk, Directive, Opened};
 use super::hand_links::hand_over;
 use super::keyed::Verdict;
@@ -388,7 +388,7 @@
     };
     let (mut head, body) = response.into_parts();
     strip_connection_headers(&mut head.headers);
-    Response::from_parts(head, WatchedBody::new(body, done).boxed_unsync())
+    Response::from_parts(head, watched(body, done))
 }
 
 /// Reads an error answer whole, since the request may be tried again instead of passing it on.
