Close links that carry nothing but heartbeats

Cause: every agent asks all agents of its service for idempotency records at its start, and kept these links for ever, as well as up to 8 links a sibling for handed requests.

Ruled out: closing by either end; a message that waits at the other end would be lost. Only the end that dialed a link queues messages on it by itself, so it knows under the lock of its queue that none is lost.

Change: the end that dialed a link closes it after 10 s without a message; links for handed requests are closed after 10 s as well. The gauge links_open shows the dialed ones. A part of a handed answer counts only with its own reservation.

Conclusion: links no longer grow with the agents of a service.

--- a/crates/buckthornweir_daemon/src/agent/desk/follow.rs
+++ b/crates/buckthornweir_daemon/src/agent/desk/follow.rs
@@ -52,6 +52,7 @@
 
     fn report(&self) {
         self.keys.report();
+        self.hands.close_idle();
         let state = self.state.lock();
         let limit = state.admission.limit();
         let metrics = &self.board.metrics;
--- a/crates/buckthornweir_daemon/src/agent/hand_links.rs
+++ b/crates/buckthornweir_daemon/src/agent/hand_links.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use buckthornweir_requests::messages::{
     BodyPart, HandedAnswer, HandedRequest, Header, RequestBody, RequestMessage,
@@ -23,7 +24,7 @@
 use super::desk::micros;
 use super::request::{ReadRequest, RequestGuard, Tried, outcome_of, strip_connection_headers};
 use crate::board::Blackboard;
-use crate::links::{HandLink, open_hand_link};
+use crate::links::{HandLink, IDLE_LIMIT, open_hand_link};
 
 /// The largest body in bytes of a request that is handed over.
 const HANDED_BODY_LIMIT: usize = 192 << 10;
@@ -35,7 +36,19 @@
 pub(crate) struct HandLinks {
     board: Arc<Blackboard>,
     runtime: Handle,
-    idle: Mutex<HashMap<NodeId, Vec<HandLink>>>,
+    idle: Mutex<HashMap<NodeId, Vec<IdleLink>>>,
+}
+
+/// A link that carries no request now.
+struct IdleLink {
+    link: HandLink,
+    since: Instant,
+}
+
+impl IdleLink {
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() < IDLE_LIMIT && self.link.is_open()
+    }
 }
 
 impl HandLinks {
@@ -55,18 +68,28 @@
         open_hand_link(&self.board, &self.runtime, member.record.control).await
     }
 
+    /// Closes links that have carried no request for long.
+    pub(crate) fn close_idle(&self) {
+        let mut idle = self.idle.lock();
+        idle.retain(|_, links| {
+            links.retain(IdleLink::is_usable);
+            !links.is_empty()
+        });
+    }
+
     fn take_idle(&self, sibling: NodeId) -> Option<HandLink> {
         let mut idle = self.idle.lock();
         let links = idle.get_mut(&sibling)?;
-        links.retain(HandLink::is_open);
-        links.pop()
+        links.retain(IdleLink::is_usable);
+        links.pop().map(|idle| idle.link)
     }
 
     fn give_back(&self, sibling: NodeId, link: HandLink) {
         let mut idle = self.idle.lock();
         let links = idle.entry(sibling).or_default();
         if link.is_open() && links.len() < IDLE_LINKS {
-            links.push(link);
+            let since = Instant::now();
+            links.push(IdleLink { link, since });
         }
     }
 }
@@ -213,6 +236,7 @@
         }
     };
     HandedBody {
+        reservation: answer.reservation,
         first: Some(Bytes::from(answer.body)),
         follows: answer.body_follows,
         link: Some(link),
@@ -223,6 +247,7 @@
 
 /// The body of an answer that comes from a sibling in parts.
 struct HandedBody<F: FnOnce(BodyEnd, Option<HandLink>)> {
+    reservation: ReservationId,
     first: Option<Bytes>,
     follows: bool,
     link: Option<HandLink>,
@@ -236,13 +261,18 @@
         }
     }
 
+    /// Returns whether a message belongs to this answer.
+    fn is_own(&self, part: &RequestBody) -> bool {
+        matches!(part, RequestBody::BodyPart(part) if part.reservation == self.reservation)
+    }
+
     fn take_part(&mut self, part: Option<RequestBody>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let Some(RequestBody::BodyPart(BodyPart {
             data,
             last,
             cut: false,
             ..
-        })) = part
+        })) = part.filter(|part| self.is_own(part))
         else {
             self.end(BodyEnd::Cut);
             return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -1,13 +1,14 @@
-//! Long-lived links to other processes. Each has a heartbeat and a limit of silence; a silent or
-//! lost link is replaced at the next message.
+//! Links to other processes. Each has a heartbeat and a limit of silence; a silent or lost link is
+//! replaced at the next message. A link that carries nothing but heartbeats is closed by the end that
+//! dialed it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use buckthornweir_events::{Count, EventKind};
+use buckthornweir_events::{Count, EventKind, Gauge};
 use buckthornweir_requests::messages::RequestBody;
 use buckthornweir_wire::{Body, Envelope, Heartbeat, Link, LinkReader, LinkWriter, NodeId};
 use parking_lot::Mutex;
@@ -31,6 +32,12 @@
 /// How long a link may take to come up.
 const DIAL_LIMIT: Duration = Duration::from_secs(1);
 
+/// How long a link stays open that carries nothing but heartbeats.
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// How often a link is looked at, whether it is idle.
+const IDLE_LOOK: Duration = Duration::from_secs(1);
+
 /// How many messages may wait on one link.
 const WAITING: usize = 1_024;
 
@@ -107,10 +114,11 @@
     let lifetime = CancellationToken::new();
     let over = lifetime.clone();
     let board = board.clone();
+    let activity = Activity::new();
     runtime.spawn(async move {
         tokio::select! {
             () = over.cancelled() => {}
-            () = send_all(&board, writer, receiver) => {}
+            () = send_all(&board, writer, receiver, &activity) => {}
             () = receive_parts(reader, part_sender) => {}
         }
     });
@@ -184,6 +192,7 @@
         let link = self.dial(address, peer);
         let queued = link.send(envelope);
         open.insert(address, link);
+        self.show_open(open.len());
         queued
     }
 
@@ -197,12 +206,12 @@
         self.runtime.spawn(async move {
             let key = &links.board.settings.node.key;
             if let Ok(link) = Link::dial(address, key, DIAL_LIMIT).await {
-                let parts = LinkParts {
-                    board: links.board.clone(),
-                    dispatch: links.dispatch.clone(),
-                    back,
-                };
-                parts.run(link, receiver, &links.stop).await;
+                let parts = LinkParts::new(&links.board, &links.dispatch, back);
+                let activity = parts.activity.clone();
+                tokio::select! {
+                    () = parts.run(link, receiver, &links.stop) => {}
+                    () = links.until_idle(address, &own, &activity) => return,
+                }
             }
             links.board.metrics.count(Count::LinksReplaced);
             if !links.stop.is_cancelled() {
@@ -222,13 +231,70 @@
     /// Forgets a link that has ended, unless another has taken its place.
     fn forget(&self, address: SocketAddr, ended: &mpsc::WeakSender<Envelope>) {
         let mut open = self.open.lock();
-        let is_same = match (open.get(&address), ended.upgrade()) {
-            (Some(link), Some(ended)) => link.sender.same_channel(&ended),
-            _ => false,
-        };
-        if is_same {
+        if is_same(open.get(&address), ended) {
+            open.remove(&address);
+            self.show_open(open.len());
+        }
+    }
+
+    /// Returns once a link has been idle for long and has been forgotten.
+    async fn until_idle(
+        &self,
+        address: SocketAddr,
+        own: &mpsc::WeakSender<Envelope>,
+        activity: &Activity,
+    ) {
+        let mut looks = interval(IDLE_LOOK);
+        loop {
+            looks.tick().await;
+            if activity.is_idle() && self.forget_empty(address, own) {
+                return;
+            }
+        }
+    }
+
+    /// Forgets a link on which no message waits; messages are queued under the same lock.
+    fn forget_empty(&self, address: SocketAddr, own: &mpsc::WeakSender<Envelope>) -> bool {
+        let mut open = self.open.lock();
+        let is_own = is_same(open.get(&address), own);
+        let is_empty = own
+            .upgrade()
+            .is_some_and(|s| s.capacity() == s.max_capacity());
+        if is_own && is_empty {
             open.remove(&address);
+            self.show_open(open.len());
         }
+        is_own && is_empty
+    }
+
+    fn show_open(&self, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.board.metrics.set(Gauge::LinksOpen, count);
+    }
+}
+
+fn is_same(link: Option<&LinkSender>, own: &mpsc::WeakSender<Envelope>) -> bool {
+    match (link, own.upgrade()) {
+        (Some(link), Some(own)) => link.sender.same_channel(&own),
+        _ => false,
+    }
+}
+
+/// When a link last carried anything but a heartbeat.
+#[derive(Debug)]
+struct Activity(Mutex<Instant>);
+
+impl Activity {
+    fn new() -> Arc<Self> {
+        Arc::new(Self(Mutex::new(Instant::now())))
+    }
+
+    fn note(&self) {
+        *self.0.lock() = Instant::now();
+    }
+
+    fn is_idle(&self) -> bool {
+        self.0.lock().elapsed() >= IDLE_LIMIT
     }
 }
 
@@ -304,11 +370,7 @@
                 Err(error) => return note(&board, &error),
             };
             let (sender, receiver) = mpsc::channel(WAITING);
-            let parts = LinkParts {
-                board: board.clone(),
-                dispatch,
-                back: LinkSender { sender },
-            };
+            let parts = LinkParts::new(&board, &dispatch, LinkSender { sender });
             parts.run(link, receiver, &stop).await;
         });
     }
@@ -319,15 +381,25 @@
     board: Arc<Blackboard>,
     dispatch: Arc<Dispatch>,
     back: LinkSender,
+    activity: Arc<Activity>,
 }
 
 impl LinkParts {
+    fn new(board: &Arc<Blackboard>, dispatch: &Arc<Dispatch>, back: LinkSender) -> Self {
+        Self {
+            board: board.clone(),
+            dispatch: dispatch.clone(),
+            back,
+            activity: Activity::new(),
+        }
+    }
+
     /// Runs both directions until either ends or `stop` is cancelled.
     async fn run(self, link: Link, receiver: mpsc::Receiver<Envelope>, stop: &CancellationToken) {
         let (reader, writer) = link.split();
         tokio::select! {
             () = stop.cancelled() => {}
-            () = send_all(&self.board, writer, receiver) => {}
+            () = send_all(&self.board, writer, receiver, &self.activity) => {}
             () = self.receive_all(reader) => {}
         }
     }
@@ -340,6 +412,9 @@
                 Err(_) => return,
             };
             self.board.observe(&received);
+            if !matches!(received.body, Some(Body::Heartbeat(_))) {
+                self.activity.note();
+            }
             self.dispatch.receive(received, &self.back);
         }
     }
@@ -356,13 +431,17 @@
     board: &Blackboard,
     mut writer: LinkWriter,
     mut receiver: mpsc::Receiver<Envelope>,
+    activity: &Activity,
 ) {
     let mut beats = interval(HEARTBEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let envelope = tokio::select! {
             queued = receiver.recv() => match queued {
-                Some(envelope) => envelope,
+                Some(envelope) => {
+                    activity.note();
+                    envelope
+                }
                 None => return,
             },
             _ = beats.tick() => board.envelope(Body::Heartbeat(Heartbeat {})),
--- a/crates/buckthornweir_daemon/tests/failures.rs
+++ b/crates/buckthornweir_daemon/tests/failures.rs
@@ -241,16 +241,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_resent_key_runs_once() {
     let deployment = Deployment::start(2, 3).await;
-    let service = support::deployment::ORDERS.parse().unwrap();
-    let send = async |key: &str| {
-        let mut caller = support::connect(&deployment.fabric, service).await;
-        let request = http::Request::post("/order")
-            .header("x-request-id", key)
-            .header("idempotency-key", key)
-            .body(http_body_util::Full::from("one badge"))
-            .unwrap();
-        caller.send(request).await.unwrap()
-    };
+    let send = async |key: &str| send_order(&deployment, key).await;
     // Holders of keys count each other only after they have been there for a while.
     wait_for_long("a first keyed order", async || {
         send("warm-up").await.status == 200
@@ -270,6 +261,18 @@
     }
 }
 
+/// Sends an order with an idempotency key on a flow of its own.
+async fn send_order(deployment: &Deployment, key: &str) -> CallerAnswer {
+    let service = support::deployment::ORDERS.parse().unwrap();
+    let mut caller = support::connect(&deployment.fabric, service).await;
+    let request = http::Request::post("/order")
+        .header("x-request-id", key)
+        .header("idempotency-key", key)
+        .body(http_body_util::Full::from("one badge"))
+        .unwrap();
+    caller.send(request).await.unwrap()
+}
+
 /// An agent that was restarted as planned holds keys again, in about the time that news of members and
 /// a pull of all records take.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -311,11 +314,45 @@
     }
 }
 
+/// Links to siblings are closed while they carry nothing, and opened again for the next request with
+/// a key.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_links_are_closed_and_opened_again() {
+    let deployment = Deployment::start(1, 3).await;
+    for agent in &deployment.agents {
+        wait_for_long("the first holders", async || {
+            keys_ready(&deployment, agent).await
+        })
+        .await;
+    }
+    for round in ["after the start", "after a request"] {
+        for agent in &deployment.agents {
+            wait_for_long(round, async || {
+                shows(&deployment, agent, "links_open 0").await
+            })
+            .await;
+        }
+        let sent = send_order(&deployment, round).await;
+        assert_eq!(sent.status, 200, "{round}: {sent:?}");
+        let mut open = 0;
+        for agent in &deployment.agents {
+            open += usize::from(!shows(&deployment, agent, "links_open 0").await);
+        }
+        assert!(open > 0, "{round}");
+    }
+}
+
 async fn keys_ready(deployment: &Deployment, agent: &support::Process) -> bool {
+    shows(deployment, agent, "keys_ready 1").await
+}
+
+/// Returns whether a metric of an agent has a value now.
+async fn shows(deployment: &Deployment, agent: &support::Process, metric: &str) -> bool {
     let key = deployment.plan.cluster_key();
     let request = Request::Metrics(MetricsRequest {});
+    let line = format!("buckthornweir_{metric}\n");
     match ask(agent.planned.control, key, request).await {
-        Some(Reply::Metrics(reply)) => reply.text.contains("buckthornweir_keys_ready 1\n"),
+        Some(Reply::Metrics(reply)) => reply.text.contains(&line),
         _ => false,
     }
 }
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -132,6 +132,8 @@
         KeysReady = "keys_ready", "1 when this agent grants claims of idempotency keys";
         /// Records of idempotency keys.
         KeysHeld = "keys_held", "Records of idempotency keys";
+        /// Links that this process dialed.
+        LinksOpen = "links_open", "Links that this process dialed";
         /// The version of the bundle in force.
         BundleVersion = "bundle_version", "Version of the bundle in force";
         /// Members that are alive.
