--- a/benches/bundles.rs
+++ b/benches/bundles.rs
@@ -1,4 +1,5 @@
-//! Size of a signed bundle, and the time to read and verify it, against its services.
+//! Size of a signed bundle and of a difference of one key, and the times to read, verify, make and apply
+//! them, against the services.
 //!
 //! `cargo bench --bench bundles` prints the tables.
 
@@ -7,6 +8,7 @@
 use std::hint::black_box;
 
 use buckthornweir_bundle::prelude::*;
+use buckthornweir_bundle::{TextDifference, rebuild};
 use slopes::{Point, median_nanos, print_slope};
 
 const SERVICES: [usize; 3] = [10, 100, 1_100];
@@ -34,6 +36,37 @@
     print_slope("signed bundle", "services", "bytes", &bytes);
     print_slope("read a bundle", "services", "microseconds", &reading);
     print_slope("verify a bundle", "services", "microseconds", &verifying);
+    differences(&key)
+}
+
+/// Measures the difference from a bundle to the next one, which changes one key of one service.
+fn differences(key: &SigningKey) -> buckthornweir_bundle::Result<()> {
+    let (mut bytes, mut making, mut applying) = (Vec::new(), Vec::new(), Vec::new());
+    for count in SERVICES {
+        let bundle = Bundle::parse("bench.ini", &bundle_text(count))?;
+        let mut next = bundle.clone();
+        next.version += 1;
+        if let Some(service) = next.services.get_mut(count / 2) {
+            service.queue += 1;
+        }
+        let old = SignedBundle::sign(bundle, key).to_text();
+        let new = SignedBundle::sign(next, key).to_text();
+        let (old, new) = (old.as_bytes(), new.as_bytes());
+        let difference = TextDifference::between(old, new).to_bytes();
+        bytes.push(Point::new(count, difference.len() as f64));
+        let nanos = median_nanos(ROUNDS, 20, || {
+            let _ = black_box(TextDifference::between(black_box(old), black_box(new)));
+        });
+        making.push(Point::new(count, nanos / 1e3));
+        let chain = [difference];
+        let nanos = median_nanos(ROUNDS, 20, || {
+            let _ = black_box(rebuild(black_box(old), black_box(&chain)));
+        });
+        applying.push(Point::new(count, nanos / 1e3));
+    }
+    print_slope("difference of one key", "services", "bytes", &bytes);
+    print_slope("make a difference", "services", "microseconds", &making);
+    print_slope("apply a difference", "services", "microseconds", &applying);
     Ok(())
 }
 
