Pull differences of bundles, and don't take a heartbeat for the answer

A pull asked for the whole bundle whatever the puller held. And a pull took the first message on its link for the answer, while the other side mostly sends a heartbeat first (its interval ticks at once): the answer was thrown away, and the pull came again only when membership next heard of the version.

Ruled out: copies of old bundles at the holder (191 kB each at 1,100 services); the base named by its version (two texts may hold one version at processes of different signers); a second link for the whole after a bad difference.

Change: the puller names the digest of its whole text; the holder answers with the chain of differences that leads on from there, else with the whole. What the puller makes of them must have the digest in the difference, be read and have a signature that counts; if not, it asks for the whole on the same link. Answers are awaited past heartbeats, within the limit of a pull, and a failed pull is repeated at up to two other holders. Counters: bundles pulled whole and as differences, unfit differences, bytes given and taken. An asker without a digest (older process, client) gets the whole; an older holder ignores the digest.

The difference of one key with 200 services is counted below the whole's size in the test. Not tested with processes: a holder that sends an altered difference (the table of alterations is in buckthornweir_bundle's tests).

Conclusion: a pull after a change of one key takes one short answer, and comes at once.

--- a/crates/buckthornweir_cli/src/commands/bundle.rs
+++ b/crates/buckthornweir_cli/src/commands/bundle.rs
@@ -131,7 +131,7 @@
 }
 
 async fn text_in_force(settings: &ClientSettings) -> Result<String> {
-    match ask_any(settings, Request::Bundle(BundleRequest {})).await? {
+    match ask_any(settings, Request::Bundle(BundleRequest::default())).await? {
         Reply::Bundle(reply) if reply.text.is_empty() => Err(Fault::NoBundle),
         Reply::Bundle(reply) => Ok(reply.text),
         _ => Err(Fault::Answer),
--- a/crates/buckthornweir_daemon/src/board.rs
+++ b/crates/buckthornweir_daemon/src/board.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use buckthornweir_bundle::{Bundle, SignedBundle, Version};
+use buckthornweir_bundle::{Bundle, Chain, SignedBundle, Version};
 use buckthornweir_events::{Event, EventKind, Journal, Metrics};
 use buckthornweir_members::{BundleStamp, Health, MemberState, Record, Roles};
 use buckthornweir_wire::{Body, Envelope, NodeId};
@@ -83,6 +83,7 @@
     pub journal: Journal,
     started: Instant,
     bundle: ArcSwapOption<SignedBundle>,
+    differences: Mutex<Chain>,
     applying: Mutex<()>,
     members: ArcSwap<Vec<Member>>,
     own: Mutex<OwnState>,
@@ -110,6 +111,7 @@
             settings,
             started: Instant::now(),
             bundle: ArcSwapOption::empty(),
+            differences: Mutex::default(),
             applying: Mutex::default(),
             members: ArcSwap::default(),
             own: Mutex::new(own),
@@ -182,6 +184,11 @@
         self.applying.lock()
     }
 
+    /// Returns the differences that lead to the bundle in force.
+    pub(crate) fn differences(&self) -> MutexGuard<'_, Chain> {
+        self.differences.lock()
+    }
+
     /// Puts a bundle in force and returns the one before.
     pub(crate) fn set_bundle(&self, bundle: Arc<SignedBundle>) -> Option<Arc<SignedBundle>> {
         let before = self.bundle.swap(Some(bundle));
--- a/crates/buckthornweir_daemon/src/bundles.rs
+++ b/crates/buckthornweir_daemon/src/bundles.rs
@@ -5,8 +5,10 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use buckthornweir_bundle::{Bundle, SignedBundle};
+use buckthornweir_bundle::{Bundle, DifferenceBytes, Digest, SignedBundle, rebuild};
 use buckthornweir_events::{Count, EventKind, Gauge};
+use buckthornweir_wire::{BundleReply, BundleRequest};
+use prost::Message as _;
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::board::Blackboard;
@@ -36,33 +38,82 @@
         Err(source) => return Err(file_error(&path, source)),
     };
     match SignedBundle::parse(FILE, &text) {
-        Ok(bundle) => apply_verified(board, bundle, false),
+        Ok(bundle) => apply_signed(board, bundle, false),
         Err(fault) => refuse(board, 0, &fault),
     }
     Ok(())
 }
 
 /// Puts a bundle in force when its signature counts and its version is higher than the one held.
-/// Returns whether it is in force now.
-pub(crate) fn apply(board: &Blackboard, text: &str) -> bool {
+pub(crate) fn apply(board: &Blackboard, text: &str) {
     match SignedBundle::parse("bundle", text) {
-        Ok(bundle) => {
-            apply_verified(board, bundle, true);
+        Ok(bundle) => apply_signed(board, bundle, true),
+        Err(fault) => refuse(board, 0, &fault),
+    }
+}
+
+/// Puts the bundle in force to which `differences` lead from the text `base`, as [`apply`] does. Returns
+/// whether they made a bundle whose signature counts.
+pub(crate) fn apply_differences(
+    board: &Blackboard,
+    base: &str,
+    differences: &[DifferenceBytes],
+) -> bool {
+    match read_differences(board, base, differences) {
+        Some(signed) => {
+            apply_verified(board, signed, true);
             true
         }
-        Err(fault) => {
-            refuse(board, 0, &fault);
+        None => {
+            board.metrics.count(Count::BundleDifferencesUnfit);
             false
         }
     }
 }
 
+fn read_differences(
+    board: &Blackboard,
+    base: &str,
+    differences: &[DifferenceBytes],
+) -> Option<SignedBundle> {
+    let text = rebuild(base.as_bytes(), differences).ok()?;
+    let text = String::from_utf8(text).ok()?;
+    let signed = SignedBundle::parse("differences", &text).ok()?;
+    signed.verify(&board.settings.trust).ok()?;
+    Some(signed)
+}
+
+/// Returns the bundle in force: differences where they lead to it from the asker's text, else the whole.
+pub(crate) fn give(board: &Blackboard, asked: &BundleRequest) -> BundleReply {
+    let base = Digest::try_from(asked.base.as_slice()).ok();
+    let differences = base.and_then(|base| board.differences().since(&base));
+    let reply = match differences {
+        Some(differences) => BundleReply {
+            differences,
+            ..BundleReply::default()
+        },
+        None => BundleReply {
+            text: board
+                .signed_bundle()
+                .map_or_else(String::new, |b| b.to_text()),
+            ..BundleReply::default()
+        },
+    };
+    let bytes = reply.encoded_len() as u64;
+    board.metrics.count_by(Count::BundleBytesOut, bytes);
+    reply
+}
+
+fn apply_signed(board: &Blackboard, signed: SignedBundle, store: bool) {
+    match signed.verify(&board.settings.trust) {
+        Ok(()) => apply_verified(board, signed, store),
+        Err(fault) => refuse(board, signed.bundle().version, &fault),
+    }
+}
+
+/// Puts a bundle in force whose signature was verified.
 fn apply_verified(board: &Blackboard, signed: SignedBundle, store: bool) {
     let version = signed.bundle().version;
-    if let Err(fault) = signed.verify(&board.settings.trust) {
-        refuse(board, version, &fault);
-        return;
-    }
     let _held = board.hold_bundle();
     if version <= board.version() {
         return;
@@ -72,6 +123,7 @@
         return;
     }
     let signed = Arc::new(signed);
+    note_difference(board, &signed);
     let before = board.set_bundle(signed.clone());
     board.metrics.count(Count::BundlesApplied);
     board.metrics.set(
@@ -84,6 +136,14 @@
     record_domains(board, before, signed.bundle());
 }
 
+/// Keeps the difference to the bundle in force, for processes that still hold that one.
+fn note_difference(board: &Blackboard, next: &SignedBundle) {
+    if let Some(held) = board.signed_bundle() {
+        let (old, new) = (held.to_text(), next.to_text());
+        board.differences().note(old.as_bytes(), new.as_bytes());
+    }
+}
+
 fn record_domains(board: &Blackboard, before: &Bundle, after: &Bundle) {
     for domain in &after.domains {
         let name = domain.name.clone();
--- a/crates/buckthornweir_daemon/src/operators.rs
+++ b/crates/buckthornweir_daemon/src/operators.rs
@@ -5,12 +5,12 @@
 use buckthornweir_events::{Filter, Gauge, Stamp};
 use buckthornweir_members::Health;
 use buckthornweir_wire::{
-    Body, BundleReply, ControlReply, DrainReply, MemberRow, MembersReply, MetricsReply,
-    OperatorMessage, PushOutcome, PushReply, Reply, Request, StatusReply, TimelineReply,
-    TimelineRequest,
+    Body, ControlReply, DrainReply, MemberRow, MembersReply, MetricsReply, OperatorMessage,
+    PushOutcome, PushReply, Reply, Request, StatusReply, TimelineReply, TimelineRequest,
 };
 
 use crate::board::{Blackboard, Leaving, Member};
+use crate::bundles;
 use crate::dispatch::Dispatch;
 use crate::gossip::{role_words, roles_of, state_word};
 use crate::links::LinkSender;
@@ -29,7 +29,7 @@
     let reply = match request {
         Request::Status(_) => Reply::Status(status(board)),
         Request::Members(_) => Reply::Members(members(board)),
-        Request::Bundle(_) => Reply::Bundle(bundle(board)),
+        Request::Bundle(asked) => Reply::Bundle(bundles::give(board, &asked)),
         Request::Timeline(asked) => Reply::Timeline(timeline(board, &asked)),
         Request::Metrics(_) => Reply::Metrics(metrics(board)),
         Request::Drain(_) => Reply::Drain(drain(board)),
@@ -113,13 +113,6 @@
     }
 }
 
-fn bundle(board: &Blackboard) -> BundleReply {
-    let text = board.signed_bundle().map(|b| b.to_text());
-    BundleReply {
-        text: text.unwrap_or_default(),
-    }
-}
-
 fn timeline(board: &Blackboard, asked: &TimelineRequest) -> TimelineReply {
     let filter = Filter {
         since: Stamp {
--- a/crates/buckthornweir_daemon/src/pull.rs
+++ b/crates/buckthornweir_daemon/src/pull.rs
@@ -1,22 +1,32 @@
 //! Pulling a newer bundle from a member that has one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_members::BundleStamp;
+use buckthornweir_bundle::{DifferenceBytes, Digest, text_digest};
+use buckthornweir_events::Count;
+use buckthornweir_members::{BundleStamp, Health};
 use buckthornweir_wire::{
-    Body, BundleRequest, Envelope, Link, NodeId, OperatorMessage, Reply, Request, WireError,
+    Body, BundleReply, BundleRequest, Link, NodeId, OperatorMessage, Reply, Request, WireError,
 };
+use prost::Message as _;
+use rand::seq::IteratorRandom;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::task::spawn_blocking;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::board::Blackboard;
+use crate::board::{Blackboard, Member};
 use crate::bundles;
 
 /// How long one pull may take.
 const PULL_LIMIT: Duration = Duration::from_secs(2);
 
+/// How many other holders are asked when one fails.
+const SPARE_HOLDERS: usize = 2;
+
 /// How many pulls may wait.
 const WAITING: usize = 64;
 
@@ -56,43 +66,98 @@
                 pull = receiver.recv() => pull,
             };
             let Some(pull) = pull else { return };
-            if let Some(text) = fetch(&board, pull).await {
-                let board = board.clone();
-                let applied = tokio::task::spawn_blocking(move || bundles::apply(&board, &text));
-                let _ = applied.await;
-            }
+            pull_newer(&board, pull).await;
         }
     });
     PullSender { sender }
 }
 
-/// Returns the newer bundle. The stamp that membership heard counts, since the blackboard may not have
-/// heard of it yet.
-async fn fetch(board: &Blackboard, pull: Pull) -> Option<String> {
-    if pull.stamp.version <= board.version() {
-        return None;
+/// Pulls the newer bundle, from another holder when the first one fails. When all fail, membership asks
+/// again later.
+async fn pull_newer(board: &Arc<Blackboard>, pull: Pull) {
+    for holder in holders(board, pull) {
+        // The stamp that membership heard counts, since the blackboard may not have heard of it yet.
+        if pull.stamp.version <= board.version() {
+            return;
+        }
+        let _ = fetch(board, holder).await;
+    }
+}
+
+/// Returns where the member that was heard of takes links, and then other members that have the version.
+fn holders(board: &Blackboard, pull: Pull) -> Vec<SocketAddr> {
+    let members = board.members();
+    let has =
+        |m: &&Member| m.health == Health::Alive && m.record.bundle.version >= pull.stamp.version;
+    let others = members.iter().filter(|m| m.record.node != pull.from);
+    let spare = others.filter(has).sample(&mut rand::rng(), SPARE_HOLDERS);
+    let first = board.member(pull.from);
+    let all = first.iter().chain(spare);
+    all.map(|m| m.record.control).collect()
+}
+
+/// Pulls the newer bundle from a holder and puts it in force.
+async fn fetch(board: &Arc<Blackboard>, holder: SocketAddr) -> Result<(), WireError> {
+    let mut link = Link::dial(holder, &board.settings.node.key, PULL_LIMIT).await?;
+    let base = board.signed_bundle().map(|held| held.to_text());
+    let digest = base.as_ref().map(|text| text_digest(text.as_bytes()));
+    let mut reply = ask(board, &mut link, digest).await?;
+    let differences = std::mem::take(&mut reply.differences);
+    if let Some(base) = base
+        && !differences.is_empty()
+    {
+        if apply_differences(board, base, differences).await {
+            board.metrics.count(Count::BundlesPulledDifference);
+            return Ok(());
+        }
+        reply = ask(board, &mut link, None).await?;
     }
-    let member = board.member(pull.from)?;
-    ask(board, member.record.control).await.ok()
+    board.metrics.count(Count::BundlesPulledWhole);
+    apply(board, reply.text).await;
+    Ok(())
 }
 
-async fn ask(board: &Blackboard, peer: std::net::SocketAddr) -> Result<String, WireError> {
-    let key = &board.settings.node.key;
-    let mut link = Link::dial(peer, key, PULL_LIMIT).await?;
-    let message = OperatorMessage::ask(1, Request::Bundle(BundleRequest {}));
+/// Asks for the bundle; without a base the answer is the whole.
+async fn ask(
+    board: &Blackboard,
+    link: &mut Link,
+    base: Option<Digest>,
+) -> Result<BundleReply, WireError> {
+    let base = base.map_or_else(Vec::new, Vec::from);
+    let message = OperatorMessage::ask(1, Request::Bundle(BundleRequest { base }));
     link.send(&board.envelope(Body::Operator(Box::new(message))))
         .await?;
-    let reply = link.receive(PULL_LIMIT).await?;
-    board.observe(&reply);
-    bundle_text(reply)
+    let received = timeout(PULL_LIMIT, receive_bundle(board, link)).await;
+    let bundle = received.unwrap_or(Err(WireError::TimedOut))?;
+    let bytes = bundle.encoded_len() as u64;
+    board.metrics.count_by(Count::BundleBytesIn, bytes);
+    Ok(bundle)
 }
 
-fn bundle_text(reply: Envelope) -> Result<String, WireError> {
-    match reply.into_body()? {
-        Body::Operator(message) => match message.reply {
-            Some(Reply::Bundle(bundle)) => Ok(bundle.text),
-            _ => Err(WireError::Empty),
-        },
-        _ => Err(WireError::Empty),
+/// Waits for the answer. The other side sends heartbeats in between, mostly one at once.
+async fn receive_bundle(board: &Blackboard, link: &mut Link) -> Result<BundleReply, WireError> {
+    loop {
+        let received = link.receive(PULL_LIMIT).await?;
+        board.observe(&received);
+        if let Body::Operator(message) = received.into_body()?
+            && let Some(Reply::Bundle(bundle)) = message.reply
+        {
+            return Ok(bundle);
+        }
     }
 }
+
+async fn apply(board: &Arc<Blackboard>, text: String) {
+    let board = board.clone();
+    let _ = spawn_blocking(move || bundles::apply(&board, &text)).await;
+}
+
+async fn apply_differences(
+    board: &Arc<Blackboard>,
+    base: String,
+    differences: Vec<DifferenceBytes>,
+) -> bool {
+    let board = board.clone();
+    let work = move || bundles::apply_differences(&board, &base, &differences);
+    spawn_blocking(work).await.unwrap_or(false)
+}
--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -6,8 +6,12 @@
 
 use std::net::SocketAddr;
 
+use buckthornweir_bundle::{rebuild, text_digest};
 use buckthornweir_standins::Plan;
-use buckthornweir_wire::{ControlChange, ControlReply, PushOutcome, Reply, Request};
+use buckthornweir_wire::{
+    BundleReply, BundleRequest, ControlChange, ControlReply, MetricsRequest, PushOutcome, Reply,
+    Request,
+};
 use support::deployment::bundle;
 use support::{LIMIT, Process, ask, plan, push, signed, status, wait_for};
 use tempfile::TempDir;
@@ -225,3 +229,123 @@
     cluster.everywhere(2).await;
     assert_eq!(cluster.push(1, "fj-west-a").await, PushOutcome::Conflict);
 }
+
+/// Returns a bundle of many services, of which the first has `slots` slots.
+fn large_bundle(version: u64, slots: u32) -> String {
+    let mut text = bundle(version, "");
+    for n in 0..200 {
+        let slots = if n == 0 { slots } else { 8 };
+        text += &format!("[service s{n}]\naddresses = 10.9.0.{n}:80\ndomains = fj-west-a\n");
+        text += &format!("slots = {slots}\n");
+    }
+    text
+}
+
+/// One control process and one balancer, which pulls what the control process has.
+struct Pair {
+    cluster: Cluster,
+    balancer: Process,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let mut cluster = Cluster::start(1).await;
+        let planned = cluster.plan.balancer("balancer-0", "fj-west-a");
+        let balancer = Process::start(planned, &cluster.folder);
+        Self { cluster, balancer }
+    }
+
+    fn key(&self) -> &'static str {
+        self.cluster.plan.cluster_key()
+    }
+
+    /// Pushes and waits until the balancer holds the bundle.
+    async fn push(&self, version: u64, slots: u32) {
+        let text = signed(&large_bundle(version, slots));
+        let reply = push(self.cluster.address(0), self.key(), text).await;
+        assert_eq!(reply.outcome(), PushOutcome::Accepted);
+        self.follows(version).await;
+    }
+
+    async fn follows(&self, version: u64) {
+        let address = self.balancer.planned.control;
+        wait_for("the pull", async || {
+            let status = status(address, self.key()).await;
+            status.is_some_and(|s| s.version == version)
+        })
+        .await;
+    }
+
+    /// Returns what the control process answers to one who holds `base`.
+    async fn give(&self, base: &str) -> BundleReply {
+        let base = text_digest(base.as_bytes()).to_vec();
+        let request = Request::Bundle(BundleRequest { base });
+        match ask(self.cluster.address(0), self.key(), request).await {
+            Some(Reply::Bundle(reply)) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn counted(&self, address: SocketAddr, name: &str) -> u64 {
+        let request = Request::Metrics(MetricsRequest {});
+        let Some(Reply::Metrics(reply)) = ask(address, self.key(), request).await else {
+            panic!("no metrics");
+        };
+        let mut lines = reply.text.lines();
+        let line = lines.find(|l| l.starts_with(&format!("buckthornweir_{name} ")));
+        let value = line.and_then(|l| l.rsplit(' ').next());
+        value.unwrap().parse().unwrap()
+    }
+}
+
+/// The first bundle is pulled whole, changes of one key as differences, and nothing is given twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_of_one_key_is_pulled_as_a_difference() {
+    let pair = Pair::start().await;
+    for version in 1..=4 {
+        pair.push(version, 8 + version as u32).await;
+    }
+    let balancer = pair.balancer.planned.control;
+    let control = pair.cluster.address(0);
+    assert_eq!(
+        pair.counted(balancer, "bundles_pulled_whole_total").await,
+        1
+    );
+    let pulled = "bundles_pulled_difference_total";
+    assert_eq!(pair.counted(balancer, pulled).await, 3);
+    let given = pair.counted(control, "bundle_bytes_out_total").await;
+    assert_eq!(pair.counted(balancer, "bundle_bytes_in_total").await, given);
+    let whole = signed(&large_bundle(1, 9)).len() as u64;
+    assert!(given < 2 * whole, "{given} bytes for a bundle of {whole}");
+}
+
+/// A holder gives differences to one who holds a text that it still knows, and else the whole; after a
+/// restart it knows none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_holder_that_forgot_the_base_gives_the_whole() {
+    let mut pair = Pair::start().await;
+    for version in 1..=3 {
+        pair.push(version, 8 + version as u32).await;
+    }
+    let texts = [1, 2, 3].map(|v| signed(&large_bundle(v, 8 + v as u32)));
+    for old in &texts[..2] {
+        let reply = pair.give(old).await;
+        let made = rebuild(old.as_bytes(), &reply.differences).unwrap();
+        assert_eq!(
+            (made, reply.text.as_str()),
+            (texts[2].clone().into_bytes(), "")
+        );
+    }
+    let same_version = signed(&large_bundle(2, 99));
+    for unknown in [same_version.as_str(), "", &texts[2]] {
+        let reply = pair.give(unknown).await;
+        assert_eq!((reply.text, reply.differences), (texts[2].clone(), vec![]));
+    }
+    pair.cluster.nodes[0].kill();
+    pair.cluster.nodes[0].restart();
+    pair.cluster.leader().await;
+    let reply = pair.give(&texts[1]).await;
+    assert_eq!((reply.text, reply.differences), (texts[2].clone(), vec![]));
+    pair.push(4, 12).await;
+    assert!(!pair.give(&texts[2]).await.differences.is_empty());
+}
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -110,6 +110,16 @@
         BundlesApplied = "bundles_applied_total", "Bundles put in force";
         /// Bundles refused.
         BundlesRefused = "bundles_refused_total", "Bundles refused";
+        /// Bundles pulled whole.
+        BundlesPulledWhole = "bundles_pulled_whole_total", "Bundles pulled whole from another process";
+        /// Bundles pulled as differences.
+        BundlesPulledDifference = "bundles_pulled_difference_total", "Bundles pulled as differences to the bundle in force";
+        /// Differences that made no bundle that counts; the whole was pulled then.
+        BundleDifferencesUnfit = "bundle_differences_unfit_total", "Differences that made no bundle that counts";
+        /// Bytes of pulled bundles and differences.
+        BundleBytesIn = "bundle_bytes_in_total", "Bytes of pulled bundles and differences";
+        /// Bytes of bundles and differences given to other processes.
+        BundleBytesOut = "bundle_bytes_out_total", "Bytes of bundles and differences given to other processes";
         /// Bytes of control messages sent.
         ControlBytesOut = "control_bytes_out_total", "Bytes of control messages sent";
         /// Bytes of control messages received.
--- a/crates/buckthornweir_wire/src/operator.rs
+++ b/crates/buckthornweir_wire/src/operator.rs
@@ -219,15 +219,23 @@
 }
 
 /// Asks for the bundle that the process holds.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct BundleRequest {}
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct BundleRequest {
+    /// Digest of the whole text that the asker holds; empty to be sent the whole bundle.
+    #[prost(bytes = "vec", tag = "1")]
+    pub base: Vec<u8>,
+}
 
 /// The bundle that a process holds.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct BundleReply {
-    /// The canonical text with its signature; empty for none.
+    /// The canonical text with its signature; empty for none, and where there are differences.
     #[prost(string, tag = "1")]
     pub text: String,
+    /// Differences that lead, one after the other, from the asker's text to the bundle that the process
+    /// holds.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub differences: Vec<Vec<u8>>,
 }
 
 /// Asks for events.
