Find the peer of a reply once

Ruled out: one handler for both replies (what follows differs in each line).

Change: peer_of_reply, which steps down for a higher term and else returns the peer of a leader.

Conclusion: no change of behaviour.

--- a/crates/buckthornweir_quorum/src/core/replication.rs
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -250,20 +250,10 @@
         term: Term,
         reply: AppendReply,
     ) {
-        if term > self.term {
-            self.step_down(now, term, None);
-            return;
-        }
         let last = self.log.last_index();
-        let State::Leader(lead) = &mut self.state else {
+        let Some(peer) = self.peer_of_reply(now, from, term) else {
             return;
         };
-        let Some(peer) = lead.peers.get_mut(&from) else {
-            return;
-        };
-        if term < self.term {
-            return;
-        }
         let before = (peer.next, peer.offset);
         let answers = peer.note_reply(now, reply.round);
         if answers {
@@ -284,6 +274,22 @@
         self.after_reply(now, from, more);
     }
 
+    /// Returns what the leader knows of the peer that replied; steps down for a reply of a higher term.
+    pub(super) fn peer_of_reply(
+        &mut self,
+        now: Duration,
+        from: NodeId,
+        term: Term,
+    ) -> Option<&mut Progress> {
+        if term > self.term {
+            self.step_down(now, term, None);
+        }
+        match &mut self.state {
+            State::Leader(lead) if term == self.term => lead.peers.get_mut(&from),
+            _ => None,
+        }
+    }
+
     /// Commits what can be committed and goes on sending.
     pub(super) fn after_reply(&mut self, now: Duration, from: NodeId, more: bool) {
         self.advance_commit(now);
--- a/crates/buckthornweir_quorum/src/core/snapshots.rs
+++ b/crates/buckthornweir_quorum/src/core/snapshots.rs
@@ -154,20 +154,10 @@
         term: Term,
         reply: SnapshotReply,
     ) {
-        if term > self.term {
-            self.step_down(now, term, None);
-            return;
-        }
         let last = self.log.last_index();
-        let State::Leader(lead) = &mut self.state else {
+        let Some(peer) = self.peer_of_reply(now, from, term) else {
             return;
         };
-        let Some(peer) = lead.peers.get_mut(&from) else {
-            return;
-        };
-        if term < self.term {
-            return;
-        }
         let answers = peer.note_reply(now, reply.round);
         let before = (peer.next, peer.offset);
         if reply.done {
