Pass pulled differences on as they came

Cause: a process that pulled a chain kept one difference, from its old text to the newest. One that held a version in between found no base there, and pulled the whole; so in a burst of pushes, when processes skip versions.

Ruled out: composing differences for each pair of versions (one for each of 64 bases).

Change: Chain::adopt takes over the links that rebuild has applied. Bundles tell where they came from: disk, whole text, or differences.

Bytes in a burst were not measured.

Conclusion: the texts between are known wherever they passed through.

--- a/crates/buckthornweir_bundle/src/chain.rs
+++ b/crates/buckthornweir_bundle/src/chain.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::canonical::Digest;
-use crate::text_difference::{DifferenceError, Result, TextDifference, text_digest};
+use crate::text_difference::{DifferenceError, Ends, Result, TextDifference, text_digest};
 
 /// How many differences a process keeps.
 pub const CHAIN_LINKS: usize = 64;
@@ -51,16 +51,28 @@
 
     /// Takes in that `new` follows `old`. The oldest differences make room where the chain is full.
     pub fn note(&mut self, old: &[u8], new: &[u8]) {
-        let base = text_digest(old);
-        if base != self.target {
-            self.clear();
-        }
-        self.target = text_digest(new);
-        self.size = new.len();
+        let ends = Ends {
+            base: text_digest(old),
+            target: text_digest(new),
+        };
         match TextDifference::worth_sending(old, new) {
-            Some(difference) => self.push(Link { base, difference }),
+            Some(difference) => self.append(ends, difference),
             None => self.clear(),
         }
+        self.size = new.len();
+    }
+
+    /// Takes over differences that lead to `new`, as [`rebuild`] has shown, so that texts between are known
+    /// here too.
+    pub fn adopt(&mut self, differences: &[DifferenceBytes], new: &[u8]) {
+        for difference in differences {
+            let read = TextDifference::from_bytes(difference).ok();
+            match read.and_then(|read| read.ends()) {
+                Some(ends) => self.append(ends, difference.clone()),
+                None => self.clear(),
+            }
+        }
+        self.size = new.len();
     }
 
     /// Returns the differences that lead from the text of digest `base` to the newest one, or nothing when
@@ -73,9 +85,14 @@
         (bytes < self.size).then(|| links.map(|l| l.difference.clone()).collect())
     }
 
-    fn push(&mut self, link: Link) {
-        self.bytes += link.difference.len();
-        self.links.push_back(link);
+    fn append(&mut self, ends: Ends, difference: DifferenceBytes) {
+        let Ends { base, target } = ends;
+        if base != self.target {
+            self.clear();
+        }
+        self.target = target;
+        self.bytes += difference.len();
+        self.links.push_back(Link { base, difference });
         while self.links.len() > CHAIN_LINKS || self.bytes > CHAIN_BYTES {
             let Some(oldest) = self.links.pop_front() else {
                 return;
--- a/crates/buckthornweir_bundle/src/text_difference.rs
+++ b/crates/buckthornweir_bundle/src/text_difference.rs
@@ -85,6 +85,15 @@
     inserted: Vec<u8>,
 }
 
+/// Names the texts that a difference joins.
+#[derive(Clone, Copy)]
+pub(crate) struct Ends {
+    /// Digest of the base.
+    pub(crate) base: Digest,
+    /// Digest of the result.
+    pub(crate) target: Digest,
+}
+
 /// A range of the base, followed by some of the inserted bytes.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 struct Span {
@@ -168,6 +177,13 @@
         Ok(text)
     }
 
+    /// Returns the digests of the base and of the result, unless they are malformed.
+    pub(crate) fn ends(&self) -> Option<Ends> {
+        let base = Digest::try_from(self.base.as_slice()).ok()?;
+        let target = Digest::try_from(self.target.as_slice()).ok()?;
+        Some(Ends { base, target })
+    }
+
     /// Returns the size of the result, after the spans were checked to add up to it.
     fn checked_size(&self) -> Result<usize> {
         check_size(self.size, RESULT_LIMIT)?;
--- a/crates/buckthornweir_bundle/tests/text_differences.rs
+++ b/crates/buckthornweir_bundle/tests/text_differences.rs
@@ -253,3 +253,29 @@
     let refused = rebuild(base, &long);
     assert!(matches!(refused, Err(DifferenceError::TooMany { .. })));
 }
+
+#[test]
+fn a_chain_takes_over_the_differences_that_it_was_given() {
+    let texts = [1, 2, 3, 4].map(|v| signed(v, 200, 8 + v as u32));
+    let mut giver = Chain::new();
+    for pair in texts.windows(2) {
+        giver.note(pair[0].as_bytes(), pair[1].as_bytes());
+    }
+    let digests = [0, 1, 2].map(|at: usize| text_digest(texts[at].as_bytes()));
+    let given = giver.since(&digests[1]).unwrap();
+    let mut taker = Chain::new();
+    taker.note(texts[0].as_bytes(), texts[1].as_bytes());
+    taker.adopt(&given, texts[3].as_bytes());
+    for (digest, text) in digests.iter().zip(&texts) {
+        let differences = taker.since(digest).unwrap();
+        let made = rebuild(text.as_bytes(), &differences).unwrap();
+        assert_eq!(made, texts[3].as_bytes());
+    }
+    let mut behind = Chain::new();
+    behind.note(texts[2].as_bytes(), texts[0].as_bytes());
+    behind.adopt(&given, texts[3].as_bytes());
+    assert!(behind.since(&digests[0]).is_none(), "a gap before");
+    assert!(behind.since(&digests[1]).is_some());
+    behind.adopt(&[b"no difference".to_vec()], texts[3].as_bytes());
+    assert!(behind.since(&digests[1]).is_none(), "malformed");
+}
--- a/crates/buckthornweir_daemon/src/bundles.rs
+++ b/crates/buckthornweir_daemon/src/bundles.rs
@@ -20,6 +20,17 @@
 /// The file that is written first and then renamed.
 const NEXT_FILE: &str = "bundle.ini.next";
 
+/// Where a bundle came from.
+#[derive(Clone, Copy)]
+enum Source<'a> {
+    /// The disk of this process.
+    Disk,
+    /// A whole text.
+    Text,
+    /// Differences to a text that was in force here.
+    Differences(&'a [DifferenceBytes]),
+}
+
 /// Puts the stored bundle in force, if there is one.
 ///
 /// # Errors
@@ -38,7 +49,7 @@
         Err(source) => return Err(file_error(&path, source)),
     };
     match SignedBundle::parse(FILE, &text) {
-        Ok(bundle) => apply_signed(board, bundle, false),
+        Ok(bundle) => apply_signed(board, bundle, Source::Disk),
         Err(fault) => refuse(board, 0, &fault),
     }
     Ok(())
@@ -47,7 +58,7 @@
 /// Puts a bundle in force when its signature counts and its version is higher than the one held.
 pub(crate) fn apply(board: &Blackboard, text: &str) {
     match SignedBundle::parse("bundle", text) {
-        Ok(bundle) => apply_signed(board, bundle, true),
+        Ok(bundle) => apply_signed(board, bundle, Source::Text),
         Err(fault) => refuse(board, 0, &fault),
     }
 }
@@ -61,7 +72,7 @@
 ) -> bool {
     match read_differences(board, base, differences) {
         Some(signed) => {
-            apply_verified(board, signed, true);
+            apply_verified(board, signed, Source::Differences(differences));
             true
         }
         None => {
@@ -104,26 +115,28 @@
     reply
 }
 
-fn apply_signed(board: &Blackboard, signed: SignedBundle, store: bool) {
+fn apply_signed(board: &Blackboard, signed: SignedBundle, source: Source<'_>) {
     match signed.verify(&board.settings.trust) {
-        Ok(()) => apply_verified(board, signed, store),
+        Ok(()) => apply_verified(board, signed, source),
         Err(fault) => refuse(board, signed.bundle().version, &fault),
     }
 }
 
 /// Puts a bundle in force whose signature was verified.
-fn apply_verified(board: &Blackboard, signed: SignedBundle, store: bool) {
+fn apply_verified(board: &Blackboard, signed: SignedBundle, source: Source<'_>) {
     let version = signed.bundle().version;
     let _held = board.hold_bundle();
     if version <= board.version() {
         return;
     }
-    if store && let Err(error) = store_bundle(board, &signed) {
+    if !matches!(source, Source::Disk)
+        && let Err(error) = store_bundle(board, &signed)
+    {
         refuse(board, version, &error);
         return;
     }
     let signed = Arc::new(signed);
-    note_difference(board, &signed);
+    note_differences(board, &signed, source);
     let before = board.set_bundle(signed.clone());
     board.metrics.count(Count::BundlesApplied);
     board.metrics.set(
@@ -136,11 +149,18 @@
     record_domains(board, before, signed.bundle());
 }
 
-/// Keeps the difference to the bundle in force, for processes that still hold that one.
-fn note_difference(board: &Blackboard, next: &SignedBundle) {
-    if let Some(held) = board.signed_bundle() {
-        let (old, new) = (held.to_text(), next.to_text());
-        board.differences().note(old.as_bytes(), new.as_bytes());
+/// Keeps what leads to the bundle, for processes that still hold an older one.
+fn note_differences(board: &Blackboard, next: &SignedBundle, source: Source<'_>) {
+    let new = next.to_text();
+    match (source, board.signed_bundle()) {
+        (Source::Differences(differences), _) => {
+            board.differences().adopt(differences, new.as_bytes());
+        }
+        (Source::Text, Some(held)) => {
+            let old = held.to_text();
+            board.differences().note(old.as_bytes(), new.as_bytes());
+        }
+        (Source::Text | Source::Disk, _) => {}
     }
 }
 
