--- a/benches/processes/client.rs
+++ b/benches/processes/client.rs
@@ -22,6 +22,7 @@
     let (mut time, mut memory, mut printed) = (Vec::new(), Vec::new(), Vec::new());
     for &agents in agents {
         let size = Size {
+            controls: 1,
             balancers: 2,
             agents,
             services: 1,
--- a/benches/processes/deployment.rs
+++ b/benches/processes/deployment.rs
@@ -26,12 +26,13 @@
 /// How many processes of each role and how many services a deployment has.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Size {
+    pub(crate) controls: usize,
     pub(crate) balancers: usize,
     pub(crate) agents: usize,
     pub(crate) services: usize,
 }
 
-/// A control process, balancers and agents, the latter all of one service.
+/// Control processes, balancers and agents, the latter all of one service.
 pub(crate) struct Deployment {
     pub(crate) processes: Vec<Process>,
     pub(crate) fabric: Arc<Fabric>,
@@ -96,13 +97,18 @@
             .iter()
             .map(|byte| format!("{byte:02x}"))
             .collect();
-        let mut plan = Plan::new(public).with_log("error");
+        let plan = Plan::new(public).with_log("error");
+        let mut plan = plan.with_control(size.controls);
         let bind = SocketAddr::from(([127, 0, 0, 1], 0));
         let fabric = Fabric::start(FabricConfig::new(bind, 11).with_buffer(4_096)).await;
         let fabric = fabric.expect("a free port");
-        let data = folder.path().join("data");
-        let control = plan.control("control-0", DOMAINS[0], &data);
-        let mut processes = vec![Process::start("control", control, folder.path())];
+        let mut processes = Vec::new();
+        for number in 0..size.controls {
+            let name = format!("control-{number}");
+            let data = folder.path().join(&name);
+            let planned = plan.control(&name, DOMAINS[number % DOMAINS.len()], &data);
+            processes.push(Process::start("control", planned, folder.path()));
+        }
         for number in 0..size.balancers {
             let name = format!("balancer-{number}");
             let planned = plan.balancer(&name, DOMAINS[number % DOMAINS.len()]);
@@ -143,16 +149,8 @@
     pub(crate) async fn push(&self, version: u64) -> Option<Duration> {
         let bundle = Bundle::parse("bench.ini", &self.bundle(version)).ok()?;
         let text = SignedBundle::sign(bundle, &signing_key()).to_text();
-        let control = self.processes.first()?.planned.control;
         let limit = Instant::now() + LIMIT;
-        let mut start = Instant::now();
-        while self.ask(control, &text).await != Some(PushOutcome::Accepted) {
-            if Instant::now() > limit {
-                return None;
-            }
-            tokio::time::sleep(STEP).await;
-            start = Instant::now();
-        }
+        let start = self.push_to_leader(&text, limit).await?;
         let count = self.processes.len() as f64;
         for process in &self.processes {
             let holds = || {
@@ -170,6 +168,21 @@
         Some(start.elapsed())
     }
 
+    /// Pushes at one control process after the other; returns when the accepted push began.
+    async fn push_to_leader(&self, text: &str, limit: Instant) -> Option<Instant> {
+        while Instant::now() < limit {
+            for process in self.role("control") {
+                let start = Instant::now();
+                let outcome = self.ask(process.planned.control, text).await;
+                if matches!(outcome, Some(PushOutcome::Accepted | PushOutcome::Same)) {
+                    return Some(start);
+                }
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        None
+    }
+
     async fn ask(&self, control: SocketAddr, text: &str) -> Option<PushOutcome> {
         let mut link = Link::dial(control, &self.key, LIMIT).await.ok()?;
         let request = Request::Push(PushRequest { text: text.into() });
--- a/benches/processes/load.rs
+++ b/benches/processes/load.rs
@@ -28,6 +28,7 @@
 const CALLERS: usize = 200;
 
 const SIZE: Size = Size {
+    controls: 1,
     balancers: 1,
     agents: 1,
     services: 1,
--- a/benches/processes/main.rs
+++ b/benches/processes/main.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo build --release -p buckthornweir_daemon` comes first. Then `cargo bench --bench processes`
 //! measures idle processes with 3, 10 and 30 agents, and
-//! `cargo bench --bench processes -- services 10 100 1100`, `-- flows 1000 4000 7143` and
+//! `cargo bench --bench processes -- services 10 100 1100`, `-- control 3 5 7`, `-- flows 1000 4000 7143` and
 //! `-- requests 200 500 1000` (a second) the rest, and `-- client 3 10 30` the command-line client after
 //! `cargo build --release -p buckthornweir_cli`.
 
@@ -14,7 +14,7 @@
 mod load;
 mod usage;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use deployment::{Deployment, Process, Size};
 use slopes::{Point, arguments, print_slope};
@@ -39,6 +39,7 @@
     };
     match name {
         "services" => services(&or([10, 100, 1_100])).await,
+        "control" => control(&or([3, 5, 7])).await,
         "client" => client::status(&or([3, 10, 30])).await,
         "flows" => load::flows(&or([1_000, 4_000, 7_143])).await,
         "requests" => load::requests(&or([200, 500, 1_000])).await,
@@ -101,6 +102,7 @@
     let mut measured = Vec::new();
     for &agents in agents {
         let size = Size {
+            controls: 1,
             balancers: 2,
             agents,
             services: 1,
@@ -118,6 +120,7 @@
     let (mut measured, mut pushes, mut busy) = (Vec::new(), Vec::new(), Vec::new());
     for &services in services {
         let size = Size {
+            controls: 1,
             balancers: 1,
             agents: 3,
             services,
@@ -148,3 +151,47 @@
     );
     print_slope("balancer: processor a push", "services", "ms", &busy);
 }
+
+/// Measures 3, 5 or 7 control processes with a bundle of 1,100 services: idle, and over three pushes that
+/// change one key each.
+async fn control(controls: &[usize]) {
+    for &controls in controls {
+        let size = Size {
+            controls,
+            balancers: 1,
+            agents: 3,
+            services: 1_100,
+        };
+        let deployment = Deployment::start(size).await;
+        tokio::time::sleep(QUIET).await;
+        let read = || -> Vec<Usage> { deployment.processes.iter().map(Process::usage).collect() };
+        let idle = read();
+        tokio::time::sleep(LENGTH).await;
+        let before = read();
+        let began = Instant::now();
+        for version in 2..=4 {
+            let took = deployment.push(version).await;
+            println!("{controls} control processes, push {version}: {took:?}");
+        }
+        tokio::time::sleep(QUIET).await;
+        let after = read();
+        println!(
+            "role leads MB idle_% idle_sent_B/s idle_log_B/s busy_ms log_B_beyond_idle given_B pulled_B"
+        );
+        for (at, process) in deployment.processes.iter().enumerate() {
+            let (quiet, pushes) = (before[at].since(&idle[at]), after[at].since(&before[at]));
+            let leads = after[at].metric("quorum_leader");
+            let (memory, busy) = (after[at].resident, pushes.busy * 1e3);
+            let idle_log = quiet.log / LENGTH.as_secs_f64();
+            println!(
+                "{} {leads} {memory:.1} {:.2} {:.0} {idle_log:.0} {busy:.0} {:.0} {} {}",
+                process.role,
+                quiet.core,
+                quiet.sent,
+                pushes.log - idle_log * length,
+                pushes.given,
+                pushes.pulled
+            );
+        }
+    }
+}
--- a/benches/processes/usage.rs
+++ b/benches/processes/usage.rs
@@ -36,6 +36,12 @@
     pub(crate) sent: f64,
     /// Control bytes received a second.
     pub(crate) received: f64,
+    /// Bytes of the control log sent, in all.
+    pub(crate) log: f64,
+    /// Bytes of bundles given to others, in all.
+    pub(crate) given: f64,
+    /// Bytes of bundles pulled, in all.
+    pub(crate) pulled: f64,
 }
 
 impl Usage {
@@ -57,12 +63,16 @@
     pub(crate) fn since(&self, before: &Self) -> Rate {
         let time = (self.at - before.at).as_secs_f64();
         let busy = self.seconds - before.seconds;
-        let bytes = |name| (self.metric(name) - before.metric(name)) / time;
+        let count = |name| self.metric(name) - before.metric(name);
+        let bytes = |name| count(name) / time;
         Rate {
             core: busy / time * 100.0,
             busy,
             sent: bytes("control_bytes_out_total"),
             received: bytes("control_bytes_in_total"),
+            log: count("log_bytes_out_total"),
+            given: count("bundle_bytes_out_total"),
+            pulled: count("bundle_bytes_in_total"),
         }
     }
 
--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use buckthornweir_bundle::SignedBundle;
-use buckthornweir_events::{EventKind, Gauge};
+use buckthornweir_events::{Count, EventKind, Gauge};
 use buckthornweir_quorum::{
     Action, Bundle, Command, Config, Core, Decision, Founder, MemberChange, Message, NodeId,
     Presence, PushResult, Reject, Restored, Role, Standing, Storage, Token,
@@ -391,6 +391,9 @@
             address: self.board.settings.node.control.to_string(),
             body: Some(body),
         };
-        self.links.send_to(to, Body::Quorum(frame.encode_to_vec()));
+        let bytes = frame.encode_to_vec();
+        let metrics = &self.board.metrics;
+        metrics.count_by(Count::LogBytesOut, bytes.len() as u64);
+        self.links.send_to(to, Body::Quorum(bytes));
     }
 }
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -120,6 +120,8 @@
         BundleBytesIn = "bundle_bytes_in_total", "Bytes of pulled bundles and differences";
         /// Bytes of bundles and differences given to other processes.
         BundleBytesOut = "bundle_bytes_out_total", "Bytes of bundles and differences given to other processes";
+        /// Bytes of messages between control VMs sent.
+        LogBytesOut = "log_bytes_out_total", "Bytes of messages of the control log sent";
         /// Bytes of control messages sent.
         ControlBytesOut = "control_bytes_out_total", "Bytes of control messages sent";
         /// Bytes of control messages received.
