Test a holder that gives differences to no trusted bundle

Cause: the way from a difference that doesn't fit to the whole was tested without processes only. A pull whose bundle was refused would have been repeated at two more holders.

Ruled out: a member of its own in the test (gossip and all); the place of a killed control process is enough, since what it told waits in the socket of a stopped balancer.

Change: a fake holder at the address of a killed control process gives a well-made difference to a bundle that nobody trusted signed, and an altered one. Only a holder that gives no answer makes the puller ask another.

Conclusion: nothing is in force of such differences, and the whole follows on the same link.

--- a/crates/buckthornweir_daemon/src/pull.rs
+++ b/crates/buckthornweir_daemon/src/pull.rs
@@ -72,15 +72,17 @@
     PullSender { sender }
 }
 
-/// Pulls the newer bundle, from another holder when the first one fails. When all fail, membership asks
-/// again later.
+/// Pulls the newer bundle, from another holder when the first one gives no answer. When none does,
+/// membership asks again later.
 async fn pull_newer(board: &Arc<Blackboard>, pull: Pull) {
     for holder in holders(board, pull) {
         // The stamp that membership heard counts, since the blackboard may not have heard of it yet.
         if pull.stamp.version <= board.version() {
             return;
         }
-        let _ = fetch(board, holder).await;
+        if fetch(board, holder).await.is_ok() {
+            return;
+        }
     }
 }
 
--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -5,16 +5,20 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use buckthornweir_bundle::{rebuild, text_digest};
+use buckthornweir_bundle::prelude::*;
+use buckthornweir_bundle::{TextDifference, rebuild, text_digest};
+use buckthornweir_settings::value;
 use buckthornweir_standins::Plan;
 use buckthornweir_wire::{
-    BundleReply, BundleRequest, ControlChange, ControlReply, MetricsRequest, PushOutcome, Reply,
-    Request,
+    Body, BundleReply, BundleRequest, ClusterKey, ControlChange, ControlReply, Envelope, Link,
+    MetricsRequest, OperatorMessage, PushOutcome, Reply, Request,
 };
 use support::deployment::bundle;
 use support::{LIMIT, Process, ask, plan, push, signed, status, wait_for};
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 
 struct Cluster {
     plan: Plan,
@@ -349,3 +353,86 @@
     pair.push(4, 12).await;
     assert!(!pair.give(&texts[2]).await.differences.is_empty());
 }
+
+/// Answers pulls in the place of a holder: to those who name a base with `differences`, to all others with
+/// the whole text.
+async fn fake_holder(
+    listener: TcpListener,
+    key: ClusterKey,
+    differences: BundleReply,
+    text: String,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let Ok(mut link) = Link::accept(stream, &key, LIMIT).await else {
+            continue;
+        };
+        while let Ok(received) = link.receive(LIMIT).await {
+            let Some(Body::Operator(message)) = received.body else {
+                continue;
+            };
+            let Some(Request::Bundle(asked)) = message.request else {
+                continue;
+            };
+            let reply = match asked.base.is_empty() {
+                false => differences.clone(),
+                true => BundleReply {
+                    text: text.clone(),
+                    ..BundleReply::default()
+                },
+            };
+            let message = OperatorMessage::answer(message.id, Reply::Bundle(reply));
+            let envelope = Envelope::new(0, Body::Operator(Box::new(message)));
+            if link.send(&envelope).await.is_err() {
+                break;
+            }
+        }
+    }
+}
+
+/// A difference to a bundle whose signature doesn't count, and one that is altered, put nothing in force:
+/// the whole is pulled in their place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_difference_that_makes_no_trusted_bundle_is_not_applied() {
+    let forged = Bundle::parse("forged.ini", &large_bundle(2, 99)).unwrap();
+    let forged = SignedBundle::sign(forged, &SigningKey::from_secret(&[9; 32])).to_text();
+    let old = signed(&large_bundle(1, 9));
+    let to_forged = TextDifference::between(old.as_bytes(), forged.as_bytes()).to_bytes();
+    let mut altered = to_forged.clone();
+    *altered.last_mut().unwrap() ^= 1;
+    for difference in [to_forged, altered] {
+        let mut pair = Pair::start().await;
+        pair.push(1, 9).await;
+        // What the control process tells of version 2 waits until the balancer goes on.
+        pair.balancer.signal("STOP");
+        let next = signed(&large_bundle(2, 10));
+        let reply = push(pair.cluster.address(0), pair.key(), next.clone()).await;
+        assert_eq!(reply.outcome(), PushOutcome::Accepted);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        pair.cluster.nodes[0].kill();
+        let listener = TcpListener::bind(pair.cluster.address(0)).await.unwrap();
+        let key = ClusterKey::new(value::hex(pair.key()).unwrap());
+        let differences = BundleReply {
+            differences: vec![difference],
+            ..BundleReply::default()
+        };
+        let holder = tokio::spawn(fake_holder(listener, key, differences, next));
+        pair.balancer.signal("CONT");
+        pair.follows(2).await;
+        let balancer = pair.balancer.planned.control;
+        assert_eq!(
+            pair.counted(balancer, "bundle_differences_unfit_total")
+                .await,
+            1
+        );
+        assert_eq!(
+            pair.counted(balancer, "bundles_pulled_whole_total").await,
+            2
+        );
+        assert_eq!(
+            pair.counted(balancer, "bundles_pulled_difference_total")
+                .await,
+            0
+        );
+        holder.abort();
+    }
+}
--- a/crates/buckthornweir_quorum/benches/log.rs
+++ b/crates/buckthornweir_quorum/benches/log.rs
@@ -121,10 +121,20 @@
     Command::Push(Bundle {
         version,
         digest: [1; 32],
-        bytes: vec![1; size],
+        bytes: lines(size),
     })
 }
 
+/// Returns a text of equal lines.
+fn lines(size: usize) -> Vec<u8> {
+    b"key = value\n"
+        .iter()
+        .copied()
+        .cycle()
+        .take(size)
+        .collect()
+}
+
 /// Writes and syncs one push.
 fn sync_push(storage: &mut Storage, index: u64, size: usize) {
     let data = buckthornweir_quorum::Payload::Command(push(index, size)).encode();
