Let a process announce another address than it binds

Cause: a process announced the addresses that it bound, so it could not stand behind address translation, and tests could not put anything between two processes. Ruled out: reading the address from the source of datagrams, since links need the address before anything was sent, and a stranger could choose it. Change: `announce-gossip`, `announce-packets` and `announce-control` in [node], each the bound address when left out; `peers` holds announced addresses. With one of them any address may be bound. Conclusion: other processes reach a process at what it announces.

--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -62,7 +62,7 @@
         storage: Storage,
         restored: Restored,
     ) -> Self {
-        let own = board.settings.node.control;
+        let own = board.settings.node.control.announced;
         let listed = settings.peers.iter().map(ToString::to_string);
         let founder =
             Founder::new(restored.id, own.to_string(), listed).with_permission(settings.found);
@@ -388,7 +388,7 @@
     fn send_frame(&self, to: SocketAddr, body: QuorumBody) {
         let frame = QuorumFrame {
             from: self.core.id(),
-            address: self.board.settings.node.control.to_string(),
+            address: self.board.settings.node.control.announced.to_string(),
             body: Some(body),
         };
         self.links.send_to(to, Body::Quorum(frame.encode_to_vec()));
--- a/crates/buckthornweir_daemon/src/gossip.rs
+++ b/crates/buckthornweir_daemon/src/gossip.rs
@@ -44,11 +44,11 @@
     stop: &CancellationToken,
 ) -> Result<()> {
     let node = &board.settings.node;
-    let socket = bind_udp("gossip", node.gossip)?;
+    let socket = bind_udp("gossip", node.gossip.bind)?;
     let (sender, inbox) = bounded(INBOX);
     let reader = socket.try_clone().map_err(|source| DaemonError::Bind {
         what: "gossip",
-        address: node.gossip,
+        address: node.gossip.bind,
         source,
     })?;
     let receiving = board.clone();
@@ -244,15 +244,15 @@
     let own = board.own();
     let service = settings.agent.as_ref().map_or("", |a| a.service.as_str());
     let incarnation = u64::try_from(board.wall().as_millis()).unwrap_or(1);
-    let mut record = Record::new(board.id, &node.name, node.gossip)
+    let mut record = Record::new(board.id, &node.name, node.gossip.announced)
         .with_incarnation(incarnation)
         .with_roles(roles_of(settings))
         .with_domain(&node.domain)
         .with_service(service)
         .with_state(own.state)
         .with_weight(own.weight);
-    record.flows = node.packets;
-    record.control = node.control;
+    record.flows = node.packets.announced;
+    record.control = node.control.announced;
     record.bundle = board.bundle_stamp();
     record
 }
--- a/crates/buckthornweir_daemon/src/lib.rs
+++ b/crates/buckthornweir_daemon/src/lib.rs
@@ -37,7 +37,8 @@
 pub use fault::{DaemonError, Result};
 pub use node::Node;
 pub use settings::{
-    AgentSettings, BalancerSettings, ControlSettings, LogSettings, NodeSettings, Settings, node_id,
+    AgentSettings, BalancerSettings, ControlSettings, LogSettings, NodeSettings, Place, Settings,
+    node_id,
 };
 
 /// Names that most users of this crate import.
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -249,7 +249,7 @@
     runtime: &Handle,
     stop: &CancellationToken,
 ) -> Result<()> {
-    let address = board.settings.node.control;
+    let address = board.settings.node.control.bind;
     let listener = TcpListener::bind(address)
         .await
         .map_err(|source| DaemonError::Bind {
--- a/crates/buckthornweir_daemon/src/peer_packets.rs
+++ b/crates/buckthornweir_daemon/src/peer_packets.rs
@@ -31,7 +31,7 @@
     ///
     /// Returns an error when it cannot be taken.
     pub(crate) fn bind(board: &Arc<Blackboard>) -> Result<Arc<Self>> {
-        let socket = bind_udp("packets", board.settings.node.packets)?;
+        let socket = bind_udp("packets", board.settings.node.packets.bind)?;
         // The read timeout lets the reading threads see that they are to stop.
         let _ = socket.set_read_timeout(Some(READ_LIMIT));
         Ok(Arc::new(Self {
--- a/crates/buckthornweir_daemon/src/settings.rs
+++ b/crates/buckthornweir_daemon/src/settings.rs
@@ -40,12 +40,12 @@
     pub name: SmolStr,
     /// The failure domain of the VM.
     pub domain: SmolStr,
-    /// UDP address for membership.
-    pub gossip: SocketAddr,
-    /// UDP address for packets between balancers and agents.
-    pub packets: SocketAddr,
-    /// TCP address for links and operators.
-    pub control: SocketAddr,
+    /// UDP addresses for membership.
+    pub gossip: Place,
+    /// UDP addresses for packets between balancers and agents.
+    pub packets: Place,
+    /// TCP addresses for links and operators.
+    pub control: Place,
     /// TCP address where metrics are read over HTTP.
     pub metrics: Option<SocketAddr>,
     /// Membership addresses of some other processes.
@@ -58,6 +58,15 @@
     pub stop_limit: Duration,
 }
 
+/// Where a process takes what other processes send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The address that this process binds.
+    pub bind: SocketAddr,
+    /// The address under which other processes reach it.
+    pub announced: SocketAddr,
+}
+
 /// The balancer role.
 #[derive(Clone, Debug)]
 pub struct BalancerSettings {
@@ -148,7 +157,7 @@
             })?,
             agent: read_role(&mut document, &roles, Role::Agent, read_agent)?,
             control: read_role(&mut document, &roles, Role::Control, |section| {
-                read_control(section, node.control)
+                read_control(section, node.control.announced)
             })?,
             trust: read_trust(document.take("trust")?)?,
             log: read_log(document.take_optional("log"))?,
@@ -204,9 +213,9 @@
     let node = NodeSettings {
         name: section.required("name", value::name)?,
         domain: section.required("domain", value::name)?,
-        gossip: section.required("gossip", reachable)?,
-        packets: section.required("packets", reachable)?,
-        control: section.required("control", reachable)?,
+        gossip: read_place(&mut section, "gossip", "announce-gossip")?,
+        packets: read_place(&mut section, "packets", "announce-packets")?,
+        control: read_place(&mut section, "control", "announce-control")?,
         metrics: section.optional("metrics", value::address)?,
         seeds: section.or("seeds", Vec::new(), value::list(value::address))?,
         key: ClusterKey::new(section.required("key", value::hex)?),
@@ -222,6 +231,25 @@
     Ok(node)
 }
 
+/// Reads the address under `bind`, and the one under `announce` if it is given.
+fn read_place(section: &mut Section, bind: &'static str, announce: &'static str) -> Result<Place> {
+    let announced = section.optional(announce, reachable)?;
+    let place = match announced {
+        Some(announced) => Place {
+            bind: section.required(bind, value::address)?,
+            announced,
+        },
+        None => {
+            let bind = section.required(bind, reachable)?;
+            Place {
+                bind,
+                announced: bind,
+            }
+        }
+    };
+    Ok(place)
+}
+
 /// Reads an address that other processes can send to.
 fn reachable(text: &str) -> value::Result<SocketAddr> {
     let address = value::address(text)?;
@@ -240,13 +268,17 @@
 }
 
 fn check_distinct(section: &Section, node: &NodeSettings) -> Result<()> {
-    if node.gossip == node.packets {
-        let allowed = "an address other than gossip's";
-        return Err(section.rejects("packets", &node.packets.to_string(), allowed));
+    let allowed = "an address other than gossip's";
+    if node.gossip.bind == node.packets.bind {
+        return Err(section.rejects("packets", &node.packets.bind.to_string(), allowed));
+    }
+    if node.gossip.announced == node.packets.announced {
+        let announced = node.packets.announced.to_string();
+        return Err(section.rejects("announce-packets", &announced, allowed));
     }
-    if node.metrics == Some(node.control) {
+    if node.metrics == Some(node.control.bind) {
         let allowed = "an address other than control's";
-        return Err(section.rejects("metrics", &node.control.to_string(), allowed));
+        return Err(section.rejects("metrics", &node.control.bind.to_string(), allowed));
     }
     Ok(())
 }
@@ -272,7 +304,7 @@
         fabric: section.required("fabric", value::address)?,
         threads: read_threads(&mut section)?,
     };
-    if [node.gossip, node.packets].contains(&balancer.fabric) {
+    if [node.gossip.bind, node.packets.bind].contains(&balancer.fabric) {
         let allowed = "an address other than gossip's and packets'";
         return Err(section.rejects("fabric", &balancer.fabric.to_string(), allowed));
     }
