Put a wire between processes that can be cut, delayed and silenced

Cause: cuts between real processes were never run; a frozen process stood for them, which cuts both ways at once and only one process from all. Ruled out: isolation tools of the system, which tests may not use; dropping by address in the daemon, which would put test code into the product; telling the dialer by its first frame, since a cut connection would come up first. Change: `Wire` takes the announced addresses of planned processes. A datagram goes on from the sender's announced address; a connection is known by the process that holds its dialing socket. Cuts hold one way or both, open connections can be made silent for good, and everything can be delayed. `Plan::with_announced` plans processes for it. Conclusion: the tests of the daemon can cut what they name.

--- a/crates/buckthornweir_standins/src/lib.rs
+++ b/crates/buckthornweir_standins/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins at the interfaces: a fabric with callers, and backend servers.
+//! Small stand-ins at the interfaces: a fabric with callers, backend servers, and a wire between
+//! processes.
 //!
 //! Tests and the load tool run the real processes between two of these: callers on a [`Fabric`]
 //! that sprays every packet over all balancers, and [`Backend`] servers that keep their own
@@ -26,6 +27,7 @@
 mod echo;
 mod fabric;
 mod plan;
+mod wire;
 
 pub use backend::{
     AnswerBody, Backend, BackendConfig, BookEntry, End, Error as BackendError, Fault, LoadReport,
@@ -39,13 +41,14 @@
     CallerStream, Error as FabricError, Fabric, FabricConfig, FabricCounters,
     Result as FabricResult,
 };
-pub use plan::{Plan, PlannedNode, free_tcp, free_udp};
+pub use plan::{Place, Plan, PlannedNode, free_tcp, free_udp};
+pub use wire::{Error as WireError, ProcessName, Result as WireResult, Wire};
 
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::{
         AnswerBody, Backend, BackendBooks, BackendConfig, BookEntry, CallerAnswer, CallerRecord,
         CallerStream, EchoBackend, End, Fabric, FabricConfig, Fault, HttpCaller, Outcome, Plan,
-        PlannedNode, tally,
+        PlannedNode, Wire, tally,
     };
 }
--- a/crates/buckthornweir_standins/src/plan.rs
+++ b/crates/buckthornweir_standins/src/plan.rs
@@ -22,6 +22,16 @@
     peers: Vec<SocketAddr>,
     controls: usize,
     log: String,
+    is_apart: bool,
+}
+
+/// The address that a process binds, and the one under which others reach it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The address that it binds.
+    pub bind: SocketAddr,
+    /// The address that it announces.
+    pub announced: SocketAddr,
 }
 
 /// Where one planned process is reached.
@@ -33,6 +43,12 @@
     pub settings: String,
     /// Where it takes links and operators.
     pub control: SocketAddr,
+    /// Where it takes membership.
+    pub gossip: Place,
+    /// Where it takes packets of balancers and agents.
+    pub packets: Place,
+    /// Where it takes links.
+    pub links: Place,
     /// Where it shows its metrics.
     pub metrics: SocketAddr,
     /// Where a balancer takes packets of the fabric.
@@ -48,9 +64,18 @@
             peers: Vec::new(),
             controls: 0,
             log: "warn".into(),
+            is_apart: false,
         }
     }
 
+    /// Lets every process announce other addresses than it binds, so that a
+    /// [`Wire`](crate::Wire) can stand between them.
+    #[must_use]
+    pub fn with_announced(mut self) -> Self {
+        self.is_apart = true;
+        self
+    }
+
     /// Sets how many control processes there will be; each call of [`Plan::control`] takes the next
     /// of their addresses.
     #[must_use]
@@ -121,19 +146,23 @@
 
     fn node_at(
         &mut self,
-        control: SocketAddr,
+        links: SocketAddr,
         name: &str,
         domain: &str,
         roles: &str,
         role: &str,
         data: Option<&Path>,
     ) -> PlannedNode {
-        let gossip = free_udp();
+        let gossip = self.place(free_udp());
+        let packets = self.place(free_udp());
+        let links = self.place(links);
         let metrics = free_tcp();
         let mut text = format!("[node]\nname = {name}\nroles = {roles}\ndomain = {domain}\n");
         // Writing to a `String` cannot fail.
-        let _ = writeln!(text, "gossip = {gossip}\npackets = {}", free_udp());
-        let _ = writeln!(text, "control = {control}\nmetrics = {metrics}");
+        text += &gossip.lines("gossip");
+        text += &packets.lines("packets");
+        text += &links.lines("control");
+        let _ = writeln!(text, "metrics = {metrics}");
         let _ = writeln!(text, "key = {CLUSTER_KEY}");
         if !self.seeds.is_empty() {
             let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
@@ -145,16 +174,41 @@
         let _ = writeln!(text, "\n{role}\n[trust]\nkeys = {}", self.trusted);
         let _ = writeln!(text, "\n[log]\nfilter = {}", self.log);
         if self.seeds.len() < 3 {
-            self.seeds.push(gossip);
+            self.seeds.push(gossip.announced);
         }
         PlannedNode {
             name: name.into(),
             settings: text,
-            control,
+            control: links.bind,
+            gossip,
+            packets,
+            links,
             metrics,
             fabric: None,
         }
     }
+
+    /// Returns where a process takes what is sent to `announced`.
+    fn place(&self, announced: SocketAddr) -> Place {
+        let bind = if self.is_apart {
+            own_address()
+        } else {
+            announced
+        };
+        Place { bind, announced }
+    }
+}
+
+impl Place {
+    /// Returns the lines of the settings.
+    fn lines(self, key: &str) -> String {
+        let Self { bind, announced } = self;
+        let bound = format!("{key} = {bind}\n");
+        if bind == announced {
+            return bound;
+        }
+        format!("{bound}announce-{key} = {announced}\n")
+    }
 }
 
 /// Returns a loopback address with a UDP port that nothing else on the machine takes.
