Pull bundles over links that take a while, and test cuts between processes

Cause: a pull took the first message of the link for the reply, and the other end sends a heartbeat as soon as the link stands. On loopback the reply came first by luck; with a few milliseconds between the processes the heartbeat did, the pull was given up, and membership asked again only 2 s later, over and over. Ruled out: the wire of the tests, since all its connections came up within 0.1 s and ended by themselves 7 to 10 ms later; the members' core, which named the right member each time. Change: a pull waits for the reply and passes over what else comes, within its time limit.

--- a/crates/buckthornweir_daemon/src/pull.rs
+++ b/crates/buckthornweir_daemon/src/pull.rs
@@ -5,10 +5,11 @@
 
 use buckthornweir_members::BundleStamp;
 use buckthornweir_wire::{
-    Body, BundleRequest, Envelope, Link, NodeId, OperatorMessage, Reply, Request, WireError,
+    Body, BundleRequest, Link, NodeId, OperatorMessage, Reply, Request, WireError,
 };
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::board::Blackboard;
@@ -82,17 +83,26 @@
     let message = OperatorMessage::ask(1, Request::Bundle(BundleRequest {}));
     link.send(&board.envelope(Body::Operator(Box::new(message))))
         .await?;
-    let reply = link.receive(PULL_LIMIT).await?;
-    board.observe(&reply);
-    bundle_text(reply)
+    match timeout(PULL_LIMIT, reply(board, &mut link)).await {
+        Ok(text) => text,
+        Err(_) => Err(WireError::TimedOut),
+    }
+}
+
+/// Waits for the reply. Heartbeats may come before it.
+async fn reply(board: &Blackboard, link: &mut Link) -> Result<String, WireError> {
+    loop {
+        let envelope = link.receive(PULL_LIMIT).await?;
+        board.observe(&envelope);
+        if let Body::Operator(message) = envelope.into_body()? {
+            return bundle_text(*message);
+        }
+    }
 }
 
-fn bundle_text(reply: Envelope) -> Result<String, WireError> {
-    match reply.into_body()? {
-        Body::Operator(message) => match message.reply {
-            Some(Reply::Bundle(bundle)) => Ok(bundle.text),
-            _ => Err(WireError::Empty),
-        },
+fn bundle_text(message: OperatorMessage) -> Result<String, WireError> {
+    match message.reply {
+        Some(Reply::Bundle(bundle)) => Ok(bundle.text),
         _ => Err(WireError::Empty),
     }
 }
--- a/crates/buckthornweir_daemon/tests/support/mod.rs
+++ b/crates/buckthornweir_daemon/tests/support/mod.rs
@@ -116,6 +116,7 @@
     pub(crate) planned: PlannedNode,
     child: Child,
     settings: PathBuf,
+    wire: Option<Wire>,
 }
 
 impl Process {
@@ -128,6 +129,28 @@
             planned,
             child,
             settings,
+            wire: None,
+        }
+    }
+
+    /// Starts the daemon as [`Process::start`] does, behind `wire` if there is one.
+    pub(crate) fn start_behind(
+        wire: Option<&Wire>,
+        planned: PlannedNode,
+        folder: &TempDir,
+    ) -> Self {
+        if let Some(wire) = wire {
+            wire.add(&planned).unwrap();
+        }
+        let mut process = Self::start(planned, folder);
+        process.wire = wire.cloned();
+        process.tell_wire();
+        process
+    }
+
+    fn tell_wire(&self) {
+        if let Some(wire) = &self.wire {
+            wire.set_process(&self.planned.name, self.child.id());
         }
     }
 
@@ -140,6 +163,7 @@
     /// Starts the process anew with the same settings.
     pub(crate) fn restart(&mut self) {
         self.child = spawn(&self.settings);
+        self.tell_wire();
     }
 
     /// Sends the process a signal by its name.
