Ask the holders again while a request with the key is running

Cause: a caller that had its answer and sent the request again through another agent met holders that did not know the end yet, and got 409 key-in-use at once. The end goes to the holders while the answer goes to the caller, so nothing orders the two; a lost end comes only 500 ms later.

Ruled out: the answer's last bytes waiting for the holders (all callers pay), claims parked at holders (a queue with bounds of its own, and an end that reaches another holder first helps nobody); see docs/design/idempotency.md.

Change: holders are asked in rounds, each with an id of its own. A round that meets a running request waits for the other holders' answers, is withdrawn, and the next one follows after 50 to 75 ms, then about twice as long, 800 ms in all and never so late that its answer came after the deadline. Mismatch, unknown and unreachable are refused at once as before. Ends of claims have a module of their own.

The random faults got a row of late and lost ends.

Conclusion: a resend gets its answer as long as the end is known to one holder within 800 ms.

--- a/crates/buckthornweir_requests/src/idempotency/asking.rs
+++ b/crates/buckthornweir_requests/src/idempotency/asking.rs
@@ -1,8 +1,11 @@
 //! What the agent that got a request does: claims its key, and tells how the request ended.
+//!
+//! Holders are asked in rounds. Each round has an id of its own, so neither a late grant nor a late
+//! withdrawal of an earlier round is taken for one of the next.
 
 use std::time::Duration;
 
-use slotmap::{Key, KeyData};
+use rand::RngExt;
 
 use super::holders::majority;
 use super::{ClaimId, ClaimKey, KeyAction, Keys};
@@ -14,44 +17,69 @@
 /// When a caller whose request is refused may send it again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A claim of this agent.
+/// A claim of this agent whose request has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
     key: Vec<u8>,
     digest: u64,
+    /// When the request must not be started any more.
+    deadline: Duration,
+    /// When holders are asked for the last time.
+    patience: Duration,
+    /// Time until holders are asked again, if they are.
+    step: Duration,
+    /// Id of the latest round.
+    id: ClaimId,
+    /// Holders that are asked in the latest round.
     holders: Vec<NodeId>,
-    /// When it is given up if nobody told how its request ended.
-    expires: Duration,
     phase: Phase,
 }
 
 #[derive(Clone, Debug)]
 enum Phase {
     /// Holders are asked.
-    Asking {
-        granted: Vec<NodeId>,
-        failed: Vec<NodeId>,
-        done: bool,
-        until: Duration,
-    },
-    /// The request runs.
-    Running,
-    /// The request ended; some holders have not confirmed it.
-    Ended {
-        end: KeyEnd,
-        answer: Option<StoredAnswer>,
-        open: Vec<NodeId>,
-        next: Duration,
-        sends: u32,
-    },
+    Asking(Round),
+    /// A request with the key is running; holders are asked again at this time.
+    Waiting { next: Duration },
+    /// The request runs, and is given up at this time if nobody told how it ended.
+    Running { expires: Duration },
+}
+
+/// What holders said in one round.
+#[derive(Clone, Debug)]
+struct Round {
+    granted: Vec<NodeId>,
+    failed: Vec<NodeId>,
+    /// Whether a holder said that the request ran.
+    done: bool,
+    /// Whether a holder said that a request with the key is running.
+    running: bool,
+    until: Duration,
+}
+
+impl Round {
+    fn new(until: Duration) -> Self {
+        Self {
+            granted: Vec::new(),
+            failed: Vec::new(),
+            done: false,
+            running: false,
+            until,
+        }
+    }
+
+    fn has(&self, holder: NodeId) -> bool {
+        self.granted.contains(&holder) || self.failed.contains(&holder)
+    }
 }
 
 impl Claim {
-    pub(crate) fn next_due(&self) -> Option<Duration> {
-        match self.phase {
-            Phase::Asking { until, .. } => Some(until),
-            Phase::Running => Some(self.expires),
-            Phase::Ended { next, .. } => Some(next),
+    /// Returns when something is due.
+    pub(crate) fn next_due(&self) -> Duration {
+        match &self.phase {
+            Phase::Asking(round) => round.until,
+            Phase::Waiting { next } => *next,
+            Phase::Running { expires } => *expires,
         }
     }
 }
@@ -71,53 +99,29 @@
     ) -> (ClaimKey, Vec<KeyAction>) {
         let mut out = Vec::new();
         self.counters.claims += 1;
-        let is_full = self.claims.len() >= self.config.claims;
-        let holders = self.roster.holders(key).unwrap_or_default();
-        let until = now + self.config.ask_wait;
-        let phase = Phase::Asking {
-            granted: vec![],
-            failed: vec![],
-            done: false,
-            until,
-        };
+        let is_full = self.claims.len() + self.ends.len() >= self.config.claims;
+        // Each round must have its answer by the deadline.
+        let last = deadline.saturating_sub(self.config.ask_wait);
         let claim = Claim {
             key: key.to_vec(),
             digest,
-            holders: holders.clone(),
-            expires: deadline + self.config.keep,
-            phase,
+            deadline,
+            patience: last.min(now + self.config.patience),
+            step: self.config.ask_again,
+            id: 0,
+            holders: Vec::new(),
+            phase: Phase::Waiting { next: now },
         };
-        let claim_key = self.claims.insert(claim);
+        let claim = self.claims.insert(claim);
         let is_bad = key.is_empty() || key.len() > KEY_MOST || deadline > now + self.config.keep;
         if is_bad {
-            self.refuse_claim(
-                claim_key,
-                Refusal::not_run(ProblemKind::BadRequest),
-                &mut out,
-            );
-            return (claim_key, out);
+            self.refuse(claim, Refusal::not_run(ProblemKind::BadRequest), &mut out);
+        } else if is_full {
+            self.refuse_unreachable(now, claim, &mut out);
+        } else {
+            self.ask_holders(now, claim, &mut out);
         }
-        if holders.is_empty() || is_full {
-            self.refuse_unreachable(claim_key, &mut out);
-            return (claim_key, out);
-        }
-        let message = KeyClaim {
-            claim: self.id_of(claim_key),
-            key: key.to_vec(),
-            digest,
-            remaining_us: u64::try_from(deadline.saturating_sub(now).as_micros()).unwrap_or(0),
-            holders: holders.clone(),
-        };
-        let others = holders.iter().filter(|&&holder| holder != self.own);
-        out.extend(others.map(|&to| {
-            let body = RequestBody::KeyClaim(message.clone());
-            KeyAction::Send { to, body }
-        }));
-        if holders.contains(&self.own) {
-            let (verdict, answer) = self.decide(now, &message);
-            self.note_verdict(now, claim_key, self.own, verdict, answer, &mut out);
-        }
-        (claim_key, out)
+        (claim, out)
     }
 
     /// Notes how a request that ran with a claim ended, and tells the holders.
@@ -132,13 +136,12 @@
     ) -> Vec<KeyAction> {
         let mut out = Vec::new();
         match self.claims.get(claim).map(|c| &c.phase) {
-            Some(Phase::Running) => self.end_claim(now, claim, end, answer, &mut out),
+            Some(Phase::Running { .. }) => self.end_claim(now, claim, end, answer, &mut out),
             // The caller left before the holders had answered.
-            Some(Phase::Asking { .. }) => {
-                self.end_claim(now, claim, KeyEnd::NotRun, None, &mut out);
-            }
-            Some(Phase::Ended { .. }) | None => {}
+            Some(Phase::Asking(_)) => self.withdraw(now, claim, &mut out),
+            Some(Phase::Waiting { .. }) | None => {}
         }
+        self.claims.remove(claim);
         out
     }
 
@@ -149,44 +152,59 @@
         answer: KeyAnswer,
         out: &mut Vec<KeyAction>,
     ) {
-        let claim = self.key_of(answer.claim);
-        let verdict = KeyVerdict::try_from(answer.verdict).unwrap_or(KeyVerdict::NotReady);
-        self.note_verdict(now, claim, from, verdict, answer.answer, out);
-    }
-
-    pub(super) fn stored(&mut self, from: NodeId, claim: ClaimId) {
-        let key = self.key_of(claim);
-        let Some(found) = self.claims.get_mut(key) else {
+        let asked = self.claims.iter().find(|(_, c)| c.id == answer.claim);
+        let Some(claim) = asked.map(|(key, _)| key) else {
             return;
         };
-        let Phase::Ended { open, .. } = &mut found.phase else {
-            return;
-        };
-        open.retain(|&node| node != from);
-        if open.is_empty() {
-            self.claims.remove(key);
-        }
+        let verdict = KeyVerdict::try_from(answer.verdict).unwrap_or(KeyVerdict::NotReady);
+        self.note_verdict(now, claim, from, verdict, answer.answer, out);
     }
 
     pub(super) fn tick_claims(&mut self, now: Duration, out: &mut Vec<KeyAction>) {
-        let due = self
-            .claims
-            .iter()
-            .filter(|(_, c)| c.next_due().is_some_and(|at| at <= now));
+        let due = self.claims.iter().filter(|(_, c)| c.next_due() <= now);
         let due: Vec<_> = due.map(|(key, _)| key).collect();
         for key in due {
             match &self.claims[key].phase {
-                Phase::Asking { done: true, .. } => self.refuse_not_kept(now, key, out),
-                Phase::Asking { .. } => {
-                    self.end_claim(now, key, KeyEnd::NotRun, None, out);
-                    self.refuse_unreachable(key, out);
-                }
-                Phase::Running => self.end_claim(now, key, KeyEnd::Unknown, None, out),
-                Phase::Ended { .. } => self.send_end(now, key, out),
+                Phase::Asking(_) => self.close_round(now, key, out),
+                Phase::Waiting { .. } => self.ask_holders(now, key, out),
+                Phase::Running { .. } => self.end_claim(now, key, KeyEnd::Unknown, None, out),
             }
         }
     }
 
+    /// Begins a round.
+    fn ask_holders(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+        let id = self.next_claim;
+        let until = now + self.config.ask_wait;
+        let Some(claim) = self.claims.get_mut(key) else {
+            return;
+        };
+        let Some(holders) = self.roster.holders(&claim.key).filter(|h| !h.is_empty()) else {
+            return self.refuse_unreachable(now, key, out);
+        };
+        self.next_claim = id.wrapping_add(1);
+        claim.id = id;
+        claim.holders = holders.clone();
+        claim.phase = Phase::Asking(Round::new(until));
+        let remaining = claim.deadline.saturating_sub(now).as_micros();
+        let message = KeyClaim {
+            claim: id,
+            key: claim.key.clone(),
+            digest: claim.digest,
+            remaining_us: u64::try_from(remaining).unwrap_or(0),
+            holders: holders.clone(),
+        };
+        let others = holders.iter().filter(|&&holder| holder != self.own);
+        out.extend(others.map(|&to| {
+            let body = RequestBody::KeyClaim(message.clone());
+            KeyAction::Send { to, body }
+        }));
+        if holders.contains(&self.own) {
+            let (verdict, answer) = self.decide(now, &message);
+            self.note_verdict(now, key, self.own, verdict, answer, out);
+        }
+    }
+
     fn note_verdict(
         &mut self,
         now: Duration,
@@ -199,50 +217,93 @@
         let Some(claim) = self.claims.get_mut(key) else {
             return;
         };
-        let needed = majority(claim.holders.len());
-        let count = claim.holders.len();
-        let is_holder = claim.holders.contains(&from);
-        let Phase::Asking {
-            granted,
-            failed,
-            done,
-            ..
-        } = &mut claim.phase
-        else {
+        let Phase::Asking(round) = &mut claim.phase else {
             return;
         };
-        if !is_holder || granted.contains(&from) || failed.contains(&from) {
+        if !claim.holders.contains(&from) || round.has(from) {
             return;
         }
         match verdict {
-            KeyVerdict::Granted => granted.push(from),
-            KeyVerdict::NotReady => failed.push(from),
+            KeyVerdict::Granted => round.granted.push(from),
+            KeyVerdict::NotReady => round.failed.push(from),
             KeyVerdict::Done if answer.as_ref().is_some_and(|a| !a.body_dropped) => {
                 return self.replay(now, key, answer, out);
             }
             KeyVerdict::Done => {
-                *done = true;
-                failed.push(from);
+                round.done = true;
+                round.failed.push(from);
+            }
+            KeyVerdict::Running => {
+                round.running = true;
+                round.failed.push(from);
             }
-            KeyVerdict::Running => return self.refuse_running(now, key, out),
             KeyVerdict::Unknown => return self.refuse_unknown(now, key, out),
             KeyVerdict::Mismatch => return self.refuse_mismatch(now, key, out),
         }
-        let (is_done, answers) = (*done, granted.len() + failed.len());
-        if is_done {
-            if answers == count {
-                self.refuse_not_kept(now, key, out);
+        let count = claim.holders.len();
+        let needed = majority(count);
+        let is_open = round.granted.len() + round.failed.len() < count;
+        if round.done || round.running {
+            // Another holder may know the answer.
+            if !is_open {
+                self.close_round(now, key, out);
             }
-        } else if granted.len() >= needed {
-            claim.phase = Phase::Running;
+        } else if round.granted.len() >= needed {
+            let expires = claim.deadline + self.config.keep;
+            claim.phase = Phase::Running { expires };
             self.counters.granted += 1;
             out.push(KeyAction::Run { claim: key });
-        } else if count - failed.len() < needed {
-            self.end_claim(now, key, KeyEnd::NotRun, None, out);
-            self.refuse_unreachable(key, out);
+        } else if count - round.failed.len() < needed {
+            self.refuse_unreachable(now, key, out);
         }
     }
 
+    /// Acts on a round that no holder gave leave or an answer in.
+    fn close_round(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+        let Some(Phase::Asking(round)) = self.claims.get(key).map(|c| &c.phase) else {
+            return;
+        };
+        match (round.done, round.running) {
+            (true, _) => self.refuse_not_kept(now, key, out),
+            (false, true) => self.ask_later(now, key, out),
+            (false, false) => self.refuse_unreachable(now, key, out),
+        }
+    }
+
+    /// Withdraws a round that met a running request, and lets holders be asked again: the news of
+    /// its end may be on the way.
+    fn ask_later(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+        let Some(claim) = self.claims.get_mut(key) else {
+            return;
+        };
+        if now >= claim.patience {
+            return self.refuse_running(now, key, out);
+        }
+        // Askers that met must not meet again and again.
+        let step = self.rng.random_range(claim.step..claim.step * 3 / 2);
+        claim.step *= 2;
+        let next = claim.patience.min(now + step);
+        self.counters.asked_again += 1;
+        self.withdraw(now, key, out);
+        if let Some(claim) = self.claims.get_mut(key) {
+            claim.phase = Phase::Waiting { next };
+        }
+    }
+
+    /// Withdraws a round at the holders that may have granted it.
+    fn withdraw(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+        let Some(claim) = self.claims.get(key) else {
+            return;
+        };
+        let Phase::Asking(round) = &claim.phase else {
+            return;
+        };
+        let may_hold = |holder: &&NodeId| !round.failed.contains(holder);
+        let open = claim.holders.iter().filter(may_hold).copied().collect();
+        let message = claim.end_message(KeyEnd::NotRun, None);
+        self.tell_end(now, message, open, out);
+    }
+
     fn replay(
         &mut self,
         now: Duration,
@@ -259,51 +320,46 @@
     fn refuse_not_kept(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
         self.end_claim(now, key, KeyEnd::Done, None, out);
         self.counters.conflicts += 1;
-        self.refuse_claim(key, Refusal::unknown(ProblemKind::AnswerNotKept), out);
+        self.refuse(key, Refusal::unknown(ProblemKind::AnswerNotKept), out);
     }
 
     fn refuse_running(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.end_claim(now, key, KeyEnd::NotRun, None, out);
+        self.withdraw(now, key, out);
         self.counters.conflicts += 1;
         let refusal = Refusal::unknown(ProblemKind::KeyInUse).with_retry_after(RETRY_AFTER);
-        self.refuse_claim(key, refusal, out);
+        self.refuse(key, refusal, out);
     }
 
     fn refuse_unknown(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.end_claim(now, key, KeyEnd::NotRun, None, out);
+        self.withdraw(now, key, out);
         self.counters.conflicts += 1;
         let refusal = Refusal::unknown(ProblemKind::OutcomeUnknown).with_retry_after(RETRY_AFTER);
-        self.refuse_claim(key, refusal, out);
+        self.refuse(key, refusal, out);
     }
 
     fn refuse_mismatch(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.end_claim(now, key, KeyEnd::NotRun, None, out);
+        self.withdraw(now, key, out);
         self.counters.conflicts += 1;
-        self.refuse_claim(key, Refusal::not_run(ProblemKind::KeyMismatch), out);
+        self.refuse(key, Refusal::not_run(ProblemKind::KeyMismatch), out);
     }
 
     /// This copy of the request did not run, but an earlier one with the same key may have.
-    fn refuse_unreachable(&mut self, key: ClaimKey, out: &mut Vec<KeyAction>) {
+    fn refuse_unreachable(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+        self.withdraw(now, key, out);
         self.counters.unreachable += 1;
         let refusal = Refusal::unknown(ProblemKind::KeyHomeUnreachable);
-        self.refuse_claim(key, refusal.with_retry_after(RETRY_AFTER), out);
+        self.refuse(key, refusal.with_retry_after(RETRY_AFTER), out);
     }
 
-    fn refuse_claim(&mut self, key: ClaimKey, refusal: Refusal, out: &mut Vec<KeyAction>) {
-        let is_asking = self
-            .claims
-            .get(key)
-            .is_some_and(|c| matches!(c.phase, Phase::Asking { .. }));
-        if is_asking {
-            self.claims.remove(key);
-        }
+    fn refuse(&mut self, key: ClaimKey, refusal: Refusal, out: &mut Vec<KeyAction>) {
+        self.claims.remove(key);
         out.push(KeyAction::Refuse {
             claim: key,
             refusal,
         });
     }
 
-    /// Ends a claim and tells all of its holders, since a grant may still be on its way.
+    /// Ends a claim and tells all of its holders.
     fn end_claim(
         &mut self,
         now: Duration,
@@ -312,66 +368,23 @@
         answer: Option<StoredAnswer>,
         out: &mut Vec<KeyAction>,
     ) {
-        let Some(claim) = self.claims.get_mut(key) else {
+        let Some(claim) = self.claims.remove(key) else {
             return;
         };
-        let open = claim.holders.clone();
-        let sends = self.config.sends;
-        claim.phase = Phase::Ended {
-            end,
-            answer,
-            open,
-            next: now,
-            sends,
-        };
-        self.send_end(now, key, out);
+        let message = claim.end_message(end, answer);
+        self.tell_end(now, message, claim.holders, out);
     }
+}
 
-    fn send_end(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        let id = self.id_of(key);
-        let Some(claim) = self.claims.get_mut(key) else {
-            return;
-        };
-        let Phase::Ended {
-            end,
+impl Claim {
+    /// Returns the message that tells how the latest round ended.
+    fn end_message(&self, end: KeyEnd, answer: Option<StoredAnswer>) -> KeyDone {
+        KeyDone {
+            claim: self.id,
+            key: self.key.clone(),
+            digest: self.digest,
+            end: end.into(),
             answer,
-            open,
-            next,
-            sends,
-        } = &mut claim.phase
-        else {
-            return;
-        };
-        if *sends == 0 {
-            self.counters.unconfirmed += 1;
-            self.claims.remove(key);
-            return;
         }
-        *sends -= 1;
-        *next = now + self.config.resend;
-        let message = KeyDone {
-            claim: id,
-            key: claim.key.clone(),
-            digest: claim.digest,
-            end: (*end).into(),
-            answer: answer.clone(),
-        };
-        let open = open.clone();
-        for to in open {
-            if to != self.own {
-                let body = RequestBody::KeyDone(message.clone());
-                out.push(KeyAction::Send { to, body });
-            } else if self.note_done(now, message.clone()) {
-                self.stored(self.own, id);
-            }
-        }
-    }
-
-    fn id_of(&self, key: ClaimKey) -> ClaimId {
-        key.data().as_ffi() ^ self.salt
-    }
-
-    fn key_of(&self, claim: ClaimId) -> ClaimKey {
-        ClaimKey::from(KeyData::from_ffi(claim ^ self.salt))
     }
 }
--- a/crates/buckthornweir_requests/src/idempotency/config.rs
+++ b/crates/buckthornweir_requests/src/idempotency/config.rs
@@ -13,6 +13,11 @@
     pub settle: Duration,
     /// Time in which holders must answer a claim.
     pub ask_wait: Duration,
+    /// First time between two rounds of asking holders that know of a running request with the key;
+    /// it doubles.
+    pub ask_again: Duration,
+    /// Time for which holders are asked again; longer than `resend`, so that one end may be lost.
+    pub patience: Duration,
     /// Time between two tries to deliver a message that was not answered.
     pub resend: Duration,
     /// Tries to deliver the end of a claimed request.
@@ -38,6 +43,8 @@
             forget: Duration::from_secs(600),
             settle: Duration::from_secs(30),
             ask_wait: Duration::from_millis(100),
+            ask_again: Duration::from_millis(50),
+            patience: Duration::from_millis(800),
             resend: Duration::from_millis(500),
             sends: 10,
             records: 20_000,
--- a/crates/buckthornweir_requests/src/idempotency/mod.rs
+++ b/crates/buckthornweir_requests/src/idempotency/mod.rs
@@ -25,6 +25,7 @@
 
 mod asking;
 mod config;
+mod ending;
 mod holders;
 mod holding;
 mod records;
@@ -46,6 +47,7 @@
 use crate::messages::{RequestBody, Standing, StoredAnswer};
 use crate::{NodeId, Refusal};
 use asking::Claim;
+use ending::Ending;
 use records::Records;
 use roster::Roster;
 use syncing::Pull;
@@ -97,6 +99,8 @@
     pub replayed: u64,
     /// Claims refused since a request with the key was running, or may have run.
     pub conflicts: u64,
+    /// Times that holders were asked again since a request with the key was running.
+    pub asked_again: u64,
     /// Claims refused since too few holders could tell.
     pub unreachable: u64,
     /// Ends of claims that some holder never confirmed.
@@ -111,7 +115,7 @@
     own: NodeId,
     config: KeysConfig,
     started: Duration,
-    salt: u64,
+    rng: ChaCha8Rng,
     roster: Roster,
     standing: Standing,
     /// When this agent first heard which members count.
@@ -124,6 +128,9 @@
     leaving: bool,
     records: Records,
     claims: SlotMap<ClaimKey, Claim>,
+    /// Id of the next round of asking; the first is a random one.
+    next_claim: ClaimId,
+    ends: BTreeMap<ClaimId, Ending>,
     counters: KeyCounters,
 }
 
@@ -136,7 +143,6 @@
         Self {
             own: own.node,
             started: now,
-            salt: rng.next_u64(),
             roster: Roster::new(own, &config, now),
             standing: Standing::New,
             adopted: None,
@@ -148,8 +154,11 @@
             leaving: false,
             records: Records::new(&config),
             claims: SlotMap::with_key(),
+            next_claim: rng.next_u64(),
+            ends: BTreeMap::new(),
             counters: KeyCounters::default(),
             config,
+            rng,
         }
     }
 
@@ -190,14 +199,16 @@
         self.tick_roster(now);
         self.tick_sync(now, &mut out);
         self.tick_claims(now, &mut out);
+        self.tick_ends(now, &mut out);
         out
     }
 
     /// Returns when [`Keys::tick`] is to be called next.
     pub fn next_wake(&self, now: Duration) -> Duration {
-        let claims = self.claims.values().filter_map(Claim::next_due).min();
+        let claims = self.claims.values().map(Claim::next_due);
+        let ends = self.ends.values().map(Ending::next_due);
         let regular = now + self.config.resend;
-        claims.map_or(regular, |due| due.min(regular))
+        claims.chain(ends).fold(regular, Duration::min)
     }
 
     /// Returns whether this agent grants claims.
--- a/crates/buckthornweir_requests/tests/idempotency/net.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/net.rs
@@ -24,6 +24,15 @@
     Refused(&'static str, bool),
 }
 
+/// What happens to ends of claims on their way to an agent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum EndFault {
+    /// They take so long.
+    Late(Duration),
+    /// So many are lost.
+    Lost(u32),
+}
+
 #[derive(Debug)]
 struct Node {
     member: Member,
@@ -67,6 +76,8 @@
     config: KeysConfig,
     nodes: BTreeMap<NodeId, Node>,
     cut: BTreeSet<(NodeId, NodeId)>,
+    /// What happens to ends of claims on their way to an agent.
+    pub(crate) ends: BTreeMap<NodeId, EndFault>,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     bodies: BTreeMap<u64, Event>,
     sequence: u64,
@@ -99,6 +110,7 @@
             config: config().with_first_start(true),
             nodes: BTreeMap::new(),
             cut: BTreeSet::new(),
+            ends: BTreeMap::new(),
             events: BinaryHeap::new(),
             bodies: BTreeMap::new(),
             sequence: 0,
@@ -337,8 +349,11 @@
             match action {
                 KeyAction::Send { to, body } => {
                     let life = self.nodes.get(&to).map_or(0, |n| n.starts);
+                    let Some(delay) = self.delay(to, &body) else {
+                        continue;
+                    };
                     self.after(
-                        LINK,
+                        delay,
                         Event::Deliver {
                             from: node,
                             to,
@@ -359,6 +374,19 @@
         }
     }
 
+    /// Returns how long a message is on its way; none if it is lost.
+    fn delay(&mut self, to: NodeId, body: &RequestBody) -> Option<Duration> {
+        let is_end = matches!(body, RequestBody::KeyDone(_));
+        match self.ends.get_mut(&to).filter(|_| is_end) {
+            None | Some(EndFault::Lost(0)) => Some(LINK),
+            Some(EndFault::Late(delay)) => Some(*delay),
+            Some(EndFault::Lost(count)) => {
+                *count -= 1;
+                None
+            }
+        }
+    }
+
     fn run(&mut self, node: NodeId, claim: ClaimKey) {
         let life = self.nodes[&node].starts;
         let key = self.sent[&(node, life, claim)].key.clone();
--- a/crates/buckthornweir_requests/tests/idempotency/random.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/random.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::net::{Got, KeyNet};
+use crate::net::{EndFault, Got, KeyNet};
 use buckthornweir_requests::NodeId;
 use buckthornweir_requests::messages::KeyEnd;
 use rand::{RngExt, SeedableRng};
@@ -33,6 +33,8 @@
     Cut,
     Part,
     Heal,
+    LateEnds,
+    LostEnds,
 }
 
 const ALL: &[Fault] = &[
@@ -48,7 +50,7 @@
     Fault::Heal,
 ];
 
-const TABLE: [Faults; 6] = [
+const TABLE: [Faults; 7] = [
     Faults {
         name: "kills",
         seeds: (0, 12),
@@ -79,6 +81,20 @@
         quiet: 8,
         kinds: ALL,
     },
+    Faults {
+        name: "ends late and lost",
+        seeds: (500, 524),
+        quiet: 3,
+        kinds: &[
+            Fault::LateEnds,
+            Fault::LateEnds,
+            Fault::LostEnds,
+            Fault::Kill,
+            Fault::Restart,
+            Fault::Cut,
+            Fault::Heal,
+        ],
+    },
     Faults {
         name: "member joined while two others were cut off",
         seeds: (10_186, 10_187),
@@ -182,6 +198,14 @@
             }
         }
         Fault::Heal => net.heal(),
+        Fault::LateEnds => {
+            let delay = Duration::from_millis(rng.random_range(5..1_500));
+            net.ends.insert(node, EndFault::Late(delay));
+        }
+        Fault::LostEnds => {
+            net.ends
+                .insert(node, EndFault::Lost(rng.random_range(1..4)));
+        }
     }
 }
 
--- a/crates/buckthornweir_requests/tests/idempotency/table.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::net::{Got, KeyNet};
+use crate::net::{EndFault, Got, KeyNet};
 use buckthornweir_requests::NodeId;
 use buckthornweir_requests::idempotency::{Member, holders_of};
 use buckthornweir_requests::messages::KeyEnd;
@@ -175,6 +175,67 @@
     }
 }
 
+#[test]
+fn key_sent_again_right_after_its_answer_gets_the_answer() {
+    use EndFault::{Late, Lost};
+    let ms = Duration::from_millis;
+    // what happens to the ends, at how many holders, what the second caller gets
+    let table = [
+        (Late(ms(30)), 1, REPLAYED),
+        (Late(ms(30)), 2, REPLAYED),
+        (Late(ms(30)), 3, REPLAYED),
+        (Late(ms(300)), 3, REPLAYED),
+        (Lost(1), 1, REPLAYED),
+        (Lost(1), 2, REPLAYED),
+        (Lost(1), 3, REPLAYED),
+        (Late(ms(1_500)), 1, REPLAYED),
+        (Late(ms(1_500)), 3, IN_USE),
+    ];
+    for (fault, count, expected) in table {
+        for through in 1..=7 {
+            let mut net = net();
+            let (holders, other) = holders();
+            let faults = holders.iter().take(count).map(|&holder| (holder, fault));
+            net.ends = faults.collect();
+            let first = net.send(other, KEY, 1);
+            while !net.got.contains_key(&first) {
+                net.pass(ms(1));
+            }
+            let got = net.ask(through, KEY);
+            let name = format!("{fault:?} at {count} holders, through {through}");
+            assert_eq!(got, Some(expected.clone()), "{name}");
+            assert_eq!(net.count(KEY), 1, "{name}");
+        }
+    }
+}
+
+#[test]
+fn late_withdrawal_of_a_round_takes_nothing_from_the_next() {
+    let ms = Duration::from_millis;
+    for delay in [150, 250, 350, 450] {
+        let mut net = net();
+        net.service = SECOND * 10;
+        let (holders, other) = holders();
+        let (near, far) = (&holders[1..], holders[0]);
+        for &holder in near {
+            net.cut(other, holder, true);
+            net.ends.insert(holder, EndFault::Late(ms(delay)));
+        }
+        // The first asker reaches one holder, and withdraws; the second gets the other two, and
+        // asks again.
+        net.send(other, KEY, 1);
+        net.pass(ms(10));
+        let mut others = (1..=7).filter(|n| !holders.contains(n) && *n != other);
+        let second = others.next().expect("seven agents");
+        assert_eq!(net.ask(second, KEY), None);
+        assert_eq!(net.count(KEY), 1, "{delay} ms");
+        net.kill(far);
+        let third = others.next().expect("seven agents");
+        assert_eq!(net.ask(third, KEY), Some(IN_USE), "{delay} ms");
+        assert_eq!(net.count(KEY), 1, "{delay} ms");
+    }
+}
+
 #[test]
 fn end_of_the_run_decides_about_the_next_send() {
     let (holders, other) = holders();
@@ -234,7 +295,7 @@
         let first = net.send(1, KEY, 1);
         let second = net.send(other, KEY, 1);
         net.pass(SECOND);
-        assert!(net.count(KEY) <= 1);
+        assert_eq!(net.count(KEY), 1, "through 1 and {other}");
         assert!(net.got.contains_key(&first) && net.got.contains_key(&second));
     }
 }
