Keep every claim of a key that a holder learns of

Cause: a holder kept one claim of a key. One that pulled records from two members kept the claim that came first and dropped the other. If the first was one that was withdrawn later, its withdrawal removed the record, the claim that ran was forgotten, and the key was granted again. "Unknown" told to a holder with another claim of the key was dropped in the same way.

Ruled out: refusing to merge (the pull would never be complete while two askers compete).

Change: a record keeps further claims, eight at most; each is removed only by its own end, and all are handed on. Without room the pull is not complete and is tried again.

Conclusion: at most once no longer depends on the order in which records come.

--- a/crates/buckthornweir_requests/src/idempotency/records.rs
+++ b/crates/buckthornweir_requests/src/idempotency/records.rs
@@ -10,6 +10,9 @@
 /// Id of a claim; it differs between processes.
 pub type ClaimId = u64;
 
+/// Most further claims of one key.
+const RIVALS: usize = 8;
+
 /// What is known of the request of a claim.
 #[derive(Clone, Debug, PartialEq)]
 enum State {
@@ -25,6 +28,18 @@
     claim: ClaimId,
     state: State,
     expires: Duration,
+    /// Further claims that other holders told of: of all claims of a key one may run, and here it is
+    /// not known which.
+    rivals: Vec<Rival>,
+}
+
+/// A further claim of a key.
+#[derive(Clone, Copy, Debug)]
+struct Rival {
+    digest: u64,
+    claim: ClaimId,
+    until: Duration,
+    expires: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -73,13 +88,13 @@
         claim: ClaimId,
     ) -> Option<(KeyVerdict, Option<StoredAnswer>)> {
         let record = self.all.get(key).filter(|r| r.expires > now)?;
-        if record.digest != digest {
+        if !record.has_digest(digest) {
             return Some((KeyVerdict::Mismatch, None));
         }
         let verdict = match &record.state {
             State::Done { answer } => return Some((KeyVerdict::Done, answer.clone())),
             State::Claimed { .. } if record.claim == claim => KeyVerdict::Granted,
-            State::Claimed { until } if now < *until => KeyVerdict::Running,
+            State::Claimed { until } if now < record.last_until(*until) => KeyVerdict::Running,
             State::Claimed { .. } => KeyVerdict::Unknown,
         };
         Some((verdict, None))
@@ -101,12 +116,7 @@
         let expires = now.max(until) + self.keep;
         self.put(
             key,
-            Record {
-                digest,
-                claim,
-                state: State::Claimed { until },
-                expires,
-            },
+            Record::new(digest, claim, State::Claimed { until }, expires),
         );
         true
     }
@@ -125,79 +135,119 @@
     ) -> bool {
         self.expire(now);
         let found = self.all.get(key);
-        let is_done = found.is_some_and(|r| matches!(r.state, State::Done { .. }));
-        let is_own = found.is_some_and(|r| r.claim == claim);
-        if is_done || (end != KeyEnd::Done && found.is_some() && !is_own) {
+        if found.is_some_and(Record::is_done) {
             return true;
         }
-        if end == KeyEnd::NotRun {
-            self.remove(key);
-            return true;
+        let expires = now + self.keep;
+        match end {
+            KeyEnd::NotRun => self.withdraw(key, claim),
+            KeyEnd::Done => {
+                if found.is_none() && self.all.len() >= self.most {
+                    return false;
+                }
+                let answer = self.bounded(answer);
+                let state = State::Done { answer };
+                self.put(key, Record::new(digest, claim, state, expires));
+            }
+            KeyEnd::Unknown => {
+                let until = now;
+                let rival = Rival {
+                    digest,
+                    claim,
+                    until,
+                    expires,
+                };
+                return self.note_claim(key, rival);
+            }
         }
-        if found.is_none() && self.all.len() >= self.most {
-            return false;
+        true
+    }
+
+    /// Removes a claim that certainly did not run.
+    fn withdraw(&mut self, key: &[u8], claim: ClaimId) {
+        let Some(record) = self.all.get_mut(key) else {
+            return;
+        };
+        if record.claim != claim {
+            record.rivals.retain(|r| r.claim != claim);
+            return;
         }
-        let state = match end {
-            KeyEnd::Done => State::Done {
-                answer: self.bounded(answer),
-            },
-            _ => State::Claimed { until: now },
+        let mut rivals = std::mem::take(&mut record.rivals);
+        let Some(next) = rivals.pop() else {
+            return self.remove(key);
         };
-        self.put(
-            key,
-            Record {
-                digest,
-                claim,
-                state,
-                expires: now + self.keep,
-            },
-        );
-        true
+        let expires = record.expires;
+        let state = State::Claimed { until: next.until };
+        let record = Record::new(next.digest, next.claim, state, expires);
+        self.put(key, Record { rivals, ..record });
+    }
+
+    /// Notes a claim beside those that are known; returns false where there is no room.
+    fn note_claim(&mut self, key: &[u8], new: Rival) -> bool {
+        let Some(record) = self.all.get_mut(key) else {
+            if self.all.len() >= self.most {
+                return false;
+            }
+            let state = State::Claimed { until: new.until };
+            let record = Record::new(new.digest, new.claim, state, new.expires);
+            self.put(key, record);
+            return true;
+        };
+        record.expires = record.expires.max(new.expires);
+        let State::Claimed { until } = &mut record.state else {
+            return true;
+        };
+        if record.claim == new.claim {
+            *until = new.until;
+            return true;
+        }
+        record.rivals.retain(|r| r.claim != new.claim);
+        let has_room = record.rivals.len() < RIVALS;
+        if has_room {
+            record.rivals.push(new);
+        }
+        has_room
     }
 
     /// Takes over a record of another holder; what is known here stays unless it says less.
     pub(crate) fn merge(&mut self, now: Duration, other: &KeyRecord) -> bool {
         let expires = now + Duration::from_micros(other.keep_us).min(self.keep * 2);
         let until = now + Duration::from_micros(other.remaining_us).min(self.keep);
-        let state = match other.done {
-            true => State::Done { answer: None },
-            false => State::Claimed { until },
-        };
-        let is_better = match self.all.get(&other.key) {
-            None => self.all.len() < self.most,
-            Some(found) => other.done && matches!(found.state, State::Claimed { .. }),
-        };
-        if is_better {
-            let (digest, claim) = (other.digest, other.claim);
-            self.put(
-                &other.key,
-                Record {
-                    digest,
-                    claim,
-                    state,
-                    expires,
-                },
-            );
+        let (digest, claim) = (other.digest, other.claim);
+        let found = self.all.get(&other.key);
+        if found.is_some_and(|r| r.is_done() || (!other.done && r.has_claim(claim))) {
+            return true;
+        }
+        if !other.done {
+            let rival = Rival {
+                digest,
+                claim,
+                until,
+                expires,
+            };
+            return self.note_claim(&other.key, rival);
         }
-        is_better || self.all.contains_key(&other.key)
+        if found.is_none() && self.all.len() >= self.most {
+            return false;
+        }
+        let state = State::Done { answer: None };
+        self.put(&other.key, Record::new(digest, claim, state, expires));
+        true
     }
 
     /// Returns all records for another holder, without the stored answers.
     pub(crate) fn export(&self, now: Duration) -> Vec<KeyRecord> {
         let kept = self.all.iter().filter(|(_, r)| r.expires > now);
-        kept.map(|(key, record)| {
-            let until = match record.state {
-                State::Claimed { until } => until,
-                State::Done { .. } => now,
-            };
-            KeyRecord {
+        kept.flat_map(|(key, record)| {
+            let claims = record.claims(now);
+            claims.map(move |(done, rival)| KeyRecord {
                 key: key.clone(),
-                digest: record.digest,
-                claim: record.claim,
-                done: matches!(record.state, State::Done { .. }),
-                remaining_us: micros(until.saturating_sub(now)),
-                keep_us: micros(record.expires - now),
-            }
+                digest: rival.digest,
+                claim: rival.claim,
+                done,
+                remaining_us: micros(rival.until.saturating_sub(now)),
+                keep_us: micros(rival.expires.saturating_sub(now)),
+            })
         })
         .collect()
     }
@@ -249,6 +299,50 @@
 }
 
 impl Record {
+    fn new(digest: u64, claim: ClaimId, state: State, expires: Duration) -> Self {
+        Self {
+            digest,
+            claim,
+            state,
+            expires,
+            rivals: Vec::new(),
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        matches!(self.state, State::Done { .. })
+    }
+
+    fn has_claim(&self, claim: ClaimId) -> bool {
+        self.claim == claim || self.rivals.iter().any(|r| r.claim == claim)
+    }
+
+    fn has_digest(&self, digest: u64) -> bool {
+        self.digest == digest || self.rivals.iter().any(|r| r.digest == digest)
+    }
+
+    /// Returns until when any of the claims may be running.
+    fn last_until(&self, until: Duration) -> Duration {
+        let rivals = self.rivals.iter().map(|r| r.until);
+        rivals.fold(until, Duration::max)
+    }
+
+    /// Returns all claims of the key, and of each whether it ran.
+    fn claims(&self, now: Duration) -> impl Iterator<Item = (bool, Rival)> {
+        let until = match self.state {
+            State::Claimed { until } => until,
+            State::Done { .. } => now,
+        };
+        let first = Rival {
+            digest: self.digest,
+            claim: self.claim,
+            until,
+            expires: self.expires,
+        };
+        let rivals = self.rivals.iter().map(|&rival| (false, rival));
+        std::iter::once((self.is_done(), first)).chain(rivals)
+    }
+
     fn answer_size(&self) -> usize {
         match &self.state {
             State::Done {
--- a/crates/buckthornweir_requests/tests/idempotency/holder.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/holder.rs
@@ -4,7 +4,8 @@
 
 use buckthornweir_requests::idempotency::{KeyAction, Keys, KeysConfig, Member};
 use buckthornweir_requests::messages::{
-    KeyClaim, KeyDone, KeyEnd, KeySync, KeyVerdict, RequestBody, StoredAnswer,
+    KeyClaim, KeyDone, KeyEnd, KeyRecord, KeyRecords, KeySync, KeyVerdict, RequestBody,
+    StoredAnswer,
 };
 use buckthornweir_requests::{NodeId, ProblemKind, Refusal};
 
@@ -145,6 +146,101 @@
     }
 }
 
+/// Hands the holder records with these claims of the key, each from another member that leaves.
+fn pull(keys: &mut Keys, claims: &[u64]) {
+    for (&claim, from) in claims.iter().zip(2..) {
+        let record = KeyRecord {
+            key: "order".into(),
+            digest: 1,
+            claim,
+            remaining_us: 1_000_000,
+            keep_us: 300_000_000,
+            ..KeyRecord::default()
+        };
+        let records = KeyRecords {
+            parts: 1,
+            records: vec![record],
+            ..KeyRecords::default()
+        };
+        let _ = keys.received(NOW, from, RequestBody::KeyRecords(records));
+    }
+}
+
+#[test]
+fn withdrawal_of_one_of_two_pulled_claims_leaves_the_other() {
+    use KeyEnd::{Done, NotRun, Unknown};
+    // claims pulled, ends told, what claim 9 gets then, and after the claims' deadline
+    type Row = (
+        &'static [u64],
+        &'static [(u64, KeyEnd)],
+        KeyVerdict,
+        KeyVerdict,
+    );
+    let table: [Row; 9] = [
+        (&[1, 2], &[], KeyVerdict::Running, KeyVerdict::Unknown),
+        (
+            &[1, 2],
+            &[(1, NotRun)],
+            KeyVerdict::Running,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2],
+            &[(2, NotRun)],
+            KeyVerdict::Running,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2, 2],
+            &[(2, NotRun), (1, NotRun)],
+            KeyVerdict::Granted,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2, 3],
+            &[(1, NotRun), (3, NotRun)],
+            KeyVerdict::Running,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2],
+            &[(2, Unknown), (1, NotRun)],
+            KeyVerdict::Unknown,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2],
+            &[(1, Unknown), (2, NotRun)],
+            KeyVerdict::Unknown,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1],
+            &[(2, Unknown), (1, NotRun)],
+            KeyVerdict::Unknown,
+            KeyVerdict::Unknown,
+        ),
+        (
+            &[1, 2],
+            &[(2, Done), (1, NotRun)],
+            KeyVerdict::Done,
+            KeyVerdict::Done,
+        ),
+    ];
+    for (claims, ends, soon, late) in table {
+        let mut keys = holder(|_| {});
+        pull(&mut keys, claims);
+        for &(claim, end) in ends {
+            tell(&mut keys, done(claim, end, None));
+        }
+        let verdict = ask(&mut keys, NOW, claim(9, "order")).0;
+        assert_eq!(verdict, soon, "{claims:?} {ends:?}");
+        let later = NOW + Duration::from_secs(2);
+        let verdict = ask(&mut keys, later, claim(10, "order")).0;
+        assert_eq!(verdict, late, "{claims:?} {ends:?}, later");
+    }
+}
+
 #[test]
 fn claims_are_not_granted_where_it_can_not_be_told() {
     let other_holders = |claim: KeyClaim| KeyClaim {
