Let all members that are there found a service together

Cause: the first agent to reach settle founded the service. Each one that heard of it found itself among the members that count, took itself for restarted, and waited for the records of all others, also of others that waited in the same way. Starts 300 ms apart were enough; so was a restart in the first seconds. Two such agents held no keys for 10 minutes.

Ruled out: the time since the founding in place of lives (an agent that stood still tells too short a time); founding as soon as those that are there agree (two groups could found apart before the news are everywhere); less than all records for an agent that did restart after the founding (not safe).

Change: agents tell a number for their present life. The founder asks all members that are there, counts them once each said within a second that nobody counts, and hands on which lives were there; such an agent has forgotten nothing. Founding is a second earlier and nothing is granted in that second, so that a founding can't be lost unheard. The holder test that founded with a silent member now lets it answer, and wants the message that it only counted before.

Conclusion: what is left of the first seconds is settle, which news of members need.

--- a/crates/buckthornweir_requests/benches/decisions.rs
+++ b/crates/buckthornweir_requests/benches/decisions.rs
@@ -94,12 +94,12 @@
         ..KeysConfig::default()
     };
     let start = |node: u64| {
-        let config = config.clone().with_first_start(true);
-        let mut keys = Keys::new(Member::new(node, format!("{node}")), config, node, ms(0));
+        let member = Member::new(node, format!("{node}"));
+        let mut keys = Keys::new(member, config.clone(), node, ms(0));
         let others = (1..=7).filter(|other| *other != node);
         let others: Vec<_> = others.map(|n| Member::new(n, format!("{n}"))).collect();
         let _ = keys.set_members(ms(0), &others);
-        let _ = keys.tick(ms(1));
+        keys.found(ms(0));
         keys
     };
     c.bench_function(
--- a/crates/buckthornweir_requests/src/idempotency/config.rs
+++ b/crates/buckthornweir_requests/src/idempotency/config.rs
@@ -58,6 +58,13 @@
 }
 
 impl KeysConfig {
+    /// Returns the time between the founding of a service and its first grants.
+    ///
+    /// Each member that is there asks each other one twice in this time.
+    pub(crate) fn hold(&self) -> Duration {
+        (self.resend * 2).min(self.settle)
+    }
+
     /// Sets whether the service starts for the first time.
     pub fn with_first_start(mut self, first_start: bool) -> Self {
         self.first_start = first_start;
--- a/crates/buckthornweir_requests/src/idempotency/mod.rs
+++ b/crates/buckthornweir_requests/src/idempotency/mod.rs
@@ -49,8 +49,8 @@
 use asking::Claim;
 use ending::Ending;
 use records::Records;
-use roster::Roster;
-use syncing::Pull;
+use roster::{Life, Roster};
+use syncing::{Pull, Unfounded};
 
 new_key_type! {
     /// Key of a claim at the agent that made it.
@@ -115,12 +115,19 @@
     own: NodeId,
     config: KeysConfig,
     started: Duration,
+    life: Life,
     rng: ChaCha8Rng,
     roster: Roster,
     standing: Standing,
     /// When this agent first heard which members count.
     adopted: Option<Duration>,
     pulls: BTreeMap<NodeId, Pull>,
+    /// Members that said that no member counts yet.
+    unfounded: BTreeMap<NodeId, Unfounded>,
+    /// Until when nothing is granted since the service was just founded.
+    held_until: Option<Duration>,
+    /// Whether this agent founded the service.
+    is_founder: bool,
     next_pull: Duration,
     next_token: u64,
     /// Whether contact with the others was lost for long and they have not confirmed this agent.
@@ -143,10 +150,14 @@
         Self {
             own: own.node,
             started: now,
+            life: rng.next_u64() | 1,
             roster: Roster::new(own, &config, now),
             standing: Standing::New,
             adopted: None,
             pulls: BTreeMap::new(),
+            unfounded: BTreeMap::new(),
+            held_until: None,
+            is_founder: false,
             next_pull: now,
             // Zero marks records that were not asked for.
             next_token: rng.next_u64() | 1,
--- a/crates/buckthornweir_requests/src/idempotency/roster.rs
+++ b/crates/buckthornweir_requests/src/idempotency/roster.rs
@@ -4,6 +4,7 @@
 //! contact with more than half of the members that count, so two sides of a partition never come
 //! to choose holders apart from each other.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -12,6 +13,12 @@
 use super::holders::holders_of;
 use crate::NodeId;
 
+/// Number of one life of an agent; it differs between starts.
+pub(crate) type Life = u64;
+
+/// The life of a member that was not there when the service was founded.
+const NO_LIFE: Life = 0;
+
 /// A member of the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -40,6 +47,8 @@
     settled: bool,
     /// Whether it sent all of its records here before it left.
     left: bool,
+    /// Its life that was there when the service was founded.
+    life: Life,
 }
 
 impl Entry {
@@ -53,8 +62,10 @@
 pub(crate) enum Change {
     /// Nothing of note.
     None,
-    /// The members that count were chosen without earlier ones: no record can exist.
+    /// The service started for the first time: no record can exist.
     Founded,
+    /// All members that counted left in order and sent their records here.
+    Inherited,
     /// This agent was away so long that the others may no longer count it.
     Returned,
 }
@@ -68,6 +79,7 @@
     contact: Duration,
     forget: Duration,
     settle: Duration,
+    hold: Duration,
     first_start: bool,
     hash_key: [u64; 2],
     entries: Vec<Entry>,
@@ -84,6 +96,7 @@
             contact: now,
             forget: config.forget,
             settle: config.settle,
+            hold: config.hold(),
             first_start: config.first_start,
             hash_key: config.hash_key,
             entries: vec![new_entry(own, now)],
@@ -123,10 +136,23 @@
     }
 
     /// Lets time pass.
-    pub(crate) fn tick(&mut self, now: Duration) -> Change {
-        if self.is_founding(now) {
+    ///
+    /// `unfounded` has the lives of the other members that are there, if all of them said that no
+    /// member counts yet.
+    pub(crate) fn tick(
+        &mut self,
+        now: Duration,
+        unfounded: Option<&BTreeMap<NodeId, Life>>,
+    ) -> Change {
+        if self.is_unfounded() {
+            if let Some(lives) = unfounded.filter(|_| self.is_founding(now)) {
+                self.found(now);
+                self.note_lives(lives);
+                return Change::Founded;
+            }
+        } else if self.have_all_left() {
             self.found(now);
-            return Change::Founded;
+            return Change::Inherited;
         }
         if !self.in_contact() {
             let joining = self.entries.iter_mut().filter(|e| !e.settled);
@@ -149,6 +175,12 @@
         self.contact = now;
     }
 
+    fn note_lives(&mut self, lives: &BTreeMap<NodeId, Life>) {
+        for entry in &mut self.entries {
+            entry.life = lives.get(&entry.member.node).copied().unwrap_or(NO_LIFE);
+        }
+    }
+
     fn let_settle(&mut self, now: Duration) {
         let (settle, forget) = (self.settle, self.forget);
         for entry in &mut self.entries {
@@ -165,26 +197,25 @@
     }
 
     /// Takes over the members that count from a member that knows them.
-    pub(crate) fn adopt(&mut self, now: Duration, settled: &[Member]) {
+    pub(crate) fn adopt(&mut self, now: Duration, settled: &[(Member, Life)]) {
         let is_dropped = |node| self.dropped.iter().any(|(other, _)| *other == node);
-        let settled = settled.iter().filter(|m| !is_dropped(m.node));
-        for member in settled {
+        let settled = settled.iter().filter(|(m, _)| !is_dropped(m.node));
+        for (member, life) in settled {
             match self
                 .entries
                 .iter_mut()
                 .find(|e| e.member.node == member.node)
             {
-                Some(entry) => entry.settled = true,
-                None => {
-                    let entry = Entry {
-                        present: false,
-                        ..new_entry(member.clone(), now)
-                    };
-                    self.entries.push(Entry {
-                        settled: true,
-                        ..entry
-                    });
+                Some(entry) => {
+                    entry.settled = true;
+                    entry.life = *life;
                 }
+                None => self.entries.push(Entry {
+                    present: false,
+                    settled: true,
+                    life: *life,
+                    ..new_entry(member.clone(), now)
+                }),
             }
         }
         self.entries.sort_by_key(|e| e.member.node);
@@ -234,6 +265,12 @@
         self.entries.iter().filter(|e| e.settled).map(|e| &e.member)
     }
 
+    /// Returns the members that count, with their lives that were there at the founding.
+    pub(crate) fn lives(&self) -> impl Iterator<Item = (&Member, Life)> {
+        let settled = self.entries.iter().filter(|e| e.settled);
+        settled.map(|e| (&e.member, e.life))
+    }
+
     /// Returns the other members that are there.
     pub(crate) fn others(&self) -> impl Iterator<Item = NodeId> {
         let others = self
@@ -264,11 +301,13 @@
         self.entries.iter().all(|e| !e.settled)
     }
 
+    /// Returns whether it is time for the members that are there to found the service.
     fn is_founding(&self, now: Duration) -> bool {
-        if self.is_unfounded() {
-            return self.first_start && now >= self.started + self.settle;
-        }
-        // Every member that counted has left and sent its records here.
+        self.first_start && now + self.hold >= self.started + self.settle
+    }
+
+    /// Returns whether every member that counted has left and sent its records here.
+    fn have_all_left(&self) -> bool {
         self.entries.iter().all(|e| !e.settled || e.has_left())
     }
 
@@ -284,5 +323,6 @@
         since: now,
         settled: false,
         left: false,
+        life: NO_LIFE,
     }
 }
--- a/crates/buckthornweir_requests/src/idempotency/syncing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -1,8 +1,9 @@
 //! How an agent that starts gets the records of the others, and hands over its own when it leaves.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::roster::Change;
+use super::roster::{Change, Life};
 use super::{KeyAction, Keys, Member};
 use crate::NodeId;
 use crate::messages::{KeyRecords, KeySync, RECORDS_MOST, RequestBody, SettledMember, Standing};
@@ -11,10 +12,19 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pull {
     token: u64,
+    sent: Duration,
     next_part: u32,
     complete: bool,
 }
 
+/// A member that said that no member counts yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unfounded {
+    life: Life,
+    /// When it was asked.
+    asked: Duration,
+}
+
 /// Token of records that a member sends because it leaves.
 const UNASKED: u64 = 0;
 
@@ -50,6 +60,7 @@
         if !self.follows(from, message) {
             return;
         }
+        self.note_unfounded(from, message);
         let mut has_room = true;
         for record in &message.records {
             has_room &= self.records.merge(now, record);
@@ -73,10 +84,42 @@
         }
     }
 
+    /// Notes whether a member says that no member counts yet.
+    fn note_unfounded(&mut self, from: NodeId, message: &KeyRecords) {
+        let pull = self.pulls.get(&from).filter(|p| p.token != UNASKED);
+        let unfounded = pull.filter(|_| message.settled.is_empty());
+        match unfounded {
+            Some(pull) => {
+                let (life, asked) = (message.life, pull.sent);
+                self.unfounded.insert(from, Unfounded { life, asked });
+            }
+            None => drop(self.unfounded.remove(&from)),
+        }
+    }
+
+    /// Returns the lives of the other members that are there, if each of them said a short time ago
+    /// that no member counts yet.
+    fn unfounded_lives(&self, now: Duration) -> Option<BTreeMap<NodeId, Life>> {
+        let oldest = now.saturating_sub(self.config.resend * 2);
+        let life = |node| {
+            let said = self.unfounded.get(&node).filter(|u| u.asked >= oldest);
+            said.map(|u| (node, u.life))
+        };
+        self.roster.others().map(life).collect()
+    }
+
     pub(super) fn tick_roster(&mut self, now: Duration) {
-        match self.roster.tick(now) {
+        let lives = match self.roster.is_unfounded() {
+            true => self.unfounded_lives(now),
+            false => None,
+        };
+        match self.roster.tick(now, lives.as_ref()) {
             Change::None => {}
-            Change::Founded => self.standing = Standing::Sure,
+            Change::Founded => {
+                self.is_founder = true;
+                self.held_until = Some(now + self.config.hold());
+            }
+            Change::Inherited => self.standing = Standing::Sure,
             Change::Returned => self.doubt(),
         }
     }
@@ -89,7 +132,13 @@
             // All that this agent may have forgotten has expired.
             self.standing = Standing::New;
         }
-        if self.is_complete() {
+        let is_held = self.held_until.is_some_and(|until| now < until);
+        let is_complete = self.is_complete();
+        if is_complete && is_held {
+            return;
+        }
+        if (is_complete || self.is_founder) && !is_held {
+            self.is_founder = false;
             self.standing = Standing::Sure;
             self.was_away = false;
             self.pulls.clear();
@@ -117,6 +166,7 @@
                 to,
                 Pull {
                     token,
+                    sent: now,
                     next_part: 0,
                     complete: false,
                 },
@@ -165,7 +215,10 @@
         if settled.is_empty() || !is_unsure {
             return;
         }
-        let lists_own = settled.iter().any(|m| m.node == self.own);
+        let own = settled.iter().find(|m| m.node == self.own);
+        let lists_own = own.is_some();
+        // It was there at the founding, so no earlier life of it granted anything.
+        let was_there = own.is_some_and(|m| m.life == self.life);
         let adopted = *self.adopted.get_or_insert(now);
         if !lists_own && self.was_away {
             // The others dropped this agent while it was away.
@@ -174,11 +227,13 @@
         }
         let settled = settled
             .iter()
-            .map(|m| Member::new(m.node, m.domain.as_str()));
+            .map(|m| (Member::new(m.node, m.domain.as_str()), m.life));
         self.roster.adopt(now, &settled.collect::<Vec<_>>());
         // No member counts a new one so early: this agent was one before it restarted.
         let is_young = now < self.started + self.config.forget;
-        if lists_own && is_young && now < adopted + self.config.settle {
+        if was_there {
+            self.held_until.get_or_insert(now + self.config.hold());
+        } else if lists_own && is_young && now < adopted + self.config.settle {
             self.standing = Standing::Forgetful;
         }
     }
@@ -200,6 +255,7 @@
         if message.token == UNASKED && message.part == 0 {
             let pull = Pull {
                 token: UNASKED,
+                sent: Duration::ZERO,
                 next_part: 0,
                 complete: false,
             };
@@ -218,7 +274,7 @@
             Vec::new()
         };
         let parts = records.len().div_ceil(RECORDS_MOST).max(1);
-        let settled: Vec<_> = self.roster.settled().map(settled_member).collect();
+        let settled: Vec<_> = self.roster.lives().map(settled_member).collect();
         // Before it knows who counts, an agent can't tell whether it is new or restarted.
         let is_certain = !self.roster.is_unfounded();
         let standing = if is_certain {
@@ -237,6 +293,7 @@
                 settled: settled.clone(),
                 left: self.roster.left().collect(),
                 records: records[first..last].to_vec(),
+                life: self.life,
             };
             out.push(KeyAction::Send {
                 to,
@@ -246,8 +303,9 @@
     }
 }
 
-fn settled_member(member: &Member) -> SettledMember {
+fn settled_member((member, life): (&Member, Life)) -> SettledMember {
     SettledMember {
+        life,
         node: member.node,
         domain: member.domain.to_string(),
     }
--- a/crates/buckthornweir_requests/src/messages/keys.rs
+++ b/crates/buckthornweir_requests/src/messages/keys.rs
@@ -138,6 +138,9 @@
     /// Records.
     #[prost(message, repeated, tag = "7")]
     pub records: Vec<KeyRecord>,
+    /// The sender's life: another number after each start.
+    #[prost(fixed64, tag = "8")]
+    pub life: u64,
 }
 
 /// How far a member's records can be relied on.
@@ -161,6 +164,9 @@
     /// Its failure domain.
     #[prost(string, tag = "2")]
     pub domain: String,
+    /// Its life that was there when the service was founded; 0 where none was.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
 }
 
 /// One record without the stored answer.
--- a/crates/buckthornweir_requests/tests/idempotency/holder.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/holder.rs
@@ -339,9 +339,35 @@
     };
     config.first_start = true;
     let mut keys = Keys::new(Member::new(OWN, "a"), config, 7, Duration::ZERO);
-    let _ = keys.set_members(Duration::from_millis(1), &[Member::new(2, "b")]);
+    let asked = keys.set_members(Duration::from_millis(1), &[Member::new(2, "b")]);
+    let [
+        KeyAction::Send {
+            to: 2,
+            body: RequestBody::KeySync(sync),
+        },
+    ] = &asked[..]
+    else {
+        panic!("{asked:?}");
+    };
+    // No member counts at the second agent either, so the two found the service.
+    let unfounded = KeyRecords {
+        token: sync.token,
+        parts: 1,
+        life: 5,
+        ..KeyRecords::default()
+    };
+    let _ = keys.received(NOW, 2, RequestBody::KeyRecords(unfounded));
+    let _ = keys.tick(NOW);
     let (first, actions) = keys.claim(NOW, b"order", 1, NOW + Duration::from_secs(1));
-    assert_eq!(actions.len(), 1, "{actions:?}");
+    let is_asked = matches!(
+        actions[..],
+        [KeyAction::Send {
+            to: 2,
+            body: RequestBody::KeyClaim(_)
+        }]
+    );
+    assert!(is_asked, "{actions:?}");
+    assert_eq!(keys.held(), 1);
     let _ = keys.finished(NOW, first, KeyEnd::NotRun, None);
     assert_eq!(keys.held(), 0);
 
--- a/crates/buckthornweir_requests/tests/idempotency/main.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/main.rs
@@ -3,4 +3,5 @@
 mod holder;
 mod net;
 mod random;
+mod start;
 mod table;
--- a/crates/buckthornweir_requests/tests/idempotency/net.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/net.rs
@@ -103,11 +103,22 @@
 impl KeyNet {
     /// Returns a service of agents in these failure domains, numbered from 1 on, that is ready.
     pub(crate) fn new(domains: &[&str]) -> Self {
-        let mut net = Self {
+        let mut net = Self::empty(config().with_first_start(true));
+        for (index, domain) in domains.iter().enumerate() {
+            net.start(index as NodeId + 1, domain);
+        }
+        net.pass(Duration::from_secs(6));
+        net.config = config();
+        net
+    }
+
+    /// Returns a service without agents.
+    pub(crate) fn empty(config: KeysConfig) -> Self {
+        Self {
             now: Duration::ZERO,
             service: Duration::from_millis(50),
             end: KeyEnd::Done,
-            config: config().with_first_start(true),
+            config,
             nodes: BTreeMap::new(),
             cut: BTreeSet::new(),
             ends: BTreeMap::new(),
@@ -119,13 +130,7 @@
             runs: BTreeMap::new(),
             got: BTreeMap::new(),
             callers: 0,
-        };
-        for (index, domain) in domains.iter().enumerate() {
-            net.start(index as NodeId + 1, domain);
         }
-        net.pass(Duration::from_secs(6));
-        net.config = config();
-        net
     }
 
     /// Starts an agent, with nothing of an earlier life.
