Take errors beside other requests for a sign of load

Cause: a backend server that turned cold unnoticed and bears 1 request at a time fails the second at once. Good answers to requests that ran alone counted against these errors, the share of errors began anew after each step down, and each of the four steps from five to one took errors of its own. After it, the limit was not taken for cold and could rise every second; the error that a raise brought was one among good answers.

Ruled out: fewer errors for a step (a service with 5 % of errors at random would lose its slots); a step to cold at the first run of errors (the table of outcomes in tests/limit.rs wants one less).

Change: only requests that did not run alone count in the share of errors; the share is halved after a step; a second run without a raise between means cold, with its time to warm up; an error right after a raise takes it back. An error of a request that ran alone shows that errors don't come of the load: raises are then taken back no more and the time to warm up is waived. Errors have a file of their own.

--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -1,6 +1,7 @@
 //! Adaptive concurrency limit of one backend server.
 
 mod config;
+mod errors;
 
 use std::time::Duration;
 
@@ -8,17 +9,11 @@
 
 use crate::Outcome;
 use crate::latencies::Latencies;
+use errors::FAILING_WEIGHT;
 
 /// Most by which the time to warm up is lengthened.
 const WARM_UP_FACTOR: u32 = 8;
 
-/// Weight of one answer in the recent share of errors.
-const FAILING_WEIGHT: f64 = 0.1;
-
-/// Recent share of errors above which they count, though good answers come between them: a backend
-/// server that gets more than it bears fails some requests and answers others.
-const FAILING_SHARE: f64 = 0.25;
-
 /// Limit on the requests that one backend server runs at a time.
 ///
 /// The limit starts at `cold`, rises by one after a run of good outcomes while it was used up,
@@ -50,8 +45,17 @@
     bad: u32,
     /// Errors of the backend server's own in a row.
     failed: u32,
-    /// Recent share of errors among answers, from 0 to 1.
+    /// Recent share of errors among the answers to requests that did not run alone, from 0 to 1.
     failing: f64,
+    /// Whether errors lowered the limit since it was last raised.
+    doubted: bool,
+    /// Good outcomes of requests that did not run alone, since the limit was last raised.
+    proved: u32,
+    /// Whether an error is taken for a sign of too much load: the backend server may be cold, and none
+    /// came to a request that ran alone.
+    suspect: bool,
+    /// When requests last ran beside each other.
+    shared: Duration,
     /// Answers in a row with a slow recent mean.
     slow: u32,
     /// Whether the limit was used up since the last change.
@@ -80,6 +84,10 @@
             bad: 0,
             failed: 0,
             failing: 0.0,
+            doubted: false,
+            proved: config.raise_after,
+            suspect: true,
+            shared: now,
             slow: 0,
             full: false,
             raised: now,
@@ -156,6 +164,7 @@
             return false;
         }
         self.in_flight += 1;
+        self.note_shared(now);
         self.full |= self.in_flight >= self.limit;
         self.used = now;
         true
@@ -168,11 +177,13 @@
 
     /// Gives a slot back and learns from the outcome that its request had.
     pub fn release(&mut self, outcome: Outcome, latency: Duration, now: Duration) {
+        self.note_shared(now);
+        let is_last = self.in_flight <= 1;
         self.give_back();
         self.used = now;
         let started = now.saturating_sub(latency);
         match outcome {
-            Outcome::Done => self.note_good(latency, now),
+            Outcome::Done => self.note_good(latency, is_last, now),
             Outcome::Refused => self.note_refused(started, now),
             Outcome::Cut => self.note_lost(started, now),
             Outcome::Silent if self.latencies.is_long(latency) => self.note_lost(started, now),
@@ -189,13 +200,17 @@
         self.cold_since = now;
         self.peak = self.limit;
         self.gap = self.config.raise_gap;
+        self.suspect = true;
         self.latencies.forget_recent();
     }
 
-    fn note_good(&mut self, latency: Duration, now: Duration) {
+    fn note_good(&mut self, latency: Duration, is_last: bool, now: Duration) {
         self.bad = 0;
         self.failed = 0;
-        self.failing *= 1.0 - FAILING_WEIGHT;
+        if !is_last {
+            self.failing *= 1.0 - FAILING_WEIGHT;
+            self.proved = self.proved.saturating_add(1);
+        }
         self.pause = self.config.pause;
         self.latencies.learn(latency);
         if self.latencies.is_slow() {
@@ -210,6 +225,9 @@
             self.good = 0;
             self.full = false;
             self.raised = now;
+            self.doubted = false;
+            self.proved = 0;
+            self.suspect &= self.limit < self.config.slots;
             self.gap = (self.gap / 2).max(self.config.raise_gap);
         }
     }
@@ -252,26 +270,6 @@
         }
     }
 
-    /// Errors of the backend server's own lower the limit only when they come in a row.
-    fn note_failed(&mut self, started: Duration, now: Duration) {
-        self.good = 0;
-        self.failed += 1;
-        self.failing += (1.0 - self.failing) * FAILING_WEIGHT;
-        let are_many = self.failing >= FAILING_SHARE;
-        let are_in_row = self.failed > self.config.cold_after;
-        if !(are_many || are_in_row) || started < self.lowered {
-            return;
-        }
-        if are_many {
-            self.failing = 0.0;
-            self.lengthen_gap();
-        }
-        self.set_lower(self.limit - 1, now);
-        if self.failed >= self.config.fail_after {
-            self.take_pause(now);
-        }
-    }
-
     /// Requests that started before the limit was last lowered tell nothing about it.
     fn note_refused(&mut self, started: Duration, now: Duration) {
         self.good = 0;
