Count a keyed request that ran twice as doubled

Cause: the load tool called a request with an idempotency key repeatable, so that one which ran twice counted as `repeated` or `key doubled` and never as `doubled`, although a keyed request may run at most once.

Ruled out: nothing else judges a request by its key; the tally itself goes by the trait alone.

Change: only a safe method is repeatable. `doubled` counts keyed requests too, and `key doubled` says how many of them had a key. A table of the four kinds of request holds this; it failed before the change.

Before: a keyed POST that ran twice gave doubled 0, key doubled 1; after: doubled 1, key doubled 1.

Conclusion: `doubled` must be 0 for every request that may not be repeated.

--- a/crates/buckthornweir_load/src/callers/request.rs
+++ b/crates/buckthornweir_load/src/callers/request.rs
@@ -15,7 +15,7 @@
     pub id: SmolStr,
     /// The method.
     pub method: Method,
-    /// The idempotency key, for a request that may not be repeated without one.
+    /// The idempotency key, by which a request that may not be repeated runs at most once.
     pub key: Option<SmolStr>,
     /// The path and query.
     pub path: SmolStr,
@@ -36,9 +36,10 @@
 
 impl Draft {
     /// Returns whether the request may run more than once.
-    pub(crate) fn traits(&self) -> Traits {
+    #[must_use]
+    pub fn traits(&self) -> Traits {
         Traits {
-            repeatable: self.method == Method::GET || self.key.is_some(),
+            repeatable: self.method == Method::GET,
         }
     }
 
--- a/crates/buckthornweir_load/src/figures/service.rs
+++ b/crates/buckthornweir_load/src/figures/service.rs
@@ -56,10 +56,9 @@
     pub lost: usize,
     /// Answers that broke off; they are among the lost ones.
     pub short: usize,
-    /// Requests that may not be repeated and carried no key, and ran more than once.
+    /// Requests that may not be repeated, and ran more than once.
     pub doubled: usize,
-    /// Requests with an idempotency key that ran more than once; it is then for the backend
-    /// server to know the key.
+    /// Those of the doubled ones that carried an idempotency key.
     pub doubled_key: usize,
     /// Requests of a safe method that ran more than once.
     pub repeated: usize,
@@ -84,7 +83,7 @@
 impl Outcomes {
     /// Counts from the books of both ends; `keyed` are those of the records that had a key.
     fn of(records: &[CallerRecord], keyed: &[CallerRecord], books: &[BackendBooks]) -> Self {
-        let doubled_key = tally(keyed, books).repeated;
+        let doubled_key = tally(keyed, books).doubled;
         let tally = tally(records, books);
         Self {
             sent: tally.sent,
@@ -95,7 +94,7 @@
             short: tally.short,
             doubled: tally.doubled,
             doubled_key,
-            repeated: tally.repeated - doubled_key,
+            repeated: tally.repeated,
             wrong_service: tally.wrong_service,
             crossed: tally.crossed,
             false_refusals: tally.false_refusals,
--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use buckthornweir_load::{
-    BackendEvidence, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance, LoadSeries,
-    RequestRecord, Scenario, figures, imbalance, page, tables, write_lines,
+    BackendEvidence, Draft, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance,
+    LoadSeries, RequestRecord, Scenario, figures, imbalance, page, tables, write_lines,
 };
 use buckthornweir_standins::{
     BackendBooks, BookEntry, CallerRecord, End, FabricCounters, Outcome, Traits,
 };
 use expect_test::expect;
+use http::Method;
 
 /// When the load began, on the clock of the stand-ins.
 const START: Duration = Duration::from_secs(100);
@@ -264,3 +265,52 @@
     }
     assert_eq!(imbalance(&[], 10.0, 0.0), Imbalance::default());
 }
+
+#[test]
+fn a_request_that_ran_twice_is_doubled_unless_its_method_is_safe() {
+    let cases = [
+        ("safe", Method::GET, None),
+        ("safe with a key", Method::GET, Some("k")),
+        ("once", Method::POST, None),
+        ("once with a key", Method::POST, Some("k")),
+    ];
+    let mut lines = String::new();
+    for (case, method, key) in cases {
+        let draft = Draft {
+            id: "a".into(),
+            method,
+            key: key.map(Into::into),
+            path: "/".into(),
+        };
+        let mut request = request("a", 1.0, Outcome::Broken);
+        request.record.traits = draft.traits();
+        request.keyed = draft.key.is_some();
+        let twice = backend("orders-1", "fj-west-a", &[("a", 1.0), ("a", 1.2)]);
+        let outcomes = of_requests(&[request], &[twice]).services[0].outcomes;
+        lines += &format!(
+            "{case}: doubled {}, key doubled {}, repeated {}\n",
+            outcomes.doubled, outcomes.doubled_key, outcomes.repeated
+        );
+    }
+    expect![[r"
+        safe: doubled 0, key doubled 0, repeated 1
+        safe with a key: doubled 0, key doubled 0, repeated 1
+        once: doubled 1, key doubled 0, repeated 0
+        once with a key: doubled 1, key doubled 1, repeated 0
+    "]]
+    .assert_eq(&lines);
+}
+
+/// Returns the figures of a run without events or flows.
+fn of_requests(requests: &[RequestRecord], backends: &[BackendEvidence]) -> Figures {
+    let scenario = Scenario::parse("s.ini", SCENARIO).unwrap();
+    figures(&Evidence {
+        scenario: &scenario,
+        start: START,
+        requests,
+        flows: &[],
+        backends,
+        events: &[],
+        fabric: FabricCounters::default(),
+    })
+}
