List every crossed answer with its flow and the request it belongs to

Ruled out: the caller stand-in reading an answer of a request that it gave up. A caller that runs out of patience drops its connection (`Slot::settle`), each caller has one connection of its own, no address and port is used twice in a run (62,500 addresses before the first port repeats), and ids are 64 random bits from streams that differ for each caller.

Change: the ledger keeps the caller's address and port, which request of its flow it was, how often it was sent and the backend server that the answer names; the trouble shows these, and those of the request that the answer belongs to. Crossed answers don't count towards the limit of 500. Runs name their service and their end, and a run at another service is a trouble too.

Conclusion: the next crossed answer says where it came from.

--- a/crates/buckthornweir_load/src/callers/ledger.rs
+++ b/crates/buckthornweir_load/src/callers/ledger.rs
@@ -1,5 +1,6 @@
 //! What all callers got.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -7,6 +8,19 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
+/// How a request went over its caller's flows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// The caller's address and port on the last flow that it was sent on.
+    pub caller: Option<SocketAddr>,
+    /// Which request of that flow it was, from 1.
+    pub position: u32,
+    /// How often the caller sent it: again only when nothing of it went out.
+    pub sends: u32,
+    /// The backend server that the answer names.
+    pub backend: Option<SmolStr>,
+}
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
@@ -16,6 +30,8 @@
     pub keyed: bool,
     /// What an answer that is no success gives as its reason.
     pub problem: Option<SmolStr>,
+    /// How it went over the caller's flows.
+    pub trace: Trace,
     /// When the request was due, on the clock of the stand-ins.
     pub due: Duration,
     /// When the caller had its answer, or gave up.
--- a/crates/buckthornweir_load/src/callers/mod.rs
+++ b/crates/buckthornweir_load/src/callers/mod.rs
@@ -15,7 +15,7 @@
 use crate::scenario::{Scenario, Service};
 use slot::Slot;
 
-pub use ledger::{FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord};
+pub use ledger::{FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, Trace};
 pub use request::{Draft, draft};
 
 /// Bounds the random numbers that one caller draws to its own stream.
--- a/crates/buckthornweir_load/src/callers/slot.rs
+++ b/crates/buckthornweir_load/src/callers/slot.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 use super::Shared;
-use super::ledger::{FlowEnd, FlowRecord, RequestRecord};
+use super::ledger::{FlowEnd, FlowRecord, RequestRecord, Trace};
 use super::request::{Draft, draft};
 
 /// A place that always holds one caller.
@@ -25,6 +25,8 @@
     flow: Option<Flow>,
     /// The reason that the last answer gave, if it was no success.
     problem: Option<SmolStr>,
+    /// How the request that is on its way went so far.
+    trace: Trace,
 }
 
 struct Flow {
@@ -42,6 +44,7 @@
             budget,
             flow: None,
             problem: None,
+            trace: Trace::default(),
         }
     }
 
@@ -90,6 +93,7 @@
             },
             keyed: draft.key.is_some(),
             problem: self.problem.take(),
+            trace: std::mem::take(&mut self.trace),
             due,
             ended: uptime(),
         });
@@ -111,6 +115,9 @@
             return Outcome::Unsent;
         };
         flow.sent += 1;
+        self.trace.caller = Some(flow.caller.local_addr());
+        self.trace.position = flow.sent;
+        self.trace.sends += 1;
         let sent = tokio::time::timeout(self.shared.patience, flow.caller.send(request)).await;
         self.settle(sent.ok())
     }
@@ -122,7 +129,9 @@
             return Outcome::TimedOut;
         };
         match &result {
-            Ok(answer) if answer.status.is_success() => {}
+            Ok(answer) if answer.status.is_success() => {
+                self.trace.backend = answer.echo().map(|echo| echo.backend);
+            }
             Ok(answer) => self.problem = answer.problem().map(SmolStr::from),
             Err(CallerError::Unsent(_)) => self.drop_closed(),
             Err(_) => self.finish(FlowEnd::Broken),
--- a/crates/buckthornweir_load/src/figures/mod.rs
+++ b/crates/buckthornweir_load/src/figures/mod.rs
@@ -19,7 +19,7 @@
 pub use load::{Imbalance, LoadSeries, imbalance};
 pub use service::{BackendFigures, FlowFigures, Latency, Outcomes, ServiceFigures};
 pub use timeline::{EventMark, WindowFigures};
-pub use trouble::{Run, Trouble};
+pub use trouble::{Crossing, Run, Trouble};
 
 /// What a run has left behind. All times are on the clock of the stand-ins.
 pub struct Evidence<'a> {
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -38,13 +38,13 @@
 mod run;
 mod scenario;
 
-pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, draft};
+pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, Trace, draft};
 pub use deployment::{Deployment, PlacedBackend, Programs};
 pub use fault::{Fault, Result};
 pub use figures::{
-    BackendEvidence, BackendFigures, DomainFigures, EventMark, Evidence, Figures, FlowFigures,
-    Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures, Trouble, WindowFigures, figures,
-    imbalance,
+    BackendEvidence, BackendFigures, Crossing, DomainFigures, EventMark, Evidence, Figures,
+    FlowFigures, Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures, Trouble,
+    WindowFigures, figures, imbalance,
 };
 pub use options::LoadOptions;
 pub use output::{Line, Plot, draw, page, tables, write_lines};
--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -6,7 +6,7 @@
 
 use buckthornweir_load::{
     BackendEvidence, Draft, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance,
-    LoadSeries, RequestRecord, Scenario, figures, imbalance, page, tables, write_lines,
+    LoadSeries, RequestRecord, Scenario, Trace, figures, imbalance, page, tables, write_lines,
 };
 use buckthornweir_standins::{
     BackendBooks, BookEntry, CallerRecord, End, FabricCounters, Outcome, Traits,
@@ -54,6 +54,7 @@
         },
         keyed: false,
         problem: None,
+        trace: Trace::default(),
         due: at(seconds),
         ended: at(seconds) + Duration::from_millis(25),
     }
@@ -314,3 +315,74 @@
         fabric: FabricCounters::default(),
     })
 }
+
+/// One crossed answer is listed whether its request ran never, once or twice, and so is the
+/// request that the answer belongs to.
+#[test]
+fn every_answer_of_another_request_is_listed() {
+    let answer = |service: &str, id: &str| Outcome::Answered {
+        service: service.into(),
+        request_id: id.into(),
+    };
+    let cases = [
+        ("own", answer("orders", "a"), 1),
+        ("crossed, ran once", answer("orders", "b"), 1),
+        ("crossed, never ran", answer("orders", "b"), 0),
+        ("crossed, ran twice", answer("orders", "b"), 2),
+        ("of a request that nobody sent", answer("orders", "z"), 1),
+        ("of another service", answer("sheets", "a"), 1),
+    ];
+    let mut lines = String::new();
+    for (case, outcome, runs) in cases {
+        let mut first = request("a", 2.0, outcome);
+        first.trace = trace(7001, 2);
+        let mut other = request("b", 1.0, answer("orders", "b"));
+        other.trace = trace(7002, 9);
+        let mut ran = vec![("b", 1.0)];
+        ran.extend(vec![("a", 2.0); runs]);
+        let backends = [backend("orders-1", "fj-west-a", &ran)];
+        let troubles = of_requests(&[other, first], &backends).troubles;
+        lines += &format!("{case}\n");
+        for trouble in troubles {
+            lines += &format!("{}\n", serde_json::to_string(&trouble).unwrap());
+        }
+    }
+    expect![[r#"
+        own
+        crossed, ran once
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        crossed, never ran
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[]}
+        crossed, ran twice
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"},{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        of a request that nobody sent
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"z\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"z","due":null,"ended":null,"outcome":null,"caller":null,"position":null,"runs":[]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        of another service
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"sheets\", request_id: \"a\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"sheets","request":"a","due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"sheets\", request_id: \"a\" }","caller":"10.200.0.1:7001","position":2,"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn crossed_answers_are_listed_beyond_the_limit_of_others() {
+    let mut requests: Vec<_> = (0..600)
+        .map(|number| request(&format!("lost-{number}"), 1.0, Outcome::Broken))
+        .collect();
+    let crossed = Outcome::Answered {
+        service: "orders".into(),
+        request_id: "b".into(),
+    };
+    requests.push(request("a", 2.0, crossed));
+    let troubles = of_requests(&requests, &[]).troubles;
+    assert_eq!(troubles.len(), 501);
+    assert_eq!(troubles[500].request, "a");
+}
+
+fn trace(port: u16, position: u32) -> Trace {
+    Trace {
+        caller: Some(([10, 200, 0, 1], port).into()),
+        position,
+        sends: 1,
+        backend: Some("orders-1".into()),
+    }
+}
