Measure busiest windows of three lengths, and compare two reports

Cause: a service is billed by its busiest minute, but the report knew only windows of the scenario's own length that began at multiples of it, and its reasons mixed refusals with errors. Two runs could be compared by eye only.

Ruled out: windows in steps of their own length, since a peak that falls on a border counts half in each; comparing tables as text, since a script can't tell better from worse.

Change: for each service the busiest window of 1 s, 10 s and 60 s that begins at a whole second after the warm-up, with requests, the most at one backend server, mean and imbalance; the most at once at a cold backend server beside what it bears; refusals by kind. All are in the tables and the JSON lines.

--- a/crates/buckthornweir_load/src/fault.rs
+++ b/crates/buckthornweir_load/src/fault.rs
@@ -74,6 +74,19 @@
             source(err)
             display("{err}")
         }
+        /// A line of a report can't be read.
+        Line(file: SmolStr, line: usize, err: serde_json::Error) {
+            source(err)
+            display("{file}:{line}: no line of a report: {err}")
+        }
+        /// A report does not say which run it is of.
+        NoRun(file: SmolStr) {
+            display("{file}: no report, since the line of the run is missing")
+        }
+        /// Two reports can't be compared.
+        Apart(message: String) {
+            display("the reports are not of the same measures: {message}")
+        }
         /// The runtime could not be started.
         Runtime(err: io::Error) {
             source(err)
--- a/crates/buckthornweir_load/src/figures/domain.rs
+++ b/crates/buckthornweir_load/src/figures/domain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::{EventMark, Evidence};
@@ -13,7 +13,7 @@
 const AFTERMATH: f64 = 5.0;
 
 /// One time that a failure domain was out.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct DomainFigures {
     /// The failure domain.
     pub domain: SmolStr,
--- a/crates/buckthornweir_load/src/figures/load.rs
+++ b/crates/buckthornweir_load/src/figures/load.rs
@@ -1,6 +1,6 @@
 //! Load per backend server, and its imbalance.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::Evidence;
@@ -21,7 +21,7 @@
 }
 
 /// How uneven the load was in the busiest window.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Imbalance {
     /// When the window begins, in seconds from the start of the load.
     pub at: f64,
@@ -42,6 +42,13 @@
     pub(crate) to: f64,
 }
 
+impl Absence {
+    /// Tells whether any of it falls between two times.
+    pub(crate) fn meets(&self, from: f64, to: f64) -> bool {
+        self.from < to && self.to > from
+    }
+}
+
 /// Returns the load series of a service's backend servers.
 pub(crate) fn series(evidence: &Evidence<'_>, service: &str) -> Vec<LoadSeries> {
     let backends = evidence
@@ -60,9 +67,7 @@
         let absences = absences(evidence, &backend.books.backend, &backend.domain);
         let is_away = |index: usize| {
             let (from, to) = (index as f64 * window, (index + 1) as f64 * window);
-            absences
-                .iter()
-                .any(|absence| absence.from < to && absence.to > from)
+            absences.iter().any(|absence| absence.meets(from, to))
         };
         LoadSeries {
             backend: backend.books.backend.clone(),
@@ -75,7 +80,7 @@
 }
 
 /// Returns the times in which a backend server could not be expected to carry its share.
-fn absences(evidence: &Evidence<'_>, backend: &str, domain: &str) -> Vec<Absence> {
+pub(crate) fn absences(evidence: &Evidence<'_>, backend: &str, domain: &str) -> Vec<Absence> {
     let agent = agent_name(backend);
     let mut absences: Vec<Absence> = Vec::new();
     for mark in evidence.events {
@@ -134,11 +139,16 @@
         .filter(|series| !series.away[busiest])
         .collect();
     let ran: Vec<_> = present.iter().map(|series| series.ran[busiest]).collect();
+    uneven(busiest as f64 * window, &ran)
+}
+
+/// Returns how uneven these counts are, one for each backend server, in the window at a time.
+pub(crate) fn uneven(at: f64, ran: &[usize]) -> Imbalance {
     let most = ran.iter().copied().max().unwrap_or(0);
     let mean = ran.iter().sum::<usize>() as f64 / ran.len().max(1) as f64;
     let ratio = if mean > 0.0 { most as f64 / mean } else { 0.0 };
     Imbalance {
-        at: busiest as f64 * window,
+        at,
         most,
         mean,
         ratio,
--- a/crates/buckthornweir_load/src/figures/mod.rs
+++ b/crates/buckthornweir_load/src/figures/mod.rs
@@ -1,5 +1,6 @@
 //! The figures of a run, from the books of callers and of backend servers.
 
+mod busy;
 mod domain;
 mod load;
 mod service;
@@ -15,9 +16,10 @@
 use crate::callers::{FlowRecord, RequestRecord};
 use crate::scenario::Scenario;
 
+pub use busy::BusyWindow;
 pub use domain::DomainFigures;
 pub use load::{Imbalance, LoadSeries, imbalance};
-pub use service::{BackendFigures, FlowFigures, Latency, Outcomes, ServiceFigures};
+pub use service::{BackendFigures, ColdFigures, FlowFigures, Latency, Outcomes, ServiceFigures};
 pub use timeline::{EventMark, WindowFigures};
 pub use trouble::{Crossing, Run, Trouble};
 
--- a/crates/buckthornweir_load/src/figures/service.rs
+++ b/crates/buckthornweir_load/src/figures/service.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use buckthornweir_standins::{BackendBooks, CallerRecord, End, tally};
+use buckthornweir_standins::{BackendBooks, CallerRecord, End, Outcome, tally};
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::busy::{self, BusyWindow};
 use super::load::{Imbalance, LoadSeries, imbalance, series};
 use super::timeline::{WindowFigures, windows};
 use super::{BackendEvidence, Evidence};
@@ -18,6 +19,9 @@
 /// The longest latency that is told apart from longer ones, in microseconds.
 const LONGEST: u64 = 3_600_000_000;
 
+/// Stands for the reason of a refusal without a problem document, as a backend server writes it.
+const NO_REASON: &str = "none given";
+
 /// All figures of one service.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServiceFigures {
@@ -27,12 +31,18 @@
     pub outcomes: Outcomes,
     /// How often each reason was given for an answer that is no success.
     pub problems: BTreeMap<SmolStr, usize>,
+    /// How often each reason was given for an answer that says "not run".
+    pub refusals: BTreeMap<SmolStr, usize>,
     /// What became of its flows.
     pub flows: FlowFigures,
     /// The latency of whole answers after the warm-up.
     pub latency: Latency,
     /// How uneven the load was in the busiest window.
     pub imbalance: Imbalance,
+    /// The busiest windows of several lengths.
+    pub busy: Vec<BusyWindow>,
+    /// What came to its backend servers while they were cold.
+    pub cold: ColdFigures,
     /// The figures of each backend server.
     pub backends: Vec<BackendFigures>,
     /// The load of each backend server over time.
@@ -42,7 +52,7 @@
 }
 
 /// What became of requests, from the books of both sides.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcomes {
     /// Requests that were due.
     pub sent: usize,
@@ -80,6 +90,17 @@
     problems
 }
 
+fn refusals<'a>(requests: impl Iterator<Item = &'a RequestRecord>) -> BTreeMap<SmolStr, usize> {
+    let mut refusals = BTreeMap::new();
+    for request in requests.filter(|request| request.record.outcome == Outcome::NotRun) {
+        let reason = request.problem.clone();
+        *refusals
+            .entry(reason.unwrap_or_else(|| NO_REASON.into()))
+            .or_default() += 1;
+    }
+    refusals
+}
+
 impl Outcomes {
     /// Counts from the books of both ends; `keyed` are those of the records that had a key.
     fn of(records: &[CallerRecord], keyed: &[CallerRecord], books: &[BackendBooks]) -> Self {
@@ -104,7 +125,7 @@
 }
 
 /// What became of flows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FlowFigures {
     /// Flows that callers began to open.
     pub opened: usize,
@@ -119,7 +140,7 @@
 }
 
 /// Percentiles of latency, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Latency {
     /// The median.
     pub p50: f64,
@@ -154,6 +175,34 @@
     pub most_cold: usize,
 }
 
+/// What came to cold backend servers of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdFigures {
+    /// Requests that a cold backend server bears at a time.
+    pub bears: usize,
+    /// The most that came to one at the same time, the one too many included.
+    pub most: usize,
+    /// Requests that failed because they were more than a cold one bore.
+    pub fell_over: usize,
+}
+
+impl ColdFigures {
+    fn of(evidence: &Evidence<'_>, service: &str) -> Self {
+        let mut services = evidence.scenario.services.iter();
+        let found = services.find(|found| found.name == service);
+        let mut figures = Self {
+            bears: found.map_or(0, |found| found.cold_slots),
+            ..Self::default()
+        };
+        let backends = evidence.backends.iter();
+        for backend in backends.filter(|backend| backend.books.service == service) {
+            figures.most = figures.most.max(backend.most_cold);
+            figures.fell_over += BackendFigures::of(backend).fell_over;
+        }
+        figures
+    }
+}
+
 /// Works out the figures of all services.
 pub(crate) fn all(evidence: &Evidence<'_>) -> Vec<ServiceFigures> {
     let books: Vec<_> = evidence
@@ -196,9 +245,12 @@
         service: service.clone(),
         outcomes: Outcomes::of(&records, &keyed, books),
         problems: problems(requests()),
+        refusals: refusals(requests()),
         flows: FlowFigures::of(evidence, service),
         latency: Latency::of(&latencies),
         imbalance: imbalance(&load, window, warm_up),
+        busy: busy::all(evidence, service),
+        cold: ColdFigures::of(evidence, service),
         backends: backends.map(BackendFigures::of).collect(),
         load,
         windows: windows(evidence, service),
--- a/crates/buckthornweir_load/src/lib.rs
+++ b/crates/buckthornweir_load/src/lib.rs
@@ -30,6 +30,7 @@
 //! ```
 
 mod callers;
+mod compare;
 mod deployment;
 mod fault;
 mod figures;
@@ -39,14 +40,15 @@
 mod scenario;
 
 pub use callers::{Draft, FlowEnd, FlowRecord, Ledger, LedgerCounts, RequestRecord, Trace, draft};
+pub use compare::{Comparison, Measure, Report, Row, Verdict, compare};
 pub use deployment::{Deployment, PlacedBackend, Programs};
 pub use fault::{Fault, Result};
 pub use figures::{
-    BackendEvidence, BackendFigures, Crossing, DomainFigures, EventMark, Evidence, Figures,
-    FlowFigures, Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures, Trouble,
-    WindowFigures, figures, imbalance,
+    BackendEvidence, BackendFigures, BusyWindow, ColdFigures, Crossing, DomainFigures, EventMark,
+    Evidence, Figures, FlowFigures, Imbalance, Latency, LoadSeries, Outcomes, Run, ServiceFigures,
+    Trouble, WindowFigures, figures, imbalance,
 };
-pub use options::LoadOptions;
+pub use options::{CompareOptions, LoadOptions};
 pub use output::{Line, Plot, draw, page, tables, write_lines};
 pub use run::{Progress, run};
 pub use scenario::{Action, Event, Load, Name, Placed, Scenario, Service, Share};
--- a/crates/buckthornweir_load/src/main.rs
+++ b/crates/buckthornweir_load/src/main.rs
@@ -6,7 +6,8 @@
 use std::process::ExitCode;
 
 use buckthornweir_load::{
-    Fault, Figures, LoadOptions, Progress, Result, Scenario, page, run, tables, write_lines,
+    CompareOptions, Fault, Figures, LoadOptions, Progress, Report, Result, Scenario, compare, page,
+    run, tables, write_lines,
 };
 use gumdrop::Options;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -15,21 +16,64 @@
 const BAD_INPUT: u8 = 2;
 /// The run itself failed, as against what it measures.
 const FAILED: u8 = 1;
+/// A measure got worse than in the earlier run.
+const WORSE: u8 = 1;
+/// The command that compares two reports in place of a run.
+const COMPARE: &str = "compare";
 
 fn main() -> ExitCode {
-    let options = LoadOptions::parse_args_default_or_exit();
-    match load(&options) {
-        Ok(()) => ExitCode::SUCCESS,
+    let result = match compare_options() {
+        Some(options) => compare_reports(&options),
+        None => load(&LoadOptions::parse_args_default_or_exit()).map(|()| ExitCode::SUCCESS),
+    };
+    match result {
+        Ok(code) => code,
         Err(fault) => {
             eprintln!("buckthornweir-load: {fault}");
             ExitCode::from(match fault {
-                Fault::Scenario(_) | Fault::Bundle(_) | Fault::NoProgram(_) => BAD_INPUT,
+                Fault::Scenario(_)
+                | Fault::Bundle(_)
+                | Fault::NoProgram(_)
+                | Fault::Line(..)
+                | Fault::NoRun(_)
+                | Fault::Apart(_) => BAD_INPUT,
                 _ => FAILED,
             })
         }
     }
 }
 
+/// Returns the options of a comparison, if the command line asks for one.
+fn compare_options() -> Option<CompareOptions> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let (command, rest) = arguments.split_first()?;
+    if command != COMPARE {
+        return None;
+    }
+    match CompareOptions::parse_args_default(rest) {
+        Ok(options) if options.help => {
+            println!("{}", CompareOptions::usage());
+            std::process::exit(0);
+        }
+        Ok(options) => Some(options),
+        Err(err) => {
+            eprintln!("buckthornweir-load: {err}");
+            std::process::exit(BAD_INPUT.into());
+        }
+    }
+}
+
+fn compare_reports(options: &CompareOptions) -> Result<ExitCode> {
+    let before = Report::read(&options.before)?;
+    let after = Report::read(&options.after)?;
+    let comparison = compare(&before, &after, options.share)?;
+    println!("{comparison}");
+    if comparison.worse() > 0 {
+        return Ok(ExitCode::from(WORSE));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn load(options: &LoadOptions) -> Result<()> {
     let mut scenario = Scenario::read(&options.scenario)?;
     if let Some(seed) = options.seed {
--- a/crates/buckthornweir_load/src/options.rs
+++ b/crates/buckthornweir_load/src/options.rs
@@ -5,6 +5,10 @@
 use gumdrop::Options;
 
 use crate::deployment::Programs;
+use crate::scenario::Share;
+
+/// A whole, in percent.
+const PERCENT: f64 = 100.0;
 
 /// buckthornweir-load: runs a scenario on this machine, and measures it.
 #[derive(Debug, Options)]
@@ -64,3 +68,35 @@
         }
     }
 }
+
+/// buckthornweir-load compare: compares the JSON lines of two runs.
+#[derive(Debug, Options)]
+pub struct CompareOptions {
+    /// The report of the earlier run.
+    #[options(free, required, help = "JSON lines of the earlier run")]
+    pub before: PathBuf,
+    /// The report of the later run.
+    #[options(free, required, help = "JSON lines of the later run")]
+    pub after: PathBuf,
+    /// Whether to show the help and end.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// By which part of itself a measure may get worse.
+    #[options(
+        no_short,
+        help = "by how many percent a measure may get worse",
+        meta = "PERCENT",
+        default = "10",
+        parse(try_from_str = "percent")
+    )]
+    pub share: Share,
+}
+
+fn percent(text: &str) -> Result<Share, String> {
+    let number: f64 = text.trim_end_matches('%').parse().unwrap_or(f64::NAN);
+    if number.is_finite() && number >= 0.0 {
+        Ok(number / PERCENT)
+    } else {
+        Err(format!("`{text}` is no number of percent"))
+    }
+}
--- a/crates/buckthornweir_load/src/output/lines.rs
+++ b/crates/buckthornweir_load/src/output/lines.rs
@@ -8,8 +8,8 @@
 
 use crate::fault::Result;
 use crate::figures::{
-    BackendFigures, DomainFigures, EventMark, Figures, FlowFigures, Imbalance, Latency, Outcomes,
-    Trouble, WindowFigures,
+    BackendFigures, BusyWindow, ColdFigures, DomainFigures, EventMark, Figures, FlowFigures,
+    Imbalance, Latency, Outcomes, Trouble, WindowFigures,
 };
 
 /// One line.
@@ -30,6 +30,9 @@
         flows: &'a FlowFigures,
         latency: &'a Latency,
         imbalance: &'a Imbalance,
+        refusals: &'a BTreeMap<SmolStr, usize>,
+        busy: &'a [BusyWindow],
+        cold: &'a ColdFigures,
     },
     Backend {
         service: &'a SmolStr,
@@ -82,6 +85,9 @@
                 flows: &service.flows,
                 latency: &service.latency,
                 imbalance: &service.imbalance,
+                refusals: &service.refusals,
+                busy: &service.busy,
+                cold: &service.cold,
             },
         )?;
         for (backend, load) in service.backends.iter().zip(&service.load) {
--- a/crates/buckthornweir_load/src/output/table.rs
+++ b/crates/buckthornweir_load/src/output/table.rs
@@ -3,7 +3,7 @@
 use comfy_table::presets::UTF8_FULL_CONDENSED;
 use comfy_table::{CellAlignment, Table};
 
-use crate::figures::{DomainFigures, EventMark, Figures, ServiceFigures};
+use crate::figures::{BusyWindow, DomainFigures, EventMark, Figures, ServiceFigures};
 
 /// Returns all tables as one text.
 #[must_use]
@@ -14,9 +14,18 @@
             figures.scenario, figures.seed, figures.seconds, figures.window
         ),
         measures(&figures.services).to_string(),
+        busy(&figures.services).to_string(),
         outcomes(&figures.services).to_string(),
         backends(&figures.services).to_string(),
+        cold(&figures.services).to_string(),
     ];
+    if figures
+        .services
+        .iter()
+        .any(|service| !service.refusals.is_empty())
+    {
+        parts.push(refusals(&figures.services).to_string());
+    }
     if figures
         .services
         .iter()
@@ -81,6 +90,74 @@
     table
 }
 
+/// The busiest windows of each length.
+fn busy(services: &[ServiceFigures]) -> Table {
+    let mut table = table([
+        "busiest window",
+        "s",
+        "at s",
+        "ran",
+        "most at one",
+        "mean",
+        "imbalance",
+    ]);
+    for figures in services {
+        for window in &figures.busy {
+            table.add_row([
+                figures.service.to_string(),
+                length(window),
+                window.imbalance.at.to_string(),
+                window.ran.to_string(),
+                window.imbalance.most.to_string(),
+                format!("{:.1}", window.imbalance.mean),
+                format!("{:.2}", window.imbalance.ratio),
+            ]);
+        }
+    }
+    table
+}
+
+fn length(window: &BusyWindow) -> String {
+    if window.taken == window.length {
+        window.length.to_string()
+    } else {
+        format!("{} of {}", window.taken, window.length)
+    }
+}
+
+fn refusals(services: &[ServiceFigures]) -> Table {
+    let mut table = table(["service", "kind of refusal", "requests"]);
+    for figures in services {
+        for (kind, count) in &figures.refusals {
+            table.add_row([
+                figures.service.to_string(),
+                kind.to_string(),
+                count.to_string(),
+            ]);
+        }
+    }
+    table
+}
+
+/// What came to cold backend servers, and what they bear.
+fn cold(services: &[ServiceFigures]) -> Table {
+    let mut table = table([
+        "cold backend servers",
+        "bear at once",
+        "most at once",
+        "fell over",
+    ]);
+    for figures in services {
+        table.add_row([
+            figures.service.to_string(),
+            figures.cold.bears.to_string(),
+            figures.cold.most.to_string(),
+            figures.cold.fell_over.to_string(),
+        ]);
+    }
+    table
+}
+
 fn outcomes(services: &[ServiceFigures]) -> Table {
     let mut table = table([
         "requests",
