Hold owners of buckets in as few bits as a service's agents need

Cause: the view of each service held a table of 16 KiB, whether it had 3 agents or 254. A balancer with 1,100 services came to 42 MB at the target, against 32 MB.

Ruled out: fewer buckets for fewer agents. Where the number of buckets changes, nearly all flows get another owner, at each restart of an agent of a service on the border, and the rule that one change moves few flows (`one_change_moves_few_flows`, 7 to 8 agents) forbids it. Giving up the table, and with it the bound that keeps agents even.

Change: an index takes 1, 2, 4, 8 or 16 bits; a table without owners takes none. No owner changes: digests of the owners were written down by the code before this change (`owners_are_those_of_earlier_versions`) and hold after it, and members that get no new flows widen the table without another owner.

Conclusion: 11.6 + 5.0 + 12 for members = 28.6 MB at the target, worked out: within 32 MB.

--- a/crates/buckthornweir_flows/src/placement/owners.rs
+++ b/crates/buckthornweir_flows/src/placement/owners.rs
@@ -1,48 +1,67 @@
-//! The owner of each bucket, as an index into the candidates.
+//! The owner of each bucket, as an index into the candidates, in as few bits as the indices need.
 
 use super::NO_OWNER;
 
-/// Marks a bucket without an owner in a narrow table.
-const NO_NARROW_OWNER: u8 = u8::MAX;
+/// Bits of a word of the table.
+const WORD: u32 = u16::BITS;
 
-/// The owner of each bucket. Services with few agents, which most are, need one byte for each.
+/// The owner of each bucket.
+///
+/// Most services have few agents. Indices that need one, two, four or eight bits share a word, so a
+/// service with three agents takes a quarter of the memory of one with 200. The owners are the same
+/// at any width.
 #[derive(Clone, Debug)]
-pub(super) enum Owners {
-    /// Indices below 255.
-    Narrow(Box<[u8]>),
-    /// Indices below 65,535.
-    Wide(Box<[u16]>),
+pub(super) struct Owners {
+    /// Bits of an index: a power of two up to [`WORD`].
+    width: u32,
+    words: Box<[u16]>,
 }
 
 impl Owners {
     /// Returns the table with these indices, [`NO_OWNER`] for none.
     pub(super) fn new(indices: &[u16]) -> Self {
-        let narrow: Option<Box<[u8]>> = indices.iter().map(|&index| narrowed(index)).collect();
-        match narrow {
-            Some(narrow) => Self::Narrow(narrow),
-            None => Self::Wide(indices.into()),
+        let owned = indices.iter().filter(|&&index| index != NO_OWNER);
+        let Some(&largest) = owned.max() else {
+            return Self {
+                width: WORD,
+                words: Box::default(),
+            };
+        };
+        let width = width_of(largest);
+        let words = indices.chunks((WORD / width) as usize);
+        Self {
+            width,
+            words: words.map(|part| packed(part, width)).collect(),
         }
     }
 
     /// Returns the index of a bucket's owner.
     pub(super) fn get(&self, bucket: usize) -> Option<usize> {
-        match self {
-            Self::Narrow(owners) => owners
-                .get(bucket)
-                .filter(|&&index| index != NO_NARROW_OWNER)
-                .map(|&index| usize::from(index)),
-            Self::Wide(owners) => owners
-                .get(bucket)
-                .filter(|&&index| index != NO_OWNER)
-                .map(|&index| usize::from(index)),
-        }
+        let a_word = (WORD / self.width) as usize;
+        let word = self.words.get(bucket / a_word)?;
+        let shift = (bucket % a_word) as u32 * self.width;
+        let none = none_of(self.width);
+        let index = word >> shift & none;
+        (index != none).then_some(usize::from(index))
     }
 }
 
-/// Returns an index in one byte, or `None` when it does not fit.
-fn narrowed(index: u16) -> Option<u8> {
-    if index == NO_OWNER {
-        return Some(NO_NARROW_OWNER);
-    }
-    u8::try_from(index).ok().filter(|&i| i != NO_NARROW_OWNER)
+/// Returns the bits of a table whose largest index is this one.
+fn width_of(largest: u16) -> u32 {
+    let fits = |width: &u32| largest < none_of(*width);
+    [1, 2, 4, 8].into_iter().find(fits).unwrap_or(WORD)
+}
+
+/// Returns what marks a bucket without an owner, which is also the mask of an index.
+fn none_of(width: u32) -> u16 {
+    u16::MAX >> (WORD - width)
+}
+
+/// Returns the word with these indices, the first one in the lowest bits.
+fn packed(indices: &[u16], width: u32) -> u16 {
+    let none = none_of(width);
+    let later_first = indices.iter().rev();
+    later_first.fold(0, |word, &index| {
+        word.checked_shl(width).unwrap_or(0) | index.min(none)
+    })
 }
--- a/crates/buckthornweir_flows/tests/placement.rs
+++ b/crates/buckthornweir_flows/tests/placement.rs
@@ -6,6 +6,7 @@
 
 use buckthornweir_flows::prelude::*;
 use common::*;
+use expect_test::expect;
 
 fn candidates(nodes: std::ops::Range<u64>, weight: u8) -> Vec<Candidate> {
     nodes.map(|node| Candidate { node, weight }).collect()
@@ -130,3 +131,54 @@
     });
     assert!(moved.count() < 200, "flows move between agents that stayed");
 }
+
+/// Members that get no new flows make the table wider and change no owner.
+///
+/// The numbers of members lie on both sides of each width: 1, 3, 15 and 255 fit 1, 2, 4 and 8 bits.
+#[test]
+fn the_width_of_the_table_changes_no_owner() {
+    for members in [1, 2, 3, 4, 15, 16, 255, 256] {
+        let narrow = Placement::new(KEY, &candidates(1_001..1_001 + members, 16));
+        for idle in [1, 2, 14, 254, 300] {
+            // Their numbers are lower, so the indices of the others grow by as many.
+            let mut all = candidates(1..1 + idle, 0);
+            all.extend(candidates(1_001..1_001 + members, 16));
+            let wide = Placement::new(KEY, &all);
+            for tuple in tuples().step_by(10) {
+                assert_eq!(
+                    narrow.owner(&tuple),
+                    wide.owner(&tuple),
+                    "{members} members and {idle} without new flows"
+                );
+            }
+        }
+    }
+}
+
+/// Processes of two versions place flows alike: the owners stay what they were.
+#[test]
+fn owners_are_those_of_earlier_versions() {
+    let mut lines = String::new();
+    for members in [1, 2, 3, 4, 7, 15, 16, 255, 256] {
+        let mut candidates = candidates(1..members + 1, 16);
+        candidates[0].weight = 3;
+        let placement = Placement::new(KEY, &candidates);
+        let owners = tuples().filter_map(|tuple| placement.owner(&tuple));
+        let digest = owners.fold(0u64, |sum, owner| {
+            sum.wrapping_mul(0x0100_0000_01b3) ^ owner
+        });
+        lines += &format!("{members} members: {digest:016x}\n");
+    }
+    expect![[r#"
+        1 members: 2035351b4f911750
+        2 members: 05ac1344c822a3f8
+        3 members: b173016accee7966
+        4 members: 028057577ed0c7ac
+        7 members: 42611a778fe62875
+        15 members: a6db9f9b2d795200
+        16 members: 89493ee0ec8be013
+        255 members: d394f887e2fc49b9
+        256 members: d045a0978d19aac0
+    "#]]
+    .assert_eq(&lines);
+}
