--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use buckthornweir_load::{
-    BackendEvidence, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance, LoadSeries,
-    RequestRecord, Scenario, figures, imbalance, page, tables, write_lines,
+    BackendEvidence, Draft, EventMark, Evidence, Figures, FlowEnd, FlowRecord, Imbalance,
+    LoadSeries, RequestRecord, Scenario, Trace, figures, imbalance, page, tables, write_lines,
 };
 use buckthornweir_standins::{
     BackendBooks, BookEntry, CallerRecord, End, FabricCounters, Outcome, Traits,
 };
 use expect_test::expect;
+use http::Method;
 
 /// When the load began, on the clock of the stand-ins.
 const START: Duration = Duration::from_secs(100);
@@ -53,6 +54,7 @@
         },
         keyed: false,
         problem: None,
+        trace: Trace::default(),
         due: at(seconds),
         ended: at(seconds) + Duration::from_millis(25),
     }
@@ -161,6 +163,14 @@
         │ orders  ┆     2 ┆            1 ┆      0 ┆    1 ┆       1 ┆      2.00 ┆ 2 / 1.0 at 30 s ┆   25.0 ┆   25.0 ┆   25.0 ┆   25.0 │
         └─────────┴───────┴──────────────┴────────┴──────┴─────────┴───────────┴─────────────────┴────────┴────────┴────────┴────────┘
 
+        ┌────────────────┬──────────┬──────┬─────┬─────────────┬──────┬───────────┐
+        │ busiest window ┆        s ┆ at s ┆ ran ┆ most at one ┆ mean ┆ imbalance │
+        ╞════════════════╪══════════╪══════╪═════╪═════════════╪══════╪═══════════╡
+        │ orders         ┆        1 ┆   31 ┆   2 ┆           2 ┆  1.0 ┆      2.00 │
+        │ orders         ┆       10 ┆    1 ┆   3 ┆           1 ┆  1.0 ┆      1.00 │
+        │ orders         ┆ 40 of 60 ┆    0 ┆   8 ┆           4 ┆  4.0 ┆      1.00 │
+        └────────────────┴──────────┴──────┴─────┴─────────────┴──────┴───────────┘
+
         ┌──────────┬──────┬──────────┬─────────┬─────────┬──────┬───────┬─────────┬─────────────┬──────────┬───────────────┬─────────┬────────────────┬───────────┐
         │ requests ┆ sent ┆ answered ┆ refused ┆ unknown ┆ lost ┆ short ┆ doubled ┆ key doubled ┆ repeated ┆ wrong service ┆ crossed ┆ false refusals ┆ unfounded │
         ╞══════════╪══════╪══════════╪═════════╪═════════╪══════╪═══════╪═════════╪═════════════╪══════════╪═══════════════╪═════════╪════════════════╪═══════════╡
@@ -174,6 +184,12 @@
         │ orders-2       ┆      fj-west-b ┆   4 ┆       0 ┆         0 ┆       0 ┆            1 ┆              0 │
         └────────────────┴────────────────┴─────┴─────────┴───────────┴─────────┴──────────────┴────────────────┘
 
+        ┌──────────────────────┬──────────────┬──────────────┬───────────┐
+        │ cold backend servers ┆ bear at once ┆ most at once ┆ fell over │
+        ╞══════════════════════╪══════════════╪══════════════╪═══════════╡
+        │ orders               ┆            5 ┆            0 ┆         0 │
+        └──────────────────────┴──────────────┴──────────────┴───────────┘
+
         ┌────────────────┬──────────┬───────────┬──────────────────────────┬────────────────────────────┬──────┬─────────────┬──────────────┬───────────────────┐
         │ failure domain ┆ out at s ┆ back at s ┆ last request after out s ┆ first request after back s ┆ sent ┆    answered ┆ broken flows ┆ broken after back │
         ╞════════════════╪══════════╪═══════════╪══════════════════════════╪════════════════════════════╪══════╪═════════════╪══════════════╪═══════════════════╡
@@ -264,3 +280,123 @@
     }
     assert_eq!(imbalance(&[], 10.0, 0.0), Imbalance::default());
 }
+
+#[test]
+fn a_request_that_ran_twice_is_doubled_unless_its_method_is_safe() {
+    let cases = [
+        ("safe", Method::GET, None),
+        ("safe with a key", Method::GET, Some("k")),
+        ("once", Method::POST, None),
+        ("once with a key", Method::POST, Some("k")),
+    ];
+    let mut lines = String::new();
+    for (case, method, key) in cases {
+        let draft = Draft {
+            id: "a".into(),
+            method,
+            key: key.map(Into::into),
+            path: "/".into(),
+        };
+        let mut request = request("a", 1.0, Outcome::Broken);
+        request.record.traits = draft.traits();
+        request.keyed = draft.key.is_some();
+        let twice = backend("orders-1", "fj-west-a", &[("a", 1.0), ("a", 1.2)]);
+        let outcomes = of_requests(&[request], &[twice]).services[0].outcomes;
+        lines += &format!(
+            "{case}: doubled {}, key doubled {}, repeated {}\n",
+            outcomes.doubled, outcomes.doubled_key, outcomes.repeated
+        );
+    }
+    expect![[r"
+        safe: doubled 0, key doubled 0, repeated 1
+        safe with a key: doubled 0, key doubled 0, repeated 1
+        once: doubled 1, key doubled 0, repeated 0
+        once with a key: doubled 1, key doubled 1, repeated 0
+    "]]
+    .assert_eq(&lines);
+}
+
+/// Returns the figures of a run without events or flows.
+fn of_requests(requests: &[RequestRecord], backends: &[BackendEvidence]) -> Figures {
+    let scenario = Scenario::parse("s.ini", SCENARIO).unwrap();
+    figures(&Evidence {
+        scenario: &scenario,
+        start: START,
+        requests,
+        flows: &[],
+        backends,
+        events: &[],
+        fabric: FabricCounters::default(),
+    })
+}
+
+/// One crossed answer is listed whether its request ran never, once or twice, and so is the
+/// request that the answer belongs to.
+#[test]
+fn every_answer_of_another_request_is_listed() {
+    let answer = |service: &str, id: &str| Outcome::Answered {
+        service: service.into(),
+        request_id: id.into(),
+    };
+    let cases = [
+        ("own", answer("orders", "a"), 1),
+        ("crossed, ran once", answer("orders", "b"), 1),
+        ("crossed, never ran", answer("orders", "b"), 0),
+        ("crossed, ran twice", answer("orders", "b"), 2),
+        ("of a request that nobody sent", answer("orders", "z"), 1),
+        ("of another service", answer("sheets", "a"), 1),
+    ];
+    let mut lines = String::new();
+    for (case, outcome, runs) in cases {
+        let mut first = request("a", 2.0, outcome);
+        first.trace = trace(7001, 2);
+        let mut other = request("b", 1.0, answer("orders", "b"));
+        other.trace = trace(7002, 9);
+        let mut ran = vec![("b", 1.0)];
+        ran.extend(vec![("a", 2.0); runs]);
+        let backends = [backend("orders-1", "fj-west-a", &ran)];
+        let troubles = of_requests(&[other, first], &backends).troubles;
+        lines += &format!("{case}\n");
+        for trouble in troubles {
+            lines += &format!("{}\n", serde_json::to_string(&trouble).unwrap());
+        }
+    }
+    expect![[r#"
+        own
+        crossed, ran once
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        crossed, never ran
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[]}
+        crossed, ran twice
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"b","due":1.0,"ended":1.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"b\" }","caller":"10.200.0.1:7002","position":9,"runs":[{"backend":"orders-1","service":"orders","at":1.0,"ended":1.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"},{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        of a request that nobody sent
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"orders\", request_id: \"z\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"orders","request":"z","due":null,"ended":null,"outcome":null,"caller":null,"position":null,"runs":[]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+        of another service
+        {"service":"orders","request":"a","repeatable":false,"due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"sheets\", request_id: \"a\" }","caller":"10.200.0.1:7001","position":2,"sends":1,"backend":"orders-1","crossing":{"service":"sheets","request":"a","due":2.0,"ended":2.0250000000000057,"outcome":"Answered { service: \"sheets\", request_id: \"a\" }","caller":"10.200.0.1:7001","position":2,"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]},"runs":[{"backend":"orders-1","service":"orders","at":2.0,"ended":2.0,"end":"Done"}]}
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn crossed_answers_are_listed_beyond_the_limit_of_others() {
+    let mut requests: Vec<_> = (0..600)
+        .map(|number| request(&format!("lost-{number}"), 1.0, Outcome::Broken))
+        .collect();
+    let crossed = Outcome::Answered {
+        service: "orders".into(),
+        request_id: "b".into(),
+    };
+    requests.push(request("a", 2.0, crossed));
+    let troubles = of_requests(&requests, &[]).troubles;
+    assert_eq!(troubles.len(), 501);
+    assert_eq!(troubles[500].request, "a");
+}
+
+fn trace(port: u16, position: u32) -> Trace {
+    Trace {
+        caller: Some(([10, 200, 0, 1], port).into()),
+        position,
+        sends: 1,
+        backend: Some("orders-1".into()),
+    }
+}
