Reset no flow while half of the members are out of reach

Cause: a failure domain that is cut off takes everybody else for dead after some seconds. Its balancers still get packets from the fabric, hand them to agents of their own side, and these found no owner among the living and reset flows whose owners live on the other side.

Ruled out: asking members that are taken for dead, since every packet of a flow that died with its agent would wait for answers that never come; a time limit, since regions part for an hour.

Change: an agent that takes half of all members or more for dead counts as not settled: it resets no flow, and starts one only if no agent that it reaches holds it. On the larger side nothing changes.

--- a/crates/buckthornweir_daemon/src/views.rs
+++ b/crates/buckthornweir_daemon/src/views.rs
@@ -76,7 +76,7 @@
             version: bundle.version,
             state: flow_state(board.own().state),
             is_out: !bundle.serves(service, domain),
-            is_settled: self.is_settled(board, members.len()),
+            is_settled: self.is_settled(board, members.len()) && !is_cut_off(&members),
             others: views.values().map(|view| (**view).clone()).collect(),
             service: (*own).clone(),
         })
@@ -171,6 +171,16 @@
     }
 }
 
+/// Returns whether half of all members or more are taken for dead. It is then likelier that this
+/// process is cut off from them than that they died, and flows that it has no owner for may live.
+fn is_cut_off(members: &[board::Member]) -> bool {
+    let present = members
+        .iter()
+        .filter(|m| m.record.state != members::MemberState::Left);
+    let (dead, alive): (Vec<_>, Vec<_>) = present.partition(|m| m.health == Health::Dead);
+    !dead.is_empty() && dead.len() >= alive.len()
+}
+
 /// Returns the key under which flows are placed; all processes derive the same one.
 pub(crate) fn placement_key(key: &ClusterKey) -> [u8; 16] {
     let derived = key.derive("placement");
