Let nobody grant on the word of those that don't know

Cause: an agent that was the only one to count granted alone. If it restarted, it needed the records of all others that count, which were none, or those of a member that had joined since and had none of its records. A new member could miss one other, also where there was one only. So keys that ran at the lone agent ran again. An operator who starts the first agents more than settle apart gets such a roster.

Ruled out: no grants by a lone agent (a service of one agent must work).

Change: where one other member counts, its records can't be missing. Records count only together with those of a member that is sure, but for an agent that was there at the founding, was away, or has run for forget.

The test has such late news now.

Conclusion: a lone agent that restarts is without its keys for forget, as the design said of it.

--- a/crates/buckthornweir_requests/src/idempotency/mod.rs
+++ b/crates/buckthornweir_requests/src/idempotency/mod.rs
@@ -126,6 +126,8 @@
     unfounded: BTreeMap<NodeId, Unfounded>,
     /// Until when nothing is granted since the service was just founded.
     held_until: Option<Duration>,
+    /// Whether this life was there when the service was founded.
+    was_there: bool,
     /// Whether this agent founded the service.
     is_founder: bool,
     next_pull: Duration,
@@ -157,6 +159,7 @@
             pulls: BTreeMap::new(),
             unfounded: BTreeMap::new(),
             held_until: None,
+            was_there: false,
             is_founder: false,
             next_pull: now,
             // Zero marks records that were not asked for.
--- a/crates/buckthornweir_requests/src/idempotency/syncing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -15,6 +15,8 @@
     sent: Duration,
     next_part: u32,
     complete: bool,
+    /// Whether the other member held all of its records.
+    sure: bool,
 }
 
 /// A member that said that no member counts yet.
@@ -76,6 +78,7 @@
         }
         // A member that doesn't count this agent may still grant claims without it.
         pull.complete = lists_own;
+        pull.sure = standing == Standing::Sure;
         if message.token == UNASKED {
             self.roster.note_left(from);
         }
@@ -133,7 +136,7 @@
             self.standing = Standing::New;
         }
         let is_held = self.held_until.is_some_and(|until| now < until);
-        let is_complete = self.is_complete();
+        let is_complete = self.is_complete() && self.has_word(now);
         if is_complete && is_held {
             return;
         }
@@ -169,6 +172,7 @@
                     sent: now,
                     next_part: 0,
                     complete: false,
+                    sure: false,
                 },
             );
             let body = RequestBody::KeySync(KeySync { token });
@@ -191,17 +195,23 @@
             return false;
         }
         let left: Vec<_> = self.roster.left().collect();
-        let others = self
-            .roster
-            .settled()
-            .map(|m| m.node)
-            .filter(|&node| node != self.own);
-        let missing = others
-            .filter(|node| !left.contains(node) && self.needs(*node))
-            .count();
-        // Two holders grant each claim, so one of the others may be missing. An agent that forgot
-        // its own grants can miss none.
-        missing <= usize::from(self.standing == Standing::New)
+        let settled = self.roster.settled().map(|m| m.node);
+        let others: Vec<_> = settled.filter(|&node| node != self.own).collect();
+        let is_missing = |node: &&NodeId| !left.contains(node) && self.needs(**node);
+        let missing = others.iter().filter(is_missing).count();
+        // Two holders grant each claim where there are two, so one of several others may be missing.
+        // An agent that forgot its own grants can miss none.
+        let may_miss = self.standing == Standing::New && others.len() > 1;
+        missing <= usize::from(may_miss)
+    }
+
+    /// Returns whether a member that holds all of its records told of them, or none is needed.
+    ///
+    /// A lone agent grants alone. If it restarts, members that joined since don't know what.
+    fn has_word(&self, now: Duration) -> bool {
+        let has_expired = now >= self.started + self.config.forget;
+        let needs_none = self.was_there || self.was_away || has_expired;
+        needs_none || self.pulls.values().any(|p| p.complete && p.sure)
     }
 
     /// Returns whether the records of a member are still to be pulled.
@@ -232,6 +242,7 @@
         // No member counts a new one so early: this agent was one before it restarted.
         let is_young = now < self.started + self.config.forget;
         if was_there {
+            self.was_there = true;
             self.held_until.get_or_insert(now + self.config.hold());
         } else if lists_own && is_young && now < adopted + self.config.settle {
             self.standing = Standing::Forgetful;
@@ -258,6 +269,7 @@
                 sent: Duration::ZERO,
                 next_part: 0,
                 complete: false,
+                sure: false,
             };
             self.pulls.insert(from, pull);
         }
--- a/crates/buckthornweir_requests/tests/idempotency/net.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/net.rs
@@ -38,6 +38,8 @@
     member: Member,
     keys: Option<Keys>,
     starts: u64,
+    /// When it started or ended, and whether it runs since.
+    changes: Vec<(Duration, bool)>,
     frozen: bool,
     /// What came while the process stood still.
     held: Vec<Event>,
@@ -73,6 +75,8 @@
     pub(crate) service: Duration,
     /// How runs end.
     pub(crate) end: KeyEnd,
+    /// Longest time that news of a member takes to reach another.
+    pub(crate) news: Duration,
     config: KeysConfig,
     nodes: BTreeMap<NodeId, Node>,
     cut: BTreeSet<(NodeId, NodeId)>,
@@ -118,6 +122,7 @@
             now: Duration::ZERO,
             service: Duration::from_millis(50),
             end: KeyEnd::Done,
+            news: Duration::ZERO,
             config,
             nodes: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -139,12 +144,15 @@
         let member = Member::new(node, domain);
         let seed = node * 1_000 + starts;
         let keys = Keys::new(member.clone(), self.config.clone(), seed, self.now);
+        let mut changes = self.nodes.get(&node).map_or(vec![], |n| n.changes.clone());
+        changes.push((self.now, true));
         self.nodes.insert(
             node,
             Node {
                 member,
                 keys: Some(keys),
                 starts,
+                changes,
                 frozen: false,
                 held: Vec::new(),
             },
@@ -160,7 +168,10 @@
 
     /// Ends an agent at once; all that it held is lost.
     pub(crate) fn kill(&mut self, node: NodeId) {
-        self.node(node).keys = None;
+        let now = self.now;
+        let node = self.node(node);
+        node.keys = None;
+        node.changes.push((now, false));
     }
 
     /// Lets an agent hand its records over and ends it.
@@ -417,15 +428,11 @@
 
     fn look_around(&mut self) {
         let now = self.now;
-        let there: Vec<_> = self
-            .alive()
-            .iter()
-            .map(|node| self.nodes[node].member.clone())
-            .collect();
         for node in self.alive() {
-            let seen = there.iter().filter(|m| m.node != node);
-            let seen = seen.filter(|m| !self.cut.contains(&(m.node, node)));
-            let seen: Vec<_> = seen.cloned().collect();
+            let others = self.nodes.values().filter(|n| n.member.node != node);
+            let seen = others.filter(|n| !self.cut.contains(&(n.member.node, node)));
+            let seen = seen.filter(|n| self.sees(node, n));
+            let seen: Vec<_> = seen.map(|n| n.member.clone()).collect();
             let Some(keys) = &mut self.node(node).keys else {
                 continue;
             };
@@ -434,6 +441,22 @@
         }
     }
 
+    /// Returns whether an agent takes another one for there; news are late by a part of their longest
+    /// time that differs between the two agents.
+    fn sees(&self, node: NodeId, other: &Node) -> bool {
+        if self.news.is_zero() {
+            return other.keys.is_some() && !other.frozen;
+        }
+        let part = (node * 7 + other.member.node * 3) % 10;
+        let known = self.now.checked_sub(self.news / 10 * part as u32);
+        let heard = other
+            .changes
+            .iter()
+            .rev()
+            .find(|(at, _)| Some(*at) <= known);
+        heard.is_some_and(|(_, runs)| *runs)
+    }
+
     fn after(&mut self, delay: Duration, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse((self.now + delay, self.sequence)));
--- a/crates/buckthornweir_requests/tests/idempotency/start.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/start.rs
@@ -167,6 +167,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut net = KeyNet::empty(config().with_first_start(true));
         net.service = Duration::from_millis(rng.random_range(5..2_000));
+        net.news = Duration::from_millis(rng.random_range(0..2_500));
         let mut starts: Vec<_> = (1..=7).map(|n| (rng.random_range(0..4_000), n)).collect();
         for step in 0..300u64 {
             let now = step * 50;
--- a/crates/buckthornweir_requests/tests/idempotency/table.rs
+++ b/crates/buckthornweir_requests/tests/idempotency/table.rs
@@ -335,6 +335,28 @@
     assert_eq!(net.ask(12, "order-2"), Some(Got::Ran));
 }
 
+#[test]
+fn key_that_a_lone_agent_granted_is_not_granted_again() {
+    let ms = Duration::from_millis;
+    // Another member joins; the first one is lost, and comes back or not.
+    for joined in (0..7_000).step_by(500) {
+        for away in [500, 2_000, 6_000, 40_000] {
+            let mut net = KeyNet::new(&["a"]);
+            assert_eq!(net.ask(1, KEY), Some(Got::Ran));
+            net.start(2, "b");
+            net.pass(ms(joined));
+            net.kill(1);
+            net.pass(ms(away));
+            let second = net.ask(2, KEY);
+            net.restart(1);
+            net.pass(SECOND * 2);
+            let others = [net.ask(1, KEY), net.ask(2, KEY)];
+            let name = format!("joined {joined}, away {away}: {second:?} {others:?}");
+            assert_eq!(net.count(KEY), 1, "{name}");
+        }
+    }
+}
+
 #[test]
 fn agents_that_come_back_after_a_partition_run_no_key_again() {
     for away in [SECOND * 20, SECOND * 48, SECOND * 120] {
