Name many dead members in one list

Cause: a trace of masses at 3,400 members showed four things that hold the deaths of a failure domain back. Each death is a rumour of its own (16 to 21 bytes), sent five times by each node. Half of the changes that tables compare are still on their way, so nearly every node compared tables at 2.9 s and fetched all buckets, 11 KB in 50 ms. Suspicions were spread until 16 were queued, 10 KB a node. A member whose next monitors are dead too is probed only once those are suspect, so that the last deaths were declared after 5.75 s. Ruled out: the length of suspicion and the burst of the byte budget, which was never used up. Change: deaths in a flood ride as a list of 4-byte fingerprints of node and incarnation, the ones that the table's digest is made of; a receiver takes those that it holds as not dead. Tables are not compared during a flood, and sooner after it. Suspicions are not spread beyond eight suspects.

--- a/crates/buckthornweir_members/benches/masses.rs
+++ b/crates/buckthornweir_members/benches/masses.rs
@@ -1,7 +1,8 @@
 //! Prints what many changes at once cost: a dead failure domain, a cut between regions, a start of
 //! all processes together, and one process that joins.
 //!
-//! `cargo bench -p buckthornweir_members --bench masses -- 100 500 3400` runs these sizes.
+//! `cargo bench -p buckthornweir_members --bench masses -- 100 500 3400` runs these sizes. The words
+//! `domain`, `regions` and `start` among them choose what runs.
 
 #[allow(dead_code, reason = "the other benches use the rest of the figures")]
 mod figures;
@@ -19,14 +20,27 @@
 const CUT: Duration = Duration::from_secs(120);
 const DOMAINS: u64 = 7;
 
-/// The largest size at which all processes are started together.
+/// The largest size at which all processes are started together unless that is asked for.
 const MAX_START: u64 = 500;
 
+/// Brings about an event among this many members, and prints what it costs.
+type Event = fn(u64);
+
+/// The events in the order in which they run, with their names as arguments.
+const EVENTS: [(&str, Event); 3] = [
+    ("domain", lose_domain),
+    ("regions", part_regions),
+    ("start", start_together),
+];
+
 fn main() {
     let arguments = std::env::args()
         .skip(1)
         .filter(|argument| argument != "--bench");
-    let mut sizes: Vec<u64> = arguments
+    let (named, other): (Vec<_>, Vec<_>) =
+        arguments.partition(|argument| EVENTS.iter().any(|(name, _)| name == argument));
+    let mut sizes: Vec<u64> = other
+        .iter()
         .filter_map(|argument| argument.parse().ok())
         .collect();
     if sizes.is_empty() {
@@ -34,14 +48,23 @@
     }
     for count in sizes {
         print_head(&format!("{count} members"));
-        lose_domain(count);
-        part_regions(count);
-        if count <= MAX_START {
-            start_together(count);
+        for (name, run) in EVENTS {
+            if is_chosen(&named, name, count) {
+                run(count);
+            }
         }
     }
 }
 
+/// Returns whether an event runs: when it is named, or when none is named and it ends in time.
+fn is_chosen(named: &[String], name: &str, count: u64) -> bool {
+    if named.is_empty() {
+        name != "start" || count <= MAX_START
+    } else {
+        named.iter().any(|other| other == name)
+    }
+}
+
 fn settled(count: u64) -> Queue {
     let mut queue = Queue::filled(count, count);
     queue.run(seconds(20.0));
@@ -119,5 +142,7 @@
         queue.start(record(index, DOMAINS));
     }
     let taken = times(&mut queue, LIMIT, |process| alive(process) == count);
+    let rate = sent(&queue) as f64 / count as f64 / queue.now.as_secs_f64();
     Sample::new(taken.into_iter()).print("all started together, s", "");
+    Sample::new([rate].into_iter()).print("sent meanwhile, B/s", "3000");
 }
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -64,6 +64,8 @@
     started: bool,
     /// When a message arrived last.
     heard: Duration,
+    /// When a change of another member's record or health was taken last.
+    changed: Duration,
     next_gossip: Duration,
     next_contact: Duration,
     next_forget: Duration,
@@ -112,6 +114,7 @@
             now: Duration::ZERO,
             started: false,
             heard: Duration::ZERO,
+            changed: Duration::ZERO,
             next_gossip: Duration::ZERO,
             next_contact: Duration::ZERO,
             next_forget: Duration::ZERO,
@@ -138,6 +141,9 @@
         for rumour in &message.rumours {
             self.merge_rumour(sender, rumour, spread);
         }
+        for &fingerprint in &message.deaths {
+            self.merge_death(sender, fingerprint);
+        }
         if !self.identity.is_silent() {
             if is_greeting(sender, &message.rumours, &message.body) {
                 self.welcome(sender);
--- a/crates/buckthornweir_members/src/members/merging.rs
+++ b/crates/buckthornweir_members/src/members/merging.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::Members;
-use crate::messages::{Header, Profile, Rumour};
+use crate::messages::{Fingerprint, Header, Profile, Rumour};
+use crate::record::ANY_INSTANCE;
 use crate::rumours::Priority;
 use crate::table::Entry;
 use crate::{BundleStamp, Health, MemberState, NodeId, Record};
@@ -74,6 +75,17 @@
         }
     }
 
+    /// Takes the death of the member that the fingerprint stands for, if it is held as not dead.
+    pub(super) fn merge_death(&mut self, sender: NodeId, fingerprint: Fingerprint) {
+        let Some(entry) = self.table.marked(fingerprint) else {
+            return;
+        };
+        let mut rumour = entry.rumour(false);
+        rumour.health = Health::Dead;
+        rumour.instance = ANY_INSTANCE;
+        self.merge_rumour(sender, &rumour, true);
+    }
+
     /// Returns whether an accusation comes from a member that is not held as dead itself.
     fn is_credible(&self, sender: NodeId, rumour: &Rumour) -> bool {
         let accuses = rumour.health != Health::Alive && rumour.state != MemberState::Left;
@@ -132,6 +144,7 @@
     /// Follows up on a change of the table.
     fn settle(&mut self, rumour: &Rumour, before: Option<Health>, spread: bool) {
         let node = rumour.node;
+        self.changed = self.now;
         if before == Some(Health::Dead) && rumour.health != Health::Dead {
             self.counters.revivals += 1;
         }
@@ -139,7 +152,8 @@
             Health::Suspect => self.hear_suspicion(node),
             Health::Alive | Health::Dead => self.end_suspicion(node),
         }
-        if spread {
+        let doubt = rumour.health == Health::Suspect;
+        if spread && !(doubt && self.has_many_suspects()) {
             self.rumours
                 .push(node, priority(rumour, before), rumour.profile.is_some());
         }
--- a/crates/buckthornweir_members/src/members/probing.rs
+++ b/crates/buckthornweir_members/src/members/probing.rs
@@ -103,6 +103,17 @@
             .map_or(self.next_probe, |at| at.min(self.next_probe))
     }
 
+    /// Returns whether a probe of the member is so late that helpers were asked.
+    fn is_late(&self, node: NodeId) -> bool {
+        let mut probes = self.probes.iter();
+        probes.any(|probe| probe.target == node && probe.rounds > 0)
+    }
+
+    /// Has the monitored members chosen anew before the next probe.
+    fn choose_anew(&mut self) {
+        self.generation = None;
+    }
+
     fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1).max(1);
         self.sequence
@@ -143,7 +154,8 @@
         }
     }
 
-    /// Chooses the members after this one in ring order, with suspects between them.
+    /// Chooses the members after this one in ring order, with those between them that are suspect or
+    /// have not answered a probe for long.
     fn refresh_targets(&mut self) {
         if self.probing.generation == Some(self.table.generation()) {
             return;
@@ -151,13 +163,15 @@
         self.probing.generation = Some(self.table.generation());
         let mut alive = 0;
         let monitors = self.config.monitors;
+        let probing = &self.probing;
         let successors = self
             .table
             .successors()
             .filter(|entry| entry.health != Health::Dead);
         let near = successors.take_while(|entry| {
             let wanted = alive < monitors;
-            alive += usize::from(entry.health == Health::Alive);
+            let answers = entry.health == Health::Alive && !probing.is_late(entry.record.node);
+            alive += usize::from(answers);
             wanted
         });
         self.probing.targets = near.map(|entry| entry.record.node).collect();
@@ -207,6 +221,7 @@
                 && self.now >= probe.started + timeout + pause * probe.rounds
             {
                 probe.rounds += 1;
+                self.probing.choose_anew();
                 self.ask_helpers(probe);
             }
         }
@@ -246,6 +261,7 @@
             > 0
         {
             self.probing.improve();
+            self.probing.choose_anew();
         }
         let relays = &mut self.probing.relays;
         let done = relays.extract_if(.., |relay| matches(relay.target, relay.sequence));
--- a/crates/buckthornweir_members/src/members/spreading.rs
+++ b/crates/buckthornweir_members/src/members/spreading.rs
@@ -1,14 +1,19 @@
 //! Sends messages and spreads changes within the byte budget.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::Members;
 use crate::messages::{Body, Header, Message, Rumour};
+use crate::rumours::Taken;
 use crate::{Action, Health, NodeId};
 
 /// How many members are sent each round of fresh changes.
 const PUSH_COPIES: usize = 2;
 
+/// How many times longer than usual the rounds of fresh changes are apart in a flood.
+const FLOOD_PAUSE: u32 = 2;
+
 /// The bytes that the budget must hold for each copy of a round of fresh changes.
 const LEAST_PUSH: usize = 300;
 
@@ -88,7 +93,8 @@
         }
         let mut message = self.message(body, rumours);
         let queued = self.take_rumours(&message, 1);
-        message.rumours.extend(queued);
+        message.rumours.extend(queued.rumours);
+        message.deaths = queued.deaths;
         self.transmit(to, message);
     }
 
@@ -182,10 +188,21 @@
             self.counters.over_budget += 1;
             return;
         }
-        self.next_gossip = self.now + self.config.gossip_interval;
+        self.next_gossip = self.now + self.push_interval();
         self.push(PUSH_COPIES);
     }
 
+    /// Returns the time between two rounds of fresh changes, which is longer in a flood so that each
+    /// message carries more.
+    fn push_interval(&self) -> Duration {
+        let flood = if self.rumours.is_flood() {
+            FLOOD_PAUSE
+        } else {
+            1
+        };
+        self.config.gossip_interval * flood
+    }
+
     /// Tells several members at once that this node leaves.
     pub(super) fn push_farewell(&mut self) {
         self.push(FAREWELLS);
@@ -195,8 +212,10 @@
         let peers = self.random_members(copies, None);
         let copies = peers.len().max(1);
         let mut message = self.message(Body::Gossip, Vec::new());
-        message.rumours = self.take_rumours(&message, copies);
-        self.rumours.count_push(&message.rumours, copies);
+        let taken = self.take_rumours(&message, copies);
+        self.rumours.count_push(&taken.nodes, copies);
+        message.rumours = taken.rumours;
+        message.deaths = taken.deaths;
         self.bundles.count_push(copies);
         for peer in peers {
             if let Some(to) = self.table.get(peer).map(|entry| entry.record.gossip) {
@@ -206,7 +225,7 @@
     }
 
     /// Takes the queued rumours that fit into a message and the budget of all its copies.
-    fn take_rumours(&mut self, message: &Message, copies: usize) -> Vec<Rumour> {
+    fn take_rumours(&mut self, message: &Message, copies: usize) -> Taken {
         let affordable = self.budget.available() / copies;
         let affordable = affordable.saturating_sub(message.encoded_len() + self.config.envelope);
         let room = self.room(message).min(affordable.max(LEAST_ROOM));
@@ -225,6 +244,7 @@
         Message {
             header: self.header(),
             rumours,
+            deaths: Vec::new(),
             body,
         }
     }
--- a/crates/buckthornweir_members/src/members/suspicion.rs
+++ b/crates/buckthornweir_members/src/members/suspicion.rs
@@ -14,6 +14,9 @@
 /// The fewest other members from which silence tells that this process can't receive.
 const DEAF_MEMBERS: usize = 3;
 
+/// The number of suspects from which suspicions are not spread.
+const MANY_SUSPECTS: usize = 8;
+
 /// How long nothing must arrive before this process holds itself for deaf.
 const DEAF_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -148,10 +151,17 @@
             entry.health = health;
             entry.changed = now;
         });
-        self.rumours.push(node, priority, false);
+        if health != Health::Suspect || !self.has_many_suspects() {
+            self.rumours.push(node, priority, false);
+        }
         self.updated(node);
     }
 
+    /// Returns whether so many members are suspect that most will be dead soon.
+    pub(super) fn has_many_suspects(&self) -> bool {
+        self.suspicions.items.len() >= MANY_SUSPECTS
+    }
+
     /// Tells suspects of the suspicion, so that they can refute it.
     fn ping_suspects(&mut self) {
         let now = self.now;
--- a/crates/buckthornweir_members/src/members/syncing.rs
+++ b/crates/buckthornweir_members/src/members/syncing.rs
@@ -22,6 +22,15 @@
 /// The surplus of messages that show another table, from which the own one counts as different.
 const DIFFERENCES: u32 = 8;
 
+/// The same while no change arrives, when differences are no changes on their way.
+const SETTLED_DIFFERENCES: u32 = 3;
+
+/// The time without a change after which the table counts as settled.
+const SETTLED_AFTER: Duration = Duration::from_millis(250);
+
+/// How long a flood of changes may put off a comparison of tables.
+const FLOOD_LIMIT: Duration = Duration::from_secs(10);
+
 /// The bytes that the budget must hold for a comparison of tables, so that changes go first.
 const SYNC_BYTES: usize = 4_000;
 
@@ -44,6 +53,10 @@
     /// How many more messages showed another table than showed the own one.
     differences: u32,
     compared: bool,
+    /// When the last flood of changes will be over.
+    calm: Duration,
+    /// When a comparison is no longer put off by the present flood.
+    flood_end: Duration,
     next_digest: Duration,
     /// The member that answered the last digest.
     source: Option<NodeId>,
@@ -59,6 +72,8 @@
         Self {
             differences: 0,
             compared: false,
+            calm: Duration::ZERO,
+            flood_end: Duration::ZERO,
             next_digest: Duration::ZERO,
             source: None,
             buckets: BTreeSet::new(),
@@ -106,8 +121,17 @@
             self.syncing.compared = true;
             return;
         }
+        if self.syncing.compared && self.is_flooded() {
+            self.syncing.differences = 0;
+            return;
+        }
         self.syncing.differences = (differences + 1).min(DIFFERENCES);
-        let lasting = self.syncing.differences == DIFFERENCES || !self.syncing.compared;
+        let limit = if self.now >= self.changed + SETTLED_AFTER {
+            SETTLED_DIFFERENCES
+        } else {
+            DIFFERENCES
+        };
+        let lasting = self.syncing.differences >= limit || !self.syncing.compared;
         let idle = self.syncing.buckets.is_empty() && self.syncing.fetches.is_empty();
         let affordable = self.budget.available() >= SYNC_BYTES || !self.syncing.compared;
         if lasting && idle && affordable && self.now >= self.syncing.next_digest {
@@ -115,6 +139,17 @@
         }
     }
 
+    /// Returns whether so many changes are on their way that tables can't be equal yet.
+    fn is_flooded(&mut self) -> bool {
+        if self.now >= self.syncing.calm {
+            self.syncing.flood_end = self.now + FLOOD_LIMIT;
+        }
+        if self.rumours.is_flood() || self.has_many_suspects() {
+            self.syncing.calm = self.now + SETTLED_AFTER;
+        }
+        self.now < self.syncing.calm.min(self.syncing.flood_end)
+    }
+
     fn send_digest(&mut self, to: SocketAddr) {
         self.syncing.next_digest = self.now + DIGEST_TIMEOUT;
         let buckets = self.table.digests();
--- a/crates/buckthornweir_members/src/messages.rs
+++ b/crates/buckthornweir_members/src/messages.rs
@@ -20,6 +20,9 @@
 /// The most entries of any list in a message.
 pub const MAX_ENTRIES: usize = 256;
 
+/// Stands for one incarnation of one node, in place of both numbers.
+pub type Fingerprint = u32;
+
 /// The result of decoding a message.
 pub type Result<T> = std::result::Result<T, MessageError>;
 
@@ -73,6 +76,8 @@
     pub header: Header,
     /// Statements about members that ride along.
     pub rumours: Vec<Rumour>,
+    /// Members that are dead under the incarnation that each fingerprint stands for.
+    pub deaths: Vec<Fingerprint>,
     /// What the message is for.
     pub body: Body,
 }
--- a/crates/buckthornweir_members/src/messages/convert.rs
+++ b/crates/buckthornweir_members/src/messages/convert.rs
@@ -33,6 +33,7 @@
         }
         let datagram = wire::Datagram::decode(datagram)?;
         check_entries("rumours", datagram.rumours.len())?;
+        check_entries("deaths", datagram.deaths.len())?;
         let header = datagram.header.ok_or(MessageError::Missing("header"))?;
         let body = datagram.body.ok_or(MessageError::Missing("body"))?;
         Ok(Self {
@@ -42,6 +43,7 @@
                 .iter()
                 .map(read_rumour)
                 .collect::<Result<_>>()?,
+            deaths: datagram.deaths,
             body: read_body(body)?,
         })
     }
@@ -51,6 +53,7 @@
             header: Some(write_header(&self.header)),
             rumours: self.rumours.iter().map(write_rumour).collect(),
             body: Some(write_body(&self.body)),
+            deaths: self.deaths.clone(),
         }
     }
 }
--- a/crates/buckthornweir_members/src/messages/wire.rs
+++ b/crates/buckthornweir_members/src/messages/wire.rs
@@ -12,6 +12,9 @@
     /// What the message is for.
     #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
+    /// The fingerprints of dead members, 4 bytes each.
+    #[prost(fixed32, repeated, tag = "13")]
+    pub deaths: Vec<u32>,
 }
 
 /// What the sender says about itself.
--- a/crates/buckthornweir_members/src/record.rs
+++ b/crates/buckthornweir_members/src/record.rs
@@ -5,6 +5,9 @@
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
+use crate::messages::Fingerprint;
+use crate::table::hash;
+
 /// Identifies a process for as long as its identity lasts, over restarts.
 pub type NodeId = u64;
 
@@ -218,6 +221,11 @@
         self
     }
 
+    /// Returns what stands for the node and its incarnation.
+    pub fn fingerprint(&self) -> Fingerprint {
+        hash([self.node, self.incarnation]) as Fingerprint
+    }
+
     /// Checks that other nodes would accept the record.
     ///
     /// # Errors
--- a/crates/buckthornweir_members/src/rumours.rs
+++ b/crates/buckthornweir_members/src/rumours.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::NodeId;
-use crate::messages::Rumour;
-use crate::table::Table;
+use crate::messages::{Fingerprint, MAX_ENTRIES, Rumour};
+use crate::table::{Entry, Table};
+use crate::{Health, MemberState, NodeId};
 
 /// Orders the changes that wait for room in a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,6 +27,9 @@
 /// The copies of each change that are sent in a flood.
 const FLOOD_COPIES: usize = 8;
 
+/// The copies of each death in a list that are sent in a flood.
+const DEATH_COPIES: usize = 10;
+
 /// The length from which the queue counts as a large flood.
 const LARGE_FLOOD: usize = 128;
 
@@ -36,6 +39,12 @@
 /// The copies of each full record that are sent in a flood. Anti-entropy carries the rest.
 const FULL_COPIES: usize = 2;
 
+/// The bytes of a death in a list of deaths.
+const DEATH_BYTES: usize = 4;
+
+/// The bytes of the first death in a list, with the list's tag and length.
+const FIRST_DEATH_BYTES: usize = DEATH_BYTES + 3;
+
 /// The most nodes that are remembered as changed last.
 const MAX_RECENT: usize = 64;
 
@@ -53,6 +62,28 @@
     brief: usize,
     /// Copies of a full record.
     full: usize,
+    /// Copies of a death in a list of deaths.
+    death: usize,
+}
+
+impl Limits {
+    fn of(&self, statement: &Statement) -> usize {
+        match statement {
+            Statement::Rumour(rumour) if rumour.profile.is_some() => self.full,
+            Statement::Rumour(_) => self.brief,
+            Statement::Death(_) => self.death,
+        }
+    }
+}
+
+/// What was taken from the queue for one message.
+#[derive(Debug, Default)]
+pub(crate) struct Taken {
+    pub(crate) rumours: Vec<Rumour>,
+    /// Deaths in a flood, a fingerprint each.
+    pub(crate) deaths: Vec<Fingerprint>,
+    /// The nodes that both are about.
+    pub(crate) nodes: Vec<NodeId>,
 }
 
 /// The queue of changes that are still to be spread, one per node.
@@ -113,9 +144,9 @@
     }
 
     /// Counts one round of sending fresh changes, made of `copies` messages.
-    pub(crate) fn count_push(&mut self, nodes: &[Rumour], copies: usize) {
-        for rumour in nodes {
-            if let Some(item) = self.items.get_mut(&rumour.node) {
+    pub(crate) fn count_push(&mut self, nodes: &[NodeId], copies: usize) {
+        for node in nodes {
+            if let Some(item) = self.items.get_mut(node) {
                 item.pushed += copies;
             }
         }
@@ -129,29 +160,29 @@
         mut room: usize,
         copies: usize,
         limit: usize,
-    ) -> Vec<Rumour> {
+    ) -> Taken {
+        let mut taken = Taken::default();
         if self.items.is_empty() {
-            return Vec::new();
+            return taken;
         }
         let flood = self.is_flood();
         let limits = self.limits(limit);
-        let mut taken = Vec::new();
         for node in self.order() {
             if flood && self.is_doubt(node) {
                 self.items.remove(&node);
                 continue;
             }
-            let Some(rumour) = self.state(table, node) else {
+            let Some(statement) = self.state(table, node, flood) else {
                 self.items.remove(&node);
                 continue;
             };
-            let length = rumour.encoded_len();
+            let length = taken.cost(&statement);
             if length > room {
                 break;
             }
             room -= length;
-            taken.push(rumour);
-            self.count(node, copies, &limits);
+            self.count(node, copies, limits.of(&statement));
+            taken.add(node, statement);
         }
         taken
     }
@@ -168,9 +199,14 @@
         nodes.into_iter().map(|(&node, _)| node).collect()
     }
 
-    fn state(&self, table: &Table, node: NodeId) -> Option<Rumour> {
+    fn state(&self, table: &Table, node: NodeId, flood: bool) -> Option<Statement> {
         let item = self.items.get(&node)?;
-        Some(table.get(node)?.rumour(item.full))
+        let entry = table.get(node)?;
+        Some(if flood && !item.full && is_plain_death(entry) {
+            Statement::Death(entry.record.fingerprint())
+        } else {
+            Statement::Rumour(Box::new(entry.rumour(item.full)))
+        })
     }
 
     /// Returns how often changes are sent, given the length of the queue.
@@ -183,18 +219,49 @@
         Limits {
             brief: brief.min(usual),
             full: full.min(usual),
+            death: DEATH_COPIES.min(usual),
         }
     }
 
     /// Counts copies of a change, and drops it when it was sent often enough.
-    fn count(&mut self, node: NodeId, copies: usize, limits: &Limits) {
+    fn count(&mut self, node: NodeId, copies: usize, limit: usize) {
         let Some(item) = self.items.get_mut(&node) else {
             return;
         };
-        let limit = if item.full { limits.full } else { limits.brief };
         item.sent += copies;
         if item.sent >= limit {
             self.items.remove(&node);
         }
     }
 }
+
+/// A change as it rides on a message.
+enum Statement {
+    Rumour(Box<Rumour>),
+    Death(Fingerprint),
+}
+
+impl Taken {
+    /// Returns the bytes that the statement adds to the message.
+    fn cost(&self, statement: &Statement) -> usize {
+        match statement {
+            Statement::Rumour(rumour) => rumour.encoded_len(),
+            Statement::Death(_) if self.deaths.len() == MAX_ENTRIES => usize::MAX,
+            Statement::Death(_) if self.deaths.is_empty() => FIRST_DEATH_BYTES,
+            Statement::Death(_) => DEATH_BYTES,
+        }
+    }
+
+    fn add(&mut self, node: NodeId, statement: Statement) {
+        self.nodes.push(node);
+        match statement {
+            Statement::Rumour(rumour) => self.rumours.push(*rumour),
+            Statement::Death(fingerprint) => self.deaths.push(fingerprint),
+        }
+    }
+}
+
+/// Returns whether the entry is that of a member that died without having left.
+fn is_plain_death(entry: &Entry) -> bool {
+    entry.health == Health::Dead && entry.record.state != MemberState::Left
+}
--- a/crates/buckthornweir_members/src/table.rs
+++ b/crates/buckthornweir_members/src/table.rs
@@ -7,7 +7,7 @@
 
 use siphasher::sip::SipHasher13;
 
-use crate::messages::{Held, Profile, Rumour};
+use crate::messages::{Fingerprint, Held, Profile, Rumour};
 use crate::record::ANY_INSTANCE;
 use crate::{Health, Incarnation, Instance, MemberState, NodeId, Record};
 
@@ -63,6 +63,8 @@
     entries: BTreeMap<NodeId, Entry>,
     buckets: Vec<Bucket>,
     digest: u32,
+    /// The members that are not dead, by their fingerprints.
+    marks: BTreeMap<Fingerprint, NodeId>,
     live: Vec<NodeId>,
     dead: BTreeSet<NodeId>,
     generation: u64,
@@ -76,6 +78,7 @@
             entries: BTreeMap::new(),
             buckets: (0..BUCKETS).map(|_| Bucket::default()).collect(),
             digest: 0,
+            marks: BTreeMap::new(),
             live: Vec::new(),
             dead: BTreeSet::new(),
             generation: 0,
@@ -92,6 +95,11 @@
         self.entries.values()
     }
 
+    /// Returns the entry that is not dead and has this fingerprint.
+    pub(crate) fn marked(&self, fingerprint: Fingerprint) -> Option<&Entry> {
+        self.get(*self.marks.get(&fingerprint)?)
+    }
+
     /// Returns the digest of all members that are not dead.
     pub(crate) fn digest(&self) -> u32 {
         self.digest
@@ -123,7 +131,7 @@
         self.remove(node);
         let position = self.place(node);
         self.buckets[bucket_of(node)].nodes.insert(position, node);
-        self.account(&entry);
+        self.count_in(&entry);
         if entry.health == Health::Dead {
             self.dead.insert(node);
         } else if node != self.own {
@@ -138,10 +146,10 @@
         let Some(mut entry) = self.entries.remove(&node) else {
             return;
         };
-        self.account(&entry);
+        self.count_out(&entry);
         let before = entry.health;
         change(&mut entry);
-        self.account(&entry);
+        self.count_in(&entry);
         if before != entry.health {
             self.generation += 1;
             self.relist(node, before, entry.health);
@@ -154,7 +162,7 @@
         let Some(entry) = self.entries.remove(&node) else {
             return;
         };
-        self.account(&entry);
+        self.count_out(&entry);
         self.relist(node, entry.health, Health::Dead);
         self.dead.remove(&node);
         self.buckets[bucket_of(node)]
@@ -186,13 +194,31 @@
         self.bucket(bucket).map(held).collect()
     }
 
-    /// Adds the entry to the digests, or takes it out again.
-    fn account(&mut self, entry: &Entry) {
+    /// Adds the entry to the digests and fingerprints.
+    fn count_in(&mut self, entry: &Entry) {
         if entry.health == Health::Dead {
             return;
         }
         let node = entry.record.node;
-        let fingerprint = hash([node, entry.record.incarnation]) as u32;
+        let fingerprint = entry.record.fingerprint();
+        self.marks.insert(fingerprint, node);
+        self.toggle(node, fingerprint);
+    }
+
+    /// Takes the entry out of the digests and fingerprints.
+    fn count_out(&mut self, entry: &Entry) {
+        if entry.health == Health::Dead {
+            return;
+        }
+        let node = entry.record.node;
+        let fingerprint = entry.record.fingerprint();
+        if self.marks.get(&fingerprint) == Some(&node) {
+            self.marks.remove(&fingerprint);
+        }
+        self.toggle(node, fingerprint);
+    }
+
+    fn toggle(&mut self, node: NodeId, fingerprint: Fingerprint) {
         self.buckets[bucket_of(node)].digest ^= fingerprint;
         self.digest ^= fingerprint;
     }
@@ -235,7 +261,7 @@
     first > second
 }
 
-fn hash<const N: usize>(words: [u64; N]) -> u64 {
+pub(crate) fn hash<const N: usize>(words: [u64; N]) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(0, 0);
     for word in words {
         hasher.write_u64(word.to_le());
--- a/crates/buckthornweir_members/tests/members/deaths.rs
+++ b/crates/buckthornweir_members/tests/members/deaths.rs
@@ -164,6 +164,7 @@
     Message {
         header,
         rumours: vec![rumour],
+        deaths: Vec::new(),
         body: Body::Gossip,
     }
 }
--- a/crates/buckthornweir_members/tests/members/decoding.rs
+++ b/crates/buckthornweir_members/tests/members/decoding.rs
@@ -122,9 +122,12 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    (prop::collection::vec(rumour(), 0..6), body()).prop_map(|(rumours, body)| Message {
+    let deaths = prop::collection::vec(any::<u32>(), 0..64);
+    let parts = (prop::collection::vec(rumour(), 0..6), deaths, body());
+    parts.prop_map(|(rumours, deaths, body)| Message {
         header: header(),
         rumours,
+        deaths,
         body,
     })
 }
@@ -213,6 +216,7 @@
     let valid = Message {
         header: header(),
         rumours,
+        deaths: vec![7],
         body,
     }
     .encode();
@@ -235,7 +239,7 @@
 #[test]
 fn invalid_values_give_typed_errors() {
     type Alter = fn(&mut Datagram);
-    let cases: [Alter; 16] = [
+    let cases: [Alter; 17] = [
         |datagram| datagram.header = None,
         |datagram| datagram.body = None,
         |datagram| datagram.header.as_mut().expect("a header").digest = vec![1; 31],
@@ -245,6 +249,7 @@
         |datagram| datagram.rumours[0].status = 3,
         |datagram| datagram.rumours[0].incarnation = u64::MAX,
         |datagram| datagram.rumours = vec![Default::default(); MAX_ENTRIES + 1],
+        |datagram| datagram.deaths = vec![0; MAX_ENTRIES + 1],
         |datagram| profile(datagram).name = "x".repeat(MAX_TEXT + 1),
         |datagram| profile(datagram).roles = 8,
         |datagram| profile(datagram).gossip.clear(),
@@ -271,6 +276,7 @@
         health can't be 3
         invalid record: incarnation 18446744073709551615 exceeds 4611686018427387904
         rumours has 257 entries, more than 256
+        deaths has 257 entries, more than 256
         invalid record: text of 65 bytes exceeds 64 bytes
         roles can't be 8
         gossip can't have 0 bytes
--- a/crates/buckthornweir_members/tests/members/main.rs
+++ b/crates/buckthornweir_members/tests/members/main.rs
@@ -6,4 +6,5 @@
 mod decoding;
 mod identities;
 mod join;
+mod masses;
 mod queue;
--- a/crates/buckthornweir_members/tests/members/queue.rs
+++ b/crates/buckthornweir_members/tests/members/queue.rs
@@ -126,6 +126,7 @@
     Message {
         header,
         rumours: rumours.to_vec(),
+        deaths: Vec::new(),
         body,
     }
 }
