--- a/crates/buckthornweir_daemon/tests/support/deployment.rs
+++ b/crates/buckthornweir_daemon/tests/support/deployment.rs
@@ -78,6 +78,11 @@
 /// their limits allow.
 static ROOM: Semaphore = Semaphore::const_new(2);
 
+/// Waits for room for a deployment.
+pub(crate) async fn room() -> SemaphorePermit<'static> {
+    ROOM.acquire().await.unwrap()
+}
+
 /// Returns the text of a bundle; `out` names the failure domain that is out, or is empty.
 pub(crate) fn bundle(version: u64, out: &str) -> String {
     let mut text = format!("[bundle]\nversion = {version}\n");
@@ -101,7 +106,7 @@
 
     /// Starts a deployment of this shape.
     pub(crate) async fn start_as(shape: Shape) -> Self {
-        let room = ROOM.acquire().await.unwrap();
+        let room = room().await;
         let mut plan = shape.plan();
         let wire = shape.is_wired.then(Wire::new);
         let folder = tempfile::tempdir().unwrap();
