Take windows of callers for offers that stand

Cause: packets of a flow overtake one another on their balancers. smoltcp takes the window of each packet as the present one, so an older, closed window that came last closed the flow; and an old acknowledgement that was raised to the newest one took its old window with it, which let the stack send more than the caller takes. When the retransmission timer then ran with a closed window, the stack was left without any timer but its keep-alive.

Ruled out: the probe of closed windows in smoltcp (it runs when the window closes without data in flight); a shorter keep-alive, which hides the fault.

Change: the window of every packet reaches to the furthest number that the caller has offered. Damaged packets are dropped before anything is read from them; a window scale above 14 counts as 14. A quiet flow that moves takes the offered window along.

--- a/crates/buckthornweir_flows/src/stack.rs
+++ b/crates/buckthornweir_flows/src/stack.rs
@@ -24,6 +24,7 @@
 use track::Track;
 
 pub use limits::StackLimits;
+use rewrite::{is_intact, with_window};
 pub use rewrite::{shift_incoming, shift_outgoing};
 
 /// Parts of the idle limit after which a silent flow is probed.
@@ -115,18 +116,20 @@
 
     /// Takes a packet of the caller, and adds the packets that answer it to `out`.
     pub fn input(&mut self, packet: &[u8], now: Duration, out: &mut Vec<Vec<u8>>) {
-        if self.started && !self.is_open() {
+        if self.started && !self.is_open() || !is_intact(packet) {
             return;
         }
         let Some(packet) = shift_incoming(packet, self.shift) else {
             return;
         };
+        self.track.incoming(&packet);
         let lag = self.track.acknowledgement_lag(&packet);
         // An old acknowledgement number tells nothing, but smoltcp drops the data that comes with it.
         let Some(packet) = shift_incoming(&packet, lag.wrapping_neg()) else {
             return;
         };
-        self.track.incoming(&packet);
+        let window = self.track.offered_window(&packet);
+        let packet = with_window(packet, window);
         self.run(Some(&packet), now, out);
         self.started = true;
     }
--- a/crates/buckthornweir_flows/src/stack/resume.rs
+++ b/crates/buckthornweir_flows/src/stack/resume.rs
@@ -34,7 +34,7 @@
             },
             sent: track.sent.wrapping_add(self.shift),
             received: track.acknowledged,
-            window: track.window,
+            window: track.window_after(track.sent).unwrap_or(track.window),
             segment: track.options.segment,
             scale: track.options.scale,
             sack: track.options.sack,
--- a/crates/buckthornweir_flows/src/stack/rewrite.rs
+++ b/crates/buckthornweir_flows/src/stack/rewrite.rs
@@ -17,6 +17,8 @@
 const SEQUENCE: usize = 4;
 /// Place of the acknowledgement number in a TCP header.
 const ACKNOWLEDGEMENT: usize = 8;
+/// Place of the window field in a TCP header.
+const WINDOW: usize = 14;
 /// Place of the checksum in a TCP header.
 const CHECKSUM: usize = 16;
 
@@ -45,6 +47,30 @@
     Some(Cow::Owned(packet))
 }
 
+/// Returns whether a packet's checksum is right.
+pub(super) fn is_intact(packet: &[u8]) -> bool {
+    let Some((segment, checksum)) = segment_of(packet) else {
+        return false;
+    };
+    TcpSlice::from_slice(&packet[segment]).is_ok_and(|tcp| tcp.checksum() == checksum)
+}
+
+/// Returns a packet of the caller, which must be intact, with another window field, or as it is
+/// without one.
+pub(super) fn with_window(packet: Cow<'_, [u8]>, window: Option<u16>) -> Cow<'_, [u8]> {
+    let Some((window, (segment, _))) = window.zip(segment_of(&packet)) else {
+        return packet;
+    };
+    let place = segment.start + WINDOW..segment.start + WINDOW + 2;
+    if packet[place.clone()] == window.to_be_bytes() {
+        return packet;
+    }
+    let mut packet = packet.into_owned();
+    packet[place].copy_from_slice(&window.to_be_bytes());
+    refill(&mut packet);
+    Cow::Owned(packet)
+}
+
 /// Changes a packet of the stack to the numbers that the caller sees.
 ///
 /// `shift` is added to the sequence number, and the checksum is filled again.
--- a/crates/buckthornweir_flows/src/stack/track.rs
+++ b/crates/buckthornweir_flows/src/stack/track.rs
@@ -2,6 +2,9 @@
 
 use etherparse::{IpSlice, TcpOptionElement, TcpSlice};
 
+/// Largest window scale that the standard allows; a larger one counts as this.
+const MAX_SCALE: u8 = 14;
+
 /// Options of the caller's SYN.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct SynOptions {
@@ -32,6 +35,8 @@
     received: u32,
     /// Highest number that the caller has acknowledged, once it has.
     confirmed: Option<u32>,
+    /// Highest number up to which the caller has offered to take bytes.
+    edge: Option<u32>,
 }
 
 impl Track {
@@ -45,6 +50,7 @@
             receive,
             received: 0,
             confirmed: None,
+            edge: None,
         }
     }
 
@@ -67,6 +73,22 @@
         }
     }
 
+    /// Returns the window field that a packet would have if it offered all that the caller has offered
+    /// before, which it can't take back.
+    pub(super) fn offered_window(&self, packet: &[u8]) -> Option<u16> {
+        let tcp = segment(packet).filter(|tcp| tcp.ack() && !tcp.syn() && !tcp.rst())?;
+        self.window_after(tcp.acknowledgment_number())
+    }
+
+    /// Returns the window field that goes with an acknowledgement number.
+    pub(super) fn window_after(&self, acknowledged: u32) -> Option<u16> {
+        let offered = self.edge?.wrapping_sub(acknowledged);
+        // An edge that lies behind the acknowledgement offers nothing.
+        let offered = u32::try_from(offered as i32).unwrap_or(0);
+        let field = offered >> self.options.scale.unwrap_or(0);
+        Some(u16::try_from(field).unwrap_or(u16::MAX))
+    }
+
     /// Takes a packet of the caller.
     pub(super) fn incoming(&mut self, packet: &[u8]) {
         let Some(tcp) = segment(packet) else {
@@ -89,6 +111,7 @@
         }
         self.window = tcp.window_size();
         self.confirm(&tcp);
+        self.widen(&tcp);
         if is_after(end, self.received) {
             self.received = end;
         }
@@ -103,6 +126,17 @@
         }
     }
 
+    /// Notes up to which number a packet offers to take bytes.
+    fn widen(&mut self, tcp: &TcpSlice<'_>) {
+        let number = tcp.acknowledgment_number();
+        let window = u32::from(tcp.window_size()) << self.options.scale.unwrap_or(0);
+        let edge = number.wrapping_add(window);
+        let is_plausible = tcp.ack() && !is_after(number, self.sent);
+        if is_plausible && self.edge.is_none_or(|e| is_after(edge, e)) {
+            self.edge = Some(edge);
+        }
+    }
+
     /// Takes a packet of the stack.
     pub(super) fn outgoing(&mut self, packet: &[u8]) {
         let Some(tcp) = segment(packet) else {
@@ -145,7 +179,7 @@
     for option in tcp.options_iterator().flatten() {
         match option {
             TcpOptionElement::MaximumSegmentSize(size) => options.segment = Some(size),
-            TcpOptionElement::WindowScale(scale) => options.scale = Some(scale),
+            TcpOptionElement::WindowScale(scale) => options.scale = Some(scale.min(MAX_SCALE)),
             TcpOptionElement::SelectiveAcknowledgementPermitted => options.sack = true,
             _ => {}
         }
--- a/crates/buckthornweir_flows/tests/stack.rs
+++ b/crates/buckthornweir_flows/tests/stack.rs
@@ -6,8 +6,16 @@
 
 use buckthornweir_flows::prelude::*;
 use common::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use smoltcp::socket::tcp::State;
 
+/// The longest time in milliseconds that a balancer takes for a packet.
+const LONGEST_DELAY: u64 = 10;
+
+/// How long an answer may take to a caller that reads slowly.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(30);
+
 fn assert_send<T: Send>(_: &T) {}
 
 fn read_all(server: &mut FlowStack) -> Vec<u8> {
@@ -175,3 +183,67 @@
         assert_eq!(read_all(&mut server), b"hello");
     }
 }
+
+/// Packets on their way, each with a delay of its own.
+#[derive(Default)]
+struct Sprayed {
+    packets: Vec<(Duration, Vec<u8>)>,
+}
+
+impl Sprayed {
+    fn send(&mut self, now: Duration, packets: Vec<Vec<u8>>, rng: &mut ChaCha8Rng) {
+        for packet in packets {
+            let delay = Duration::from_millis(rng.random_range(0..LONGEST_DELAY));
+            self.packets.push((now + delay, packet));
+        }
+    }
+
+    /// Returns the packets that have arrived, in order of arrival.
+    fn arrived(&mut self, now: Duration) -> Vec<Vec<u8>> {
+        self.packets.sort_by_key(|(at, _)| *at);
+        let count = self.packets.partition_point(|(at, _)| *at <= now);
+        let arrived = self.packets.drain(..count);
+        arrived.map(|(_, packet)| packet).collect()
+    }
+}
+
+/// Sends an answer to a caller that reads slowly, over balancers of which each takes its own time.
+/// Returns how many bytes came in time.
+fn slow_reader_gets(buffer: usize, bytes: usize, seed: u64) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = Duration::from_secs(1);
+    let (mut caller, mut server) = establish(&tuple(40_000), buffer, &mut now);
+    let (mut to_caller, mut to_server) = (Sprayed::default(), Sprayed::default());
+    let answer = vec![7; bytes];
+    let (mut written, mut read) = (0, 0);
+    let limit = now + TRANSFER_LIMIT;
+    while now < limit && read < bytes {
+        if let WriteState::Accepted(length) = server.write(&answer[written..]) {
+            written += length;
+        }
+        let mut out = Vec::new();
+        for packet in to_server.arrived(now) {
+            server.input(&packet, now, &mut out);
+        }
+        server.poll(now, &mut out);
+        to_caller.send(now, out, &mut rng);
+        let acknowledging = caller.turn(now, to_caller.arrived(now));
+        if rng.random_bool(0.1) {
+            read += caller.read().len();
+        }
+        to_server.send(now, acknowledging, &mut rng);
+        now += Duration::from_millis(1);
+    }
+    read
+}
+
+/// Windows that overtake one another neither stop a flow nor let it send more than the caller takes.
+#[test]
+fn slow_reader_behind_several_balancers_gets_the_whole_answer() {
+    for buffer in [2_000, 4_096, 20_000, 100_000] {
+        for seed in 0..40 {
+            let read = slow_reader_gets(buffer, 200_000, seed);
+            assert_eq!(read, 200_000, "buffer of {buffer} bytes, seed {seed}");
+        }
+    }
+}
