Take no window of a packet that newer ones have overtaken

Cause: smoltcp takes the window of each packet as the present one. Packets of a flow pass through different balancers, so the word of a closed window may come after that of the open one. The agent's stack then held the rest of an answer back: for the probe of a closed window, about 1 s, or with data in flight, when the retransmission that finds the window closed leaves no timer but the probe of a silent caller, for 15 s. The raising of old acknowledgement numbers made it likelier, since it passed the old window on with them.

Ruled out: the backend server (its books say done after 60 ms); losses alone, which cost 1 s and its doublings; crossed connections; a lost wake-up of the writer (a flow stack by itself, without tasks, shows the same).

Change: an overtaken packet's window counts only where it reaches further than the one known. A packet whose acknowledgement or sequence number is newer may close the window, as before.

--- a/crates/buckthornweir_flows/src/stack.rs
+++ b/crates/buckthornweir_flows/src/stack.rs
@@ -9,6 +9,7 @@
 mod rewrite;
 mod track;
 
+use std::borrow::Cow;
 use std::net::{IpAddr, SocketAddr};
 use std::task::Waker;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::hash::{Purpose, flow_hash};
 use crate::packet::PacketInfo;
 use device::PacketDevice;
+use rewrite::with_window;
 use track::Track;
 
 pub use limits::StackLimits;
@@ -126,6 +128,13 @@
         let Some(packet) = shift_incoming(&packet, lag.wrapping_neg()) else {
             return;
         };
+        let packet = match self.track.window_behind(&packet, lag) {
+            Some(window) => with_window(&packet, window).map(Cow::Owned),
+            None => Some(packet),
+        };
+        let Some(packet) = packet else {
+            return;
+        };
         self.track.incoming(&packet);
         self.run(Some(&packet), now, out);
         self.started = true;
--- a/crates/buckthornweir_flows/src/stack/rewrite.rs
+++ b/crates/buckthornweir_flows/src/stack/rewrite.rs
@@ -17,6 +17,8 @@
 const SEQUENCE: usize = 4;
 /// Place of the acknowledgement number in a TCP header.
 const ACKNOWLEDGEMENT: usize = 8;
+/// Place of the window in a TCP header.
+const WINDOW: usize = 14;
 /// Place of the checksum in a TCP header.
 const CHECKSUM: usize = 16;
 
@@ -45,6 +47,19 @@
     Some(Cow::Owned(packet))
 }
 
+/// Returns the caller's packet with another window field, or `None` for a damaged packet.
+pub(super) fn with_window(packet: &[u8], window: u16) -> Option<Vec<u8>> {
+    let (segment, checksum) = segment_of(packet)?;
+    let tcp = TcpSlice::from_slice(&packet[segment.clone()]).ok()?;
+    if checksum != tcp.checksum() {
+        return None;
+    }
+    let mut packet = packet.to_vec();
+    packet[segment][WINDOW..WINDOW + 2].copy_from_slice(&window.to_be_bytes());
+    refill(&mut packet);
+    Some(packet)
+}
+
 /// Changes a packet of the stack to the numbers that the caller sees.
 ///
 /// `shift` is added to the sequence number, and the checksum is filled again.
--- a/crates/buckthornweir_flows/src/stack/track.rs
+++ b/crates/buckthornweir_flows/src/stack/track.rs
@@ -2,6 +2,9 @@
 
 use etherparse::{IpSlice, TcpOptionElement, TcpSlice};
 
+/// Largest window scale that counts.
+const LARGEST_SCALE: u8 = 14;
+
 /// Options of the caller's SYN.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct SynOptions {
@@ -32,6 +35,10 @@
     received: u32,
     /// Highest number that the caller has acknowledged, once it has.
     confirmed: Option<u32>,
+    /// End of the caller's window, once it has told one.
+    edge: Option<u32>,
+    /// Sequence number of the caller's newest packet.
+    newest: u32,
 }
 
 impl Track {
@@ -45,6 +52,8 @@
             receive,
             received: 0,
             confirmed: None,
+            edge: None,
+            newest: 0,
         }
     }
 
@@ -67,6 +76,36 @@
         }
     }
 
+    /// Returns the window field to put into a packet that newer ones have overtaken, if it needs
+    /// another one. Its acknowledgement number was raised by `lag` already.
+    ///
+    /// The window of an overtaken packet counts only where it reaches further: the stack would take
+    /// an old closed window for the present one, and wait.
+    pub(super) fn window_behind(&self, packet: &[u8], lag: u32) -> Option<u16> {
+        let tcp = segment(packet).filter(|tcp| tcp.ack() && !tcp.syn() && !tcp.rst())?;
+        let (edge, confirmed) = (self.edge?, self.confirmed?);
+        let number = tcp.acknowledgment_number();
+        let is_newer = is_after(number, confirmed) || is_after(tcp.sequence_number(), self.newest);
+        if lag == 0 && is_newer {
+            return None;
+        }
+        let told = self.edge_of(&tcp).wrapping_sub(lag);
+        let furthest = if is_after(told, edge) { told } else { edge };
+        let bytes = furthest.wrapping_sub(number).cast_signed().max(0);
+        let window = u16::try_from(bytes >> self.scale()).unwrap_or(u16::MAX);
+        (window != tcp.window_size()).then_some(window)
+    }
+
+    /// Returns the end of the window that a packet tells.
+    fn edge_of(&self, tcp: &TcpSlice<'_>) -> u32 {
+        let window = u32::from(tcp.window_size()) << self.scale();
+        tcp.acknowledgment_number().wrapping_add(window)
+    }
+
+    fn scale(&self) -> u8 {
+        self.options.scale.unwrap_or(0).min(LARGEST_SCALE)
+    }
+
     /// Takes a packet of the caller.
     pub(super) fn incoming(&mut self, packet: &[u8]) {
         let Some(tcp) = segment(packet) else {
@@ -79,6 +118,7 @@
                 self.acknowledged = end;
                 self.received = end;
                 self.window = tcp.window_size();
+                self.newest = end;
             }
             return;
         }
@@ -89,6 +129,12 @@
         }
         self.window = tcp.window_size();
         self.confirm(&tcp);
+        if tcp.ack() && !is_after(tcp.acknowledgment_number(), self.sent) {
+            self.edge = Some(self.edge_of(&tcp));
+        }
+        if is_after(tcp.sequence_number(), self.newest) {
+            self.newest = tcp.sequence_number();
+        }
         if is_after(end, self.received) {
             self.received = end;
         }
--- a/crates/buckthornweir_flows/tests/stack.rs
+++ b/crates/buckthornweir_flows/tests/stack.rs
@@ -6,6 +6,8 @@
 
 use buckthornweir_flows::prelude::*;
 use common::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use smoltcp::socket::tcp::State;
 
 fn assert_send<T: Send>(_: &T) {}
@@ -175,3 +177,111 @@
         assert_eq!(read_all(&mut server), b"hello");
     }
 }
+
+/// How packets pass between a caller and its agent.
+struct Path {
+    rng: ChaCha8Rng,
+    /// Largest time that a packet takes, in microseconds.
+    slowest: u64,
+    /// Share of packets that are lost.
+    loss: f64,
+    on_way: Vec<(Duration, Vec<u8>)>,
+}
+
+impl Path {
+    fn new(seed: u64, slowest: u64, loss: f64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            slowest,
+            loss,
+            on_way: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, now: Duration, packets: Vec<Vec<u8>>) {
+        for packet in packets {
+            let time = Duration::from_micros(self.rng.random_range(50..self.slowest));
+            if !self.rng.random_bool(self.loss) {
+                self.on_way.push((now + time, packet));
+            }
+        }
+    }
+
+    /// Returns the packets that have come, in the order in which they did.
+    fn arrived(&mut self, now: Duration) -> Vec<Vec<u8>> {
+        let mut arrived: Vec<_> = self.on_way.extract_if(.., |(at, _)| *at <= now).collect();
+        arrived.sort_by_key(|(at, _)| *at);
+        arrived.into_iter().map(|(_, packet)| packet).collect()
+    }
+}
+
+/// Returns the longest time that one of thirty answers takes on one flow.
+fn slowest_answer(seed: u64, slowest: u64, loss: f64) -> Duration {
+    const REQUEST: usize = 300;
+    const ANSWER: usize = 10_300;
+    const STEP: Duration = Duration::from_micros(100);
+    let mut now = Duration::from_secs(1);
+    let (mut caller, mut server) = establish(&tuple(40_000), 4_096, &mut now);
+    let mut to_server = Path::new(seed, slowest, loss);
+    let mut to_caller = Path::new(seed + 1_000, slowest, loss);
+    let mut longest = Duration::ZERO;
+    for _ in 0..30 {
+        let began = now;
+        let (mut asked, mut left, mut got) = (0, ANSWER, 0);
+        let sent = caller.socket().send_slice(&[1; REQUEST]);
+        assert_eq!(sent, Ok(REQUEST));
+        while got < ANSWER {
+            now += STEP;
+            let mut out = Vec::new();
+            for packet in to_server.arrived(now) {
+                server.input(&packet, now, &mut out);
+            }
+            asked += read_all(&mut server).len();
+            if asked == REQUEST
+                && let WriteState::Accepted(length) = server.write(&vec![7; left])
+            {
+                left -= length;
+            }
+            server.poll(now, &mut out);
+            to_caller.send(now, out);
+            for packet in to_caller.arrived(now) {
+                let answers = caller.turn(now, vec![packet]);
+                to_server.send(now, answers);
+            }
+            got += caller.read().len();
+            let answers = caller.turn(now, Vec::new());
+            to_server.send(now, answers);
+        }
+        longest = longest.max(now - began);
+    }
+    longest
+}
+
+/// The caller's buffer is smaller than an answer, so that its window closes and opens again. Where
+/// packets overtake one another, the word of the closed window may come last.
+#[test]
+fn a_window_that_was_overtaken_holds_up_no_answer() {
+    // Nothing is lost, so no answer needs a retransmission, which comes after a second.
+    let cases = [
+        (43, 1_000),
+        (64, 1_000),
+        (135, 1_000),
+        (88, 3_000),
+        (104, 3_000),
+        (143, 3_000),
+    ];
+    for (seed, slowest) in cases {
+        let longest = slowest_answer(seed, slowest, 0.0);
+        assert!(longest < Duration::from_secs(1), "{longest:?}, seed {seed}");
+    }
+}
+
+/// With losses besides, an answer waits for retransmissions, and not for the probe of a silent caller.
+#[test]
+fn losses_hold_up_no_answer_until_the_probe() {
+    let probe = StackLimits::default().idle / 4;
+    for seed in [926, 982, 1_020, 1_251, 1_383] {
+        let longest = slowest_answer(seed, 1_000, 0.01);
+        assert!(longest < probe, "{longest:?}, seed {seed}");
+    }
+}
