--- a/benches/processes/load.rs
+++ b/benches/processes/load.rs
@@ -15,8 +15,8 @@
 use crate::usage::Usage;
 use crate::{LENGTH, QUIET};
 
-/// How long silent flows are measured. An agent closes an HTTP flow that is silent for 30 s.
-const SILENT: Duration = Duration::from_secs(10);
+/// How long silent flows are measured: some rounds of the probes that go out each 15 s.
+const SILENT: Duration = Duration::from_secs(45);
 
 /// How long flows are left alone before they are measured.
 const SETTLE: Duration = Duration::from_secs(2);
@@ -76,7 +76,7 @@
             open[0], open[1]
         );
         let idle = after.since(&before);
-        memory.push(Point::new(count, before.resident - empty.resident));
+        memory.push(Point::new(count, after.resident - empty.resident));
         core.push(Point::new(count, idle.core));
         opening.push(Point::new(count, opened.since(&empty).busy * 1e3));
         drop(callers);
