Give founding and refusals of keys files of their own

Cause: asking.rs and syncing.rs each had two jobs.

Ruled out: nothing.

Change: founding.rs has how members found a service, refusing.rs what a caller gets whose request does not run; no line of them was changed otherwise.

Conclusion: no change of behaviour.

--- a/crates/buckthornweir_requests/src/idempotency/asking.rs
+++ b/crates/buckthornweir_requests/src/idempotency/asking.rs
@@ -14,9 +14,6 @@
 };
 use crate::{NodeId, ProblemKind, Refusal};
 
-/// When a caller whose request is refused may send it again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// A claim of this agent whose request has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
@@ -291,7 +288,7 @@
     }
 
     /// Withdraws a round at the holders that may have granted it.
-    fn withdraw(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
+    pub(super) fn withdraw(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
         let Some(claim) = self.claims.get(key) else {
             return;
         };
@@ -304,63 +301,8 @@
         self.tell_end(now, message, open, out);
     }
 
-    fn replay(
-        &mut self,
-        now: Duration,
-        key: ClaimKey,
-        answer: Option<StoredAnswer>,
-        out: &mut Vec<KeyAction>,
-    ) {
-        // Holders that did not know the answer get a copy.
-        self.end_claim(now, key, KeyEnd::Done, answer.clone(), out);
-        self.counters.replayed += 1;
-        out.extend(answer.map(|answer| KeyAction::Replay { claim: key, answer }));
-    }
-
-    fn refuse_not_kept(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.end_claim(now, key, KeyEnd::Done, None, out);
-        self.counters.conflicts += 1;
-        self.refuse(key, Refusal::unknown(ProblemKind::AnswerNotKept), out);
-    }
-
-    fn refuse_running(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.withdraw(now, key, out);
-        self.counters.conflicts += 1;
-        let refusal = Refusal::unknown(ProblemKind::KeyInUse).with_retry_after(RETRY_AFTER);
-        self.refuse(key, refusal, out);
-    }
-
-    fn refuse_unknown(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.withdraw(now, key, out);
-        self.counters.conflicts += 1;
-        let refusal = Refusal::unknown(ProblemKind::OutcomeUnknown).with_retry_after(RETRY_AFTER);
-        self.refuse(key, refusal, out);
-    }
-
-    fn refuse_mismatch(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.withdraw(now, key, out);
-        self.counters.conflicts += 1;
-        self.refuse(key, Refusal::not_run(ProblemKind::KeyMismatch), out);
-    }
-
-    /// This copy of the request did not run, but an earlier one with the same key may have.
-    fn refuse_unreachable(&mut self, now: Duration, key: ClaimKey, out: &mut Vec<KeyAction>) {
-        self.withdraw(now, key, out);
-        self.counters.unreachable += 1;
-        let refusal = Refusal::unknown(ProblemKind::KeyHomeUnreachable);
-        self.refuse(key, refusal.with_retry_after(RETRY_AFTER), out);
-    }
-
-    fn refuse(&mut self, key: ClaimKey, refusal: Refusal, out: &mut Vec<KeyAction>) {
-        self.claims.remove(key);
-        out.push(KeyAction::Refuse {
-            claim: key,
-            refusal,
-        });
-    }
-
     /// Ends a claim and tells all of its holders.
-    fn end_claim(
+    pub(super) fn end_claim(
         &mut self,
         now: Duration,
         key: ClaimKey,
--- a/crates/buckthornweir_requests/src/idempotency/mod.rs
+++ b/crates/buckthornweir_requests/src/idempotency/mod.rs
@@ -26,9 +26,11 @@
 mod asking;
 mod config;
 mod ending;
+mod founding;
 mod holders;
 mod holding;
 mod records;
+mod refusing;
 mod roster;
 mod syncing;
 
@@ -48,9 +50,10 @@
 use crate::{NodeId, Refusal};
 use asking::Claim;
 use ending::Ending;
+use founding::Unfounded;
 use records::Records;
 use roster::{Life, Roster};
-use syncing::{Pull, Unfounded};
+use syncing::Pull;
 
 new_key_type! {
     /// Key of a claim at the agent that made it.
--- a/crates/buckthornweir_requests/src/idempotency/syncing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/syncing.rs
@@ -1,9 +1,8 @@
 //! How an agent that starts gets the records of the others, and hands over its own when it leaves.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::roster::{Change, Life};
+use super::roster::Life;
 use super::{KeyAction, Keys, Member};
 use crate::NodeId;
 use crate::messages::{KeyRecords, KeySync, RECORDS_MOST, RequestBody, SettledMember, Standing};
@@ -11,24 +10,16 @@
 /// Records that are being pulled from another member.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pull {
-    token: u64,
-    sent: Duration,
+    pub(super) token: u64,
+    pub(super) sent: Duration,
     next_part: u32,
     complete: bool,
     /// Whether the other member held all of its records.
     sure: bool,
 }
 
-/// A member that said that no member counts yet.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Unfounded {
-    life: Life,
-    /// When it was asked.
-    asked: Duration,
-}
-
 /// Token of records that a member sends because it leaves.
-const UNASKED: u64 = 0;
+pub(super) const UNASKED: u64 = 0;
 
 impl Keys {
     /// Stops granting claims and sends all records to the others, before the agent leaves.
@@ -87,46 +78,6 @@
         }
     }
 
-    /// Notes whether a member says that no member counts yet.
-    fn note_unfounded(&mut self, from: NodeId, message: &KeyRecords) {
-        let pull = self.pulls.get(&from).filter(|p| p.token != UNASKED);
-        let unfounded = pull.filter(|_| message.settled.is_empty());
-        match unfounded {
-            Some(pull) => {
-                let (life, asked) = (message.life, pull.sent);
-                self.unfounded.insert(from, Unfounded { life, asked });
-            }
-            None => drop(self.unfounded.remove(&from)),
-        }
-    }
-
-    /// Returns the lives of the other members that are there, if each of them said a short time ago
-    /// that no member counts yet.
-    fn unfounded_lives(&self, now: Duration) -> Option<BTreeMap<NodeId, Life>> {
-        let oldest = now.saturating_sub(self.config.resend * 2);
-        let life = |node| {
-            let said = self.unfounded.get(&node).filter(|u| u.asked >= oldest);
-            said.map(|u| (node, u.life))
-        };
-        self.roster.others().map(life).collect()
-    }
-
-    pub(super) fn tick_roster(&mut self, now: Duration) {
-        let lives = match self.roster.is_unfounded() {
-            true => self.unfounded_lives(now),
-            false => None,
-        };
-        match self.roster.tick(now, lives.as_ref()) {
-            Change::None => {}
-            Change::Founded => {
-                self.is_founder = true;
-                self.held_until = Some(now + self.config.hold());
-            }
-            Change::Inherited => self.standing = Standing::Sure,
-            Change::Returned => self.doubt(),
-        }
-    }
-
     pub(super) fn tick_sync(&mut self, now: Duration, out: &mut Vec<KeyAction>) {
         if self.standing == Standing::Sure {
             return;
@@ -181,7 +132,7 @@
     }
 
     /// Stops granting until the others confirm that they count this agent.
-    fn doubt(&mut self) {
+    pub(super) fn doubt(&mut self) {
         if self.standing == Standing::Sure {
             self.standing = Standing::New;
         }
