Name many refutations in one list, for regions that meet again

Cause: a trace of masses at 500 members: within 3.5 s of the end of a cut all 500 have refuted their deaths and each knows 469 of 500, but by then each has spent its burst on some 250 rumours of 21 bytes, several copies each, and the rest drips through 2,400 B/s behind copies that everyone has. Ruled out: the contacts every 5 s (all refutations were made after 3.5 s), and the comparison of tables (it waited for the flood to end, and found little left). Change: in a flood, a refutation rides as a fingerprint of the member, its start, state and weight under the next incarnation. A receiver looks it up among what its own entries would become, so that a member that changed otherwise in the meantime doesn't match and comes by comparison. Statements that only raise the incarnation are passed on as refutations also where the death was never heard of. The loss of a domain is as it was.

--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -144,6 +144,9 @@
         for &fingerprint in &message.deaths {
             self.merge_death(sender, fingerprint);
         }
+        for &statement in &message.refutations {
+            self.merge_refutation(sender, statement);
+        }
         if !self.identity.is_silent() {
             if is_greeting(sender, &message.rumours, &message.body) {
                 self.welcome(sender);
--- a/crates/buckthornweir_members/src/members/merging.rs
+++ b/crates/buckthornweir_members/src/members/merging.rs
@@ -4,7 +4,7 @@
 
 use super::Members;
 use crate::messages::{Fingerprint, Header, Profile, Rumour};
-use crate::record::ANY_INSTANCE;
+use crate::record::{ANY_INSTANCE, MAX_INCARNATION};
 use crate::rumours::Priority;
 use crate::table::Entry;
 use crate::{BundleStamp, Health, MemberState, NodeId, Record};
@@ -86,6 +86,21 @@
         self.merge_rumour(sender, &rumour, true);
     }
 
+    /// Takes the refutation that goes above what is held about a member.
+    pub(super) fn merge_refutation(&mut self, sender: NodeId, statement: Fingerprint) {
+        let Some(entry) = self.table.refuted(statement) else {
+            return;
+        };
+        let mut rumour = entry.rumour(false);
+        rumour.health = Health::Alive;
+        rumour.instance = entry.instance;
+        rumour.incarnation = entry.record.incarnation + 1;
+        rumour.free = entry.record.free;
+        if rumour.node != self.own && rumour.incarnation <= MAX_INCARNATION {
+            self.merge_rumour(sender, &rumour, true);
+        }
+    }
+
     /// Returns whether an accusation comes from a member that is not held as dead itself.
     fn is_credible(&self, sender: NodeId, rumour: &Rumour) -> bool {
         let accuses = rumour.health != Health::Alive && rumour.state != MemberState::Left;
@@ -106,9 +121,11 @@
 
     fn merge_known(&mut self, rumour: &Rumour, spread: bool) {
         let now = self.now;
-        let Some(before) = self.table.get(rumour.node).map(|entry| entry.health) else {
+        let Some(entry) = self.table.get(rumour.node) else {
             return;
         };
+        let before = entry.health;
+        let refutes = is_refutation(entry, rumour);
         self.table.update(rumour.node, |entry| {
             let record = Arc::make_mut(&mut entry.record);
             record.incarnation = rumour.incarnation;
@@ -121,6 +138,9 @@
             }
         });
         self.settle(rumour, Some(before), spread);
+        if spread && refutes {
+            self.rumours.push(rumour.node, Priority::Health, false);
+        }
     }
 
     /// Takes a full record of a new node, or of a new start of a known one.
@@ -189,6 +209,20 @@
     said > held || said == held && wins_tie(entry, rumour)
 }
 
+/// Returns whether a statement says nothing new but that the member lives.
+fn is_refutation(entry: &Entry, rumour: &Rumour) -> bool {
+    let record = &entry.record;
+    let held = (
+        record.incarnation + 1,
+        record.state,
+        record.weight,
+        record.free,
+    );
+    let said = (rumour.incarnation, rumour.state, rumour.weight, rumour.free);
+    let ready = matches!(rumour.state, MemberState::Cold | MemberState::Ready);
+    ready && rumour.health == Health::Alive && said == held
+}
+
 /// Decides between two starts of one node under the same incarnation.
 fn wins_tie(entry: &Entry, rumour: &Rumour) -> bool {
     let Some(profile) = &rumour.profile else {
--- a/crates/buckthornweir_members/src/members/spreading.rs
+++ b/crates/buckthornweir_members/src/members/spreading.rs
@@ -95,6 +95,7 @@
         let queued = self.take_rumours(&message, 1);
         message.rumours.extend(queued.rumours);
         message.deaths = queued.deaths;
+        message.refutations = queued.refutations;
         self.transmit(to, message);
     }
 
@@ -216,6 +217,7 @@
         self.rumours.count_push(&taken.nodes, copies);
         message.rumours = taken.rumours;
         message.deaths = taken.deaths;
+        message.refutations = taken.refutations;
         self.bundles.count_push(copies);
         for peer in peers {
             if let Some(to) = self.table.get(peer).map(|entry| entry.record.gossip) {
@@ -245,6 +247,7 @@
             header: self.header(),
             rumours,
             deaths: Vec::new(),
+            refutations: Vec::new(),
             body,
         }
     }
--- a/crates/buckthornweir_members/src/messages.rs
+++ b/crates/buckthornweir_members/src/messages.rs
@@ -78,6 +78,8 @@
     pub rumours: Vec<Rumour>,
     /// Members that are dead under the incarnation that each fingerprint stands for.
     pub deaths: Vec<Fingerprint>,
+    /// Members that live, otherwise unchanged, under the next incarnation after the one held.
+    pub refutations: Vec<Fingerprint>,
     /// What the message is for.
     pub body: Body,
 }
--- a/crates/buckthornweir_members/src/messages/convert.rs
+++ b/crates/buckthornweir_members/src/messages/convert.rs
@@ -34,6 +34,7 @@
         let datagram = wire::Datagram::decode(datagram)?;
         check_entries("rumours", datagram.rumours.len())?;
         check_entries("deaths", datagram.deaths.len())?;
+        check_entries("refutations", datagram.refutations.len())?;
         let header = datagram.header.ok_or(MessageError::Missing("header"))?;
         let body = datagram.body.ok_or(MessageError::Missing("body"))?;
         Ok(Self {
@@ -44,6 +45,7 @@
                 .map(read_rumour)
                 .collect::<Result<_>>()?,
             deaths: datagram.deaths,
+            refutations: datagram.refutations,
             body: read_body(body)?,
         })
     }
@@ -54,6 +56,7 @@
             rumours: self.rumours.iter().map(write_rumour).collect(),
             body: Some(write_body(&self.body)),
             deaths: self.deaths.clone(),
+            refutations: self.refutations.clone(),
         }
     }
 }
--- a/crates/buckthornweir_members/src/messages/wire.rs
+++ b/crates/buckthornweir_members/src/messages/wire.rs
@@ -15,6 +15,9 @@
     /// The fingerprints of dead members, 4 bytes each.
     #[prost(fixed32, repeated, tag = "13")]
     pub deaths: Vec<u32>,
+    /// The fingerprints of refutations, 4 bytes each.
+    #[prost(fixed32, repeated, tag = "14")]
+    pub refutations: Vec<u32>,
 }
 
 /// What the sender says about itself.
--- a/crates/buckthornweir_members/src/rumours.rs
+++ b/crates/buckthornweir_members/src/rumours.rs
@@ -27,8 +27,8 @@
 /// The copies of each change that are sent in a flood.
 const FLOOD_COPIES: usize = 8;
 
-/// The copies of each death in a list that are sent in a flood.
-const DEATH_COPIES: usize = 10;
+/// The copies of each death or refutation in a list that are sent in a flood.
+const LISTED_COPIES: usize = 10;
 
 /// The length from which the queue counts as a large flood.
 const LARGE_FLOOD: usize = 128;
@@ -39,11 +39,11 @@
 /// The copies of each full record that are sent in a flood. Anti-entropy carries the rest.
 const FULL_COPIES: usize = 2;
 
-/// The bytes of a death in a list of deaths.
-const DEATH_BYTES: usize = 4;
+/// The bytes of a change in a list.
+const LISTED_BYTES: usize = 4;
 
-/// The bytes of the first death in a list, with the list's tag and length.
-const FIRST_DEATH_BYTES: usize = DEATH_BYTES + 3;
+/// The bytes of the first change in a list, with the list's tag and length.
+const FIRST_LISTED_BYTES: usize = LISTED_BYTES + 3;
 
 /// The most nodes that are remembered as changed last.
 const MAX_RECENT: usize = 64;
@@ -62,8 +62,8 @@
     brief: usize,
     /// Copies of a full record.
     full: usize,
-    /// Copies of a death in a list of deaths.
-    death: usize,
+    /// Copies of a change in a list.
+    listed: usize,
 }
 
 impl Limits {
@@ -71,7 +71,7 @@
         match statement {
             Statement::Rumour(rumour) if rumour.profile.is_some() => self.full,
             Statement::Rumour(_) => self.brief,
-            Statement::Death(_) => self.death,
+            Statement::Death(_) | Statement::Refutation(_) => self.listed,
         }
     }
 }
@@ -82,6 +82,8 @@
     pub(crate) rumours: Vec<Rumour>,
     /// Deaths in a flood, a fingerprint each.
     pub(crate) deaths: Vec<Fingerprint>,
+    /// Refutations in a flood, a fingerprint each.
+    pub(crate) refutations: Vec<Fingerprint>,
     /// The nodes that both are about.
     pub(crate) nodes: Vec<NodeId>,
 }
@@ -204,6 +206,8 @@
         let entry = table.get(node)?;
         Some(if flood && !item.full && is_plain_death(entry) {
             Statement::Death(entry.record.fingerprint())
+        } else if flood && !item.full && is_plain_refutation(entry, item) {
+            Statement::Refutation(entry.statement())
         } else {
             Statement::Rumour(Box::new(entry.rumour(item.full)))
         })
@@ -219,7 +223,7 @@
         Limits {
             brief: brief.min(usual),
             full: full.min(usual),
-            death: DEATH_COPIES.min(usual),
+            listed: LISTED_COPIES.min(usual),
         }
     }
 
@@ -239,6 +243,7 @@
 enum Statement {
     Rumour(Box<Rumour>),
     Death(Fingerprint),
+    Refutation(Fingerprint),
 }
 
 impl Taken {
@@ -246,9 +251,8 @@
     fn cost(&self, statement: &Statement) -> usize {
         match statement {
             Statement::Rumour(rumour) => rumour.encoded_len(),
-            Statement::Death(_) if self.deaths.len() == MAX_ENTRIES => usize::MAX,
-            Statement::Death(_) if self.deaths.is_empty() => FIRST_DEATH_BYTES,
-            Statement::Death(_) => DEATH_BYTES,
+            Statement::Death(_) => listed_cost(&self.deaths),
+            Statement::Refutation(_) => listed_cost(&self.refutations),
         }
     }
 
@@ -257,10 +261,25 @@
         match statement {
             Statement::Rumour(rumour) => self.rumours.push(*rumour),
             Statement::Death(fingerprint) => self.deaths.push(fingerprint),
+            Statement::Refutation(fingerprint) => self.refutations.push(fingerprint),
         }
     }
 }
 
+/// Returns the bytes that one more change adds to a list.
+fn listed_cost(list: &[Fingerprint]) -> usize {
+    match list.len() {
+        0 => FIRST_LISTED_BYTES,
+        MAX_ENTRIES.. => usize::MAX,
+        _ => LISTED_BYTES,
+    }
+}
+
+/// Returns whether the change is that the member lives, and nothing else.
+fn is_plain_refutation(entry: &Entry, item: &Item) -> bool {
+    entry.health == Health::Alive && item.priority == Priority::Health
+}
+
 /// Returns whether the entry is that of a member that died without having left.
 fn is_plain_death(entry: &Entry) -> bool {
     entry.health == Health::Dead && entry.record.state != MemberState::Left
--- a/crates/buckthornweir_members/src/table.rs
+++ b/crates/buckthornweir_members/src/table.rs
@@ -43,6 +43,23 @@
         }
     }
 
+    /// Returns what stands for the entry as it is, but for its health, bundle and free slots.
+    pub(crate) fn statement(&self) -> Fingerprint {
+        self.statement_under(self.record.incarnation)
+    }
+
+    fn statement_under(&self, incarnation: Incarnation) -> Fingerprint {
+        let record = &self.record;
+        let start = u64::from(self.instance) << 32;
+        let status = start | (record.state as u64) << 8 | u64::from(record.weight);
+        hash([record.node, incarnation, status]) as Fingerprint
+    }
+
+    /// Returns the statement that the entry becomes when only its incarnation goes up by one.
+    fn next_statement(&self) -> Fingerprint {
+        self.statement_under(self.record.incarnation.saturating_add(1))
+    }
+
     /// Returns whether the node left on purpose.
     pub(crate) fn has_left(&self) -> bool {
         self.record.state == MemberState::Left
@@ -65,6 +82,8 @@
     digest: u32,
     /// The members that are not dead, by their fingerprints.
     marks: BTreeMap<Fingerprint, NodeId>,
+    /// The members by the statements that refute what is held about them.
+    refutations: BTreeMap<Fingerprint, NodeId>,
     live: Vec<NodeId>,
     dead: BTreeSet<NodeId>,
     generation: u64,
@@ -79,6 +98,7 @@
             buckets: (0..BUCKETS).map(|_| Bucket::default()).collect(),
             digest: 0,
             marks: BTreeMap::new(),
+            refutations: BTreeMap::new(),
             live: Vec::new(),
             dead: BTreeSet::new(),
             generation: 0,
@@ -100,6 +120,11 @@
         self.get(*self.marks.get(&fingerprint)?)
     }
 
+    /// Returns the entry that this statement goes above by one incarnation.
+    pub(crate) fn refuted(&self, statement: Fingerprint) -> Option<&Entry> {
+        self.get(*self.refutations.get(&statement)?)
+    }
+
     /// Returns the digest of all members that are not dead.
     pub(crate) fn digest(&self) -> u32 {
         self.digest
@@ -196,10 +221,11 @@
 
     /// Adds the entry to the digests and fingerprints.
     fn count_in(&mut self, entry: &Entry) {
+        let node = entry.record.node;
+        self.refutations.insert(entry.next_statement(), node);
         if entry.health == Health::Dead {
             return;
         }
-        let node = entry.record.node;
         let fingerprint = entry.record.fingerprint();
         self.marks.insert(fingerprint, node);
         self.toggle(node, fingerprint);
@@ -207,10 +233,13 @@
 
     /// Takes the entry out of the digests and fingerprints.
     fn count_out(&mut self, entry: &Entry) {
+        let node = entry.record.node;
+        if self.refutations.get(&entry.next_statement()) == Some(&node) {
+            self.refutations.remove(&entry.next_statement());
+        }
         if entry.health == Health::Dead {
             return;
         }
-        let node = entry.record.node;
         let fingerprint = entry.record.fingerprint();
         if self.marks.get(&fingerprint) == Some(&node) {
             self.marks.remove(&fingerprint);
--- a/crates/buckthornweir_members/tests/members/deaths.rs
+++ b/crates/buckthornweir_members/tests/members/deaths.rs
@@ -165,6 +165,7 @@
         header,
         rumours: vec![rumour],
         deaths: Vec::new(),
+        refutations: Vec::new(),
         body: Body::Gossip,
     }
 }
--- a/crates/buckthornweir_members/tests/members/decoding.rs
+++ b/crates/buckthornweir_members/tests/members/decoding.rs
@@ -122,12 +122,13 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    let deaths = prop::collection::vec(any::<u32>(), 0..64);
-    let parts = (prop::collection::vec(rumour(), 0..6), deaths, body());
-    parts.prop_map(|(rumours, deaths, body)| Message {
+    let lists = [0; 2].map(|_| prop::collection::vec(any::<u32>(), 0..64));
+    let parts = (prop::collection::vec(rumour(), 0..6), lists, body());
+    parts.prop_map(|(rumours, [deaths, refutations], body)| Message {
         header: header(),
         rumours,
         deaths,
+        refutations,
         body,
     })
 }
@@ -217,6 +218,7 @@
         header: header(),
         rumours,
         deaths: vec![7],
+        refutations: vec![8],
         body,
     }
     .encode();
@@ -239,7 +241,7 @@
 #[test]
 fn invalid_values_give_typed_errors() {
     type Alter = fn(&mut Datagram);
-    let cases: [Alter; 17] = [
+    let cases: [Alter; 18] = [
         |datagram| datagram.header = None,
         |datagram| datagram.body = None,
         |datagram| datagram.header.as_mut().expect("a header").digest = vec![1; 31],
@@ -250,6 +252,7 @@
         |datagram| datagram.rumours[0].incarnation = u64::MAX,
         |datagram| datagram.rumours = vec![Default::default(); MAX_ENTRIES + 1],
         |datagram| datagram.deaths = vec![0; MAX_ENTRIES + 1],
+        |datagram| datagram.refutations = vec![0; MAX_ENTRIES + 1],
         |datagram| profile(datagram).name = "x".repeat(MAX_TEXT + 1),
         |datagram| profile(datagram).roles = 8,
         |datagram| profile(datagram).gossip.clear(),
@@ -277,6 +280,7 @@
         invalid record: incarnation 18446744073709551615 exceeds 4611686018427387904
         rumours has 257 entries, more than 256
         deaths has 257 entries, more than 256
+        refutations has 257 entries, more than 256
         invalid record: text of 65 bytes exceeds 64 bytes
         roles can't be 8
         gossip can't have 0 bytes
--- a/crates/buckthornweir_members/tests/members/masses.rs
+++ b/crates/buckthornweir_members/tests/members/masses.rs
@@ -134,6 +134,7 @@
         header,
         rumours: Vec::new(),
         deaths,
+        refutations: Vec::new(),
         body: Body::Gossip,
     }
 }
@@ -189,3 +190,37 @@
     queue.run(seconds(10.0));
     assert!(queue.is_complete());
 }
+
+#[test]
+fn regions_that_meet_again_know_each_other_in_time() {
+    let mut queue = settled(500, 500);
+    queue
+        .cuts
+        .push(Box::new(|from, to| index_of(from) % 2 != index_of(to) % 2));
+    queue.run(seconds(120.0));
+    queue.cuts.clear();
+    let met = queue.run_until(seconds(SPREAD_LIMIT), Queue::is_complete);
+    assert!(met.is_some());
+}
+
+#[test]
+fn regions_that_meet_again_agree_on_what_changed_meanwhile() {
+    for seed in [11, 12] {
+        let mut queue = settled(120, seed);
+        queue
+            .cuts
+            .push(Box::new(|from, to| index_of(from) % 2 != index_of(to) % 2));
+        queue.run(seconds(60.0));
+        for index in 1..=20 {
+            queue.announce(index, Announcement::Weight(3));
+        }
+        queue.announce(30, Announcement::State(MemberState::Draining));
+        queue.run(seconds(5.0));
+        queue.cuts.clear();
+        let equal = |queue: &Queue| queue.is_complete() && queue.is_equal();
+        let met = queue.run_until(seconds(60.0), equal);
+        assert!(met.is_some(), "seed {seed}");
+        queue.run(seconds(30.0));
+        assert!(equal(&queue), "seed {seed}: stays");
+    }
+}
--- a/crates/buckthornweir_members/tests/members/queue.rs
+++ b/crates/buckthornweir_members/tests/members/queue.rs
@@ -127,6 +127,7 @@
         header,
         rumours: rumours.to_vec(),
         deaths: Vec::new(),
+        refutations: Vec::new(),
         body,
     }
 }
