Test the busiest windows with a warm-up and with a failure domain out

Cause: the busiest windows of 1 s, 10 s and 60 s were tested in one made-up run only, without a warm-up.

Ruled out: nothing.

Change: a table of five cases: even times, one that was away, runs on both sides of a border between seconds, runs in the warm-up, and no runs.

Conclusion: no fault found.

--- a/crates/buckthornweir_load/tests/figures.rs
+++ b/crates/buckthornweir_load/tests/figures.rs
@@ -96,6 +96,23 @@
     }
 }
 
+/// Returns the marks of a scenario's events, each done after half a second.
+fn marks(scenario: &Scenario) -> Vec<EventMark> {
+    scenario
+        .events
+        .iter()
+        .map(|event| EventMark {
+            at: event.at.as_secs_f64(),
+            done: event.at.as_secs_f64() + 0.5,
+            what: event.action.to_string().into(),
+            version: Some(2),
+            everywhere: Some(1.25),
+            failed: None,
+            action: Some(event.action.clone()),
+        })
+        .collect()
+}
+
 fn made_up() -> Figures {
     let scenario = Scenario::parse("s.ini", SCENARIO).unwrap();
     let own = |id: &str| Outcome::Answered {
@@ -123,19 +140,7 @@
         ),
     ];
     let flows = [flow(12.0, FlowEnd::Broken), flow(40.0, FlowEnd::Finished)];
-    let events: Vec<_> = scenario
-        .events
-        .iter()
-        .map(|event| EventMark {
-            at: event.at.as_secs_f64(),
-            done: event.at.as_secs_f64() + 0.5,
-            what: event.action.to_string().into(),
-            version: Some(2),
-            everywhere: Some(1.25),
-            failed: None,
-            action: Some(event.action.clone()),
-        })
-        .collect();
+    let events = marks(&scenario);
     figures(&Evidence {
         scenario: &scenario,
         start: START,
@@ -400,3 +405,66 @@
         backend: Some("orders-1".into()),
     }
 }
+
+/// Two backend servers, of which the second is out from 10 s to 20.5 s.
+#[test]
+fn busiest_windows_leave_out_the_warm_up_and_those_who_were_away() {
+    let first = |seconds| vec![("a", seconds); 6];
+    let second = |seconds| vec![("b", seconds); 2];
+    let cases = [
+        ("even times", first(25.0), second(25.0)),
+        ("away", first(15.0), second(25.0)),
+        ("across a border", first(24.9), second(25.1)),
+        ("in the warm-up", first(1.0), second(25.0)),
+        ("none", Vec::new(), Vec::new()),
+    ];
+    let mut lines = String::new();
+    for (case, first, second) in cases {
+        let mut scenario = Scenario::parse("s.ini", SCENARIO).unwrap();
+        scenario.warm_up = Duration::from_secs(5);
+        let backends = [
+            backend("orders-1", "fj-west-a", &first),
+            backend("orders-2", "fj-west-b", &second),
+        ];
+        let figures = figures(&Evidence {
+            scenario: &scenario,
+            start: START,
+            requests: &[],
+            flows: &[],
+            backends: &backends,
+            events: &marks(&scenario),
+            fabric: FabricCounters::default(),
+        });
+        lines += &format!("{case}\n");
+        for window in &figures.services[0].busy {
+            let Imbalance { at, most, mean, .. } = window.imbalance;
+            lines += &format!(
+                "    {} of {} s at {at} s: {} ran, {most} at one, mean {mean}\n",
+                window.taken, window.length, window.ran
+            );
+        }
+    }
+    expect![[r#"
+        even times
+            1 of 1 s at 25 s: 8 ran, 6 at one, mean 4
+            10 of 10 s at 16 s: 8 ran, 6 at one, mean 6
+            35 of 60 s at 5 s: 8 ran, 6 at one, mean 6
+        away
+            1 of 1 s at 15 s: 6 ran, 6 at one, mean 6
+            10 of 10 s at 6 s: 6 ran, 6 at one, mean 6
+            35 of 60 s at 5 s: 8 ran, 6 at one, mean 6
+        across a border
+            1 of 1 s at 24 s: 6 ran, 6 at one, mean 3
+            10 of 10 s at 16 s: 8 ran, 6 at one, mean 6
+            35 of 60 s at 5 s: 8 ran, 6 at one, mean 6
+        in the warm-up
+            1 of 1 s at 25 s: 2 ran, 2 at one, mean 1
+            10 of 10 s at 16 s: 2 ran, 0 at one, mean 0
+            35 of 60 s at 5 s: 2 ran, 0 at one, mean 0
+        none
+            1 of 1 s at 5 s: 0 ran, 0 at one, mean 0
+            10 of 10 s at 5 s: 0 ran, 0 at one, mean 0
+            35 of 60 s at 5 s: 0 ran, 0 at one, mean 0
+    "#]]
+    .assert_eq(&lines);
+}
