Tell other control VMs the own address once a second

Ruled out: leaving it out for known members (a member with an older list could never answer).

Change: a frame carries the address when the receiver wasn't told it for a second; the receiver keeps it.

--- a/crates/buckthornweir_daemon/src/control/frame.rs
+++ b/crates/buckthornweir_daemon/src/control/frame.rs
@@ -8,7 +8,7 @@
     /// The identity of the sender's data folder.
     #[prost(fixed64, tag = "1")]
     pub(crate) from: u64,
-    /// Where the sender takes links.
+    /// Where the sender takes links; empty when it has told the receiver lately.
     #[prost(string, tag = "2")]
     pub(crate) address: String,
     /// What it says.
--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -30,6 +30,9 @@
 /// How often control VMs tell what they are, and look whether a voter is to be replaced.
 const PRESENCE_PERIOD: Duration = Duration::from_secs(1);
 
+/// How often a control VM tells another one its address.
+const INTRODUCTION_PERIOD: Duration = Duration::from_secs(1);
+
 /// How far above the newest version a push may be.
 const VERSION_STEP: u64 = 1_000_000;
 
@@ -45,6 +48,7 @@
     founder: Founder,
     peers: Vec<SocketAddr>,
     addresses: HashMap<NodeId, SocketAddr>,
+    introduced: HashMap<SocketAddr, Duration>,
     pushes: HashMap<Token, PushDone>,
     changes: HashMap<Token, ChangeDone>,
     next_token: Token,
@@ -77,6 +81,7 @@
             storage,
             founder,
             addresses: HashMap::new(),
+            introduced: HashMap::new(),
             pushes: HashMap::new(),
             changes: HashMap::new(),
             next_token: OWN_TOKEN + 1,
@@ -315,13 +320,14 @@
     }
 
     /// Tells the others what this VM is; with a log only those that lack one, since no other asks.
-    fn tell_presence(&self) {
+    fn tell_presence(&mut self) {
         let now = self.board.now();
         let presence = self.founder.presence(&self.core).to_bytes().to_vec();
         let blank = self.core.cluster() == 0;
         let asks = |peer: &&SocketAddr| blank || self.founder.lacks_log(now, &peer.to_string());
-        for peer in self.peers.iter().filter(asks) {
-            self.send_frame(*peer, QuorumBody::Presence(presence.clone()));
+        let peers: Vec<SocketAddr> = self.peers.iter().filter(asks).copied().collect();
+        for peer in peers {
+            self.send_frame(peer, QuorumBody::Presence(presence.clone()));
         }
     }
 
@@ -381,7 +387,7 @@
         }
     }
 
-    fn send(&self, to: NodeId, message: &Message) {
+    fn send(&mut self, to: NodeId, message: &Message) {
         let listed = self.core.address(to).and_then(|a| a.parse().ok());
         let known = listed.or_else(|| self.addresses.get(&to).copied());
         if let Some(address) = known {
@@ -389,10 +395,10 @@
         }
     }
 
-    fn send_frame(&self, to: SocketAddr, body: QuorumBody) {
+    fn send_frame(&mut self, to: SocketAddr, body: QuorumBody) {
         let frame = QuorumFrame {
             from: self.core.id(),
-            address: self.board.settings.node.control.to_string(),
+            address: self.introduction(to),
             body: Some(body),
         };
         let bytes = frame.encode_to_vec();
@@ -400,4 +406,15 @@
         metrics.count_by(Count::LogBytesOut, bytes.len() as u64);
         self.links.send_to(to, Body::Quorum(bytes));
     }
+
+    /// Returns the own address when it is due to be told again, else nothing: the other side keeps it.
+    fn introduction(&mut self, to: SocketAddr) -> String {
+        let now = self.board.now();
+        let told = self.introduced.get(&to);
+        if told.is_some_and(|told| now < *told + INTRODUCTION_PERIOD) {
+            return String::new();
+        }
+        self.introduced.insert(to, now);
+        self.board.settings.node.control.to_string()
+    }
 }
