Give nothing to a puller whose version is as high

Ruled out: comparing digests only (a puller that is ahead would still get the whole and throw it away).

Change: the request carries the puller's version, and the holder gives nothing unless its own is higher. An empty answer is no refused bundle.

Conclusion: a late pull costs some bytes.

--- a/crates/buckthornweir_daemon/src/bundles.rs
+++ b/crates/buckthornweir_daemon/src/bundles.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use buckthornweir_bundle::{Bundle, DifferenceBytes, Digest, SignedBundle, rebuild};
+use buckthornweir_bundle::{Bundle, DifferenceBytes, Digest, SignedBundle, Version, rebuild};
 use buckthornweir_events::{Count, EventKind, Gauge};
 use buckthornweir_wire::{BundleReply, BundleRequest};
 use prost::Message as _;
@@ -94,7 +94,8 @@
     Some(signed)
 }
 
-/// Returns the bundle in force: differences where they lead to it from the asker's text, else the whole.
+/// Returns the bundle in force: differences where they lead to it from the asker's text, else the whole;
+/// nothing to an asker whose version is as high.
 pub(crate) fn give(board: &Blackboard, asked: &BundleRequest) -> BundleReply {
     let base = Digest::try_from(asked.base.as_slice()).ok();
     let differences = base.and_then(|base| board.differences().since(&base));
@@ -103,18 +104,22 @@
             differences,
             ..BundleReply::default()
         },
-        None => BundleReply {
-            text: board
-                .signed_bundle()
-                .map_or_else(String::new, |b| b.to_text()),
-            ..BundleReply::default()
-        },
+        None => whole(board, asked.version),
     };
     let bytes = reply.encoded_len() as u64;
     board.metrics.count_by(Count::BundleBytesOut, bytes);
     reply
 }
 
+fn whole(board: &Blackboard, version: Version) -> BundleReply {
+    let held = board.signed_bundle();
+    let newer = held.filter(|held| held.bundle().version > version);
+    BundleReply {
+        text: newer.map_or_else(String::new, |held| held.to_text()),
+        ..BundleReply::default()
+    }
+}
+
 fn apply_signed(board: &Blackboard, signed: SignedBundle, source: Source<'_>) {
     match signed.verify(&board.settings.trust) {
         Ok(()) => apply_verified(board, signed, source),
--- a/crates/buckthornweir_daemon/src/pull.rs
+++ b/crates/buckthornweir_daemon/src/pull.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_bundle::{DifferenceBytes, Digest, text_digest};
+use buckthornweir_bundle::{DifferenceBytes, text_digest};
 use buckthornweir_events::Count;
 use buckthornweir_members::{BundleStamp, Health};
 use buckthornweir_wire::{
@@ -101,9 +101,13 @@
 /// Pulls the newer bundle from a holder and puts it in force.
 async fn fetch(board: &Arc<Blackboard>, holder: SocketAddr) -> Result<(), WireError> {
     let mut link = Link::dial(holder, &board.settings.node.key, PULL_LIMIT).await?;
-    let base = board.signed_bundle().map(|held| held.to_text());
-    let digest = base.as_ref().map(|text| text_digest(text.as_bytes()));
-    let mut reply = ask(board, &mut link, digest).await?;
+    let held = board.signed_bundle();
+    let base = held.as_ref().map(|held| held.to_text());
+    let mut asked = BundleRequest {
+        version: held.map_or(0, |held| held.bundle().version),
+        base: base.as_deref().map_or_else(Vec::new, digest_bytes),
+    };
+    let mut reply = ask(board, &mut link, &asked).await?;
     let differences = std::mem::take(&mut reply.differences);
     if let Some(base) = base
         && !differences.is_empty()
@@ -112,21 +116,29 @@
             board.metrics.count(Count::BundlesPulledDifference);
             return Ok(());
         }
-        reply = ask(board, &mut link, None).await?;
+        asked.base.clear();
+        reply = ask(board, &mut link, &asked).await?;
+    }
+    // The holder has nothing newer: the bundle came by the log, or from another holder, meanwhile.
+    if reply.text.is_empty() {
+        return Ok(());
     }
     board.metrics.count(Count::BundlesPulledWhole);
     apply(board, reply.text).await;
     Ok(())
 }
 
+fn digest_bytes(text: &str) -> Vec<u8> {
+    text_digest(text.as_bytes()).to_vec()
+}
+
 /// Asks for the bundle; without a base the answer is the whole.
 async fn ask(
     board: &Blackboard,
     link: &mut Link,
-    base: Option<Digest>,
+    asked: &BundleRequest,
 ) -> Result<BundleReply, WireError> {
-    let base = base.map_or_else(Vec::new, Vec::from);
-    let message = OperatorMessage::ask(1, Request::Bundle(BundleRequest { base }));
+    let message = OperatorMessage::ask(1, Request::Bundle(asked.clone()));
     link.send(&board.envelope(Body::Operator(Box::new(message))))
         .await?;
     let received = timeout(PULL_LIMIT, receive_bundle(board, link)).await;
--- a/crates/buckthornweir_wire/src/operator.rs
+++ b/crates/buckthornweir_wire/src/operator.rs
@@ -224,6 +224,9 @@
     /// Digest of the whole text that the asker holds; empty to be sent the whole bundle.
     #[prost(bytes = "vec", tag = "1")]
     pub base: Vec<u8>,
+    /// Version that the asker holds; nothing is sent unless the process holds a higher one.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 /// The bundle that a process holds.
