Count retries, abandoned backend connections and dropped packets by reason

Cause: `requests_retried_total` and `backend_abandoned_total` were defined and never counted, and `packets_dropped_total` mixed all reasons. Ruled out: counting retries in the directives, since a hand-over that follows the first decision is no retry; a name for each reason. Change: counters may have a constant label `reason`. A try that follows another is counted by how that one ended; a connection that is dropped with a request on it by whether its answer had begun; packets dropped by an agent by the ownership's reason.

--- a/crates/buckthornweir_daemon/src/agent/backend.rs
+++ b/crates/buckthornweir_daemon/src/agent/backend.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Returns a watch over a request that is sent on one of the connections.
+    pub(crate) fn watch(&self) -> AbandonWatch {
+        AbandonWatch {
+            board: self.board.clone(),
+            count: Some(Count::BackendAbandonedWaiting),
+        }
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
         self.idle.lock().clear();
@@ -168,3 +176,30 @@
         Ok(self.sender.send_request(request).await?)
     }
 }
+
+/// Counts a connection that is closed with an abandoned request, when it is dropped before the
+/// request has ended.
+pub(crate) struct AbandonWatch {
+    board: Arc<Blackboard>,
+    count: Option<Count>,
+}
+
+impl AbandonWatch {
+    /// Notes that the answer has begun.
+    pub(crate) fn note_answer(&mut self) {
+        self.count = Some(Count::BackendAbandonedAnswering);
+    }
+
+    /// Notes that the request has ended, well or not.
+    pub(crate) fn end(&mut self) {
+        self.count = None;
+    }
+}
+
+impl Drop for AbandonWatch {
+    fn drop(&mut self) {
+        if let Some(count) = self.count {
+            self.board.metrics.count(count);
+        }
+    }
+}
--- a/crates/buckthornweir_daemon/src/agent/flow_server.rs
+++ b/crates/buckthornweir_daemon/src/agent/flow_server.rs
@@ -61,7 +61,7 @@
     /// Takes a message of a balancer or a sibling agent.
     pub(crate) fn receive(&self, body: FlowBody) {
         let Some(view) = self.view.load_full() else {
-            return self.board.metrics.count(Count::PacketsDropped);
+            return self.board.metrics.count(Count::PacketsDroppedNoBundle);
         };
         let now = self.board.now();
         let mut actions = Vec::new();
@@ -228,8 +228,7 @@
             }
             (Action::Send { to, body }, _) => self.send(view, to, body),
             (Action::Hold, _) => metrics.count(Count::PacketsAwaitingOwner),
-            (Action::Drop(DropReason::TooManyHops), _) => metrics.count(Count::PacketsHopLimit),
-            (Action::Drop(_), _) => metrics.count(Count::PacketsDropped),
+            (Action::Drop(reason), _) => metrics.count(count_of(reason)),
         }
     }
 
@@ -274,3 +273,19 @@
         }
     }
 }
+
+/// Returns what counts packets that are dropped for `reason`.
+fn count_of(reason: DropReason) -> Count {
+    match reason {
+        DropReason::TooManyHops => Count::PacketsHopLimit,
+        DropReason::DomainOut => Count::PacketsDroppedDomainOut,
+        DropReason::WrongService => Count::PacketsDroppedWrongService,
+        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::NotOwner => Count::PacketsDroppedNotOwner,
+        DropReason::FlowsFull => Count::PacketsDroppedFlowsFull,
+        DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
+        DropReason::NotSettled => Count::PacketsDroppedNotSettled,
+        DropReason::Behind => Count::PacketsDroppedBehind,
+        DropReason::Stray => Count::PacketsDroppedStray,
+    }
+}
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use super::backend::{BackendError, Connection};
+use super::backend::{AbandonWatch, BackendError, Connection};
 use super::body::{AnswerBody, BodyEnd, WatchedBody, whole};
 use super::desk::{Desk, Directive, Opened};
 use super::hand_links::hand_over;
@@ -227,6 +227,8 @@
     progress: Progress,
     began: Duration,
     armed: bool,
+    /// How the try before ended.
+    before: Option<Outcome>,
 }
 
 impl RequestGuard {
@@ -239,6 +241,7 @@
                 progress: Progress::NotWritten,
                 began,
                 armed: true,
+                before: None,
             }),
         }
     }
@@ -248,9 +251,12 @@
         &self.desk
     }
 
-    /// Starts a try.
+    /// Starts a try, and counts it when there was one before.
     pub(crate) fn begin(&self) {
         let mut current = self.current.lock();
+        if let Some(count) = current.before.take().and_then(retry_count) {
+            self.desk.board().metrics.count(count);
+        }
         current.progress = Progress::NotWritten;
         current.began = self.desk.board().now();
     }
@@ -263,6 +269,7 @@
     /// Reports how the try ended.
     pub(crate) fn finish(&self, outcome: Outcome) {
         let current = self.current();
+        self.current.lock().before = Some(outcome);
         let latency = self.latency(current);
         self.desk
             .finished(self.key, current.progress, outcome, latency);
@@ -317,6 +324,17 @@
     }
 }
 
+/// Returns what counts tries that follow one with this outcome.
+fn retry_count(before: Outcome) -> Option<Count> {
+    match before {
+        Outcome::Refused => Some(Count::RequestsRetriedRefused),
+        Outcome::Failed => Some(Count::RequestsRetriedFailed),
+        Outcome::Cut => Some(Count::RequestsRetriedCut),
+        Outcome::Silent => Some(Count::RequestsRetriedSilent),
+        Outcome::Done | Outcome::Cancelled => None,
+    }
+}
+
 /// Waits for a try, or gives it up when the desk directs otherwise.
 async fn until_directive(
     guard: &RequestGuard,
@@ -341,10 +359,12 @@
         return guard.end(Outcome::Cut);
     };
     guard.note(Progress::Written);
+    let mut watch = guard.desk().backend().watch();
     let sent = connection.send(backend_request(guard, request)).await;
     let response = match sent {
         Ok(response) => response,
         Err(error) => {
+            watch.end();
             if was_not_written(&error) {
                 guard.note(Progress::NotWritten);
             }
@@ -352,11 +372,14 @@
         }
     };
     guard.note(Progress::HeadersSeen);
+    watch.note_answer();
     let outcome = outcome_of(response.status(), response.headers());
     if outcome == Outcome::Done {
-        return Tried::Answer(stream_answer(guard, response, connection));
+        return Tried::Answer(stream_answer(guard, response, connection, watch));
     }
-    keep_error(guard, response, connection, outcome).await
+    let tried = keep_error(guard, response, connection, outcome).await;
+    watch.end();
+    tried
 }
 
 /// A request that may not be repeated runs on a new connection, so that a connection that is being
@@ -377,11 +400,15 @@
     guard: &RequestGuard,
     response: Response<Incoming>,
     connection: Connection,
+    mut watch: AbandonWatch,
 ) -> Response<AnswerBody> {
     let report = guard.report_body();
     let desk = guard.desk().clone();
     let done = move |end| {
         report(end);
+        if end != BodyEnd::Dropped {
+            watch.end();
+        }
         if end == BodyEnd::Whole {
             desk.backend().give_back(connection);
         }
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -20,7 +20,7 @@
 }
 
 macro_rules! named {
-    ($(#[$doc:meta])* $kind:ident { $($(#[$variant_doc:meta])* $name:ident = $text:literal, $help:literal;)* }) => {
+    ($(#[$doc:meta])* $kind:ident { $($(#[$variant_doc:meta])* $name:ident = $text:literal, $help:literal $(, reason = $reason:literal)?;)* }) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
         pub enum $kind {
@@ -39,6 +39,22 @@
             pub fn help(self) -> &'static str {
                 match self { $($kind::$name => $help),* }
             }
+
+            /// Returns the label that tells the reason, for names that have several.
+            pub fn reason(self) -> Option<&'static str> {
+                let reasons: &[&'static str] = match self {
+                    $($kind::$name => &[$($reason)?]),*
+                };
+                reasons.first().copied()
+            }
+
+            fn opts(self) -> Opts {
+                let opts = Opts::new(self.name(), self.help());
+                match self.reason() {
+                    Some(reason) => opts.const_label("reason", reason),
+                    None => opts,
+                }
+            }
         }
     };
 }
@@ -64,8 +80,26 @@
         PacketsAwaitingOwner = "packets_awaiting_owner_total", "Packets dropped while the owner of their flow is looked up";
         /// Packets whose hop limit was reached.
         PacketsHopLimit = "packets_hop_limit_total", "Packets dropped at the hop limit";
-        /// Packets dropped by an agent for any other reason.
-        PacketsDropped = "packets_dropped_total", "Packets dropped by an agent";
+        /// Packets dropped by an agent because no bundle is in force.
+        PacketsDroppedNoBundle = "packets_dropped_total", "Packets dropped by an agent", reason = "no-bundle";
+        /// Packets dropped by an agent because the failure domain is out.
+        PacketsDroppedDomainOut = "packets_dropped_total", "Packets dropped by an agent", reason = "domain-out";
+        /// Packets dropped by an agent because it is for another service.
+        PacketsDroppedWrongService = "packets_dropped_total", "Packets dropped by an agent", reason = "wrong-service";
+        /// Packets dropped by an agent because no agent takes new flows.
+        PacketsDroppedNoOwner = "packets_dropped_total", "Packets dropped by an agent", reason = "no-owner";
+        /// Packets dropped by an agent because another agent took this one for the owner.
+        PacketsDroppedNotOwner = "packets_dropped_total", "Packets dropped by an agent", reason = "not-owner";
+        /// Packets dropped by an agent because the agent has as many flows as it may.
+        PacketsDroppedFlowsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "flows-full";
+        /// Packets dropped by an agent because the agent looks up as many flows as it may.
+        PacketsDroppedLookupsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "lookups-full";
+        /// Packets dropped by an agent because the members of the service are not known yet.
+        PacketsDroppedNotSettled = "packets_dropped_total", "Packets dropped by an agent", reason = "not-settled";
+        /// Packets dropped by an agent because other processes have a newer bundle.
+        PacketsDroppedBehind = "packets_dropped_total", "Packets dropped by an agent", reason = "behind";
+        /// Packets dropped by an agent because nobody owns the flow and it is a reset.
+        PacketsDroppedStray = "packets_dropped_total", "Packets dropped by an agent", reason = "stray";
         /// Datagrams that failed authentication.
         DatagramsForged = "datagrams_forged_total", "Datagrams that failed authentication";
         /// Datagrams that could not be decoded.
@@ -100,12 +134,20 @@
         RequestsHandedOver = "requests_handed_over_total", "Requests handed to a sibling agent";
         /// Requests taken from a sibling agent.
         RequestsTakenOver = "requests_taken_over_total", "Requests taken from a sibling agent";
-        /// Tries that were repeated.
-        RequestsRetried = "requests_retried_total", "Requests that were tried again";
+        /// Requests tried again because the backend server or the sibling refused it.
+        RequestsRetriedRefused = "requests_retried_total", "Requests that were tried again", reason = "refused";
+        /// Requests tried again because the backend server answered with an error.
+        RequestsRetriedFailed = "requests_retried_total", "Requests that were tried again", reason = "failed";
+        /// Requests tried again because the connection was lost.
+        RequestsRetriedCut = "requests_retried_total", "Requests that were tried again", reason = "cut";
+        /// Requests tried again because no answer came.
+        RequestsRetriedSilent = "requests_retried_total", "Requests that were tried again", reason = "silent";
         /// Backend connections that were opened.
         BackendConnections = "backend_connections_total", "Connections opened to the backend server";
-        /// Backend connections closed because a request on them was abandoned.
-        BackendAbandoned = "backend_abandoned_total", "Backend connections closed with an abandoned request";
+        /// Backend connections closed with a request that has no answer.
+        BackendAbandonedWaiting = "backend_abandoned_total", "Backend connections closed with an abandoned request", reason = "no-answer";
+        /// Backend connections closed within an answer.
+        BackendAbandonedAnswering = "backend_abandoned_total", "Backend connections closed with an abandoned request", reason = "answer-part";
         /// Bundles put in force.
         BundlesApplied = "bundles_applied_total", "Bundles put in force";
         /// Bundles refused.
@@ -161,13 +203,13 @@
         let registry = Registry::new_custom(Some("buckthornweir".into()), None)?;
         let mut counts = Vec::new();
         for count in Count::ALL {
-            let counter = IntCounter::with_opts(Opts::new(count.name(), count.help()))?;
+            let counter = IntCounter::with_opts(count.opts())?;
             registry.register(Box::new(counter.clone()))?;
             counts.push(counter);
         }
         let mut gauges = Vec::new();
         for gauge in Gauge::ALL {
-            let made = IntGauge::with_opts(Opts::new(gauge.name(), gauge.help()))?;
+            let made = IntGauge::with_opts(gauge.opts())?;
             registry.register(Box::new(made.clone()))?;
             gauges.push(made);
         }
