--- a/crates/buckthornweir_daemon/src/agent/hand_links.rs
+++ b/crates/buckthornweir_daemon/src/agent/hand_links.rs
@@ -22,7 +22,9 @@
 
 use super::body::{AnswerBody, BodyEnd, whole};
 use super::desk::micros;
-use super::request::{ReadRequest, RequestGuard, Tried, outcome_of, strip_connection_headers};
+use super::headers::{outcome_of, strip_connection_headers};
+use super::request::ReadRequest;
+use super::tries::{RequestGuard, Tried};
 use crate::board::Blackboard;
 use crate::links::{HandLink, IDLE_LIMIT, open_hand_link};
 
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -7,6 +7,7 @@
 mod flow_server;
 mod hand_links;
 mod handed;
+mod headers;
 mod health;
 mod http_flow;
 mod keyed;
@@ -18,6 +19,7 @@
 mod shards;
 mod stream;
 mod timers;
+mod tries;
 
 use std::sync::Arc;
 
