Count suspected members when an agent asks whether it is cut off

Cause: on the cut side of a long cut members are declared dead one after another. Until half of them were, the flows of the first ones were reset.

Ruled out: a pause after each death, which holds up resets of flows that died.

Change: suspected members count like dead ones; when the first is declared dead nearly all are suspected. A test cuts a failure domain off for 6 s and lets only flows of its own agent break.

Conclusion: a cut in both directions breaks no flow of another agent here.

--- a/crates/buckthornweir_daemon/src/views.rs
+++ b/crates/buckthornweir_daemon/src/views.rs
@@ -171,14 +171,15 @@
     }
 }
 
-/// Returns whether half of all members or more are taken for dead. It is then likelier that this
-/// process is cut off from them than that they died, and flows that it has no owner for may live.
+/// Returns whether half of all members or more are suspected or taken for dead. It is then likelier
+/// that this process is cut off from them than that they died, and flows that it has no owner for may
+/// live.
 fn is_cut_off(members: &[board::Member]) -> bool {
     let present = members
         .iter()
         .filter(|m| m.record.state != members::MemberState::Left);
-    let (dead, alive): (Vec<_>, Vec<_>) = present.partition(|m| m.health == Health::Dead);
-    !dead.is_empty() && dead.len() >= alive.len()
+    let (alive, away): (Vec<_>, Vec<_>) = present.partition(|m| m.health == Health::Alive);
+    !away.is_empty() && away.len() >= alive.len()
 }
 
 /// Returns the key under which flows are placed; all processes derive the same one.
--- a/crates/buckthornweir_daemon/tests/cuts.rs
+++ b/crates/buckthornweir_daemon/tests/cuts.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use buckthornweir_standins::prelude::*;
@@ -123,6 +124,39 @@
     }
 }
 
+/// A failure domain is cut off for so long that both sides take each other for dead: only flows whose
+/// agent is there break, though its balancer still gets packets of all flows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_domain_cut_off_for_long_breaks_only_its_own_flows() {
+    let deployment = Deployment::start_as(Shape::new(3, 3).with_wire()).await;
+    let callers = deployment.callers(24).await;
+    work().await;
+    let own = flows_at(&deployment, 1);
+    let domain = ["balancer-1", "agent-1"];
+    wire(&deployment).cut(&domain, &others(&deployment, &domain));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    wire(&deployment).heal();
+    work().await;
+    let seen = callers.finish().await;
+    let tally = assert_true(&deployment, &seen);
+    assert!(seen.broken <= own, "{} of {own}: {tally:?}", seen.broken);
+}
+
+/// Returns how many callers had most of their orders run at a backend server.
+fn flows_at(deployment: &Deployment, backend: usize) -> usize {
+    let mut runs: HashMap<String, Vec<usize>> = HashMap::new();
+    for (at, backend) in deployment.backends.iter().enumerate() {
+        for entry in backend.books() {
+            let caller = entry.request_id.rsplit_once('-').unwrap().0.to_owned();
+            let counts = runs.entry(caller).or_default();
+            counts.resize(deployment.backends.len(), 0);
+            counts[at] += 1;
+        }
+    }
+    let most = |counts: &&Vec<usize>| counts.iter().max() == counts.get(backend);
+    runs.values().filter(most).count()
+}
+
 /// Two agents no longer reach each other, one way or both, while everyone else does.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn agents_that_do_not_reach_each_other_break_nothing() {
