Refuse conflicts of keys in one place

Cause: three refusals of a key withdrew the claim, counted a conflict and refused with the same lines.

Ruled out: one function for all refusals; replay and unreachable holders count otherwise.

Change: one function takes the problem; a mismatch says not run and gives no time to come back, as before.

Conclusion: behaviour is the same.

--- a/crates/buckthornweir_requests/src/idempotency/asking.rs
+++ b/crates/buckthornweir_requests/src/idempotency/asking.rs
@@ -234,8 +234,12 @@
                 round.running = true;
                 round.failed.push(from);
             }
-            KeyVerdict::Unknown => return self.refuse_unknown(now, key, out),
-            KeyVerdict::Mismatch => return self.refuse_mismatch(now, key, out),
+            KeyVerdict::Unknown => {
+                return self.refuse_conflict(now, key, ProblemKind::OutcomeUnknown, out);
+            }
+            KeyVerdict::Mismatch => {
+                return self.refuse_conflict(now, key, ProblemKind::KeyMismatch, out);
+            }
         }
         let count = claim.holders.len();
         let needed = majority(count);
@@ -274,7 +278,7 @@
             return;
         };
         if now >= claim.patience {
-            return self.refuse_running(now, key, out);
+            return self.refuse_conflict(now, key, ProblemKind::KeyInUse, out);
         }
         // Askers that met must not meet again and again.
         let step = self.rng.random_range(claim.step..claim.step * 3 / 2);
--- a/crates/buckthornweir_requests/src/idempotency/refusing.rs
+++ b/crates/buckthornweir_requests/src/idempotency/refusing.rs
@@ -36,44 +36,24 @@
         self.refuse(key, Refusal::unknown(ProblemKind::AnswerNotKept), out);
     }
 
-    /// Refuses since a request with the key is running.
-    pub(super) fn refuse_running(
+    /// Refuses since another request with the key is running, may have run or is a different one.
+    pub(super) fn refuse_conflict(
         &mut self,
         now: Duration,
         key: ClaimKey,
+        problem: ProblemKind,
         out: &mut Vec<KeyAction>,
     ) {
         self.withdraw(now, key, out);
         self.counters.conflicts += 1;
-        let refusal = Refusal::unknown(ProblemKind::KeyInUse).with_retry_after(RETRY_AFTER);
+        let refusal = match problem {
+            // It never runs, however often it comes.
+            ProblemKind::KeyMismatch => Refusal::not_run(problem),
+            _ => Refusal::unknown(problem).with_retry_after(RETRY_AFTER),
+        };
         self.refuse(key, refusal, out);
     }
 
-    /// Refuses since a request with the key may have run.
-    pub(super) fn refuse_unknown(
-        &mut self,
-        now: Duration,
-        key: ClaimKey,
-        out: &mut Vec<KeyAction>,
-    ) {
-        self.withdraw(now, key, out);
-        self.counters.conflicts += 1;
-        let refusal = Refusal::unknown(ProblemKind::OutcomeUnknown).with_retry_after(RETRY_AFTER);
-        self.refuse(key, refusal, out);
-    }
-
-    /// Refuses since another request used the key.
-    pub(super) fn refuse_mismatch(
-        &mut self,
-        now: Duration,
-        key: ClaimKey,
-        out: &mut Vec<KeyAction>,
-    ) {
-        self.withdraw(now, key, out);
-        self.counters.conflicts += 1;
-        self.refuse(key, Refusal::not_run(ProblemKind::KeyMismatch), out);
-    }
-
     /// This copy of the request did not run, but an earlier one with the same key may have.
     pub(super) fn refuse_unreachable(
         &mut self,
