Keep idle connections in one kind of pool

Cause: connections to the backend server and links for handed requests were kept by two copies of the same lines. Hand links also made a record of their activity that nobody read.

Ruled out: one pool for all siblings; room is counted for each.

Change: IdlePool keeps connections of any kind for a time. The sending half of a link calls a closure for each message, which hand links leave empty.

Conclusion: behaviour is the same.

--- a/crates/buckthornweir_daemon/src/agent/backend.rs
+++ b/crates/buckthornweir_daemon/src/agent/backend.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use buckthornweir_events::Count;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::idle::IdlePool;
 use crate::board::Blackboard;
 
 /// How long a connection may take to come up.
@@ -60,12 +61,7 @@
 pub(crate) struct Backend {
     board: Arc<Blackboard>,
     address: SocketAddr,
-    idle: Mutex<Vec<Idle>>,
-}
-
-struct Idle {
-    connection: Connection,
-    since: Instant,
+    idle: Mutex<IdlePool<Connection>>,
 }
 
 /// One connection that speaks HTTP.
@@ -79,7 +75,7 @@
         Self {
             board,
             address,
-            idle: Mutex::default(),
+            idle: Mutex::new(IdlePool::new(IDLE_CONNECTIONS, IDLE_LIMIT)),
         }
     }
 
@@ -104,10 +100,11 @@
     ///
     /// Returns an error when no connection comes up.
     pub(crate) async fn checkout(&self) -> Result<Connection> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(connection);
+        let idle = self.idle.lock().take(Connection::is_ready);
+        match idle {
+            Some(connection) => Ok(connection),
+            None => self.open().await,
         }
-        self.open().await
     }
 
     /// Opens a connection that speaks HTTP.
@@ -128,12 +125,9 @@
     /// Takes back a connection whose answer came whole.
     pub(crate) fn give_back(&self, connection: Connection) {
         let mut idle = self.idle.lock();
-        idle.retain(Idle::is_usable);
-        if idle.len() < IDLE_CONNECTIONS && !connection.sender.is_closed() {
-            idle.push(Idle {
-                connection,
-                since: Instant::now(),
-            });
+        idle.close_stale(Connection::is_ready);
+        if !connection.sender.is_closed() {
+            idle.keep(connection);
         }
     }
 
@@ -149,21 +143,13 @@
     pub(crate) fn close_idle(&self) {
         self.idle.lock().clear();
     }
-
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock();
-        idle.retain(Idle::is_usable);
-        idle.pop().map(|i| i.connection)
-    }
 }
 
-impl Idle {
-    fn is_usable(&self) -> bool {
-        self.since.elapsed() < IDLE_LIMIT && self.connection.sender.is_ready()
+impl Connection {
+    fn is_ready(&self) -> bool {
+        self.sender.is_ready()
     }
-}
 
-impl Connection {
     /// Sends a request and returns the head of its answer.
     ///
     /// # Errors
--- a/crates/buckthornweir_daemon/src/agent/hand_links.rs
+++ b/crates/buckthornweir_daemon/src/agent/hand_links.rs
@@ -6,7 +6,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Instant;
 
 use buckthornweir_requests::messages::{
     BodyPart, HandedAnswer, HandedRequest, Header, RequestBody, RequestMessage,
@@ -23,6 +22,7 @@
 use super::body::{AnswerBody, BodyEnd, whole};
 use super::desk::micros;
 use super::headers::{outcome_of, strip_connection_headers};
+use super::idle::IdlePool;
 use super::request::ReadRequest;
 use super::tries::{RequestGuard, Tried};
 use crate::board::Blackboard;
@@ -38,19 +38,7 @@
 pub(crate) struct HandLinks {
     board: Arc<Blackboard>,
     runtime: Handle,
-    idle: Mutex<HashMap<NodeId, Vec<IdleLink>>>,
-}
-
-/// A link that carries no request now.
-struct IdleLink {
-    link: HandLink,
-    since: Instant,
-}
-
-impl IdleLink {
-    fn is_usable(&self) -> bool {
-        self.since.elapsed() < IDLE_LIMIT && self.link.is_open()
-    }
+    idle: Mutex<HashMap<NodeId, IdlePool<HandLink>>>,
 }
 
 impl HandLinks {
@@ -74,24 +62,23 @@
     pub(crate) fn close_idle(&self) {
         let mut idle = self.idle.lock();
         idle.retain(|_, links| {
-            links.retain(IdleLink::is_usable);
+            links.close_stale(HandLink::is_open);
             !links.is_empty()
         });
     }
 
     fn take_idle(&self, sibling: NodeId) -> Option<HandLink> {
         let mut idle = self.idle.lock();
-        let links = idle.get_mut(&sibling)?;
-        links.retain(IdleLink::is_usable);
-        links.pop().map(|idle| idle.link)
+        idle.get_mut(&sibling)?.take(HandLink::is_open)
     }
 
     fn give_back(&self, sibling: NodeId, link: HandLink) {
         let mut idle = self.idle.lock();
-        let links = idle.entry(sibling).or_default();
-        if link.is_open() && links.len() < IDLE_LINKS {
-            let since = Instant::now();
-            links.push(IdleLink { link, since });
+        let links = idle
+            .entry(sibling)
+            .or_insert_with(|| IdlePool::new(IDLE_LINKS, IDLE_LIMIT));
+        if link.is_open() {
+            links.keep(link);
         }
     }
 }
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod health;
 mod http_flow;
+mod idle;
 mod keyed;
 mod mover;
 mod outlet;
--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -102,7 +102,7 @@
         let (reader, writer) = link.split();
         tokio::select! {
             () = stop.cancelled() => {}
-            () = send_all(&self.board, writer, receiver, &self.activity) => {}
+            () = send_all(&self.board, writer, receiver, || self.activity.note()) => {}
             () = self.receive_all(reader) => {}
         }
     }
@@ -130,19 +130,20 @@
     }
 }
 
+/// Sends queued messages, and heartbeats in between; `queued` is called for each message.
 async fn send_all(
     board: &Blackboard,
     mut writer: LinkWriter,
     mut receiver: mpsc::Receiver<Envelope>,
-    activity: &Activity,
+    queued: impl Fn(),
 ) {
     let mut beats = interval(HEARTBEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let envelope = tokio::select! {
-            queued = receiver.recv() => match queued {
+            received = receiver.recv() => match received {
                 Some(envelope) => {
-                    activity.note();
+                    queued();
                     envelope
                 }
                 None => return,
--- a/crates/buckthornweir_daemon/src/links/hand.rs
+++ b/crates/buckthornweir_daemon/src/links/hand.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::{Activity, DIAL_LIMIT, LinkSender, SILENCE_LIMIT, WAITING, send_all};
+use super::{DIAL_LIMIT, LinkSender, SILENCE_LIMIT, WAITING, send_all};
 use crate::board::Blackboard;
 
 /// How many parts of an answer may wait for a slow caller.
@@ -61,11 +61,10 @@
     let lifetime = CancellationToken::new();
     let over = lifetime.clone();
     let board = board.clone();
-    let activity = Activity::new();
     runtime.spawn(async move {
         tokio::select! {
             () = over.cancelled() => {}
-            () = send_all(&board, writer, receiver, &activity) => {}
+            () = send_all(&board, writer, receiver, || {}) => {}
             () = receive_parts(reader, part_sender) => {}
         }
     });
