--- a/crates/buckthornweir_daemon/src/control/push.rs
+++ b/crates/buckthornweir_daemon/src/control/push.rs
@@ -20,6 +20,9 @@
             ..reply(PushOutcome::Conflict, *version)
         },
         PushResult::Stale { newest } => reply(PushOutcome::Stale, *newest),
+        PushResult::Overtaken { newest } => reply(PushOutcome::Same, *newest),
+        // Pushes are answered here; orders about failure domains are not pushed by operators.
+        PushResult::Domain { .. } => reply(PushOutcome::Unknown, 0),
     }
 }
 
--- a/crates/buckthornweir_events/src/log.rs
+++ b/crates/buckthornweir_events/src/log.rs
@@ -4,6 +4,8 @@
 
 use quick_error::quick_error;
 use smol_str::SmolStr;
+use tracing::Level;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -29,6 +31,36 @@
     }
 }
 
+/// Lines that may wait to be written; more are dropped, never waited for.
+const WAITING_LINES: usize = 4_096;
+
+/// Writes the lines that still wait when it is dropped.
+#[derive(Debug)]
+pub struct LogGuard {
+    _worker: WorkerGuard,
+}
+
+/// Starts logs of JSON lines to standard output that never block the caller.
+///
+/// # Errors
+///
+/// Returns [`LogError::Twice`] on a second call in one process.
+pub fn start_bounded_logs(level: Level) -> Result<LogGuard> {
+    let (writer, worker) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_max_level(level)
+        .with_writer(writer)
+        .finish()
+        .try_init()?;
+    Ok(LogGuard { _worker: worker })
+}
+
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and gauges of one process, written out for Prometheus.
 
-use prometheus::{IntCounter, IntGauge, Opts, Registry, TextEncoder};
+use std::time::Duration;
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder};
 use quick_error::quick_error;
 
 /// The result of making or writing metrics.
@@ -199,12 +201,37 @@
     }
 }
 
+/// What is timed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Span {
+    /// From a request's first packet to its answer's first packet, at the agent.
+    Request,
+}
+
+impl Span {
+    const ALL: &'static [Span] = &[Span::Request];
+
+    fn opts(self) -> HistogramOpts {
+        let (name, help) = match self {
+            Self::Request => (
+                "request_seconds",
+                "Time from a request's first packet to its answer's first packet",
+            ),
+        };
+        HistogramOpts::new(name, help).buckets(SPAN_BUCKETS.to_vec())
+    }
+}
+
+/// Upper bounds of the buckets, in seconds: from an answer on the same VM to a caller's deadline.
+const SPAN_BUCKETS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     counts: Vec<IntCounter>,
     gauges: Vec<IntGauge>,
+    spans: Vec<Histogram>,
 }
 
 impl Metrics {
@@ -227,10 +254,17 @@
             registry.register(Box::new(made.clone()))?;
             gauges.push(made);
         }
+        let mut spans = Vec::new();
+        for span in Span::ALL {
+            let made = Histogram::with_opts(span.opts())?;
+            registry.register(Box::new(made.clone()))?;
+            spans.push(made);
+        }
         Ok(Self {
             registry,
             counts,
             gauges,
+            spans,
         })
     }
 
@@ -249,6 +283,11 @@
         self.counts[count as usize].get()
     }
 
+    /// Notes how long something took.
+    pub fn time(&self, span: Span, took: Duration) {
+        self.spans[span as usize].observe(took.as_secs_f64());
+    }
+
     /// Sets a gauge.
     pub fn set(&self, gauge: Gauge, value: i64) {
         self.gauges[gauge as usize].set(value);
--- /dev/null
+++ b/crates/buckthornweir_forward/src/balancer.rs
@@ -0,0 +1,182 @@
+//! A balancer's decisions: which agent gets a packet of a caller.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::peers::Peers;
+use crate::plan::Plan;
+use crate::segment::{FlowKey, Segment};
+use crate::tag::Tag;
+
+/// Number of hints that a balancer keeps. At 64 bytes each they take 1 MB.
+const HINT_LIMIT: usize = 16_384;
+
+/// How long a hint counts; flows rarely live longer, and a lost hint costs one hop.
+const HINT_LIFE: Duration = Duration::from_secs(75);
+
+/// Why a packet went nowhere.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// No plan is known yet.
+    NoPlan,
+    /// The plan has no route for the address.
+    NoRoute,
+    /// No agent of the service is known.
+    NoAgent,
+    /// The packet's tag says that it came from an agent.
+    Stray,
+}
+
+/// What becomes of a packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// It goes to an agent.
+    Forward {
+        /// Where the agent takes packets.
+        to: SocketAddrV4,
+        /// The note on the packet.
+        tag: Tag,
+    },
+    /// The caller is told at once that its flow can't be opened.
+    Reset(Loss),
+    /// It is dropped.
+    Drop(Loss),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hint {
+    agent: SocketAddrV4,
+    until: Duration,
+}
+
+/// The decisions of one balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    domain: SmolStr,
+    hints: HashMap<FlowKey, Hint>,
+    order: VecDeque<FlowKey>,
+}
+
+impl Balancer {
+    /// Returns a balancer in the failure domain `domain`.
+    #[must_use]
+    pub fn new(domain: impl Into<SmolStr>) -> Self {
+        Self {
+            domain: domain.into(),
+            hints: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Notes that an agent has a flow that placement does not give it.
+    pub fn hint(&mut self, now: Duration, key: FlowKey, agent: SocketAddrV4) {
+        let until = now + HINT_LIFE;
+        if self.hints.insert(key, Hint { agent, until }).is_none() {
+            self.order.push_back(key);
+        }
+        while self.order.len() > HINT_LIMIT {
+            if let Some(oldest) = self.order.pop_front() {
+                self.hints.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns how many hints are kept.
+    #[must_use]
+    pub fn hint_count(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Decides about a packet of a caller.
+    pub fn route(
+        &mut self,
+        now: Duration,
+        plan: &Plan,
+        peers: &Peers,
+        segment: &Segment,
+    ) -> Choice {
+        if !plan.is_known() {
+            return Choice::Drop(Loss::NoPlan);
+        }
+        let key = segment.from_caller();
+        let Some(route) = plan.route(&key.service) else {
+            // A flow that is open may have a route in a newer plan than the one known here.
+            return match segment.syn {
+                true => Choice::Reset(Loss::NoRoute),
+                false => self
+                    .hinted(now, &key)
+                    .map_or(Choice::Drop(Loss::NoRoute), |to| Choice::Forward {
+                        to,
+                        tag: Tag::default(),
+                    }),
+            };
+        };
+        let Some(service) = route.service(&key) else {
+            return Choice::Drop(Loss::NoRoute);
+        };
+        if segment.syn {
+            return self.place(now, plan, peers, segment, service);
+        }
+        if let Some(to) = self.hinted(now, &key).filter(|to| peers.at(*to).is_some()) {
+            return Choice::Forward {
+                to,
+                tag: Tag::default(),
+            };
+        }
+        match peers.primary(service, &self.domain, &key) {
+            Some(peer) => Choice::Forward {
+                to: peer.packets,
+                tag: Tag::default(),
+            },
+            None => Choice::Drop(Loss::NoAgent),
+        }
+    }
+
+    /// Places a new flow. A copy of a SYN goes to the next agent in order: the one before it may have
+    /// stopped, and a flow opens at one backend server only.
+    fn place(
+        &mut self,
+        now: Duration,
+        plan: &Plan,
+        peers: &Peers,
+        segment: &Segment,
+        service: &str,
+    ) -> Choice {
+        let key = segment.from_caller();
+        let chosen = match segment.copies() {
+            0 => peers.first_open(plan, service, &self.domain, &key),
+            copies => {
+                let open = peers.open(plan, service, &self.domain, &key);
+                let index = copies.min(open.len().saturating_sub(1));
+                open.get(index).copied()
+            }
+        };
+        let primary = peers.primary(service, &self.domain, &key);
+        let Some(peer) = chosen.or(primary) else {
+            return Choice::Drop(Loss::NoAgent);
+        };
+        let aside = primary.is_some_and(|primary| primary.node != peer.node);
+        if !aside && segment.copies() == 0 {
+            // The port was used by an earlier flow that was kept elsewhere.
+            self.forget(now, &key);
+        }
+        Choice::Forward {
+            to: peer.packets,
+            tag: Tag { hops: 0, aside },
+        }
+    }
+
+    fn hinted(&self, now: Duration, key: &FlowKey) -> Option<SocketAddrV4> {
+        let hint = self.hints.get(key)?;
+        (now < hint.until).then_some(hint.agent)
+    }
+
+    fn forget(&mut self, now: Duration, key: &FlowKey) {
+        if let Some(hint) = self.hints.get_mut(key) {
+            hint.until = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -0,0 +1,152 @@
+//! The search for the owner of a flow among the other agents.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use crate::segment::FlowKey;
+use crate::tag::Tag;
+
+/// Packets that are kept for a flow while its owner is looked up; more are sent again by the caller.
+const HELD_LIMIT: usize = 4;
+
+/// How many searches may go on at once.
+const LOOKUP_LIMIT: usize = 4_096;
+
+/// How long answers are awaited: some round trips between failure domains, and the pause of a busy VM.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
+/// How long a flow without owner is not looked up again.
+const REPEAT: Duration = Duration::from_millis(350);
+
+/// A packet that waits for the owner of its flow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Held {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) tag: Tag,
+}
+
+/// One search.
+#[derive(Clone, Debug)]
+pub(crate) struct Lookup {
+    started: Duration,
+    open: usize,
+    /// Agents that may hold the flow without knowing it.
+    perhaps: Vec<SocketAddrV4>,
+    tried: usize,
+    held: Vec<Held>,
+    /// Who sent the packet that began the search.
+    pub(crate) asker: SocketAddrV4,
+}
+
+/// What a search came to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Found {
+    /// Answers are missing.
+    Open,
+    /// This agent may hold the flow; the packets go to it as a question.
+    Perhaps(SocketAddrV4, Vec<Held>),
+    /// No agent that answered holds the flow.
+    Nobody,
+}
+
+/// The searches of one agent.
+#[derive(Debug, Default)]
+pub(crate) struct Lookups {
+    map: HashMap<FlowKey, Lookup>,
+}
+
+impl Lookups {
+    /// Keeps a packet for a search that goes on. Returns whether there is one, or one that found nobody
+    /// a short time ago.
+    pub(crate) fn hold(&mut self, now: Duration, key: &FlowKey, held: Held) -> bool {
+        let Some(lookup) = self.map.get_mut(key) else {
+            return false;
+        };
+        if now >= lookup.started + REPEAT {
+            return false;
+        }
+        if lookup.held.len() < HELD_LIMIT {
+            lookup.held.push(held);
+        }
+        true
+    }
+
+    /// Starts a search that asks `asked` agents. Returns whether there was room for it.
+    pub(crate) fn start(
+        &mut self,
+        now: Duration,
+        key: FlowKey,
+        asker: SocketAddrV4,
+        asked: usize,
+        held: Held,
+    ) -> bool {
+        let before = self.map.remove(&key);
+        if self.map.len() >= LOOKUP_LIMIT {
+            return false;
+        }
+        let lookup = Lookup {
+            started: now,
+            open: asked,
+            perhaps: Vec::new(),
+            // Agents that may hold the flow are tried in turn over repeated searches.
+            tried: before.map_or(0, |before| before.tried),
+            held: vec![held],
+            asker,
+        };
+        self.map.insert(key, lookup);
+        true
+    }
+
+    /// Ends a search whose answer came.
+    pub(crate) fn end(&mut self, key: &FlowKey) -> Option<(SocketAddrV4, Vec<Held>)> {
+        let lookup = self.map.remove(key)?;
+        Some((lookup.asker, lookup.held))
+    }
+
+    /// Takes the answer of an agent that does not know the flow.
+    pub(crate) fn deny(&mut self, key: &FlowKey, perhaps: Option<SocketAddrV4>) -> Found {
+        let Some(lookup) = self.map.get_mut(key) else {
+            return Found::Open;
+        };
+        lookup.perhaps.extend(perhaps);
+        lookup.open = lookup.open.saturating_sub(1);
+        if lookup.open > 0 {
+            return Found::Open;
+        }
+        lookup.conclude()
+    }
+
+    /// Concludes the searches whose answers are overdue, and forgets old ones.
+    pub(crate) fn sweep(&mut self, now: Duration) -> Vec<(FlowKey, Found)> {
+        self.map
+            .retain(|_, lookup| now < lookup.started + REPEAT * 8);
+        let overdue = self
+            .map
+            .iter_mut()
+            .filter(|(_, lookup)| lookup.open > 0 && now >= lookup.started + ANSWER_LIMIT);
+        overdue
+            .map(|(key, lookup)| {
+                lookup.open = 0;
+                (*key, lookup.conclude())
+            })
+            .collect()
+    }
+
+    /// Returns whether answers are awaited.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.map.values().any(|lookup| lookup.open > 0)
+    }
+}
+
+impl Lookup {
+    fn conclude(&mut self) -> Found {
+        self.perhaps.sort_unstable();
+        if self.perhaps.is_empty() || self.held.is_empty() {
+            return Found::Nobody;
+        }
+        let agent = self.perhaps[self.tried % self.perhaps.len()];
+        self.tried += 1;
+        Found::Perhaps(agent, std::mem::take(&mut self.held))
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -0,0 +1,118 @@
+//! The agents that a process knows, and their order for a flow.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use smol_str::SmolStr;
+
+use crate::NodeId;
+use crate::plan::Plan;
+use crate::segment::{FlowKey, mix};
+
+/// One agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// The agent's process.
+    pub node: NodeId,
+    /// Where it takes packets.
+    pub packets: SocketAddrV4,
+    /// Where it takes questions.
+    pub questions: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: SmolStr,
+    /// Its service.
+    pub service: SmolStr,
+    /// Whether it says that it takes new flows.
+    pub accepts: bool,
+    /// Free slots of its backend server, as it announced them last.
+    pub free: u32,
+}
+
+/// The live agents of all services.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    by_service: BTreeMap<SmolStr, Vec<Peer>>,
+}
+
+impl Peers {
+    /// Returns the agents as a view.
+    #[must_use]
+    pub fn new(peers: impl IntoIterator<Item = Peer>) -> Self {
+        let mut by_service: BTreeMap<SmolStr, Vec<Peer>> = BTreeMap::new();
+        for peer in peers {
+            by_service
+                .entry(peer.service.clone())
+                .or_default()
+                .push(peer);
+        }
+        Self { by_service }
+    }
+
+    /// Returns the agents of a service.
+    #[must_use]
+    pub fn of(&self, service: &str) -> &[Peer] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all agents.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.by_service.values().flatten()
+    }
+
+    /// Returns the agent that takes packets at this address.
+    #[must_use]
+    pub fn at(&self, packets: SocketAddrV4) -> Option<&Peer> {
+        self.iter().find(|peer| peer.packets == packets)
+    }
+
+    /// Returns the agent that placement names for a flow: the first in rendezvous order among those in
+    /// the failure domain `near`, or among all where that has none.
+    ///
+    /// Agents that take no new flows count too, since the flows that they have must still find them.
+    #[must_use]
+    pub fn primary(&self, service: &str, near: &str, key: &FlowKey) -> Option<&Peer> {
+        self.best(service, near, key, |_| true)
+    }
+
+    /// Returns the agents that a new flow may go to, in the order in which they are tried.
+    #[must_use]
+    pub fn open<'a>(
+        &'a self,
+        plan: &Plan,
+        service: &str,
+        near: &str,
+        key: &FlowKey,
+    ) -> Vec<&'a Peer> {
+        let hash = key.hash();
+        let takes = |peer: &&Peer| peer.accepts && !plan.is_out(&peer.domain);
+        let mut open: Vec<&Peer> = self.of(service).iter().filter(takes).collect();
+        open.sort_by_cached_key(|peer| (peer.domain != near, !mix(hash, peer.node)));
+        open
+    }
+
+    /// Returns the first agent in rendezvous order that takes new flows.
+    #[must_use]
+    pub fn first_open(
+        &self,
+        plan: &Plan,
+        service: &str,
+        near: &str,
+        key: &FlowKey,
+    ) -> Option<&Peer> {
+        self.best(service, near, key, |peer| {
+            peer.accepts && !plan.is_out(&peer.domain)
+        })
+    }
+
+    fn best(
+        &self,
+        service: &str,
+        near: &str,
+        key: &FlowKey,
+        fits: impl Fn(&Peer) -> bool,
+    ) -> Option<&Peer> {
+        let hash = key.hash();
+        let peers = self.of(service).iter().filter(|peer| fits(peer));
+        peers.max_by_key(|peer| (peer.domain == near, mix(hash, peer.node)))
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/src/plan.rs
@@ -0,0 +1,121 @@
+//! What the operators want: which addresses lead to which services, and which failure domains are out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::segment::{FlowKey, mix};
+
+/// Number of a state of the plan; it grows with each change.
+pub type Revision = u64;
+
+/// Separates the choice of a service from the choice of an agent for the same flow.
+const SPLIT_SALT: u64 = 0x0053_504c_4954;
+
+/// Idle time after which a flow may be forgotten where no plan says another one.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// A service and its share of an address's new flows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Split {
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Share of new flows, in relation to the other weights.
+    pub weight: u32,
+}
+
+/// Where the flows of one address go.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Route {
+    /// The services that take new flows.
+    pub splits: Vec<Split>,
+}
+
+impl Route {
+    /// Returns whether new flows may go to `service`.
+    #[must_use]
+    pub fn allows(&self, service: &str) -> bool {
+        let mut splits = self.splits.iter();
+        splits.any(|split| split.weight > 0 && split.service == service)
+    }
+
+    /// Returns the service that a new flow goes to.
+    #[must_use]
+    pub fn service(&self, key: &FlowKey) -> Option<&SmolStr> {
+        if let [only] = self.splits.as_slice() {
+            return (only.weight > 0).then_some(&only.service);
+        }
+        let sum: u64 = self.splits.iter().map(|s| u64::from(s.weight)).sum();
+        if sum == 0 {
+            return None;
+        }
+        let mut rest = mix(key.hash(), SPLIT_SALT) % sum;
+        for split in &self.splits {
+            let weight = u64::from(split.weight);
+            if rest < weight {
+                return Some(&split.service);
+            }
+            rest -= weight;
+        }
+        None
+    }
+}
+
+/// What is known of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Service {
+    /// New flows that a cold backend server bears a second.
+    pub cold_rate: f64,
+}
+
+/// The plan in force at one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// State of the plan that this is.
+    pub revision: Revision,
+    /// Version of the configuration, as the operators count.
+    pub version: u64,
+    /// The routes by the addresses that callers call.
+    pub routes: BTreeMap<SocketAddrV4, Route>,
+    /// The services by name.
+    pub services: BTreeMap<SmolStr, Service>,
+    /// Failure domains that get no new flows.
+    pub domains_out: BTreeSet<SmolStr>,
+    /// Time without packets after which a flow may be forgotten.
+    pub idle: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            version: 0,
+            routes: BTreeMap::new(),
+            services: BTreeMap::new(),
+            domains_out: BTreeSet::new(),
+            idle: DEFAULT_IDLE,
+        }
+    }
+}
+
+impl Plan {
+    /// Returns whether any configuration is in force.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.version > 0
+    }
+
+    /// Returns the route of an address.
+    #[must_use]
+    pub fn route(&self, service: &SocketAddrV4) -> Option<&Route> {
+        self.routes.get(service)
+    }
+
+    /// Returns whether the failure domain gets no new flows.
+    #[must_use]
+    pub fn is_out(&self, domain: &str) -> bool {
+        self.domains_out.contains(domain)
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/src/tag.rs
@@ -0,0 +1,47 @@
+//! What processes of the system note on a packet: four bytes that both ends of the flow ignore, and that
+//! a backend server gives back with a returned packet.
+
+/// Marks a tag, so that what a caller wrote there is not taken for one.
+const MARK: u32 = 0xb7 << 24;
+const MARK_MASK: u32 = 0xff << 24;
+const ASIDE: u32 = 1 << 8;
+const HOPS_MASK: u32 = 0xff;
+
+/// A note on a packet.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tag {
+    /// How many agents passed the packet on.
+    pub hops: u8,
+    /// Whether the packet went to another agent than the one that placement names for its flow.
+    pub aside: bool,
+}
+
+impl Tag {
+    /// Returns the tag that a packet carries; any other content is no tag.
+    #[must_use]
+    pub fn read(word: u32) -> Self {
+        if word & MARK_MASK != MARK {
+            return Self::default();
+        }
+        Self {
+            hops: (word & HOPS_MASK) as u8,
+            aside: word & ASIDE != 0,
+        }
+    }
+
+    /// Returns the bytes of the tag as one number.
+    #[must_use]
+    pub fn word(self) -> u32 {
+        let aside = if self.aside { ASIDE } else { 0 };
+        MARK | aside | u32::from(self.hops)
+    }
+
+    /// Returns the tag after one more agent passed the packet on.
+    #[must_use]
+    pub fn passed_on(self) -> Self {
+        Self {
+            hops: self.hops.saturating_add(1),
+            aside: true,
+        }
+    }
+}
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -226,6 +226,11 @@
         self.take_actions()
     }
 
+    /// Sets the seeds anew.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// Returns the records of all known nodes in the order of their ids, the own one included.
     ///
     /// Dead nodes stay until they are forgotten, those that left with [`MemberState::Left`].
--- /dev/null
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -0,0 +1,252 @@
+//! Membership over the socket for messages between processes, and the view of agents that it gives.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use buckthornweir_forward::NodeId;
+use buckthornweir_forward::peers::{Peer, Peers};
+use buckthornweir_members::{
+    Action, Announcement, BundleStamp, Config, Health, MemberState, Members, Message, Record, Roles,
+};
+use siphasher::sip::SipHasher13;
+
+use crate::fault::{NodeError, Result};
+use crate::messages::{PeerBody, PeerMessage};
+use crate::settings::{NodeSettings, RoleSettings};
+
+/// Time for the direct probe of a process on another VM, with a hundred times the round trip.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for probes by way of other processes.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time in which a suspected process may refute.
+const SUSPICION: Duration = Duration::from_millis(800);
+
+/// How often a dead process or a seed is contacted.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How soon a plan that did not arrive is pulled again.
+const PULL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Weight of an agent that takes new flows.
+const OPEN_WEIGHT: u8 = 16;
+
+/// A newer plan at another process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pull {
+    pub(crate) from: SocketAddr,
+}
+
+/// What the membership wants done.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) sends: Vec<(SocketAddr, PeerMessage)>,
+    pub(crate) changed: bool,
+    pub(crate) pulls: Vec<Pull>,
+}
+
+/// The membership of one process.
+pub(crate) struct Gossip {
+    core: Members,
+}
+
+impl Gossip {
+    /// Returns the membership of a process that starts now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when other processes would not accept the own record.
+    pub(crate) fn new(settings: &NodeSettings, wall: Duration) -> Result<Self> {
+        let record = own_record(settings, wall);
+        record
+            .check()
+            .map_err(|error| NodeError::Record(error.to_string().into()))?;
+        let config = Config::default()
+            .with_probe_timeout(PROBE_TIMEOUT)
+            .with_indirect_timeout(INDIRECT_TIMEOUT)
+            .with_suspicion(SUSPICION)
+            .with_contact_interval(CONTACT_INTERVAL)
+            .with_pull_timeout(PULL_TIMEOUT);
+        Ok(Self {
+            core: Members::new(config, record, seeds(settings), rand::random()),
+        })
+    }
+
+    pub(crate) fn node(&self) -> NodeId {
+        self.core.own().node
+    }
+
+    pub(crate) fn set_seeds(&mut self, settings: &NodeSettings) {
+        self.core.set_seeds(seeds(settings));
+    }
+
+    pub(crate) fn next_tick(&self) -> Duration {
+        self.core.next_tick()
+    }
+
+    pub(crate) fn tick(&mut self, now: Duration) -> Outcome {
+        let actions = self.core.tick(now);
+        self.carry_out(actions)
+    }
+
+    pub(crate) fn handle(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Outcome {
+        match Message::decode(bytes) {
+            Ok(message) => {
+                let actions = self.core.handle(now, from, message);
+                self.carry_out(actions)
+            }
+            Err(error) => {
+                tracing::warn!(event = "message_malformed", %from, %error);
+                Outcome::default()
+            }
+        }
+    }
+
+    /// Announces whether the agent takes new flows, and its free slots.
+    pub(crate) fn announce_offer(&mut self, now: Duration, accepts: bool, free: u32) -> Outcome {
+        let weight = if accepts { OPEN_WEIGHT } else { 0 };
+        let mut actions = self.core.announce(now, Announcement::Weight(weight));
+        actions.extend(self.core.announce(now, Announcement::Free(free)));
+        self.carry_out(actions)
+    }
+
+    pub(crate) fn announce_plan(&mut self, now: Duration, stamp: BundleStamp) -> Outcome {
+        let actions = self.core.announce(now, Announcement::Bundle(stamp));
+        self.carry_out(actions)
+    }
+
+    /// Announces that the process leaves for good.
+    pub(crate) fn leave(&mut self, now: Duration) -> Outcome {
+        let actions = self.core.leave(now);
+        self.carry_out(actions)
+    }
+
+    /// Returns the live agents.
+    pub(crate) fn peers(&self) -> Peers {
+        Peers::new(self.core.iter().filter_map(|(r, health)| agent(r, health)))
+    }
+
+    /// Returns where other control processes that are not known to be dead take messages.
+    pub(crate) fn control_addresses(&self) -> Vec<SocketAddr> {
+        let own = self.node();
+        let control = |r: &&Record| r.roles.contains(Roles::CONTROL) && r.node != own;
+        let live = self.core.iter().filter(|(_, h)| *h != Health::Dead);
+        let records = live.map(|(r, _)| r).filter(control);
+        records.map(|r| r.control).collect()
+    }
+
+    /// Returns another process that announces a plan above `revision`.
+    pub(crate) fn holder_above(&self, revision: u64, skip: SocketAddr) -> Option<SocketAddr> {
+        let own = self.node();
+        let holds = |r: &&Record| r.bundle.version > revision && r.node != own && r.control != skip;
+        let live = self.core.iter().filter(|(_, h)| *h == Health::Alive);
+        live.map(|(r, _)| r).find(holds).map(|r| r.control)
+    }
+
+    /// Returns how many processes are alive.
+    pub(crate) fn alive(&self) -> usize {
+        self.core.iter().filter(|(_, h)| *h != Health::Dead).count()
+    }
+
+    fn carry_out(&self, actions: Vec<Action>) -> Outcome {
+        let mut outcome = Outcome::default();
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    let body = PeerBody::Members(message.encode());
+                    outcome.sends.push((to, PeerMessage::of(body)));
+                }
+                Action::Updated { node } => {
+                    outcome.changed = true;
+                    self.log_change(node);
+                }
+                Action::Removed { .. } => outcome.changed = true,
+                Action::PullBundle { from, .. } => {
+                    let record = self.core.get(from).map(|(record, _)| record);
+                    outcome
+                        .pulls
+                        .extend(record.map(|r| Pull { from: r.control }));
+                }
+                Action::Conflict { other, keeps } => {
+                    tracing::warn!(event = "name_conflict", %other, keeps);
+                }
+            }
+        }
+        outcome
+    }
+
+    fn log_change(&self, node: NodeId) {
+        if let Some((record, health)) = self.core.get(node) {
+            tracing::debug!(
+                event = "member_changed",
+                member = %record.name,
+                ?health,
+                state = ?record.state,
+                weight = record.weight,
+                incarnation = record.incarnation,
+                revision = record.bundle.version,
+            );
+        }
+    }
+}
+
+fn seeds(settings: &NodeSettings) -> Vec<SocketAddr> {
+    let seeds = settings.seed_addresses().into_iter();
+    seeds.map(SocketAddr::V4).collect()
+}
+
+fn agent(record: &Record, health: Health) -> Option<Peer> {
+    let lives = health != Health::Dead && record.state != MemberState::Left;
+    let is_agent = record.roles.contains(Roles::AGENT);
+    match (record.flows, record.gossip) {
+        (SocketAddr::V4(packets), SocketAddr::V4(questions)) if lives && is_agent => Some(Peer {
+            node: record.node,
+            packets,
+            questions,
+            domain: record.domain.clone(),
+            service: record.service.clone(),
+            accepts: record.weight > 0,
+            free: record.free,
+        }),
+        _ => None,
+    }
+}
+
+fn own_record(settings: &NodeSettings, wall: Duration) -> Record {
+    let inner = SocketAddr::V4(settings.inner());
+    let incarnation = u64::try_from(wall.as_millis()).unwrap_or(1);
+    let mut record = Record::new(node_id(settings), &settings.name, inner)
+        .with_incarnation(incarnation)
+        .with_domain(&settings.domain)
+        .with_state(MemberState::Ready);
+    match &settings.role {
+        RoleSettings::Balancer(balancer) => {
+            record.roles = Roles::BALANCER;
+            record.flows = SocketAddr::V4(balancer.packets);
+        }
+        RoleSettings::Agent(agent) => {
+            record.roles = Roles::AGENT;
+            record.service = agent.service.clone();
+            record.flows = SocketAddr::V4(agent.packets);
+        }
+        RoleSettings::Control(_) => record.roles = Roles::CONTROL,
+    }
+    record
+}
+
+/// Returns the id of a process: a VM that takes the name of another one has an id of its own.
+fn node_id(settings: &NodeSettings) -> NodeId {
+    let mut bytes = settings.name.as_bytes().to_vec();
+    bytes.push(0);
+    bytes.extend(settings.ip.octets());
+    SipHasher13::new().hash(&bytes)
+}
+
+/// Returns the address as one of version 4.
+pub(crate) fn v4(address: SocketAddr) -> Option<SocketAddrV4> {
+    match address {
+        SocketAddr::V4(address) => Some(address),
+        SocketAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/buckthornweir_node/src/http_server.rs
@@ -0,0 +1,93 @@
+//! A small HTTP server: each request is answered by one function.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// How long a client may take for the head of a request, idle time between requests included.
+const HEAD_LIMIT: Duration = Duration::from_secs(20);
+
+/// How long a client may take for the body of a request.
+const BODY_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long the server pauses after it could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// An answer.
+pub type Reply = Response<Full<Bytes>>;
+
+/// A request with its whole body.
+pub type Body = Request<Bytes>;
+
+/// Serves connections until `stop` is cancelled. Bodies over `limit` bytes are answered with 413.
+pub async fn serve_http<F, A>(
+    listener: TcpListener,
+    limit: usize,
+    stop: CancellationToken,
+    answer: F,
+) where
+    F: Fn(Body) -> A + Clone + Send + 'static,
+    A: Future<Output = Reply> + Send,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let answer = answer.clone();
+                async move { Ok::<_, Infallible>(handle(request, limit, answer).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                () = stop.cancelled() => {}
+                // A client that goes away ends its own connection only.
+                _ = connection => {}
+            }
+        });
+    }
+}
+
+async fn handle<F, A>(request: Request<Incoming>, limit: usize, answer: F) -> Reply
+where
+    F: Fn(Body) -> A,
+    A: Future<Output = Reply>,
+{
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, limit);
+    match tokio::time::timeout(BODY_LIMIT, body.collect()).await {
+        Ok(Ok(body)) => answer(Request::from_parts(head, body.to_bytes())).await,
+        Ok(Err(error)) if error.is::<LengthLimitError>() => status(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => status(StatusCode::BAD_REQUEST),
+        Err(_) => status(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+fn status(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
--- a/crates/buckthornweir_quorum/src/bundles.rs
+++ b/crates/buckthornweir_quorum/src/bundles.rs
@@ -13,10 +13,11 @@
 //! assert_eq!(bundles.apply(2, &push), PushResult::Same { version: 1 });
 //! ```
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use prost::Message as _;
+use smol_str::SmolStr;
 
 use crate::entry::{BundleRecord, DecodeError, Index, Result, decode_digest};
 
@@ -30,6 +31,11 @@
 /// Number of newest bundles whose bytes are kept.
 pub const KEPT_BUNDLES: usize = 2;
 
+/// Largest number of failure domains that may be out.
+pub const DOMAIN_LIMIT: usize = 256;
+/// Largest name of a failure domain, in bytes.
+pub const DOMAIN_NAME_LIMIT: usize = 64;
+
 /// A bundle as the log sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Bundle {
@@ -44,8 +50,28 @@
 /// A command for the state machine.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Command {
-    /// Makes a bundle the newest one.
+    /// Makes a bundle the newest one, by compare-and-set on its version.
     Push(Bundle),
+    /// Makes a bundle the newest one if its version is the highest; any other is overtaken.
+    Replace(Bundle),
+    /// Takes a failure domain out, or takes it back.
+    Domain {
+        /// Name of the failure domain.
+        name: SmolStr,
+        /// Whether it is out from now on.
+        out: bool,
+    },
+}
+
+impl Command {
+    /// Returns the size of the text that the command carries, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        match self {
+            Self::Push(bundle) | Self::Replace(bundle) => bundle.bytes.len(),
+            Self::Domain { name, .. } => name.len(),
+        }
+    }
 }
 
 /// Answer to a push.
@@ -73,13 +99,23 @@
         /// The newest version.
         newest: Version,
     },
+    /// A bundle of this or a higher version is in force; to the sender this is an acceptance.
+    Overtaken {
+        /// The newest version.
+        newest: Version,
+    },
+    /// The failure domain is in the wanted state.
+    Domain {
+        /// Whether it was in another state before.
+        changed: bool,
+    },
 }
 
 impl PushResult {
-    /// Tells whether the pushed bundle holds its version.
+    /// Tells whether the sender of the command needs to do nothing more.
     #[must_use]
     pub fn is_accepted(&self) -> bool {
-        matches!(self, Self::Accepted { .. } | Self::Same { .. })
+        !matches!(self, Self::Conflict { .. } | Self::Stale { .. })
     }
 }
 
@@ -97,6 +133,8 @@
     floor: Version,
     history: VecDeque<Accepted>,
     kept: VecDeque<Bundle>,
+    out: BTreeSet<SmolStr>,
+    revision: Index,
 }
 
 impl Bundles {
@@ -111,7 +149,14 @@
 
     /// Applies the command of the entry at `index`.
     pub fn apply(&mut self, index: Index, command: &Command) -> PushResult {
-        let Command::Push(bundle) = command;
+        match command {
+            Command::Push(bundle) => self.apply_push(index, bundle),
+            Command::Replace(bundle) => self.apply_replace(index, bundle),
+            Command::Domain { name, out } => self.apply_domain(index, name, *out),
+        }
+    }
+
+    fn apply_push(&mut self, index: Index, bundle: &Bundle) -> PushResult {
         let version = bundle.version;
         if let Some(winner) = self.digest_of(version) {
             return match winner == bundle.digest {
@@ -127,6 +172,39 @@
         PushResult::Accepted { version }
     }
 
+    fn apply_replace(&mut self, index: Index, bundle: &Bundle) -> PushResult {
+        let newest = self.newest_version();
+        if bundle.version <= newest {
+            return PushResult::Overtaken { newest };
+        }
+        self.accept(index, bundle);
+        PushResult::Accepted {
+            version: bundle.version,
+        }
+    }
+
+    fn apply_domain(&mut self, index: Index, name: &SmolStr, out: bool) -> PushResult {
+        let changed = match out {
+            true => self.out.insert(name.clone()),
+            false => self.out.remove(name),
+        };
+        if changed {
+            self.revision = index;
+        }
+        PushResult::Domain { changed }
+    }
+
+    /// Returns the failure domains that are out by order, in order of their names.
+    pub fn domains_out(&self) -> impl Iterator<Item = &SmolStr> {
+        self.out.iter()
+    }
+
+    /// Returns the index of the last entry that changed the newest bundle or a failure domain.
+    #[must_use]
+    pub fn revision(&self) -> Index {
+        self.revision
+    }
+
     /// Returns the newest accepted bundle.
     #[must_use]
     pub fn newest(&self) -> Option<&Bundle> {
@@ -174,6 +252,8 @@
             floor: self.floor,
             history: history.collect(),
             kept: self.kept.iter().map(BundleRecord::from).collect(),
+            out: self.out.iter().map(ToString::to_string).collect(),
+            revision: self.revision,
         };
         record.encode_to_vec().into()
     }
@@ -202,6 +282,9 @@
             bundles.kept.push_back(kept.try_into()?);
         }
         bundles.check_kept()?;
+        crate::entry::check_size("failure domains", record.out.len(), DOMAIN_LIMIT)?;
+        bundles.out = record.out.into_iter().map(SmolStr::from).collect();
+        bundles.revision = record.revision;
         Ok(bundles)
     }
 
@@ -222,6 +305,7 @@
             index,
         };
         self.history.push_back(accepted);
+        self.revision = index;
         if self.history.len() > HISTORY_LIMIT {
             self.history.pop_front();
         }
@@ -250,4 +334,8 @@
     history: Vec<AcceptedRecord>,
     #[prost(message, repeated, tag = "3")]
     kept: Vec<BundleRecord>,
+    #[prost(string, repeated, tag = "4")]
+    out: Vec<String>,
+    #[prost(uint64, tag = "5")]
+    revision: u64,
 }
--- a/crates/buckthornweir_quorum/src/core/differences.rs
+++ b/crates/buckthornweir_quorum/src/core/differences.rs
@@ -100,7 +100,11 @@
 }
 
 fn is_push(entry: &Entry) -> bool {
-    matches!(Payload::decode(&entry.data), Ok(Payload::Command(_)))
+    let payload = Payload::decode(&entry.data);
+    matches!(
+        payload,
+        Ok(Payload::Command(Command::Push(_) | Command::Replace(_)))
+    )
 }
 
 fn encoded_push(bundle: &Bundle) -> Bytes {
--- a/crates/buckthornweir_quorum/src/core/mod.rs
+++ b/crates/buckthornweir_quorum/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod proposals;
 mod replication;
 mod snapshots;
+mod upkeep;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use self::parts::Parts;
 use self::progress::Progress;
 use self::proposals::{Proposal, Read};
+pub use self::upkeep::UpkeepPolicy;
 use crate::bundles::Bundles;
 use crate::entry::{ClusterId, Entry, Index, Snapshot, Term};
 use crate::log::Log;
--- a/crates/buckthornweir_quorum/src/core/progress.rs
+++ b/crates/buckthornweir_quorum/src/core/progress.rs
@@ -25,6 +25,8 @@
     pub(super) differences: bool,
     /// Time of the last message to the peer.
     pub(super) sent: Duration,
+    /// Time at which the leader began to send to the peer.
+    pub(super) since: Duration,
     /// Time of the last message from the peer.
     pub(super) heard: Duration,
 }
@@ -41,6 +43,7 @@
             commit: 0,
             differences: false,
             sent: now,
+            since: now,
             heard: Duration::ZERO,
         }
     }
--- a/crates/buckthornweir_quorum/src/core/proposals.rs
+++ b/crates/buckthornweir_quorum/src/core/proposals.rs
@@ -26,8 +26,7 @@
 impl Core {
     /// Proposes a command; its answer comes as [`Action::Applied`] or [`Action::Rejected`].
     pub fn propose(&mut self, now: Duration, token: Token, command: Command) -> Vec<Action> {
-        let Command::Push(bundle) = &command;
-        let too_large = bundle.bytes.len() > BUNDLE_LIMIT;
+        let too_large = command.size() > BUNDLE_LIMIT;
         match self.refusal(now) {
             Some(reason) => self.reject(token, reason),
             None if too_large => self.reject(
--- /dev/null
+++ b/crates/buckthornweir_quorum/src/core/upkeep.rs
@@ -0,0 +1,73 @@
+//! The upkeep of the voters: all VMs that follow the log vote, and lost ones make room.
+
+use std::time::Duration;
+
+use super::{Core, State};
+use crate::entry::Index;
+use crate::members::{MemberChange, Members, NodeId, Standing};
+
+/// When a leader changes the voters by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpkeepPolicy {
+    /// Number of voters that silence doesn't make fewer.
+    pub voters: usize,
+    /// Time without a word of a voter after which it counts as lost.
+    pub silence: Duration,
+}
+
+impl Core {
+    /// Returns the change that the leader should make next, one at a time.
+    ///
+    /// A learner that has caught up takes the place of a lost voter, or becomes one more. A lost voter
+    /// without successor goes while more voters than the policy names are left: dead voters would use
+    /// up the losses that the log bears.
+    #[must_use]
+    pub fn upkeep(&self, now: Duration, policy: UpkeepPolicy) -> Option<MemberChange> {
+        if !matches!(self.state, State::Leader(_)) || self.is_changing() {
+            return None;
+        }
+        let lost = |id| self.silence(id, now).is_some_and(|s| s >= policy.silence);
+        let lost_voter = self.members.voters().find(|m| lost(m.id));
+        let learners = || {
+            self.members
+                .iter()
+                .filter(|m| m.standing == Standing::Learner)
+        };
+        let fit = learners().find(|m| !lost(m.id) && self.behind(m.id) == Some(0));
+        match (fit, lost_voter) {
+            (Some(fit), Some(lost)) => Some(MemberChange::Replace {
+                id: lost.id,
+                by: fit.id,
+            }),
+            (Some(fit), None) => Some(MemberChange::Promote { id: fit.id }),
+            (None, Some(lost)) if self.members.voters().count() > policy.voters => {
+                Some(MemberChange::Remove { id: lost.id })
+            }
+            _ => learners()
+                .find(|m| lost(m.id))
+                .map(|m| MemberChange::Remove { id: m.id }),
+        }
+    }
+
+    /// Returns how long the leader has heard nothing of a member.
+    fn silence(&self, id: NodeId, now: Duration) -> Option<Duration> {
+        let State::Leader(lead) = &self.state else {
+            return None;
+        };
+        let peer = lead.peers.get(&id)?;
+        Some(now.saturating_sub(peer.heard.max(lead.since).max(peer.since)))
+    }
+
+    /// Returns the members as of [`Core::commit`], which no later leader takes back.
+    #[must_use]
+    pub fn committed_members(&self) -> Members {
+        self.log.members_at(self.commit).1
+    }
+
+    /// Returns whether a member that has committed up to `index` without having this one among the
+    /// members shows that this one was removed.
+    #[must_use]
+    pub fn is_expelled_at(&self, index: Index) -> bool {
+        self.cluster() != 0 && index > self.members_index
+    }
+}
--- a/crates/buckthornweir_quorum/src/entry.rs
+++ b/crates/buckthornweir_quorum/src/entry.rs
@@ -5,7 +5,7 @@
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
-use crate::bundles::{Bundle, Command, Digest};
+use crate::bundles::{Bundle, Command, DOMAIN_NAME_LIMIT, Digest};
 use crate::members::{Member, Members, NodeId, Standing};
 
 /// Counts elections; each has one leader at most.
@@ -81,6 +81,11 @@
         let body = match self {
             Self::Empty => PayloadBody::Empty(EmptyRecord {}),
             Self::Command(Command::Push(bundle)) => PayloadBody::Push(bundle.into()),
+            Self::Command(Command::Replace(bundle)) => PayloadBody::Replace(bundle.into()),
+            Self::Command(Command::Domain { name, out }) => PayloadBody::Domain(DomainRecord {
+                name: name.to_string(),
+                out: *out,
+            }),
             Self::Members(members) => PayloadBody::Members(members.into()),
         };
         PayloadRecord { body: Some(body) }.encode_to_vec().into()
@@ -97,6 +102,14 @@
         match record.body.ok_or(DecodeError::Missing("payload"))? {
             PayloadBody::Empty(_) => Ok(Self::Empty),
             PayloadBody::Push(bundle) => Ok(Self::Command(Command::Push(bundle.try_into()?))),
+            PayloadBody::Replace(bundle) => Ok(Self::Command(Command::Replace(bundle.try_into()?))),
+            PayloadBody::Domain(record) => {
+                check_size("failure domain", record.name.len(), DOMAIN_NAME_LIMIT)?;
+                Ok(Self::Command(Command::Domain {
+                    name: record.name.into(),
+                    out: record.out,
+                }))
+            }
             PayloadBody::Members(members) => Ok(Self::Members(members.try_into()?)),
         }
     }
@@ -174,7 +187,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct PayloadRecord {
-    #[prost(oneof = "PayloadBody", tags = "1, 2, 3")]
+    #[prost(oneof = "PayloadBody", tags = "1, 2, 3, 4, 5")]
     body: Option<PayloadBody>,
 }
 
@@ -186,6 +199,18 @@
     Push(BundleRecord),
     #[prost(message, tag = "3")]
     Members(MembersRecord),
+    #[prost(message, tag = "4")]
+    Replace(BundleRecord),
+    #[prost(message, tag = "5")]
+    Domain(DomainRecord),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct DomainRecord {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(bool, tag = "2")]
+    out: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/buckthornweir_quorum/src/founding.rs
+++ b/crates/buckthornweir_quorum/src/founding.rs
@@ -30,6 +30,11 @@
 /// Time after which the presence of a VM counts as unknown again.
 pub const PRESENCE_LIFE: Duration = Duration::from_secs(5);
 
+/// Time without a newly heard VM after which an open list counts as whole.
+///
+/// VMs that start together do so within 0.3 s, and tell their presence five times a second.
+pub const SETTLE: Duration = Duration::from_millis(800);
+
 const PRESENCE_LIMIT: usize = (MEMBER_LIMIT + 1) * (ADDRESS_LIMIT + 8) + 64;
 
 /// What a control VM says of itself.
@@ -111,6 +116,8 @@
     address: SmolStr,
     listed: BTreeSet<SmolStr>,
     allowed: bool,
+    open: bool,
+    settled: Duration,
     floor: Version,
     heard: BTreeMap<SmolStr, Heard>,
 }
@@ -137,11 +144,31 @@
             address,
             listed,
             allowed: false,
+            open: false,
+            settled: Duration::ZERO,
             floor: 0,
             heard: BTreeMap::new(),
         }
     }
 
+    /// Returns the founder of the VM at `address` that is told of some control VMs only, the seeds.
+    ///
+    /// The seed with the lowest address founds the log together with all VMs that it has heard by
+    /// then, once every seed has spoken and no further VM was heard for [`SETTLE`].
+    #[must_use]
+    pub fn from_seeds<A: Into<SmolStr>>(
+        id: NodeId,
+        address: impl Into<SmolStr>,
+        seeds: impl IntoIterator<Item = A>,
+    ) -> Self {
+        Self {
+            listed: seeds.into_iter().map(Into::into).collect(),
+            open: true,
+            settled: SETTLE,
+            ..Self::new(id, address, std::iter::empty::<SmolStr>())
+        }
+    }
+
     /// Sets whether the settings allow this VM to found a log.
     #[must_use]
     pub fn with_permission(mut self, allowed: bool) -> Self {
@@ -157,10 +184,15 @@
     /// Notes what another control VM said of itself.
     pub fn note_presence(&mut self, now: Duration, presence: Presence) {
         let address = SmolStr::from(presence.address.as_str());
-        if address == self.address || !self.listed.contains(&address) {
+        let expected = self.open || self.listed.contains(&address);
+        let full = self.heard.len() >= MEMBER_LIMIT;
+        if address == self.address || !expected || (full && !self.heard.contains_key(&address)) {
             return;
         }
         self.note_version(presence.newest);
+        if !self.heard.contains_key(&address) {
+            self.settled = now + SETTLE;
+        }
         self.heard.insert(address, Heard { presence, at: now });
     }
 
@@ -190,18 +222,19 @@
             return decision;
         }
         let silent: Vec<_> = self.silent(now).cloned().collect();
-        if !silent.is_empty() {
+        if !silent.is_empty() || (self.open && now < self.settled) {
             return Decision::Wait { silent };
         }
         if let Some(address) = self.other_list() {
             return Decision::ListsDiffer { address };
         }
         match self.listed.first() {
+            None => Decision::NotAllowed,
             Some(first) if *first != self.address => Decision::WaitForFounder {
                 address: first.clone(),
             },
             _ if !self.allowed => Decision::NotAllowed,
-            _ => Decision::Found(self.founding(cluster)),
+            _ => Decision::Found(self.founding(now, cluster)),
         }
     }
 
@@ -241,12 +274,11 @@
         Some(SmolStr::from(other.presence.address.as_str()))
     }
 
-    fn founding(&self, cluster: ClusterId) -> Founding {
+    fn founding(&self, now: Duration, cluster: ClusterId) -> Founding {
         let own = Member::voter(self.id, self.address.clone());
         let others = self
-            .heard
-            .iter()
-            .map(|(a, h)| Member::voter(h.presence.id, a.clone()));
+            .fresh(now)
+            .map(|h| Member::voter(h.presence.id, h.presence.address.as_str()));
         let members = Members::new(others.chain([own]));
         Founding {
             cluster,
--- a/crates/buckthornweir_quorum/src/lib.rs
+++ b/crates/buckthornweir_quorum/src/lib.rs
@@ -14,13 +14,15 @@
 pub mod messages;
 pub mod storage;
 
-pub use crate::bundles::{Bundle, Bundles, Command, Digest, PushResult, Version};
-pub use crate::core::{Action, Config, Core, Founding, Reject, Role, Token};
+pub use crate::bundles::{
+    Bundle, Bundles, Command, DOMAIN_LIMIT, DOMAIN_NAME_LIMIT, Digest, PushResult, Version,
+};
+pub use crate::core::{Action, Config, Core, Founding, Reject, Role, Token, UpkeepPolicy};
 pub use crate::entry::{
     ADDRESS_LIMIT, BUNDLE_LIMIT, ClusterId, DecodeError, ENTRY_LIMIT, Entry, Index, MEMBER_LIMIT,
     Payload, SNAPSHOT_LIMIT, Snapshot, Term,
 };
-pub use crate::founding::{Decision, Founder, PRESENCE_LIFE, Presence};
+pub use crate::founding::{Decision, Founder, PRESENCE_LIFE, Presence, SETTLE};
 pub use crate::members::{Member, MemberChange, Members, NodeId, Standing};
 pub use crate::messages::Message;
 pub use crate::storage::{Record, Restored, Storage};
--- a/crates/buckthornweir_quorum/tests/quorum/differences.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/differences.rs
@@ -61,7 +61,9 @@
         bench.assert_all(2);
         let limit = ONE_LINE_LIMIT * (count - 1);
         assert!(bytes.get() < limit, "{} bytes to {count}", bytes.get());
-        let Command::Push(expected) = large(2);
+        let Command::Push(expected) = large(2) else {
+            panic!("not a push")
+        };
         for at in 0..count {
             assert_eq!(bench.core(at).bundles().newest(), Some(&expected));
         }
