Keep SYNs that a cold backend server can still take

Ruled out: late plans (balancers were ready 0.5 s after power came back) and late reports (agents heard their backend server within 20 ms).

Change: a deployment that states no cold rate has none that binds, and no SYN is reset that can be delivered within the caller's patience: it waits, in order, at the agent. Warm agents come first, in balancers and between agents. A SYN whose wait would be longer is still refused at once.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -16,6 +16,7 @@
 use crate::plan::Plan;
 use crate::segment::{FlowKey, Segment, mix};
 use crate::tag::Tag;
+use crate::waiting::{PATIENCE, Waiting};
 
 /// How many agents may pass one packet on.
 const HOP_LIMIT: u8 = 4;
@@ -54,10 +55,21 @@
     pub started: u64,
 }
 
+/// What an agent offers to new flows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Offer {
+    /// Whether it takes any.
+    pub accepts: bool,
+    /// Whether its backend server is cold.
+    pub cold: bool,
+    /// Free slots of its backend server.
+    pub free: u32,
+}
+
 /// Why a packet was dropped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DropReason {
-    /// It waits for the owner of its flow.
+    /// It waits for the owner of its flow, or for the backend server.
     Held,
     /// No agent holds its flow.
     NoOwner,
@@ -190,6 +202,7 @@
     backend: Backend,
     flows: Flows,
     lookups: Lookups,
+    waiting: Waiting,
     was_out: bool,
     next_sweep: Duration,
 }
@@ -212,6 +225,7 @@
             limits,
             flows: Flows::default(),
             lookups: Lookups::default(),
+            waiting: Waiting::default(),
             was_out: false,
             next_sweep: Duration::ZERO,
         }
@@ -229,11 +243,14 @@
         &self.flows
     }
 
-    /// Returns whether the agent takes new flows, and how many slots are free.
-    pub fn offer(&mut self, now: Duration, plan: &Plan) -> (bool, u32) {
-        let accepts = self.backend.accepts(now) && !plan.is_out(&self.limits.domain);
+    /// Returns what the agent offers to new flows.
+    pub fn offer(&mut self, now: Duration, plan: &Plan) -> Offer {
         let running = u32::try_from(self.flows.running()).unwrap_or(u32::MAX);
-        (accepts, self.backend.slots().saturating_sub(running))
+        Offer {
+            accepts: self.backend.accepts(now) && !plan.is_out(&self.limits.domain),
+            cold: self.backend.is_cold(now),
+            free: self.backend.slots().saturating_sub(running),
+        }
     }
 
     /// Takes a report of the backend server.
@@ -285,7 +302,7 @@
     ) {
         let tag = Tag::read(segment.tag);
         if segment.syn {
-            return self.syn(now, view, from, segment, tag, out);
+            return self.syn(now, view, from, segment, tag, bytes, out);
         }
         let key = segment.from_caller();
         let Some(flow) = self.flows.get_mut(&key) else {
@@ -403,6 +420,9 @@
         for (key, found) in self.lookups.sweep(now) {
             self.conclude(key, found, out);
         }
+        if self.waiting.len() > 0 {
+            self.release(now, plan, out);
+        }
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_PERIOD;
             self.flows.sweep(now, plan.idle);
@@ -413,9 +433,13 @@
     /// Returns whether [`Agent::tick`] has something to do soon.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
-        self.lookups.is_waiting()
+        self.lookups.is_waiting() || self.waiting.len() > 0
     }
 
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the parts of one packet and of the view"
+    )]
     fn syn(
         &mut self,
         now: Duration,
@@ -423,6 +447,7 @@
         from: SocketAddrV4,
         segment: &Segment,
         tag: Tag,
+        bytes: &[u8],
         out: &mut Vec<Action>,
     ) {
         let key = segment.from_caller();
@@ -443,7 +468,7 @@
             },
             None => {}
         }
-        self.new_flow(now, view, from, segment, tag, out);
+        self.new_flow(now, view, from, segment, tag, bytes, out);
     }
 
     /// Gives a copy of a SYN that the backend server has not answered to another agent.
@@ -471,6 +496,10 @@
         });
     }
 
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the parts of one packet and of the view"
+    )]
     fn new_flow(
         &mut self,
         now: Duration,
@@ -478,6 +507,7 @@
         from: SocketAddrV4,
         segment: &Segment,
         tag: Tag,
+        bytes: &[u8],
         out: &mut Vec<Action>,
     ) {
         let key = segment.from_caller();
@@ -502,6 +532,9 @@
                 self.pass_on(from, key, to, tag, reason, out);
             }
             None if reason == PassReason::Busy => self.open(now, from, segment, tag, out),
+            None if self.wait(now, view.plan, segment, tag, bytes, reason) => {
+                out.push(Action::Drop(DropReason::Held));
+            }
             None => out.push(Action::Reset {
                 key,
                 sequence: segment.acknowledged,
@@ -510,15 +543,67 @@
         }
     }
 
+    /// Keeps a SYN that the backend server may take before its caller stops waiting. Returns whether it
+    /// is kept.
+    fn wait(
+        &mut self,
+        now: Duration,
+        plan: &Plan,
+        segment: &Segment,
+        tag: Tag,
+        bytes: &[u8],
+        reason: PassReason,
+    ) -> bool {
+        let may_open = matches!(reason, PassReason::Shut(Shut::Unknown | Shut::Cold));
+        if !may_open {
+            return false;
+        }
+        self.waiting.expire(now);
+        if self.waiting.contains(&segment.from_caller()) {
+            return true;
+        }
+        let wait = self
+            .backend
+            .cold_wait(self.cold_rate(plan), self.waiting.len());
+        wait < PATIENCE && self.waiting.push(now, segment, bytes, tag)
+    }
+
+    /// Gives the SYNs that wait to the backend server as far as it takes them.
+    fn release(&mut self, now: Duration, plan: &Plan, out: &mut Vec<Action>) {
+        self.waiting.expire(now);
+        while self.waiting.len() > 0 && !matches!(self.standing(now, plan), Standing::Shut(_)) {
+            let Some(syn) = self.waiting.pop() else {
+                return;
+            };
+            let key = syn.segment.from_caller();
+            let known = self.flows.get(&key).is_some();
+            let route = plan.route(&key.service);
+            if known || !route.is_some_and(|route| route.allows(&self.limits.service)) {
+                continue;
+            }
+            self.flows.start(now, key, Holder::Here);
+            self.backend.note_syn(now);
+            self.flows.note_caller(now, &key, &syn.segment);
+            out.push(Action::Opened { key });
+            out.push(Action::Deliver {
+                bytes: Some(syn.bytes),
+                tag: syn.tag,
+            });
+        }
+    }
+
     fn standing(&mut self, now: Duration, plan: &Plan) -> Standing {
         if plan.is_out(&self.limits.domain) {
             return Standing::Shut(Shut::DomainOut);
         }
-        let service = plan.services.get(&self.limits.service);
-        let cold_rate = service.map_or(0.0, |service| service.cold_rate);
+        let cold_rate = self.cold_rate(plan);
         self.backend.standing(now, cold_rate, self.flows.running())
     }
 
+    fn cold_rate(&self, plan: &Plan) -> Option<f64> {
+        plan.services.get(&self.limits.service)?.cold_rate
+    }
+
     fn open(
         &mut self,
         now: Duration,
@@ -597,13 +682,12 @@
             .iter()
             .filter(open)
             .collect();
-        let near: Vec<&Peer> = peers
-            .iter()
-            .filter(|peer| peer.domain == self.limits.domain && peer.free > 0)
-            .copied()
-            .collect();
-        let free: Vec<&Peer> = peers.iter().filter(|peer| peer.free > 0).copied().collect();
-        let from = [near, free, peers]
+        let warm = |peer: &Peer| peer.free > 0 && !peer.cold;
+        let near = |peer: &Peer| warm(peer) && peer.domain == self.limits.domain;
+        let those = |fits: &dyn Fn(&Peer) -> bool| -> Vec<&'a Peer> {
+            peers.iter().copied().filter(|peer| fits(peer)).collect()
+        };
+        let from = [those(&near), those(&warm), peers.clone()]
             .into_iter()
             .find(|list| !list.is_empty())?;
         let hash = mix(key.hash() ^ own, u64::from(tag.hops));
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -223,8 +223,8 @@
     }
 
     /// Decides whether the backend server gets a new flow; `running` requests run there, and a cold one
-    /// bears `cold_rate` a second.
-    pub fn standing(&mut self, now: Duration, cold_rate: f64, running: usize) -> Standing {
+    /// bears `cold_rate` a second, if that is known.
+    pub fn standing(&mut self, now: Duration, cold_rate: Option<f64>, running: usize) -> Standing {
         if let Some(shut) = self.shut(now) {
             return Standing::Shut(shut);
         }
@@ -272,12 +272,28 @@
         (self.silent || lost).then_some(Shut::Silent)
     }
 
-    fn has_cold_room(&mut self, now: Duration, cold_rate: f64) -> bool {
+    /// Returns how long a new flow waits behind `waiting` others that a cold backend server gets first.
+    #[must_use]
+    pub fn cold_wait(&self, cold_rate: Option<f64>, waiting: usize) -> Duration {
+        match cold_rate {
+            Some(rate) => COLD_SPAN.mul_f64((waiting + 1) as f64 / self.cold_room(rate).max(1.0)),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns how many new flows a cold backend server gets in [`COLD_SPAN`].
+    fn cold_room(&self, rate: f64) -> f64 {
+        (rate * self.bound.factor + self.bound.slack - COLD_RESERVE).floor()
+    }
+
+    fn has_cold_room(&mut self, now: Duration, cold_rate: Option<f64>) -> bool {
+        let Some(rate) = cold_rate else {
+            return true;
+        };
         while self.opened.front().is_some_and(|at| now >= *at + COLD_SPAN) {
             self.opened.pop_front();
         }
-        let bound = cold_rate * self.bound.factor + self.bound.slack - COLD_RESERVE;
-        (self.opened.len() as f64) < bound.floor()
+        (self.opened.len() as f64) < self.cold_room(rate)
     }
 
     /// Forgets new flows that no bound counts any more.
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod plan;
 pub mod segment;
 pub mod tag;
+mod waiting;
 
 /// Identifies a process of the system.
 pub type NodeId = u64;
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -24,6 +24,8 @@
     pub service: SmolStr,
     /// Whether it says that it takes new flows.
     pub accepts: bool,
+    /// Whether its backend server is cold.
+    pub cold: bool,
     /// Free slots of its backend server, as it announced them last.
     pub free: u32,
 }
@@ -71,7 +73,9 @@
     /// Agents that take no new flows count too, since the flows that they have must still find them.
     #[must_use]
     pub fn primary(&self, service: &str, near: &str, key: &FlowKey) -> Option<&Peer> {
-        self.best(service, near, key, |_| true)
+        let hash = key.hash();
+        let peers = self.of(service).iter();
+        peers.max_by_key(|peer| (peer.domain == near, mix(hash, peer.node)))
     }
 
     /// Returns the agents that a new flow may go to, in the order in which they are tried.
@@ -86,11 +90,11 @@
         let hash = key.hash();
         let takes = |peer: &&Peer| peer.accepts && !plan.is_out(&peer.domain);
         let mut open: Vec<&Peer> = self.of(service).iter().filter(takes).collect();
-        open.sort_by_cached_key(|peer| (peer.domain != near, !mix(hash, peer.node)));
+        open.sort_by_cached_key(|peer| (peer.cold, peer.domain != near, !mix(hash, peer.node)));
         open
     }
 
-    /// Returns the first agent in rendezvous order that takes new flows.
+    /// Returns the first of [`Peers::open`].
     #[must_use]
     pub fn first_open(
         &self,
@@ -98,21 +102,10 @@
         service: &str,
         near: &str,
         key: &FlowKey,
-    ) -> Option<&Peer> {
-        self.best(service, near, key, |peer| {
-            peer.accepts && !plan.is_out(&peer.domain)
-        })
-    }
-
-    fn best(
-        &self,
-        service: &str,
-        near: &str,
-        key: &FlowKey,
-        fits: impl Fn(&Peer) -> bool,
     ) -> Option<&Peer> {
         let hash = key.hash();
-        let peers = self.of(service).iter().filter(|peer| fits(peer));
-        peers.max_by_key(|peer| (peer.domain == near, mix(hash, peer.node)))
+        let takes = |peer: &&Peer| peer.accepts && !plan.is_out(&peer.domain);
+        let open = self.of(service).iter().filter(takes);
+        open.max_by_key(|peer| (!peer.cold, peer.domain == near, mix(hash, peer.node)))
     }
 }
--- a/crates/buckthornweir_forward/src/plan.rs
+++ b/crates/buckthornweir_forward/src/plan.rs
@@ -66,8 +66,8 @@
 /// What is known of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Service {
-    /// New flows that a cold backend server bears a second.
-    pub cold_rate: f64,
+    /// New flows that a cold backend server bears a second; `None` where nothing is said of it.
+    pub cold_rate: Option<f64>,
 }
 
 /// The plan in force at one process.
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use buckthornweir_forward::NodeId;
+use buckthornweir_forward::agent::Offer;
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_members::{
     Action, Announcement, BundleStamp, Config, Health, MemberState, Members, Message, Record, Roles,
@@ -103,11 +104,16 @@
         }
     }
 
-    /// Announces whether the agent takes new flows, and its free slots.
-    pub(crate) fn announce_offer(&mut self, now: Duration, accepts: bool, free: u32) -> Outcome {
-        let weight = if accepts { OPEN_WEIGHT } else { 0 };
+    /// Announces what the agent offers to new flows.
+    pub(crate) fn announce_offer(&mut self, now: Duration, offer: Offer) -> Outcome {
+        let weight = if offer.accepts { OPEN_WEIGHT } else { 0 };
+        let state = match offer.cold {
+            true => MemberState::Cold,
+            false => MemberState::Ready,
+        };
         let mut actions = self.core.announce(now, Announcement::Weight(weight));
-        actions.extend(self.core.announce(now, Announcement::Free(free)));
+        actions.extend(self.core.announce(now, Announcement::State(state)));
+        actions.extend(self.core.announce(now, Announcement::Free(offer.free)));
         self.carry_out(actions)
     }
 
@@ -207,6 +213,7 @@
             domain: record.domain.clone(),
             service: record.service.clone(),
             accepts: record.weight > 0,
+            cold: record.state == MemberState::Cold,
             free: record.free,
         }),
         _ => None,
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use buckthornweir_events::{Count, Gauge, LineBudget, Metrics, Span};
-use buckthornweir_forward::agent::{Action, Agent, AgentLimits, DropReason, View};
+use buckthornweir_forward::agent::{Action, Agent, AgentLimits, DropReason, Offer, View};
 use buckthornweir_forward::balancer::{Balancer, Choice, Loss};
 use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::segment::Segment;
@@ -93,7 +93,7 @@
     stop: CancellationToken,
     stopping: Option<Duration>,
     last_packet: Duration,
-    offered: (bool, u32),
+    offered: Offer,
     next_offer: Duration,
     lines: LineBudget,
     actions: Vec<Action>,
@@ -146,7 +146,7 @@
             stop,
             stopping: None,
             last_packet: Duration::ZERO,
-            offered: (false, 0),
+            offered: Offer::default(),
             next_offer: Duration::ZERO,
             lines: LineBudget::new(FLOW_LINES),
             actions: Vec::new(),
@@ -279,22 +279,23 @@
         let Role::Agent { core, .. } = &mut self.role else {
             return;
         };
-        let (accepts, free) = core.offer(now, self.plans.plan());
-        let stops = self.stopping.is_some();
-        let accepts = accepts && !stops;
-        if accepts != self.offered.0 {
+        let mut offer = core.offer(now, self.plans.plan());
+        offer.accepts &= self.stopping.is_none();
+        let before = self.offered;
+        if (offer.accepts, offer.cold) != (before.accepts, before.cold) {
             tracing::info!(
                 event = "offer",
-                accepts,
-                free,
-                cold = core.backend().is_cold(now)
+                accepts = offer.accepts,
+                cold = offer.cold,
+                free = offer.free,
+                report = core.backend().last_report().map(|r| r.sequence),
             );
-        } else if free == self.offered.1 || now < self.next_offer {
+        } else if offer.free == before.free || now < self.next_offer {
             return;
         }
         self.next_offer = now + OFFER_PERIOD;
-        self.offered = (accepts, free);
-        let outcome = self.gossip.announce_offer(now, accepts, free);
+        self.offered = offer;
+        let outcome = self.gossip.announce_offer(now, offer);
         self.carry_out(outcome);
     }
 
