Let a process that knows no other greet its seeds often

Cause: after all VMs lost power, agents and balancers that were back some 0.2 s before the control VMs greeted their seeds in vain and again only a second later.

Ruled out: elections (followers put the stored plan in force at once).

Change: the interval of a lone process is a setting of the membership, 0.1 s for forward nodes; flows that were opened in the same moment count as load before their requests come.

Failed try, reverted: a balancer that starts waits 250 ms for further agents before it places flows.

Tests: a lone process, flows opened together; with them the tables of admission, lookup, placement, cold starts and reports.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -245,7 +245,8 @@
 
     /// Returns what the agent offers to new flows.
     pub fn offer(&mut self, now: Duration, plan: &Plan) -> Offer {
-        let running = u32::try_from(self.flows.running()).unwrap_or(u32::MAX);
+        self.flows.settle(now);
+        let running = u32::try_from(self.flows.load()).unwrap_or(u32::MAX);
         Offer {
             accepts: self.backend.accepts(now) && !plan.is_out(&self.limits.domain),
             cold: self.backend.is_cold(now),
@@ -564,7 +565,7 @@
         }
         let wait = self
             .backend
-            .cold_wait(self.cold_rate(plan), self.waiting.len());
+            .cold_wait(now, self.cold_rate(plan), self.waiting.len());
         wait < PATIENCE && self.waiting.push(now, segment, bytes, tag)
     }
 
@@ -581,7 +582,7 @@
             if known || !route.is_some_and(|route| route.allows(&self.limits.service)) {
                 continue;
             }
-            self.flows.start(now, key, Holder::Here);
+            self.flows.open(now, key);
             self.backend.note_syn(now);
             self.flows.note_caller(now, &key, &syn.segment);
             out.push(Action::Opened { key });
@@ -597,7 +598,8 @@
             return Standing::Shut(Shut::DomainOut);
         }
         let cold_rate = self.cold_rate(plan);
-        self.backend.standing(now, cold_rate, self.flows.running())
+        self.flows.settle(now);
+        self.backend.standing(now, cold_rate, self.flows.load())
     }
 
     fn cold_rate(&self, plan: &Plan) -> Option<f64> {
@@ -613,7 +615,7 @@
         out: &mut Vec<Action>,
     ) {
         let key = segment.from_caller();
-        self.flows.start(now, key, Holder::Here);
+        self.flows.open(now, key);
         out.push(Action::Opened { key });
         self.deliver(now, &key, segment, tag, out);
         if tag.aside {
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -274,16 +274,24 @@
 
     /// Returns how long a new flow waits behind `waiting` others that a cold backend server gets first.
     #[must_use]
-    pub fn cold_wait(&self, cold_rate: Option<f64>, waiting: usize) -> Duration {
-        match cold_rate {
-            Some(rate) => COLD_SPAN.mul_f64((waiting + 1) as f64 / self.cold_room(rate).max(1.0)),
-            None => Duration::ZERO,
-        }
+    pub fn cold_wait(&self, now: Duration, cold_rate: Option<f64>, waiting: usize) -> Duration {
+        let Some(rate) = cold_rate else {
+            return Duration::ZERO;
+        };
+        let ahead = (self.opened.len() + waiting).checked_sub(self.cold_room(rate).max(1));
+        let Some(ahead) = ahead else {
+            return Duration::ZERO;
+        };
+        // Its turn comes when the flow that is `ahead` of it, counted over the spans, is no longer counted.
+        let spans = ahead / self.opened.len().max(1) + 1;
+        let turn = self.opened.get(ahead % self.opened.len().max(1));
+        let turn = turn.copied().unwrap_or(now);
+        (turn + COLD_SPAN * u32::try_from(spans).unwrap_or(u32::MAX)).saturating_sub(now)
     }
 
     /// Returns how many new flows a cold backend server gets in [`COLD_SPAN`].
-    fn cold_room(&self, rate: f64) -> f64 {
-        (rate * self.bound.factor + self.bound.slack - COLD_RESERVE).floor()
+    fn cold_room(&self, rate: f64) -> usize {
+        (rate * self.bound.factor + self.bound.slack - COLD_RESERVE) as usize
     }
 
     fn has_cold_room(&mut self, now: Duration, cold_rate: Option<f64>) -> bool {
@@ -293,7 +301,7 @@
         while self.opened.front().is_some_and(|at| now >= *at + COLD_SPAN) {
             self.opened.pop_front();
         }
-        (self.opened.len() as f64) < self.cold_room(rate)
+        self.opened.len() < self.cold_room(rate)
     }
 
     /// Forgets new flows that no bound counts any more.
--- a/crates/buckthornweir_forward/src/balancer.rs
+++ b/crates/buckthornweir_forward/src/balancer.rs
@@ -26,8 +26,6 @@
     NoRoute,
     /// No agent of the service is known.
     NoAgent,
-    /// The packet's tag says that it came from an agent.
-    Stray,
 }
 
 /// What becomes of a packet.
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -1,6 +1,6 @@
 //! The flows that an agent knows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -12,6 +12,9 @@
 /// How long a flow is remembered after both directions ended.
 const ENDED_LIFE: Duration = Duration::from_secs(3);
 
+/// How long a new flow counts as a request that is about to come: some round trips to the caller.
+const FRESH_LIFE: Duration = Duration::from_millis(100);
+
 /// How much longer than the plan's idle time a flow is remembered.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
 
@@ -39,6 +42,8 @@
     pub spare: Option<SocketAddrV4>,
     /// Since when a request waits for its answer.
     pub waiting: Option<Duration>,
+    /// Whether the flow is new and its first request is still to come.
+    pub fresh: bool,
     /// Acknowledgement of the caller's last packet.
     pub acknowledged: u32,
     /// When the flow became known.
@@ -58,6 +63,7 @@
             answer: None,
             spare: None,
             waiting: None,
+            fresh: false,
             acknowledged: 0,
             since: now,
             seen: now,
@@ -86,6 +92,8 @@
 pub struct Flows {
     map: HashMap<FlowKey, Flow>,
     running: usize,
+    fresh: usize,
+    opened: VecDeque<(Duration, FlowKey)>,
 }
 
 impl Flows {
@@ -95,6 +103,13 @@
         self.running
     }
 
+    /// Returns how many requests run at the backend server here or are about to: callers open a flow to
+    /// send a request, so that flows opened in the same moment count before their requests come.
+    #[must_use]
+    pub fn load(&self) -> usize {
+        self.running + self.fresh
+    }
+
     /// Returns how many flows are known.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -123,8 +138,35 @@
             .or_insert_with(|| Flow::new(now, holder))
     }
 
+    /// Starts a flow whose SYN the backend server here gets.
+    pub(crate) fn open(&mut self, now: Duration, key: FlowKey) {
+        self.start(now, key, Holder::Here).fresh = true;
+        self.fresh += 1;
+        self.opened.push_back((now, key));
+    }
+
+    /// Counts new flows whose requests did not come as open, but idle.
+    pub(crate) fn settle(&mut self, now: Duration) {
+        while let Some((at, key)) = self.opened.front()
+            && now >= *at + FRESH_LIFE
+        {
+            let key = *key;
+            self.opened.pop_front();
+            self.request_came(&key);
+        }
+    }
+
+    fn request_came(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.map.get_mut(key)
+            && std::mem::take(&mut flow.fresh)
+        {
+            self.fresh -= 1;
+        }
+    }
+
     pub(crate) fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
         let flow = self.map.remove(key)?;
+        self.fresh -= usize::from(flow.fresh);
         self.running -= usize::from(flow.waiting.is_some());
         Some(flow)
     }
@@ -142,6 +184,7 @@
         if segment.length > 0 && flow.waiting.is_none() {
             flow.waiting = Some(now);
             self.running += 1;
+            self.request_came(key);
         }
     }
 
@@ -182,6 +225,7 @@
         let own = self.map.extract_if(|_, flow| flow.holder == Holder::Here);
         let own = own.collect();
         self.running = 0;
+        self.fresh = 0;
         own
     }
 
--- /dev/null
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -0,0 +1,263 @@
+//! An agent with its view, and short ways to make packets.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use buckthornweir_forward::agent::{Action, Agent, AgentLimits, View};
+use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
+use buckthornweir_forward::peers::{Peer, Peers};
+use buckthornweir_forward::plan::{Plan, Route, Service, Split};
+use buckthornweir_forward::segment::{FlowKey, Segment};
+use buckthornweir_forward::tag::Tag;
+
+pub(crate) const PERIOD: Duration = Duration::from_secs(1);
+pub(crate) const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub(crate) const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 9, 9), 7000);
+/// Sequence number of the stand-in backend server's answers to SYNs.
+pub(crate) const ANSWER: u32 = 5_000_000;
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn packets(node: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, node), 7000)
+}
+
+pub(crate) fn questions(node: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, node), 7100)
+}
+
+pub(crate) fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port)
+}
+
+pub(crate) fn key(port: u16) -> FlowKey {
+    FlowKey {
+        caller: caller(port),
+        service: SERVICE,
+    }
+}
+
+pub(crate) fn peer(node: u8, domain: &str, service: &str) -> Peer {
+    Peer {
+        node: u64::from(node),
+        packets: packets(node),
+        questions: questions(node),
+        domain: domain.into(),
+        service: service.into(),
+        accepts: true,
+        cold: false,
+        free: 4,
+    }
+}
+
+pub(crate) fn plan(service: &str) -> Plan {
+    let route = Route {
+        splits: vec![Split {
+            service: service.into(),
+            weight: 1,
+        }],
+    };
+    Plan {
+        revision: 1,
+        version: 1,
+        routes: [(SERVICE, route)].into(),
+        services: [(service.into(), Service::default())].into(),
+        ..Plan::default()
+    }
+}
+
+/// A packet of the caller at `port`, of `length` bytes.
+pub(crate) fn data(port: u16, length: u16) -> Segment {
+    Segment {
+        source: caller(port),
+        target: SERVICE,
+        syn: false,
+        fin: false,
+        rst: false,
+        returned: false,
+        sequence: 1,
+        acknowledged: ANSWER + 1,
+        length,
+        tag: 0,
+    }
+}
+
+/// The SYN of the caller at `port`, after `copies` others.
+pub(crate) fn syn(port: u16, copies: u32) -> Segment {
+    Segment {
+        syn: true,
+        acknowledged: copies,
+        ..data(port, 0)
+    }
+}
+
+/// A packet of the backend server to the caller at `port`.
+pub(crate) fn reply(port: u16, length: u16) -> Segment {
+    Segment {
+        source: SERVICE,
+        target: caller(port),
+        sequence: ANSWER + 1,
+        acknowledged: 2,
+        ..data(port, length)
+    }
+}
+
+pub(crate) fn syn_ack(port: u16) -> Segment {
+    Segment {
+        syn: true,
+        sequence: ANSWER,
+        ..reply(port, 0)
+    }
+}
+
+/// The packet as the backend server returns it.
+pub(crate) fn returned(segment: Segment) -> Segment {
+    Segment {
+        returned: true,
+        ..segment
+    }
+}
+
+pub(crate) fn hops(segment: Segment, hops: u8) -> Segment {
+    let tag = Tag { hops, aside: true };
+    Segment {
+        tag: tag.word(),
+        ..segment
+    }
+}
+
+pub(crate) fn report(sequence: u64) -> Report {
+    Report {
+        id: "i-1".into(),
+        born: 1_000_000,
+        sequence,
+        state: ReportState::Ready,
+        cold: Duration::ZERO,
+        slots: 2,
+    }
+}
+
+/// Agent 1 with its siblings 2 and 3, all of service `desk` in the failure domain `a`.
+pub(crate) struct Bench {
+    pub(crate) agent: Agent,
+    pub(crate) plan: Plan,
+    pub(crate) peers: Peers,
+    pub(crate) now: Duration,
+}
+
+impl Bench {
+    pub(crate) fn new() -> Self {
+        let limits = AgentLimits {
+            node: 1,
+            packets: packets(1),
+            domain: "a".into(),
+            service: "desk".into(),
+            cold: ColdBound {
+                factor: 1.5,
+                slack: 5.0,
+            },
+            period: PERIOD,
+            started: 1_000_100,
+        };
+        Self {
+            agent: Agent::new(limits),
+            plan: plan("desk"),
+            peers: Peers::new([1, 2, 3].map(|node| peer(node, "a", "desk"))),
+            now: ms(100),
+        }
+    }
+
+    /// An agent whose backend server has reported.
+    pub(crate) fn reported() -> Self {
+        let mut bench = Self::new();
+        bench.report(report(1));
+        bench
+    }
+
+    pub(crate) fn report(&mut self, report: Report) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.agent.report(self.now, report, &mut out);
+        out
+    }
+
+    pub(crate) fn after(&mut self, wait: u64) -> &mut Self {
+        self.now += ms(wait);
+        self
+    }
+
+    pub(crate) fn from(&mut self, from: SocketAddrV4, segment: Segment) -> Vec<Action> {
+        let mut out = Vec::new();
+        let view = View {
+            plan: &self.plan,
+            peers: &self.peers,
+        };
+        let bytes = segment.sequence.to_be_bytes();
+        self.agent
+            .caller_packet(self.now, view, from, &segment, &bytes, &mut out);
+        out
+    }
+
+    pub(crate) fn caller(&mut self, segment: Segment) -> Vec<Action> {
+        self.from(BALANCER, segment)
+    }
+
+    pub(crate) fn backend(&mut self, segment: Segment) -> Vec<Action> {
+        let mut out = Vec::new();
+        let view = View {
+            plan: &self.plan,
+            peers: &self.peers,
+        };
+        let bytes = segment.sequence.to_be_bytes();
+        self.agent
+            .backend_packet(self.now, view, &segment, &bytes, &mut out);
+        out
+    }
+
+    pub(crate) fn tick(&mut self) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.agent.tick(self.now, &self.plan, &mut out);
+        out
+    }
+
+    /// Opens the flow of the caller at `port` here.
+    pub(crate) fn open(&mut self, port: u16) {
+        self.caller(syn(port, 0));
+        self.backend(syn_ack(port));
+        self.caller(data(port, 0));
+        self.backend(reply(port, 0));
+    }
+}
+
+/// What a list of actions does with the packet at hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Delivered,
+    PassedTo(u8),
+    Reset,
+    Held,
+    Dropped,
+    Answered,
+}
+
+pub(crate) fn fate(actions: &[Action]) -> Option<Fate> {
+    use buckthornweir_forward::agent::DropReason;
+    actions.iter().find_map(|action| match action {
+        Action::Deliver { .. } => Some(Fate::Delivered),
+        Action::Pass { to, .. } => Some(Fate::PassedTo(to.ip().octets()[3])),
+        Action::Reset { .. } => Some(Fate::Reset),
+        Action::Answer => Some(Fate::Answered),
+        Action::Drop(DropReason::Held) => Some(Fate::Held),
+        Action::Drop(_) => Some(Fate::Dropped),
+        Action::Ask { .. }
+        | Action::Hint { .. }
+        | Action::Opened { .. }
+        | Action::Served { .. } => None,
+    })
+}
+
+pub(crate) fn asked(actions: &[Action]) -> usize {
+    let asks = actions.iter().filter(|a| matches!(a, Action::Ask { .. }));
+    asks.count()
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -0,0 +1,190 @@
+//! Flows that an agent does not know, and their owners.
+
+use buckthornweir_forward::agent::{Action, Question, Reply};
+use buckthornweir_forward::peers::Peers;
+
+use crate::common::{
+    ANSWER, BALANCER, Bench, Fate, asked, data, fate, hops, key, packets, peer, report, returned,
+    syn, syn_ack,
+};
+
+fn tell(bench: &mut Bench, from: u8, port: u16, reply: Reply) -> Vec<Action> {
+    let mut out = Vec::new();
+    bench
+        .agent
+        .reply(bench.now, packets(from), key(port), reply, &mut out);
+    out
+}
+
+/// An agent that asks for the flow of the caller at port 40,000.
+fn asking() -> Bench {
+    let mut bench = Bench::reported();
+    let question = bench.caller(data(40_000, 90));
+    assert_eq!(
+        fate(&question),
+        Some(Fate::Delivered),
+        "the backend server is asked first"
+    );
+    let got = bench.backend(returned(data(40_000, 90)));
+    assert_eq!((asked(&got), fate(&got)), (2, Some(Fate::Held)));
+    bench
+}
+
+#[test]
+fn the_owner_gets_the_packets_that_waited() {
+    let mut bench = asking();
+    assert_eq!(fate(&bench.caller(data(40_000, 91))), Some(Fate::Held));
+    assert!(tell(&mut bench, 2, 40_000, Reply::NotMine).is_empty());
+    let got = tell(&mut bench, 3, 40_000, Reply::Mine);
+    let passed = got
+        .iter()
+        .filter(|a| matches!(a, Action::Pass { to, .. } if *to == packets(3)));
+    assert_eq!(passed.count(), 2);
+    let next = bench.caller(data(40_000, 92));
+    assert_eq!(fate(&next), Some(Fate::PassedTo(3)));
+    assert!(next.contains(&Action::Hint {
+        to: BALANCER,
+        key: key(40_000),
+        agent: packets(3),
+    }));
+}
+
+#[test]
+fn answers_that_are_missing_late_or_doubled() {
+    let nobody = |actions: &[Action]| fate(actions) == Some(Fate::Dropped);
+    // All deny: the packet is dropped, the flow is not reset.
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    assert!(nobody(&tell(&mut bench, 3, 40_000, Reply::NotMine)));
+    // One is silent.
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    assert!(bench.after(100).tick().is_empty());
+    assert!(nobody(&bench.after(100).tick()));
+    // Its answer comes after all.
+    let late = tell(&mut bench, 3, 40_000, Reply::Mine);
+    assert_eq!(fate(&late), Some(Fate::PassedTo(3)));
+    // An answer that nobody asked for changes nothing.
+    assert!(tell(&mut bench, 2, 41_000, Reply::Mine).is_empty());
+    assert!(tell(&mut bench, 2, 40_000, Reply::NotMine).is_empty());
+    assert_eq!(
+        fate(&bench.caller(data(40_000, 90))),
+        Some(Fate::PassedTo(3))
+    );
+}
+
+#[test]
+fn agents_that_may_hold_the_flow_are_tried_in_turn() {
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::Perhaps);
+    let first = tell(&mut bench, 3, 40_000, Reply::Perhaps);
+    assert_eq!(fate(&first), Some(Fate::PassedTo(2)));
+    // It was not there: the caller sends again, and the other one is tried.
+    bench.after(400);
+    bench.caller(data(40_000, 90));
+    bench.backend(returned(data(40_000, 90)));
+    tell(&mut bench, 2, 40_000, Reply::Perhaps);
+    let second = tell(&mut bench, 3, 40_000, Reply::Perhaps);
+    assert_eq!(fate(&second), Some(Fate::PassedTo(3)));
+}
+
+#[test]
+fn a_flow_without_owner_is_not_asked_for_at_each_packet() {
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    tell(&mut bench, 3, 40_000, Reply::NotMine);
+    for _ in 0..10 {
+        let got = bench.after(10).caller(data(40_000, 90));
+        assert_eq!((asked(&got), fate(&got)), (0, Some(Fate::Held)));
+    }
+}
+
+#[test]
+fn what_an_agent_says_of_a_flow() {
+    let question = |acknowledged| Question {
+        key: key(40_000),
+        acknowledged,
+    };
+    let mut bench = Bench::reported();
+    assert_eq!(bench.agent.answer(&question(ANSWER + 1)), Reply::NotMine);
+    bench.caller(syn(40_000, 0));
+    assert_eq!(
+        bench.agent.answer(&question(ANSWER + 1)),
+        Reply::Perhaps,
+        "no answer seen"
+    );
+    bench.backend(syn_ack(40_000));
+    assert_eq!(bench.agent.answer(&question(ANSWER + 1)), Reply::Mine);
+    assert_eq!(
+        bench.agent.answer(&question(ANSWER.wrapping_sub(1 << 30))),
+        Reply::NotMine,
+        "the caller answers another backend server"
+    );
+    // An agent that started long after its backend server may have missed flows.
+    let mut late = Bench::new();
+    assert_eq!(
+        late.agent.answer(&question(0)),
+        Reply::Perhaps,
+        "no report yet"
+    );
+    late.report(buckthornweir_forward::backend::Report {
+        born: 10,
+        ..report(1)
+    });
+    assert_eq!(late.agent.answer(&question(0)), Reply::Perhaps);
+}
+
+#[test]
+fn two_agents_never_pass_a_packet_back_and_forth() {
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::Mine);
+    // Agent 2 passes it back: it has lost the flow.
+    let back = bench.from(packets(2), hops(data(40_000, 90), 1));
+    assert_ne!(fate(&back), Some(Fate::PassedTo(2)));
+    // At the hop limit a packet is dropped.
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::Mine);
+    assert_eq!(
+        fate(&bench.caller(hops(data(40_000, 90), 4))),
+        Some(Fate::Dropped)
+    );
+}
+
+#[test]
+fn an_owner_that_is_gone_is_looked_up_anew() {
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::Mine);
+    bench.peers = Peers::new([1, 3].map(|node| peer(node, "a", "desk")));
+    let got = bench.caller(data(40_000, 90));
+    assert_eq!(
+        fate(&got),
+        Some(Fate::Delivered),
+        "the backend server here is asked"
+    );
+}
+
+#[test]
+fn a_hint_moves_a_flow_that_was_passed_on() {
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::Mine);
+    bench.agent.hint(key(40_000), packets(3));
+    assert_eq!(
+        fate(&bench.caller(data(40_000, 90))),
+        Some(Fate::PassedTo(3))
+    );
+    // It takes no flow away from the backend server here.
+    bench.open(50_000);
+    bench.agent.hint(key(50_000), packets(3));
+    assert_eq!(fate(&bench.caller(data(50_000, 90))), Some(Fate::Delivered));
+}
+
+#[test]
+fn a_flow_that_moved_to_another_service_is_found() {
+    let mut bench = Bench::reported();
+    bench.peers = Peers::new([peer(1, "a", "desk"), peer(9, "b", "proofs")]);
+    bench.caller(data(40_000, 90));
+    let got = bench.backend(returned(data(40_000, 90)));
+    assert_eq!(asked(&got), 1, "agents of other services are asked too");
+    let got = tell(&mut bench, 9, 40_000, Reply::Mine);
+    assert_eq!(fate(&got), Some(Fate::PassedTo(9)));
+}
--- /dev/null
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -0,0 +1,9 @@
+//! Decisions about packets of forward services, as tables of steps and fault cases.
+
+mod agent;
+mod backend;
+mod balancer;
+mod cold_start;
+mod common;
+mod lookup;
+mod plan;
--- a/crates/buckthornweir_members/src/config.rs
+++ b/crates/buckthornweir_members/src/config.rs
@@ -25,6 +25,7 @@
     pub(crate) sync_interval: Duration,
     pub(crate) catch_up: f64,
     pub(crate) contact_interval: Duration,
+    pub(crate) lone_interval: Duration,
     pub(crate) forget_after: Duration,
     pub(crate) pull_timeout: Duration,
     pub(crate) byte_budget: u32,
@@ -49,6 +50,7 @@
             sync_interval: Duration::from_secs(3),
             catch_up: 64.0,
             contact_interval: Duration::from_secs(5),
+            lone_interval: Duration::from_millis(1_000),
             forget_after: Duration::from_secs(2 * 60 * 60),
             pull_timeout: Duration::from_secs(2),
             byte_budget: 3_000,
@@ -113,6 +115,12 @@
         self
     }
 
+    /// Sets how often a process that knows no other live one greets its seeds.
+    pub fn with_lone_interval(mut self, interval: Duration) -> Self {
+        self.lone_interval = interval;
+        self
+    }
+
     /// Sets how long dead members are remembered.
     pub fn with_forget_after(mut self, age: Duration) -> Self {
         self.forget_after = age;
--- a/crates/buckthornweir_members/src/members/probing.rs
+++ b/crates/buckthornweir_members/src/members/probing.rs
@@ -131,7 +131,7 @@
         let period = self.config.probe_period;
         let slots = self.probing.targets.len().max(1) as u32;
         if self.table.live().is_empty() {
-            self.probing.next_probe = self.now + period;
+            self.probing.next_probe = self.now + self.config.lone_interval;
             self.contact_seeds();
             return;
         }
--- a/crates/buckthornweir_members/tests/members/join.rs
+++ b/crates/buckthornweir_members/tests/members/join.rs
@@ -1,5 +1,9 @@
 //! Members find each other.
 
+use std::time::Duration;
+
+use buckthornweir_members::{Action, Config, Members};
+
 use crate::queue::{Queue, record, seconds};
 
 #[test]
@@ -23,3 +27,16 @@
     assert_eq!(queue.total(|counters| counters.digests), before);
     assert_eq!(queue.total(|counters| counters.suspicions), 0);
 }
+
+/// After a loss of power processes start in any order: a seed that starts late is found soon.
+#[test]
+fn a_lone_process_greets_its_seeds_again_after_the_interval() {
+    let config = Config::default().with_lone_interval(Duration::from_millis(100));
+    let seed = "192.0.2.9:7000".parse().unwrap();
+    let mut members = Members::new(config, record(1, 3), vec![seed], 7);
+    let greetings = (0..1_000)
+        .step_by(20)
+        .flat_map(|at| members.tick(Duration::from_millis(at)))
+        .filter(|action| matches!(action, Action::Send { to, .. } if *to == seed));
+    assert!((10..=15).contains(&greetings.count()));
+}
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -27,6 +27,10 @@
 /// How often a dead process or a seed is contacted.
 const CONTACT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often a process that knows no other one greets its seeds: after a loss of power all VMs start
+/// within some hundred milliseconds, in any order.
+const LONE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -68,6 +72,7 @@
             .with_indirect_timeout(INDIRECT_TIMEOUT)
             .with_suspicion(SUSPICION)
             .with_contact_interval(CONTACT_INTERVAL)
+            .with_lone_interval(LONE_INTERVAL)
             .with_pull_timeout(PULL_TIMEOUT);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -606,7 +606,7 @@
             }
             Choice::Drop(loss) => {
                 self.metrics.count(match loss {
-                    Loss::NoAgent | Loss::Stray => Count::PacketsNoAgent,
+                    Loss::NoAgent => Count::PacketsNoAgent,
                     Loss::NoPlan | Loss::NoRoute => Count::PacketsUnknownAddress,
                 });
                 self.log_loss("packet_dropped", *loss, segment);
