Reset flows that all agents deny

Ruled out: resets on the word of some agents. An agent that restarts for a moment keeps its flows, and a reset then breaks them.

Change: a flow is reset when the own backend server has returned its packet, all agents have answered that they don't hold it, none was lost in the last 3 s and the process runs for 2.5 s. An agent whose backend server returned a packet no longer says "perhaps".

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -11,7 +11,7 @@
 use crate::NodeId;
 use crate::backend::{Backend, ColdBound, Report, Reported, Shut, Standing};
 use crate::flows::{Flows, Holder};
-use crate::lookup::{Found, Held, Lookups};
+use crate::lookup::{Denied, Found, Held, Lookups};
 use crate::peers::{Peer, Peers};
 use crate::plan::Plan;
 use crate::segment::{FlowKey, Segment, mix};
@@ -193,6 +193,8 @@
     Lost,
     /// The backend server that held the flow has restarted.
     Restarted,
+    /// No backend server holds the flow: all agents have said so.
+    Unowned,
 }
 
 /// The decisions of one agent.
@@ -202,6 +204,7 @@
     backend: Backend,
     flows: Flows,
     lookups: Lookups,
+    denied: Denied,
     waiting: Waiting,
     was_out: bool,
     next_sweep: Duration,
@@ -214,6 +217,9 @@
     pub plan: &'a Plan,
     /// The live agents.
     pub peers: &'a Peers,
+    /// Whether these are all agents: none was lost a short time ago that may come back with its flows,
+    /// and this process runs long enough to have heard of all.
+    pub complete: bool,
 }
 
 impl Agent {
@@ -225,6 +231,7 @@
             limits,
             flows: Flows::default(),
             lookups: Lookups::default(),
+            denied: Denied::default(),
             waiting: Waiting::default(),
             was_out: false,
             next_sweep: Duration::ZERO,
@@ -362,6 +369,7 @@
     pub fn answer(&self, question: &Question) -> Reply {
         match self.flows.get(&question.key) {
             Some(flow) if flow.holder != Holder::Here => Reply::NotMine,
+            _ if self.denied.contains(&question.key) => Reply::NotMine,
             Some(flow) if flow.assumed => Reply::Perhaps,
             Some(flow) if flow.opened => Reply::Mine,
             Some(flow) => match flow.is_answer(question.acknowledged) {
@@ -387,6 +395,7 @@
     pub fn reply(
         &mut self,
         now: Duration,
+        view: View<'_>,
         from: SocketAddrV4,
         key: FlowKey,
         reply: Reply,
@@ -402,7 +411,7 @@
             Reply::NotMine => self.lookups.deny(&key, None),
             Reply::Perhaps => self.lookups.deny(&key, Some(from)),
         };
-        self.conclude(key, found, out);
+        self.conclude(view, key, found, out);
     }
 
     /// Takes another agent's hint about a flow that was passed on to it.
@@ -417,9 +426,10 @@
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, now: Duration, plan: &Plan, out: &mut Vec<Action>) {
+    pub fn tick(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
+        let plan = view.plan;
         for (key, found) in self.lookups.sweep(now) {
-            self.conclude(key, found, out);
+            self.conclude(view, key, found, out);
         }
         if self.waiting.len() > 0 {
             self.release(now, plan, out);
@@ -427,6 +437,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_PERIOD;
             self.flows.sweep(now, plan.idle);
+            self.denied.sweep(now);
             self.backend.sweep(now);
         }
     }
@@ -583,6 +594,7 @@
                 continue;
             }
             self.flows.open(now, key);
+            self.denied.forget(&key);
             self.backend.note_syn(now);
             self.flows.note_caller(now, &key, &syn.segment);
             out.push(Action::Opened { key });
@@ -616,6 +628,7 @@
     ) {
         let key = segment.from_caller();
         self.flows.open(now, key);
+        self.denied.forget(&key);
         out.push(Action::Opened { key });
         self.deliver(now, &key, segment, tag, out);
         if tag.aside {
@@ -748,6 +761,7 @@
         if segment.syn {
             return self.returned_syn(now, view, segment, tag, out);
         }
+        self.denied.note(now, key);
         let opened = self.flows.get(&key).is_some_and(|flow| flow.opened);
         let own = self.limits.packets;
         if opened {
@@ -824,7 +838,11 @@
         if asked.is_empty() {
             return out.push(Action::Drop(DropReason::NoOwner));
         }
-        if !self.lookups.start(now, key, from, asked.len(), held) {
+        let sequence = segment.acknowledged;
+        if !self
+            .lookups
+            .start(now, key, from, asked.len(), sequence, held)
+        {
             return out.push(Action::Drop(DropReason::LookupsFull));
         }
         let question = Question {
@@ -835,17 +853,23 @@
         out.push(Action::Drop(DropReason::Held));
     }
 
-    fn conclude(&mut self, key: FlowKey, found: Found, out: &mut Vec<Action>) {
-        if let Found::Perhaps(agent, held) = found {
-            out.extend(held.into_iter().map(|held| Action::Pass {
+    fn conclude(&mut self, view: View<'_>, key: FlowKey, found: Found, out: &mut Vec<Action>) {
+        match found {
+            Found::Open => {}
+            Found::Perhaps(agent, held) => out.extend(held.into_iter().map(|held| Action::Pass {
                 bytes: Some(held.bytes),
                 to: agent,
                 tag: held.tag.passed_on(),
                 reason: PassReason::MayOwn,
-            }));
-        } else if found == Found::Nobody {
-            let _ = key;
-            out.push(Action::Drop(DropReason::NoOwner));
+            })),
+            Found::Nobody {
+                complete: Some(sequence),
+            } if view.complete && self.denied.contains(&key) => out.push(Action::Reset {
+                key,
+                sequence,
+                reason: ResetReason::Unowned,
+            }),
+            Found::Nobody { .. } => out.push(Action::Drop(DropReason::NoOwner)),
         }
     }
 
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -13,6 +13,12 @@
 /// How many searches may go on at once.
 const LOOKUP_LIMIT: usize = 4_096;
 
+/// Flows that are remembered as not held here.
+const DENIED_LIMIT: usize = 8_192;
+
+/// How long a flow is remembered as not held here.
+const DENIED_LIFE: Duration = Duration::from_secs(10);
+
 /// How long answers are awaited: some round trips between failure domains, and the pause of a busy VM.
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 
@@ -36,7 +42,9 @@
     tried: usize,
     held: Vec<Held>,
     /// Who sent the packet that began the search.
-    pub(crate) asker: SocketAddrV4,
+    asker: SocketAddrV4,
+    /// Acknowledgement of the packet that began the search.
+    acknowledged: u32,
 }
 
 /// What a search came to.
@@ -47,7 +55,38 @@
     /// This agent may hold the flow; the packets go to it as a question.
     Perhaps(SocketAddrV4, Vec<Held>),
     /// No agent that answered holds the flow.
-    Nobody,
+    Nobody {
+        /// Acknowledgement of the caller's packet, when all agents answered.
+        complete: Option<u32>,
+    },
+}
+
+/// Flows that the backend server here has returned a packet of.
+#[derive(Debug, Default)]
+pub(crate) struct Denied {
+    map: HashMap<FlowKey, Duration>,
+}
+
+impl Denied {
+    /// Notes that the backend server does not hold the flow.
+    pub(crate) fn note(&mut self, now: Duration, key: FlowKey) {
+        if self.map.len() < DENIED_LIMIT {
+            self.map.insert(key, now);
+        }
+    }
+
+    /// Forgets a flow: its port may be used anew.
+    pub(crate) fn forget(&mut self, key: &FlowKey) {
+        self.map.remove(key);
+    }
+
+    pub(crate) fn contains(&self, key: &FlowKey) -> bool {
+        self.map.contains_key(key)
+    }
+
+    pub(crate) fn sweep(&mut self, now: Duration) {
+        self.map.retain(|_, at| now < *at + DENIED_LIFE);
+    }
 }
 
 /// The searches of one agent.
@@ -79,6 +118,7 @@
         key: FlowKey,
         asker: SocketAddrV4,
         asked: usize,
+        acknowledged: u32,
         held: Held,
     ) -> bool {
         let before = self.map.remove(&key);
@@ -93,6 +133,7 @@
             tried: before.map_or(0, |before| before.tried),
             held: vec![held],
             asker,
+            acknowledged,
         };
         self.map.insert(key, lookup);
         true
@@ -114,7 +155,7 @@
         if lookup.open > 0 {
             return Found::Open;
         }
-        lookup.conclude()
+        lookup.conclude(true)
     }
 
     /// Concludes the searches whose answers are overdue, and forgets old ones.
@@ -128,7 +169,7 @@
         overdue
             .map(|(key, lookup)| {
                 lookup.open = 0;
-                (*key, lookup.conclude())
+                (*key, lookup.conclude(false))
             })
             .collect()
     }
@@ -140,10 +181,13 @@
 }
 
 impl Lookup {
-    fn conclude(&mut self) -> Found {
+    fn conclude(&mut self, all_answered: bool) -> Found {
         self.perhaps.sort_unstable();
         if self.perhaps.is_empty() || self.held.is_empty() {
-            return Found::Nobody;
+            let complete = all_answered && self.perhaps.is_empty();
+            return Found::Nobody {
+                complete: complete.then_some(self.acknowledged),
+            };
         }
         let agent = self.perhaps[self.tried % self.perhaps.len()];
         self.tried += 1;
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -31,6 +31,13 @@
 /// within some hundred milliseconds, in any order.
 const LONE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long after its start a process has surely heard of all agents: their restarts take less, and one
+/// exchange with a seed tells the rest.
+const ALL_HEARD: Duration = Duration::from_millis(2_500);
+
+/// How long after its loss an agent may come back with its flows: a restart takes less.
+const COMES_BACK: Duration = Duration::from_secs(3);
+
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -54,6 +61,8 @@
 /// The membership of one process.
 pub(crate) struct Gossip {
     core: Members,
+    /// Until when the view of agents may lack one that comes back.
+    incomplete: Duration,
 }
 
 impl Gossip {
@@ -76,6 +85,7 @@
             .with_pull_timeout(PULL_TIMEOUT);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
+            incomplete: ALL_HEARD,
         })
     }
 
@@ -87,20 +97,25 @@
         self.core.set_seeds(seeds(settings));
     }
 
+    /// Returns whether the view of agents lacks none that may come back.
+    pub(crate) fn knows_agents(&self, now: Duration) -> bool {
+        now >= self.incomplete
+    }
+
     pub(crate) fn next_tick(&self) -> Duration {
         self.core.next_tick()
     }
 
     pub(crate) fn tick(&mut self, now: Duration) -> Outcome {
         let actions = self.core.tick(now);
-        self.carry_out(actions)
+        self.carry_out(now, actions)
     }
 
     pub(crate) fn handle(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Outcome {
         match Message::decode(bytes) {
             Ok(message) => {
                 let actions = self.core.handle(now, from, message);
-                self.carry_out(actions)
+                self.carry_out(now, actions)
             }
             Err(error) => {
                 tracing::warn!(event = "message_malformed", %from, %error);
@@ -119,18 +134,18 @@
         let mut actions = self.core.announce(now, Announcement::Weight(weight));
         actions.extend(self.core.announce(now, Announcement::State(state)));
         actions.extend(self.core.announce(now, Announcement::Free(offer.free)));
-        self.carry_out(actions)
+        self.carry_out(now, actions)
     }
 
     pub(crate) fn announce_plan(&mut self, now: Duration, stamp: BundleStamp) -> Outcome {
         let actions = self.core.announce(now, Announcement::Bundle(stamp));
-        self.carry_out(actions)
+        self.carry_out(now, actions)
     }
 
     /// Announces that the process leaves for good.
     pub(crate) fn leave(&mut self, now: Duration) -> Outcome {
         let actions = self.core.leave(now);
-        self.carry_out(actions)
+        self.carry_out(now, actions)
     }
 
     /// Returns the live agents.
@@ -160,7 +175,7 @@
         self.core.iter().filter(|(_, h)| *h != Health::Dead).count()
     }
 
-    fn carry_out(&self, actions: Vec<Action>) -> Outcome {
+    fn carry_out(&mut self, now: Duration, actions: Vec<Action>) -> Outcome {
         let mut outcome = Outcome::default();
         for action in actions {
             match action {
@@ -170,7 +185,7 @@
                 }
                 Action::Updated { node } => {
                     outcome.changed = true;
-                    self.log_change(node);
+                    self.note_change(now, node);
                 }
                 Action::Removed { .. } => outcome.changed = true,
                 Action::PullBundle { from, .. } => {
@@ -187,8 +202,12 @@
         outcome
     }
 
-    fn log_change(&self, node: NodeId) {
+    fn note_change(&mut self, now: Duration, node: NodeId) {
         if let Some((record, health)) = self.core.get(node) {
+            let lost = health == Health::Dead && record.state != MemberState::Left;
+            if lost && record.roles.contains(Roles::AGENT) {
+                self.incomplete = self.incomplete.max(now + COMES_BACK);
+            }
             tracing::debug!(
                 event = "member_changed",
                 member = %record.name,
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -245,7 +245,12 @@
             }
             Role::Agent { core, .. } => {
                 let mut actions = std::mem::take(&mut self.actions);
-                core.tick(now, self.plans.plan(), &mut actions);
+                let view = View {
+                    plan: self.plans.plan(),
+                    peers: &self.peers,
+                    complete: self.gossip.knows_agents(now),
+                };
+                core.tick(now, view, &mut actions);
                 self.act(actions, &mut [], None);
                 self.offer(now);
             }
@@ -488,7 +493,12 @@
                 if let Some(reply) = reply_of(tell.reply) {
                     let mut actions = std::mem::take(&mut self.actions);
                     let agent = unpack(tell.agent);
-                    core.reply(now, agent, tell.flow.into(), reply, &mut actions);
+                    let view = View {
+                        plan: self.plans.plan(),
+                        peers: &self.peers,
+                        complete: self.gossip.knows_agents(now),
+                    };
+                    core.reply(now, view, agent, tell.flow.into(), reply, &mut actions);
                     self.act(actions, &mut [], None);
                 }
                 return;
@@ -564,6 +574,7 @@
                     let view = View {
                         plan: self.plans.plan(),
                         peers: &self.peers,
+                        complete: self.gossip.knows_agents(now),
                     };
                     let mut actions = std::mem::take(&mut self.actions);
                     core.caller_packet(now, view, from, &segment, bytes, &mut actions);
@@ -643,6 +654,7 @@
             let view = View {
                 plan: self.plans.plan(),
                 peers: &self.peers,
+                complete: self.gossip.knows_agents(now),
             };
             let mut actions = std::mem::take(&mut self.actions);
             core.backend_packet(now, view, &segment, bytes, &mut actions);
