--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -31,12 +31,13 @@
 /// within some hundred milliseconds, in any order.
 const LONE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long after its start a process has surely heard of all agents: their restarts take less, and one
+/// How long after its start a process has surely heard of all agents: the restart of an agent takes about
+/// half a second, and one
 /// exchange with a seed tells the rest.
-const ALL_HEARD: Duration = Duration::from_millis(2_500);
+const ALL_HEARD: Duration = Duration::from_millis(1_500);
 
 /// How long after its loss an agent may come back with its flows: a restart takes less.
-const COMES_BACK: Duration = Duration::from_secs(3);
+const COMES_BACK: Duration = Duration::from_secs(2);
 
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
--- /dev/null
+++ b/crates/buckthornweir_quorum/tests/quorum/commands.rs
@@ -0,0 +1,128 @@
+//! Commands for the highest version and for failure domains.
+
+use std::time::Duration;
+
+use buckthornweir_quorum::PushResult;
+use buckthornweir_quorum::prelude::*;
+
+use crate::bench::{Answer, Bench, bundle, push};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn replace(version: u64, mark: u8) -> Command {
+    Command::Replace(bundle(version, mark))
+}
+
+fn domain(name: &str, out: bool) -> Command {
+    Command::Domain {
+        name: name.into(),
+        out,
+    }
+}
+
+#[test]
+fn the_highest_version_takes_effect() {
+    let overtaken = |newest| PushResult::Overtaken { newest };
+    let table = [
+        (
+            "first",
+            replace(5, 1),
+            PushResult::Accepted { version: 5 },
+            5,
+        ),
+        ("again", replace(5, 1), overtaken(5), 5),
+        (
+            "other text under the same version",
+            replace(5, 2),
+            overtaken(5),
+            5,
+        ),
+        ("lower", replace(3, 3), overtaken(5), 5),
+        (
+            "higher",
+            replace(9, 4),
+            PushResult::Accepted { version: 9 },
+            9,
+        ),
+        ("lower, after it", replace(5, 1), overtaken(9), 9),
+        (
+            "a push above",
+            push(10, 5),
+            PushResult::Accepted { version: 10 },
+            10,
+        ),
+    ];
+    let mut bundles = Bundles::default();
+    for (index, (name, command, expected, newest)) in (1..).zip(table) {
+        let result = bundles.apply(index, &command);
+        assert!(result.is_accepted(), "{name}");
+        assert_eq!(result, expected, "{name}");
+        assert_eq!(bundles.newest_version(), newest, "{name}");
+    }
+    assert_eq!(bundles.newest().map(|b| b.digest), Some([5; 32]));
+}
+
+#[test]
+fn the_revision_grows_with_each_change_only() {
+    let mut bundles = Bundles::default();
+    let steps = [
+        (replace(5, 1), 1),
+        (replace(4, 1), 1),
+        (domain("a", true), 3),
+        (domain("a", true), 3),
+        (domain("b", false), 3),
+        (replace(6, 2), 6),
+        (domain("a", false), 7),
+    ];
+    for (index, (command, revision)) in (1..).zip(steps) {
+        bundles.apply(index, &command);
+        assert_eq!(bundles.revision(), revision, "after {command:?}");
+    }
+    assert_eq!(bundles.domains_out().count(), 0);
+}
+
+#[test]
+fn the_state_survives_its_encoding() {
+    let mut bundles = Bundles::default();
+    for (index, command) in (1..).zip([replace(5, 1), domain("b", true), domain("a", true)]) {
+        bundles.apply(index, &command);
+    }
+    let decoded = Bundles::decode(bundles.encode()).unwrap();
+    assert_eq!(decoded, bundles);
+    let out: Vec<_> = decoded.domains_out().cloned().collect();
+    assert_eq!(out, ["a", "b"]);
+}
+
+/// Orders are acknowledged once a quorum holds them, and outlive a snapshot, a crash and lost disks.
+#[test]
+fn orders_outlive_crashes_and_lost_disks() {
+    let config = Config::default().with_compaction(3, 1 << 20);
+    let mut bench = Bench::with_config(5, config);
+    let leader = bench.elect();
+    let commands = [
+        replace(5, 1),
+        domain("a", true),
+        replace(8, 2),
+        domain("b", true),
+        domain("a", false),
+    ];
+    for (token, command) in (1..).zip(commands) {
+        bench.act(leader, |core, now| core.propose(now, token, command));
+        bench.deliver();
+        assert!(matches!(&bench.answers[&token][..], [Answer::Push(r)] if r.is_accepted()));
+    }
+    for at in 0..5 {
+        bench.kill(at);
+    }
+    for at in [0, 3] {
+        bench.vms[at].disk.wipe();
+    }
+    for at in 0..5 {
+        assert!(bench.start(at));
+    }
+    bench.run(SECOND * 5);
+    let leader = bench.elect();
+    let bundles = bench.core(leader).bundles();
+    assert_eq!(bundles.newest_version(), 8);
+    assert_eq!(bundles.domains_out().collect::<Vec<_>>(), ["b"]);
+}
--- a/crates/buckthornweir_quorum/tests/quorum/founding.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/founding.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::PRESENCE_LIFE;
 use buckthornweir_quorum::prelude::*;
+use buckthornweir_quorum::{PRESENCE_LIFE, SETTLE};
 
 const A: &str = "192.0.2.1:7000";
 const B: &str = "192.0.2.2:7000";
@@ -179,3 +179,46 @@
     founder.note_presence(NOW, presence(2, B, 7));
     assert!(!founder.lacks_log(NOW, B), "it has joined");
 }
+
+/// VMs that are told of some others only: the lowest seed founds the log with all that it has heard.
+#[test]
+fn a_log_is_founded_from_seeds() {
+    const D: &str = "192.0.2.4:7000";
+    let seeds = |address| Founder::from_seeds(1, address, [A, B, C]).with_permission(true);
+    let heard = |founder: &mut Founder, at| {
+        for (id, address) in [(1, A), (2, B), (3, C), (4, D)] {
+            founder.note_presence(at, presence(id, address, 0));
+        }
+    };
+    // Also VMs that are no seeds become voters.
+    let mut founder = seeds(A);
+    heard(&mut founder, NOW);
+    assert!(
+        matches!(founder.decide(NOW, 9), Decision::Wait { .. }),
+        "others may come"
+    );
+    heard(&mut founder, NOW + SETTLE / 2);
+    let Decision::Found(founding) = founder.decide(NOW + SETTLE, 9) else {
+        panic!("not founded")
+    };
+    assert_eq!(founding.members.voters().count(), 4);
+    // Others wait for the lowest seed, and a VM that is no seed never founds.
+    for address in [B, D] {
+        let mut founder = seeds(address);
+        heard(&mut founder, NOW);
+        let waits = Decision::WaitForFounder { address: A.into() };
+        assert_eq!(founder.decide(NOW + SETTLE, 9), waits, "{address}");
+    }
+    // One seed is silent.
+    let mut founder = seeds(A);
+    founder.note_presence(NOW, presence(2, B, 0));
+    founder.note_presence(NOW, presence(4, D, 0));
+    assert_eq!(founder.decide(NOW + SETTLE, 9), wait(&[C]));
+    // One that is no seed has a log: it is joined.
+    founder.note_presence(NOW, presence(4, D, 7));
+    assert_eq!(founder.decide(NOW + SETTLE, 9), Decision::Join { via: 4 });
+    // A VM whose disk was emptied may not found.
+    let mut founder = seeds(A).with_permission(false);
+    heard(&mut founder, NOW);
+    assert_eq!(founder.decide(NOW + SETTLE, 9), Decision::NotAllowed);
+}
--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod changes;
+mod commands;
 mod crashes;
 mod differences;
 mod disk;
@@ -11,3 +12,4 @@
 mod replication;
 mod safety;
 mod search;
+mod upkeep;
