Let a process that starts fetch all members at once

Ruled out: wrong answers of owners (each reset or drop had fewer agents than there are; the new log line owner_not_found tells the number) and late answers (none was missing).

Change: the membership gives a roster of all live members over a connection, fetched from the seeds at 0, 0.15, 0.45, 1.05 and 2.55 s after a start. A flow is reset as unowned only when all agents that answer know the same agents as the asker.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -92,6 +92,17 @@
     pub acknowledged: u32,
 }
 
+/// An agent's answer to a question.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Where the agent takes packets.
+    pub agent: SocketAddrV4,
+    /// What it says about the flow.
+    pub reply: Reply,
+    /// [`Peers::fingerprint`] of the agents that it knows.
+    pub known: u64,
+}
+
 /// What an agent says about a flow that it was asked for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reply {
@@ -165,6 +176,13 @@
     },
     /// The packet at hand is dropped.
     Drop(DropReason),
+    /// The packets that waited for the owner of a flow are dropped.
+    Unfound {
+        /// The flow.
+        key: FlowKey,
+        /// Agents that did not answer.
+        missing: usize,
+    },
 }
 
 /// Why a packet went to another agent.
@@ -217,8 +235,8 @@
     pub plan: &'a Plan,
     /// The live agents.
     pub peers: &'a Peers,
-    /// Whether these are all agents: none was lost a short time ago that may come back with its flows,
-    /// and this process runs long enough to have heard of all.
+    /// Whether no other agent may come back with its flows: none was lost a short time ago, and this
+    /// process runs long enough to have heard of one that restarts.
     pub complete: bool,
 }
 
@@ -391,26 +409,28 @@
         }
     }
 
-    /// Takes the reply of the agent that takes packets at `from`.
-    pub fn reply(
+    /// Takes another agent's answer to a question about a flow.
+    pub fn answered(
         &mut self,
         now: Duration,
         view: View<'_>,
-        from: SocketAddrV4,
         key: FlowKey,
-        reply: Reply,
+        answer: Answer,
         out: &mut Vec<Action>,
     ) {
-        let found = match reply {
+        let agent = answer.agent;
+        let perhaps = match answer.reply {
             Reply::Mine => {
                 if let Some((asker, held)) = self.lookups.end(&key) {
-                    self.settle(now, key, from, asker, held, PassReason::Owner, out);
+                    self.settle(now, key, agent, asker, held, out);
                 }
                 return;
             }
-            Reply::NotMine => self.lookups.deny(&key, None),
-            Reply::Perhaps => self.lookups.deny(&key, Some(from)),
+            Reply::NotMine => None,
+            Reply::Perhaps => Some(agent),
         };
+        let same_view = answer.known == view.peers.fingerprint();
+        let found = self.lookups.deny(&key, perhaps, same_view);
         self.conclude(view, key, found, out);
     }
 
@@ -864,20 +884,17 @@
             })),
             Found::Nobody {
                 complete: Some(sequence),
+                ..
             } if view.complete && self.denied.contains(&key) => out.push(Action::Reset {
                 key,
                 sequence,
                 reason: ResetReason::Unowned,
             }),
-            Found::Nobody { .. } => out.push(Action::Drop(DropReason::NoOwner)),
+            Found::Nobody { missing, .. } => out.push(Action::Unfound { key, missing }),
         }
     }
 
     /// Sends the packets that waited to the owner, and remembers it.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "what is known of the flow and its packets"
-    )]
     fn settle(
         &mut self,
         now: Duration,
@@ -885,7 +902,6 @@
         owner: SocketAddrV4,
         asker: SocketAddrV4,
         held: Vec<Held>,
-        reason: PassReason,
         out: &mut Vec<Action>,
     ) {
         self.flows.start(now, key, Holder::Peer(owner));
@@ -893,7 +909,7 @@
             bytes: Some(held.bytes),
             to: owner,
             tag: held.tag.passed_on(),
-            reason,
+            reason: PassReason::Owner,
         }));
         if asker != self.limits.packets {
             out.push(Action::Hint {
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -32,7 +32,7 @@
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::NodeId;
-    pub use crate::agent::{Action, Agent, AgentLimits, DropReason, Question, Reply};
+    pub use crate::agent::{Action, Agent, AgentLimits, Answer, DropReason, Question, Reply};
     pub use crate::backend::{Backend, Report, ReportState, Standing};
     pub use crate::balancer::{Balancer, Choice, Loss};
     pub use crate::peers::{Peer, Peers};
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Lookup {
     started: Duration,
     open: usize,
+    /// Whether all that answered know the same agents as this one.
+    same_view: bool,
     /// Agents that may hold the flow without knowing it.
     perhaps: Vec<SocketAddrV4>,
     tried: usize,
@@ -56,8 +58,10 @@
     Perhaps(SocketAddrV4, Vec<Held>),
     /// No agent that answered holds the flow.
     Nobody {
-        /// Acknowledgement of the caller's packet, when all agents answered.
+        /// Acknowledgement of the caller's packet, when all agents answered and none knows another one.
         complete: Option<u32>,
+        /// Agents that did not answer.
+        missing: usize,
     },
 }
 
@@ -128,6 +132,7 @@
         let lookup = Lookup {
             started: now,
             open: asked,
+            same_view: true,
             perhaps: Vec::new(),
             // Agents that may hold the flow are tried in turn over repeated searches.
             tried: before.map_or(0, |before| before.tried),
@@ -145,17 +150,23 @@
         Some((lookup.asker, lookup.held))
     }
 
-    /// Takes the answer of an agent that does not know the flow.
-    pub(crate) fn deny(&mut self, key: &FlowKey, perhaps: Option<SocketAddrV4>) -> Found {
+    /// Takes the answer of an agent that does not know the flow, and whether it knows the same agents.
+    pub(crate) fn deny(
+        &mut self,
+        key: &FlowKey,
+        perhaps: Option<SocketAddrV4>,
+        same_view: bool,
+    ) -> Found {
         let Some(lookup) = self.map.get_mut(key) else {
             return Found::Open;
         };
+        lookup.same_view &= same_view;
         lookup.perhaps.extend(perhaps);
         lookup.open = lookup.open.saturating_sub(1);
         if lookup.open > 0 {
             return Found::Open;
         }
-        lookup.conclude(true)
+        lookup.conclude()
     }
 
     /// Concludes the searches whose answers are overdue, and forgets old ones.
@@ -167,10 +178,7 @@
             .iter_mut()
             .filter(|(_, lookup)| lookup.open > 0 && now >= lookup.started + ANSWER_LIMIT);
         overdue
-            .map(|(key, lookup)| {
-                lookup.open = 0;
-                (*key, lookup.conclude(false))
-            })
+            .map(|(key, lookup)| (*key, lookup.conclude()))
             .collect()
     }
 
@@ -181,12 +189,14 @@
 }
 
 impl Lookup {
-    fn conclude(&mut self, all_answered: bool) -> Found {
+    fn conclude(&mut self) -> Found {
+        let missing = std::mem::take(&mut self.open);
         self.perhaps.sort_unstable();
         if self.perhaps.is_empty() || self.held.is_empty() {
-            let complete = all_answered && self.perhaps.is_empty();
+            let complete = missing == 0 && self.same_view && self.perhaps.is_empty();
             return Found::Nobody {
                 complete: complete.then_some(self.acknowledged),
+                missing,
             };
         }
         let agent = self.perhaps[self.tried % self.perhaps.len()];
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -9,6 +9,9 @@
 use crate::plan::Plan;
 use crate::segment::{FlowKey, mix};
 
+/// Keeps the ids of agents from cancelling each other out.
+const FINGERPRINT_SALT: u64 = 0x0041_4745_4e54;
+
 /// One agent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -34,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     by_service: BTreeMap<SmolStr, Vec<Peer>>,
+    fingerprint: u64,
 }
 
 impl Peers {
@@ -41,13 +45,24 @@
     #[must_use]
     pub fn new(peers: impl IntoIterator<Item = Peer>) -> Self {
         let mut by_service: BTreeMap<SmolStr, Vec<Peer>> = BTreeMap::new();
+        let mut fingerprint = 0;
         for peer in peers {
+            fingerprint ^= mix(peer.node, FINGERPRINT_SALT);
             by_service
                 .entry(peer.service.clone())
                 .or_default()
                 .push(peer);
         }
-        Self { by_service }
+        Self {
+            by_service,
+            fingerprint,
+        }
+    }
+
+    /// Returns what stands for the set of agents: two processes that know the same ones have the same.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
     }
 
     /// Returns the agents of a service.
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -258,7 +258,7 @@
         Action::Reset { .. } => Some(Fate::Reset),
         Action::Answer => Some(Fate::Answered),
         Action::Drop(DropReason::Held) => Some(Fate::Held),
-        Action::Drop(_) => Some(Fate::Dropped),
+        Action::Drop(_) | Action::Unfound { .. } => Some(Fate::Dropped),
         Action::Ask { .. }
         | Action::Hint { .. }
         | Action::Opened { .. }
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -1,6 +1,6 @@
 //! Flows that an agent does not know, and their owners.
 
-use buckthornweir_forward::agent::{Action, Question, Reply, ResetReason, View};
+use buckthornweir_forward::agent::{Action, Answer, Question, Reply, ResetReason, View};
 use buckthornweir_forward::peers::Peers;
 
 use crate::common::{
@@ -9,6 +9,16 @@
 };
 
 fn tell(bench: &mut Bench, from: u8, port: u16, reply: Reply) -> Vec<Action> {
+    let known = bench.peers.fingerprint();
+    tell_knowing(bench, from, port, reply, known)
+}
+
+fn tell_knowing(bench: &mut Bench, from: u8, port: u16, reply: Reply, known: u64) -> Vec<Action> {
+    let answer = Answer {
+        agent: packets(from),
+        reply,
+        known,
+    };
     let mut out = Vec::new();
     let view = View {
         plan: &bench.plan,
@@ -17,7 +27,7 @@
     };
     bench
         .agent
-        .reply(bench.now, view, packets(from), key(port), reply, &mut out);
+        .answered(bench.now, view, key(port), answer, &mut out);
     out
 }
 
@@ -220,6 +230,17 @@
     let got = bench.after(200).tick();
     assert_eq!(fate(&got), Some(Fate::Dropped), "one did not answer");
 
+    // An agent that has just joined does not know all others yet; those that answer do.
+    let mut bench = asking();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    let more = Peers::new([1, 2, 3, 4].map(|node| peer(node, "a", "desk")));
+    let got = tell_knowing(&mut bench, 3, 40_000, Reply::NotMine, more.fingerprint());
+    assert_eq!(
+        fate(&got),
+        Some(Fate::Dropped),
+        "another agent is known there"
+    );
+
     let mut bench = asking();
     tell(&mut bench, 2, 40_000, Reply::NotMine);
     let got = tell(&mut bench, 3, 40_000, Reply::Perhaps);
--- a/crates/buckthornweir_members/src/members/syncing.rs
+++ b/crates/buckthornweir_members/src/members/syncing.rs
@@ -8,7 +8,7 @@
 use crate::budget::Budget;
 use crate::messages::{Body, Held, Rumour};
 use crate::table::{Entry, held, is_newer};
-use crate::{Config, Health, NodeId};
+use crate::{Config, Health, Message, NodeId};
 
 /// The most fetches in flight.
 const MAX_FETCHES: usize = 4;
@@ -16,6 +16,9 @@
 /// The most buckets that one fetch asks for.
 const MAX_BUCKETS: usize = 16;
 
+/// The most records in one message of a roster; they fit into a datagram.
+const ROSTER_PART: usize = 6;
+
 /// The most versions that one fetch shows, unless a single bucket holds more.
 const MAX_HELD: usize = 40;
 
@@ -113,6 +116,23 @@
 }
 
 impl Members {
+    /// Returns messages that name all members that are not dead, for a process that has just started.
+    ///
+    /// They count against no budget: the caller sends them once, over a connection, to a process that
+    /// asks. The receiver takes them with [`Members::handle`].
+    pub fn roster(&self) -> Vec<Message> {
+        let live = self.table.iter().filter(|e| e.health != Health::Dead);
+        let rumours: Vec<Rumour> = live.map(|entry| entry.rumour(true)).collect();
+        let body = Body::Chunk {
+            sequence: 0,
+            more: false,
+        };
+        let parts = rumours.chunks(ROSTER_PART);
+        parts
+            .map(|part| self.message(body.clone(), part.to_vec()))
+            .collect()
+    }
+
     /// Compares the digest in a message's header with the own one.
     pub(super) fn note_digest(&mut self, from: SocketAddr, digest: u32) {
         let differences = self.syncing.differences;
--- a/crates/buckthornweir_members/tests/members/join.rs
+++ b/crates/buckthornweir_members/tests/members/join.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use buckthornweir_members::{Action, Config, Members};
+use buckthornweir_members::{Action, Config, Members, Message};
 
 use crate::queue::{Queue, record, seconds};
 
@@ -40,3 +40,21 @@
         .filter(|action| matches!(action, Action::Send { to, .. } if *to == seed));
     assert!((10..=15).contains(&greetings.count()));
 }
+
+/// A process that starts learns all others at once from one that knows them.
+#[test]
+fn a_roster_names_all_live_members() {
+    for count in [1, 2, 30, 300] {
+        let queue = Queue::filled(count, 4);
+        let giver = queue.members(1);
+        let mut joining = Members::new(Config::default(), record(9_999, 3), Vec::new(), 7);
+        let from = giver.own().gossip;
+        for message in giver.roster() {
+            let bytes = message.encode();
+            assert!(bytes.len() <= 1_200, "{} bytes", bytes.len());
+            let message = Message::decode(&bytes).unwrap();
+            joining.handle(Duration::from_millis(50), from, message);
+        }
+        assert_eq!(joining.iter().count() as u64, count + 1);
+    }
+}
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Returns all members that are not dead, as messages for a process that has just started.
+    pub(crate) fn roster(&self) -> Vec<Vec<u8>> {
+        let messages = self.core.roster();
+        messages.iter().map(Message::encode).collect()
+    }
+
     /// Announces what the agent offers to new flows.
     pub(crate) fn announce_offer(&mut self, now: Duration, offer: Offer) -> Outcome {
         let weight = if offer.accepts { OPEN_WEIGHT } else { 0 };
--- a/crates/buckthornweir_node/src/links.rs
+++ b/crates/buckthornweir_node/src/links.rs
@@ -14,7 +14,10 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-use crate::messages::{FRAME_LIMIT, PeerBody, PeerMessage, PlanMessage, PlanRequestMessage};
+use crate::messages::{
+    FRAME_LIMIT, PeerBody, PeerMessage, PlanMessage, PlanRequestMessage, RosterMessage,
+    RosterRequestMessage,
+};
 
 /// How long one exchange may take: a plan of a megabyte on a link of 5 Mbit/s takes 1.6 s.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(3);
@@ -77,14 +80,27 @@
 
 /// Asks another process for a plan above a revision; returns `None` when it has none.
 pub(crate) async fn pull(from: SocketAddr, above: u64) -> Result<Option<PlanMessage>> {
+    let request = PeerBody::PlanRequest(PlanRequestMessage { above });
+    match ask(from, request).await? {
+        PeerBody::Plan(plan) => Ok((plan.revision > above).then_some(plan)),
+        _ => Err(LinkError::Malformed),
+    }
+}
+
+/// Asks another process for all members that it knows.
+pub(crate) async fn roster(from: SocketAddr) -> Result<RosterMessage> {
+    let request = PeerBody::RosterRequest(RosterRequestMessage {});
+    match ask(from, request).await? {
+        PeerBody::Roster(roster) => Ok(roster),
+        _ => Err(LinkError::Malformed),
+    }
+}
+
+async fn ask(from: SocketAddr, request: PeerBody) -> Result<PeerBody> {
     let exchange = async {
         let mut framed = dial(from).await?;
-        let request = PeerBody::PlanRequest(PlanRequestMessage { above });
         framed.send(encode(request)).await?;
-        match read(&mut framed).await? {
-            PeerBody::Plan(plan) => Ok((plan.revision > above).then_some(plan)),
-            _ => Err(LinkError::Malformed),
-        }
+        read(&mut framed).await
     };
     within(exchange).await
 }
@@ -127,7 +143,7 @@
 ) -> Result<()> {
     let mut framed = Framed::new(stream, codec());
     let body = read(&mut framed).await?;
-    let wants_answer = matches!(body, PeerBody::PlanRequest(_));
+    let wants_answer = matches!(body, PeerBody::PlanRequest(_) | PeerBody::RosterRequest(_));
     let (answer, answered) = oneshot::channel();
     let incoming = Incoming { from, body, answer };
     if inbox.send(incoming).await.is_err() || !wants_answer {
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -15,7 +15,7 @@
 /// A message between two processes.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct PeerMessage {
-    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -49,6 +49,24 @@
     /// The plan that the sender holds, over a connection.
     #[prost(message, tag = "9")]
     Plan(PlanMessage),
+    /// Asks for all members, over a connection.
+    #[prost(message, tag = "10")]
+    RosterRequest(RosterRequestMessage),
+    /// All members that the sender knows, over a connection.
+    #[prost(message, tag = "11")]
+    Roster(RosterMessage),
+}
+
+/// Asks for all members.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct RosterRequestMessage {}
+
+/// All members that the sender knows.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(crate) struct RosterMessage {
+    /// Messages of the membership, as its crate encodes them.
+    #[prost(bytes = "vec", repeated, tag = "1")]
+    pub(crate) messages: Vec<Vec<u8>>,
 }
 
 /// A flow, as two addresses with ports.
@@ -84,6 +102,9 @@
     /// Where the sender takes packets.
     #[prost(fixed64, tag = "3")]
     pub(crate) agent: u64,
+    /// Fingerprint of the agents that the sender knows.
+    #[prost(fixed64, tag = "4")]
+    pub(crate) known: u64,
 }
 
 /// An agent tells where a flow is.
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use buckthornweir_events::{Count, Gauge, LineBudget, Metrics, Span};
-use buckthornweir_forward::agent::{Action, Agent, AgentLimits, DropReason, Offer, View};
+use buckthornweir_forward::agent::{Action, Agent, AgentLimits, Answer, DropReason, Offer, View};
 use buckthornweir_forward::balancer::{Balancer, Choice, Loss};
 use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::segment::Segment;
@@ -22,8 +22,8 @@
 use crate::http_server::serve_http;
 use crate::links::{self, Incoming};
 use crate::messages::{
-    AskMessage, DATAGRAM_LIMIT, HintMessage, PeerBody, PeerMessage, PlanMessage, TellMessage, pack,
-    reply_number, reply_of, unpack,
+    AskMessage, DATAGRAM_LIMIT, HintMessage, PeerBody, PeerMessage, PlanMessage, RosterMessage,
+    TellMessage, pack, reply_number, reply_of, unpack,
 };
 use crate::packets::{BATCH, PACKET_LIMIT, PacketFormat, PacketSocket};
 use crate::plans::{Document, PlanReader, Plans};
@@ -57,9 +57,24 @@
 /// Lines about single flows in a second; more are counted.
 const FLOW_LINES: u32 = 20;
 
+/// Pauses before each fetch of all members after the start.
+const ROSTER_PAUSES: [Duration; 5] = [
+    Duration::ZERO,
+    Duration::from_millis(150),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+    Duration::from_millis(1_500),
+];
+
 /// Largest request of a metrics reader, in bytes.
 const METRICS_BODY: usize = 1_024;
 
+/// What came from another process over a connection.
+enum Fetched {
+    Plan(Document),
+    Roster(SocketAddr, RosterMessage),
+}
+
 enum Role {
     Balancer {
         core: Balancer,
@@ -89,7 +104,7 @@
     ready: Arc<AtomicBool>,
     requests: mpsc::Receiver<Request>,
     incoming: mpsc::Receiver<Incoming>,
-    pulled: (mpsc::Sender<Document>, mpsc::Receiver<Document>),
+    fetched: (mpsc::Sender<Fetched>, mpsc::Receiver<Fetched>),
     stop: CancellationToken,
     stopping: Option<Duration>,
     last_packet: Duration,
@@ -142,7 +157,7 @@
             ready,
             requests,
             incoming,
-            pulled: mpsc::channel(INCOMING),
+            fetched: mpsc::channel(INCOMING),
             stop,
             stopping: None,
             last_packet: Duration::ZERO,
@@ -159,6 +174,7 @@
     pub async fn run(mut self) {
         tracing::info!(event = "started", name = %self.settings.name, domain = %self.settings.domain);
         let mut buffer = [0; PACKET_LIMIT];
+        self.fetch_rosters();
         // The first turn of the loop registers the sockets, which sends need.
         let mut first = true;
         while !self.is_over() {
@@ -175,7 +191,7 @@
                 _ = self.inner.readable() => self.read_inner(&mut buffer),
                 Some(request) = self.requests.recv() => self.request(request),
                 Some(incoming) = self.incoming.recv() => self.incoming(incoming),
-                Some(document) = self.pulled.1.recv() => self.apply(document),
+                Some(fetched) = self.fetched.1.recv() => self.take(fetched),
                 () = tokio::time::sleep(sleep) => {}
             }
             self.tick();
@@ -324,13 +340,13 @@
     fn pull(&self, pull: Pull) {
         let above = self.plans.document().revision;
         let spare = self.gossip.holder_above(above, pull.from);
-        let done = self.pulled.0.clone();
+        let done = self.fetched.0.clone();
         tokio::spawn(async move {
             for holder in std::iter::once(pull.from).chain(spare) {
                 match links::pull(holder, above).await {
                     Ok(Some(plan)) => {
                         // The loop that would take it has ended.
-                        let _ = done.send(plan.into()).await;
+                        let _ = done.send(Fetched::Plan(plan.into())).await;
                         return;
                     }
                     Ok(None) => {}
@@ -342,6 +358,42 @@
         });
     }
 
+    /// Fetches all members from the seeds, several times: after a start of all VMs the first answers name
+    /// few.
+    fn fetch_rosters(&self) {
+        let own = self.settings.inner();
+        let seeds = self.settings.seed_addresses().into_iter();
+        let seeds: Vec<_> = seeds.filter(|s| *s != own).map(SocketAddr::V4).collect();
+        let done = self.fetched.0.clone();
+        let stop = self.stop.clone();
+        tokio::spawn(async move {
+            for (pause, seed) in ROSTER_PAUSES.into_iter().zip(seeds.iter().cycle()) {
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    () = tokio::time::sleep(pause) => {}
+                }
+                match links::roster(*seed).await {
+                    // The loop that would take it may have ended.
+                    Ok(roster) => drop(done.send(Fetched::Roster(*seed, roster)).await),
+                    Err(error) => tracing::info!(event = "roster_failed", %seed, %error),
+                }
+            }
+        });
+    }
+
+    fn take(&mut self, fetched: Fetched) {
+        match fetched {
+            Fetched::Plan(document) => self.apply(document),
+            Fetched::Roster(from, roster) => {
+                let now = self.now();
+                for bytes in roster.messages {
+                    let outcome = self.gossip.handle(now, from, &bytes);
+                    self.carry_out(outcome);
+                }
+            }
+        }
+    }
+
     /// Puts a document in force and announces it.
     fn apply(&mut self, document: Document) {
         let stamp = document.stamp();
@@ -455,6 +507,13 @@
                 // The asker may have given up.
                 let _ = incoming.answer.send(PeerBody::Plan(plan));
             }
+            PeerBody::RosterRequest(_) => {
+                let messages = self.gossip.roster();
+                // The asker may have given up.
+                let _ = incoming
+                    .answer
+                    .send(PeerBody::Roster(RosterMessage { messages }));
+            }
             body => self.message(incoming.from, body),
         }
     }
@@ -485,6 +544,7 @@
                     flow: ask.flow,
                     reply: reply_number(reply),
                     agent: packets_address(&self.settings).map_or(0, pack),
+                    known: self.peers.fingerprint(),
                 };
                 let to = SocketAddr::V4(unpack(ask.asker));
                 return self.send(to, &PeerMessage::of(PeerBody::Tell(tell)));
@@ -492,13 +552,17 @@
             (Role::Agent { core, .. }, PeerBody::Tell(tell)) => {
                 if let Some(reply) = reply_of(tell.reply) {
                     let mut actions = std::mem::take(&mut self.actions);
-                    let agent = unpack(tell.agent);
+                    let answer = Answer {
+                        agent: unpack(tell.agent),
+                        reply,
+                        known: tell.known,
+                    };
                     let view = View {
                         plan: self.plans.plan(),
                         peers: &self.peers,
                         complete: self.gossip.knows_agents(now),
                     };
-                    core.reply(now, view, agent, tell.flow.into(), reply, &mut actions);
+                    core.answered(now, view, tell.flow.into(), answer, &mut actions);
                     self.act(actions, &mut [], None);
                 }
                 return;
@@ -738,6 +802,7 @@
                         ?reason,
                         running = core.flows().running(),
                         report = ?core.backend().last_report().map(|r| (r.state, r.sequence)),
+                        agents = self.peers.iter().count(),
                         revision,
                     );
                 }
@@ -772,6 +837,18 @@
                 }
             }
             Action::Served { took, .. } => metrics.time(Span::Request, took),
+            Action::Unfound { key, missing } => {
+                metrics.count(Count::PacketsDroppedNoOwner);
+                if self.lines.take(now) {
+                    tracing::info!(
+                        event = "owner_not_found",
+                        flow = %key,
+                        missing,
+                        agents = self.peers.iter().count(),
+                        revision,
+                    );
+                }
+            }
             Action::Drop(reason) => {
                 metrics.count(drop_count(reason));
                 if let Some(segment) = segment
@@ -783,6 +860,7 @@
                         flow = %segment.from_caller(),
                         ?reason,
                         syn = segment.syn,
+                        agents = self.peers.iter().count(),
                         revision,
                     );
                 }
