--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -16,7 +16,10 @@
 
 /// Three control VMs (1 to 3), balancers 11 and 12, agents 21 and 22 with their backend servers.
 async fn path(net: u8) -> Path {
-    let (net, data) = (Net(net), tempfile::tempdir().unwrap());
+    let (net, data) = (
+        Net(net),
+        tempfile::tempdir().expect("a working test set-up"),
+    );
     let mut path = Path {
         net,
         control: Vec::new(),
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -102,11 +102,13 @@
         let address = SocketAddrV4::new(self.ip(host), BACKEND);
         let outbound = SocketAddrV4::new(self.ip(host), OUTBOUND);
         tokio::spawn(async move {
-            let socket = UdpSocket::bind(address).await.unwrap();
+            let socket = UdpSocket::bind(address)
+                .await
+                .expect("a working test set-up");
             let mut flows = HashSet::new();
             let mut buffer = [0; 2_048];
             while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
-                let segment = read(&buffer[..length]).unwrap();
+                let segment = read(&buffer[..length]).expect("a working test set-up");
                 if segment.syn {
                     flows.insert(segment.source);
                 }
@@ -117,7 +119,10 @@
                         ..segment
                     },
                 };
-                socket.send_to(&write(&reply), outbound).await.unwrap();
+                socket
+                    .send_to(&write(&reply), outbound)
+                    .await
+                    .expect("a working test set-up");
             }
         })
     }
@@ -125,7 +130,9 @@
     pub(crate) async fn caller(self, host: u8) -> Caller {
         let address = SocketAddrV4::new(self.ip(host), PACKETS);
         Caller {
-            socket: UdpSocket::bind(address).await.unwrap(),
+            socket: UdpSocket::bind(address)
+                .await
+                .expect("a working test set-up"),
             ip: self.ip(host),
         }
     }
@@ -210,13 +217,16 @@
         let mut buffer = [0; 2_048];
         let exchange = async {
             loop {
-                self.socket.send_to(&write(&segment), to).await.unwrap();
+                self.socket
+                    .send_to(&write(&segment), to)
+                    .await
+                    .expect("a working test set-up");
                 let wait = Duration::from_millis(200);
                 let until = tokio::time::Instant::now() + wait;
                 while let Ok(Ok((length, _))) =
                     tokio::time::timeout_at(until, self.socket.recv_from(&mut buffer)).await
                 {
-                    let got = read(&buffer[..length]).unwrap();
+                    let got = read(&buffer[..length]).expect("a working test set-up");
                     if got.target == segment.source && fits(&got) {
                         return got;
                     }
