Count answers to lookups by agent, and ask for many flows at once

Cause: an agent's answer that came twice, or late for an earlier search, counted for another agent, so that a search could look complete that was not. After a loss of power on 83 machines each agent sent 58 datagrams for each of some hundred flows, and answers came after the limit (missing 58 of 58).

Change: a search names the agents that it awaits; the questions of one turn of the loop go to each agent together. Answers must come from agents that know the same agents (as before).

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -235,8 +235,8 @@
     pub plan: &'a Plan,
     /// The live agents.
     pub peers: &'a Peers,
-    /// Whether no other agent may come back with its flows: none was lost a short time ago, and this
-    /// process runs long enough to have heard of one that restarts.
+    /// Whether no other agent may come back with its flows: this process runs long enough to have heard
+    /// of one that restarts.
     pub complete: bool,
 }
 
@@ -419,18 +419,18 @@
         out: &mut Vec<Action>,
     ) {
         let agent = answer.agent;
-        let perhaps = match answer.reply {
+        let may_hold = match answer.reply {
             Reply::Mine => {
                 if let Some((asker, held)) = self.lookups.end(&key) {
                     self.settle(now, key, agent, asker, held, out);
                 }
                 return;
             }
-            Reply::NotMine => None,
-            Reply::Perhaps => Some(agent),
+            Reply::NotMine => false,
+            Reply::Perhaps => true,
         };
         let same_view = answer.known == view.peers.fingerprint();
-        let found = self.lookups.deny(&key, perhaps, same_view);
+        let found = self.lookups.deny(&key, agent, may_hold, same_view);
         self.conclude(view, key, found, out);
     }
 
@@ -854,22 +854,23 @@
         }
         let own = self.limits.node;
         let others = view.peers.iter().filter(|peer| peer.node != own);
-        let asked: Vec<SocketAddrV4> = others.map(|peer| peer.questions).take(ASK_LIMIT).collect();
-        if asked.is_empty() {
+        let asked: Vec<&Peer> = others.take(ASK_LIMIT).collect();
+        let awaited: Vec<SocketAddrV4> = asked.iter().map(|peer| peer.packets).collect();
+        if awaited.is_empty() {
             return out.push(Action::Drop(DropReason::NoOwner));
         }
         let sequence = segment.acknowledged;
-        if !self
-            .lookups
-            .start(now, key, from, asked.len(), sequence, held)
-        {
+        if !self.lookups.start(now, key, from, awaited, sequence, held) {
             return out.push(Action::Drop(DropReason::LookupsFull));
         }
         let question = Question {
             key,
             acknowledged: segment.acknowledged,
         };
-        out.extend(asked.into_iter().map(|to| Action::Ask { to, question }));
+        out.extend(asked.into_iter().map(|peer| Action::Ask {
+            to: peer.questions,
+            question,
+        }));
         out.push(Action::Drop(DropReason::Held));
     }
 
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -36,7 +36,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Lookup {
     started: Duration,
-    open: usize,
+    /// Where the agents that have not answered take packets.
+    open: Vec<SocketAddrV4>,
     /// Whether all that answered know the same agents as this one.
     same_view: bool,
     /// Agents that may hold the flow without knowing it.
@@ -58,7 +59,7 @@
     Perhaps(SocketAddrV4, Vec<Held>),
     /// No agent that answered holds the flow.
     Nobody {
-        /// Acknowledgement of the caller's packet, when all agents answered and none knows another one.
+        /// Acknowledgement of the caller's packet, when all agents answered and all know the same ones.
         complete: Option<u32>,
         /// Agents that did not answer.
         missing: usize,
@@ -121,7 +122,7 @@
         now: Duration,
         key: FlowKey,
         asker: SocketAddrV4,
-        asked: usize,
+        asked: Vec<SocketAddrV4>,
         acknowledged: u32,
         held: Held,
     ) -> bool {
@@ -154,16 +155,21 @@
     pub(crate) fn deny(
         &mut self,
         key: &FlowKey,
-        perhaps: Option<SocketAddrV4>,
+        agent: SocketAddrV4,
+        may_hold: bool,
         same_view: bool,
     ) -> Found {
         let Some(lookup) = self.map.get_mut(key) else {
             return Found::Open;
         };
+        let before = lookup.open.len();
+        lookup.open.retain(|open| *open != agent);
+        if lookup.open.len() == before {
+            return Found::Open;
+        }
         lookup.same_view &= same_view;
-        lookup.perhaps.extend(perhaps);
-        lookup.open = lookup.open.saturating_sub(1);
-        if lookup.open > 0 {
+        lookup.perhaps.extend(may_hold.then_some(agent));
+        if !lookup.open.is_empty() {
             return Found::Open;
         }
         lookup.conclude()
@@ -176,7 +182,7 @@
         let overdue = self
             .map
             .iter_mut()
-            .filter(|(_, lookup)| lookup.open > 0 && now >= lookup.started + ANSWER_LIMIT);
+            .filter(|(_, lookup)| !lookup.open.is_empty() && now >= lookup.started + ANSWER_LIMIT);
         overdue
             .map(|(key, lookup)| (*key, lookup.conclude()))
             .collect()
@@ -184,15 +190,16 @@
 
     /// Returns whether answers are awaited.
     pub(crate) fn is_waiting(&self) -> bool {
-        self.map.values().any(|lookup| lookup.open > 0)
+        self.map.values().any(|lookup| !lookup.open.is_empty())
     }
 }
 
 impl Lookup {
     fn conclude(&mut self) -> Found {
-        let missing = std::mem::take(&mut self.open);
+        let missing = std::mem::take(&mut self.open).len();
         self.perhaps.sort_unstable();
         if self.perhaps.is_empty() || self.held.is_empty() {
+            // An agent that has just joined may know few others; those that answer then know more.
             let complete = missing == 0 && self.same_view && self.perhaps.is_empty();
             return Found::Nobody {
                 complete: complete.then_some(self.acknowledged),
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -36,9 +36,6 @@
 /// exchange with a seed tells the rest.
 const ALL_HEARD: Duration = Duration::from_millis(1_500);
 
-/// How long after its loss an agent may come back with its flows: a restart takes less.
-const COMES_BACK: Duration = Duration::from_secs(2);
-
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -62,8 +59,6 @@
 /// The membership of one process.
 pub(crate) struct Gossip {
     core: Members,
-    /// Until when the view of agents may lack one that comes back.
-    incomplete: Duration,
 }
 
 impl Gossip {
@@ -86,7 +81,6 @@
             .with_pull_timeout(PULL_TIMEOUT);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
-            incomplete: ALL_HEARD,
         })
     }
 
@@ -98,9 +92,11 @@
         self.core.set_seeds(seeds(settings));
     }
 
-    /// Returns whether the view of agents lacks none that may come back.
+    /// Returns whether the view of agents lacks none that may come back with its flows.
+    ///
+    /// An agent that restarts is not held as dead: that takes longer than its restart.
     pub(crate) fn knows_agents(&self, now: Duration) -> bool {
-        now >= self.incomplete
+        now >= ALL_HEARD
     }
 
     pub(crate) fn next_tick(&self) -> Duration {
@@ -109,14 +105,14 @@
 
     pub(crate) fn tick(&mut self, now: Duration) -> Outcome {
         let actions = self.core.tick(now);
-        self.carry_out(now, actions)
+        self.carry_out(actions)
     }
 
     pub(crate) fn handle(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Outcome {
         match Message::decode(bytes) {
             Ok(message) => {
                 let actions = self.core.handle(now, from, message);
-                self.carry_out(now, actions)
+                self.carry_out(actions)
             }
             Err(error) => {
                 tracing::warn!(event = "message_malformed", %from, %error);
@@ -141,18 +137,18 @@
         let mut actions = self.core.announce(now, Announcement::Weight(weight));
         actions.extend(self.core.announce(now, Announcement::State(state)));
         actions.extend(self.core.announce(now, Announcement::Free(offer.free)));
-        self.carry_out(now, actions)
+        self.carry_out(actions)
     }
 
     pub(crate) fn announce_plan(&mut self, now: Duration, stamp: BundleStamp) -> Outcome {
         let actions = self.core.announce(now, Announcement::Bundle(stamp));
-        self.carry_out(now, actions)
+        self.carry_out(actions)
     }
 
     /// Announces that the process leaves for good.
     pub(crate) fn leave(&mut self, now: Duration) -> Outcome {
         let actions = self.core.leave(now);
-        self.carry_out(now, actions)
+        self.carry_out(actions)
     }
 
     /// Returns the live agents.
@@ -182,7 +178,7 @@
         self.core.iter().filter(|(_, h)| *h != Health::Dead).count()
     }
 
-    fn carry_out(&mut self, now: Duration, actions: Vec<Action>) -> Outcome {
+    fn carry_out(&self, actions: Vec<Action>) -> Outcome {
         let mut outcome = Outcome::default();
         for action in actions {
             match action {
@@ -192,7 +188,7 @@
                 }
                 Action::Updated { node } => {
                     outcome.changed = true;
-                    self.note_change(now, node);
+                    self.log_change(node);
                 }
                 Action::Removed { .. } => outcome.changed = true,
                 Action::PullBundle { from, .. } => {
@@ -209,12 +205,8 @@
         outcome
     }
 
-    fn note_change(&mut self, now: Duration, node: NodeId) {
+    fn log_change(&self, node: NodeId) {
         if let Some((record, health)) = self.core.get(node) {
-            let lost = health == Health::Dead && record.state != MemberState::Left;
-            if lost && record.roles.contains(Roles::AGENT) {
-                self.incomplete = self.incomplete.max(now + COMES_BACK);
-            }
             tracing::debug!(
                 event = "member_changed",
                 member = %record.name,
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -9,6 +9,9 @@
 /// Largest message that travels in one datagram, in bytes; it fits into every usual link.
 pub(crate) const DATAGRAM_LIMIT: usize = 1_200;
 
+/// Flows in one question: they fit into a datagram with 27 bytes each.
+pub(crate) const ASKED_FLOWS: usize = 40;
+
 /// Largest message that travels over a connection, in bytes.
 pub(crate) const FRAME_LIMIT: usize = 9 * 1024 * 1024;
 
@@ -78,33 +81,47 @@
     pub(crate) service: u64,
 }
 
-/// An agent asks for a flow.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+/// An agent asks for flows.
+#[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct AskMessage {
+    /// Where the asker takes questions and answers.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) asker: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) flows: Vec<AskedFlow>,
+}
+
+/// A flow that is asked for.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct AskedFlow {
     #[prost(message, required, tag = "1")]
     pub(crate) flow: FlowMessage,
     /// Acknowledgement of the packet.
     #[prost(fixed32, tag = "2")]
     pub(crate) acknowledged: u32,
-    /// Where the asker takes questions and answers.
-    #[prost(fixed64, tag = "3")]
-    pub(crate) asker: u64,
 }
 
-/// An agent answers a question.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+/// An agent answers questions.
+#[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct TellMessage {
+    /// Where the sender takes packets.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) agent: u64,
+    /// Fingerprint of the agents that the sender knows.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) known: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) flows: Vec<ToldFlow>,
+}
+
+/// What is said of a flow.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct ToldFlow {
     #[prost(message, required, tag = "1")]
     pub(crate) flow: FlowMessage,
     /// 0 not mine, 1 mine, 2 perhaps.
     #[prost(uint32, tag = "2")]
     pub(crate) reply: u32,
-    /// Where the sender takes packets.
-    #[prost(fixed64, tag = "3")]
-    pub(crate) agent: u64,
-    /// Fingerprint of the agents that the sender knows.
-    #[prost(fixed64, tag = "4")]
-    pub(crate) known: u64,
 }
 
 /// An agent tells where a flow is.
@@ -193,11 +210,20 @@
     }
 }
 
-impl From<AskMessage> for Question {
-    fn from(ask: AskMessage) -> Self {
+impl From<AskedFlow> for Question {
+    fn from(asked: AskedFlow) -> Self {
+        Self {
+            key: asked.flow.into(),
+            acknowledged: asked.acknowledged,
+        }
+    }
+}
+
+impl From<Question> for AskedFlow {
+    fn from(question: Question) -> Self {
         Self {
-            key: ask.flow.into(),
-            acknowledged: ask.acknowledged,
+            flow: question.key.into(),
+            acknowledged: question.acknowledged,
         }
     }
 }
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -1,12 +1,15 @@
 //! One process: its event loop.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use buckthornweir_events::{Count, Gauge, LineBudget, Metrics, Span};
-use buckthornweir_forward::agent::{Action, Agent, AgentLimits, Answer, DropReason, Offer, View};
+use buckthornweir_forward::agent::{
+    Action, Agent, AgentLimits, Answer, DropReason, Offer, Question, View,
+};
 use buckthornweir_forward::balancer::{Balancer, Choice, Loss};
 use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::segment::Segment;
@@ -22,8 +25,8 @@
 use crate::http_server::serve_http;
 use crate::links::{self, Incoming};
 use crate::messages::{
-    AskMessage, DATAGRAM_LIMIT, HintMessage, PeerBody, PeerMessage, PlanMessage, RosterMessage,
-    TellMessage, pack, reply_number, reply_of, unpack,
+    ASKED_FLOWS, AskMessage, AskedFlow, DATAGRAM_LIMIT, HintMessage, PeerBody, PeerMessage,
+    PlanMessage, RosterMessage, TellMessage, ToldFlow, pack, reply_number, reply_of, unpack,
 };
 use crate::packets::{BATCH, PACKET_LIMIT, PacketFormat, PacketSocket};
 use crate::plans::{Document, PlanReader, Plans};
@@ -112,6 +115,7 @@
     next_offer: Duration,
     lines: LineBudget,
     actions: Vec<Action>,
+    asks: Vec<(SocketAddrV4, Question)>,
 }
 
 impl Node {
@@ -165,6 +169,7 @@
             next_offer: Duration::ZERO,
             lines: LineBudget::new(FLOW_LINES),
             actions: Vec::new(),
+            asks: Vec::new(),
             settings,
         };
         Ok((node, handle))
@@ -272,6 +277,7 @@
             }
             Role::Control(_) | Role::Balancer { .. } => {}
         }
+        self.ask();
         self.show();
         if let Some(left_out) = self.lines.overdue(now) {
             tracing::warn!(event = "lines_left_out", count = left_out);
@@ -539,34 +545,19 @@
                 return self.carry_out(outcome);
             }
             (Role::Agent { core, .. }, PeerBody::Ask(ask)) => {
-                let reply = core.answer(&ask.into());
+                let told = |asked: &AskedFlow| ToldFlow {
+                    flow: asked.flow,
+                    reply: reply_number(core.answer(&(*asked).into())),
+                };
                 let tell = TellMessage {
-                    flow: ask.flow,
-                    reply: reply_number(reply),
                     agent: packets_address(&self.settings).map_or(0, pack),
                     known: self.peers.fingerprint(),
+                    flows: ask.flows.iter().take(ASKED_FLOWS).map(told).collect(),
                 };
                 let to = SocketAddr::V4(unpack(ask.asker));
                 return self.send(to, &PeerMessage::of(PeerBody::Tell(tell)));
             }
-            (Role::Agent { core, .. }, PeerBody::Tell(tell)) => {
-                if let Some(reply) = reply_of(tell.reply) {
-                    let mut actions = std::mem::take(&mut self.actions);
-                    let answer = Answer {
-                        agent: unpack(tell.agent),
-                        reply,
-                        known: tell.known,
-                    };
-                    let view = View {
-                        plan: self.plans.plan(),
-                        peers: &self.peers,
-                        complete: self.gossip.knows_agents(now),
-                    };
-                    core.answered(now, view, tell.flow.into(), answer, &mut actions);
-                    self.act(actions, &mut [], None);
-                }
-                return;
-            }
+            (Role::Agent { .. }, PeerBody::Tell(tell)) => return self.told(now, &tell),
             (Role::Agent { core, .. }, PeerBody::Hint(hint)) => {
                 return core.hint(hint.flow.into(), unpack(hint.agent));
             }
@@ -585,6 +576,47 @@
         self.publish();
     }
 
+    /// Takes another agent's answers.
+    fn told(&mut self, now: Duration, tell: &TellMessage) {
+        let Role::Agent { core, .. } = &mut self.role else {
+            return;
+        };
+        let view = View {
+            plan: self.plans.plan(),
+            peers: &self.peers,
+            complete: self.gossip.knows_agents(now),
+        };
+        let mut actions = std::mem::take(&mut self.actions);
+        for told in &tell.flows {
+            if let Some(reply) = reply_of(told.reply) {
+                let answer = Answer {
+                    agent: unpack(tell.agent),
+                    reply,
+                    known: tell.known,
+                };
+                core.answered(now, view, told.flow.into(), answer, &mut actions);
+            }
+        }
+        self.act(actions, &mut [], None);
+    }
+
+    /// Sends the questions that came up in this turn of the loop. Many come up at once after a restart
+    /// of many VMs; each agent then gets a few datagrams, not one for each flow.
+    fn ask(&mut self) {
+        let mut by_agent: BTreeMap<SocketAddrV4, Vec<AskedFlow>> = BTreeMap::new();
+        for (to, question) in self.asks.drain(..) {
+            by_agent.entry(to).or_default().push(question.into());
+        }
+        let asker = pack(self.settings.inner());
+        for (to, flows) in by_agent {
+            for part in flows.chunks(ASKED_FLOWS) {
+                let flows = part.to_vec();
+                let ask = AskMessage { asker, flows };
+                self.send(SocketAddr::V4(to), &PeerMessage::of(PeerBody::Ask(ask)));
+            }
+        }
+    }
+
     fn send_all(&self, sends: Sends) {
         for (to, body) in sends {
             self.send(to, &PeerMessage::of(body));
@@ -807,14 +839,7 @@
                     );
                 }
             }
-            Action::Ask { to, question } => {
-                let ask = AskMessage {
-                    flow: question.key.into(),
-                    acknowledged: question.acknowledged,
-                    asker: pack(self.settings.inner()),
-                };
-                self.send(SocketAddr::V4(to), &PeerMessage::of(PeerBody::Ask(ask)));
-            }
+            Action::Ask { to, question } => self.asks.push((to, question)),
             Action::Hint { to, key, agent } => {
                 let hint = HintMessage {
                     flow: key.into(),
