Look up a flow whose caller answers another backend server

An agent whose backend server had not answered the SYN gave it the packets that followed; such a backend server neither answers nor returns them.

Change: all answers of a backend server pass through its agent, so a packet that follows a SYN without one answers somebody else, and is looked up.

Failed try, reverted: an agent passes a new flow on to a near sibling with a quarter fewer flows (announced as weight step).

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -344,7 +344,7 @@
                 flow.seen = now;
                 self.pass_on(from, key, to, tag, PassReason::Owner, out);
             }
-            Holder::Here if flow.opened || flow.is_answer(segment.acknowledged) != Some(false) => {
+            Holder::Here if flow.opened || flow.assumed || flow.is_answer(segment.acknowledged) => {
                 self.deliver(now, &key, segment, tag, out);
             }
             // The caller answers the SYN+ACK of another backend server.
@@ -390,11 +390,8 @@
             _ if self.denied.contains(&question.key) => Reply::NotMine,
             Some(flow) if flow.assumed => Reply::Perhaps,
             Some(flow) if flow.opened => Reply::Mine,
-            Some(flow) => match flow.is_answer(question.acknowledged) {
-                Some(true) => Reply::Mine,
-                Some(false) => Reply::NotMine,
-                None => Reply::Perhaps,
-            },
+            Some(flow) if flow.is_answer(question.acknowledged) => Reply::Mine,
+            Some(_) => Reply::NotMine,
             None if self.may_have_missed() => Reply::Perhaps,
             None => Reply::NotMine,
         }
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -78,12 +78,12 @@
         self.ended_caller && self.ended_backend
     }
 
-    /// Returns whether an acknowledgement answers the SYN+ACK of the backend server here; `None` when
-    /// that was not seen.
+    /// Returns whether an acknowledgement answers the SYN+ACK of the backend server here. All its packets
+    /// pass through the agent, so that one which was not seen was not sent.
     #[must_use]
-    pub fn is_answer(&self, acknowledged: u32) -> Option<bool> {
-        let answer = self.answer?;
-        Some(acknowledged.wrapping_sub(answer) < ANSWER_SPAN)
+    pub fn is_answer(&self, acknowledged: u32) -> bool {
+        let answer = self.answer;
+        answer.is_some_and(|answer| acknowledged.wrapping_sub(answer) < ANSWER_SPAN)
     }
 }
 
