--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -82,6 +82,18 @@
         places.flat_map(BTreeMap::values).flatten()
     }
 
+    /// Returns how many agents there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Returns whether there is no agent.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.addresses.is_empty()
+    }
+
     /// Returns whether an agent takes packets at this address.
     #[must_use]
     pub fn has(&self, packets: &SocketAddrV4) -> bool {
--- /dev/null
+++ b/crates/buckthornweir_node/src/node/binding.rs
@@ -0,0 +1,94 @@
+//! The addresses of a process.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use buckthornweir_events::Metrics;
+use buckthornweir_forward::agent::{Agent, AgentLimits};
+use buckthornweir_forward::balancer::Balancer;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_util::sync::CancellationToken;
+
+use super::Role;
+use crate::control::Replica;
+use crate::fault::{NodeError, Result};
+use crate::http_server::serve_http;
+use crate::packets::PacketSocket;
+use crate::settings::{NodeSettings, RoleSettings};
+
+/// Largest request of a metrics reader, in bytes.
+const METRICS_BODY: usize = 1_024;
+
+pub(super) async fn bind_role(settings: &NodeSettings, node: u64, wall: Duration) -> Result<Role> {
+    Ok(match &settings.role {
+        RoleSettings::Balancer(balancer) => Role::Balancer {
+            core: Balancer::new(settings.domain.clone()),
+            packets: PacketSocket::bind("packets", balancer.packets).await?,
+            grace: balancer.grace,
+        },
+        RoleSettings::Agent(agent) => {
+            let limits = AgentLimits {
+                node,
+                packets: agent.packets,
+                domain: settings.domain.clone(),
+                service: agent.service.clone(),
+                cold: agent.cold,
+                period: agent.period,
+                started: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
+            };
+            Role::Agent {
+                core: Box::new(Agent::new(limits)),
+                packets: PacketSocket::bind("packets", agent.packets).await?,
+                outbound: PacketSocket::bind("outbound", agent.outbound).await?,
+                backend: agent.backend,
+            }
+        }
+        RoleSettings::Control(control) => {
+            let replica = Replica::new(Duration::ZERO, settings, control);
+            Role::Control(Box::new(replica))
+        }
+    })
+}
+
+pub(super) async fn bind_inner(settings: &NodeSettings) -> Result<UdpSocket> {
+    let address = SocketAddr::V4(settings.inner());
+    let bound = UdpSocket::bind(address).await;
+    bound.map_err(|source| NodeError::Bind {
+        what: "messages",
+        address,
+        source,
+    })
+}
+
+pub(super) async fn listen(what: &'static str, address: SocketAddrV4) -> Result<TcpListener> {
+    let address = SocketAddr::V4(address);
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| NodeError::Bind {
+        what,
+        address,
+        source,
+    })
+}
+
+pub(super) async fn serve_metrics(
+    listener: TcpListener,
+    metrics: Arc<Metrics>,
+    stop: CancellationToken,
+) {
+    serve_http(listener, METRICS_BODY, stop, move |_| {
+        let metrics = metrics.clone();
+        async move {
+            match metrics.to_text() {
+                Ok(text) => http::Response::new(text.into_bytes().into()),
+                Err(error) => {
+                    tracing::error!(event = "metrics_failed", %error);
+                    let mut reply = http::Response::new(http_body_util::Full::default());
+                    *reply.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+                    reply
+                }
+            }
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -0,0 +1,318 @@
+//! Packets of flows: what is read, decided and sent.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use buckthornweir_events::{Count, Span};
+use buckthornweir_forward::agent::{Action, Agent, DropReason, PassReason, ResetReason};
+use buckthornweir_forward::balancer::{Choice, Loss};
+use buckthornweir_forward::segment::{FlowKey, Segment};
+use buckthornweir_forward::tag::Tag;
+
+use super::{Node, Role, agent_view, port_of};
+use crate::messages::{HintMessage, PeerBody, PeerMessage, pack};
+use crate::packets::BATCH;
+
+impl Node {
+    pub(super) fn read_packets(&mut self, buffer: &mut [u8]) {
+        let now = self.now();
+        for _ in 0..BATCH {
+            let received = match &self.role {
+                Role::Balancer { packets, .. } | Role::Agent { packets, .. } => {
+                    packets.receive(buffer)
+                }
+                Role::Control(_) => None,
+            };
+            let Some((bytes, from)) = received else {
+                return;
+            };
+            self.last_packet = now;
+            self.metrics.count(Count::PacketsIn);
+            let Some(segment) = (self.format.read)(bytes) else {
+                self.metrics.count(Count::PacketsMalformed);
+                continue;
+            };
+            match &mut self.role {
+                Role::Balancer { core, .. } => {
+                    let choice = core.route(now, self.plans.plan(), &self.peers, &segment);
+                    self.forward(&choice, &segment, bytes);
+                }
+                Role::Agent { core, .. } => {
+                    let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
+                    let mut actions = std::mem::take(&mut self.actions);
+                    core.caller_packet(now, view, from, &segment, bytes, &mut actions);
+                    self.act(actions, bytes, Some(&segment));
+                }
+                Role::Control(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn forward(&mut self, choice: &Choice, segment: &Segment, bytes: &mut [u8]) {
+        let Role::Balancer { packets, .. } = &self.role else {
+            return;
+        };
+        let now = self.started.elapsed();
+        match choice {
+            Choice::Forward { to, tag } => {
+                (self.format.mark)(bytes, tag.word());
+                packets.send(bytes, *to, &self.metrics);
+                self.metrics.count(Count::PacketsForwarded);
+                if segment.syn && self.lines.take(now) {
+                    tracing::info!(
+                        event = "flow_placed",
+                        flow = %segment.from_caller(),
+                        agent = %to,
+                        copies = segment.copies(),
+                        aside = tag.aside,
+                        revision = self.plans.plan().revision,
+                    );
+                }
+            }
+            Choice::Reset(loss) => {
+                let key = segment.from_caller();
+                let reset = (self.format.reset)(&key, segment.acknowledged);
+                self.send_to_caller(&reset, *key.caller.ip());
+                self.metrics.count(Count::FlowsUnowned);
+                self.log_loss("flow_refused", *loss, segment);
+            }
+            Choice::Drop(loss) => {
+                self.metrics.count(match loss {
+                    Loss::NoAgent => Count::PacketsNoAgent,
+                    Loss::NoPlan | Loss::NoRoute => Count::PacketsUnknownAddress,
+                });
+                self.log_loss("packet_dropped", *loss, segment);
+            }
+        }
+    }
+
+    pub(super) fn log_loss(&mut self, event: &'static str, loss: Loss, segment: &Segment) {
+        if self.lines.take(self.started.elapsed()) {
+            tracing::info!(
+                event,
+                flow = %segment.from_caller(),
+                reason = ?loss,
+                syn = segment.syn,
+                revision = self.plans.plan().revision,
+            );
+        }
+    }
+
+    pub(super) fn read_outbound(&mut self, buffer: &mut [u8]) {
+        let now = self.now();
+        for _ in 0..BATCH {
+            let Role::Agent { core, outbound, .. } = &mut self.role else {
+                return;
+            };
+            let Some((bytes, _)) = outbound.receive(buffer) else {
+                return;
+            };
+            self.metrics.count(Count::PacketsOut);
+            let Some(segment) = (self.format.read)(bytes) else {
+                self.metrics.count(Count::PacketsMalformed);
+                continue;
+            };
+            let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
+            let mut actions = std::mem::take(&mut self.actions);
+            core.backend_packet(now, view, &segment, bytes, &mut actions);
+            self.act(actions, bytes, Some(&segment));
+        }
+    }
+
+    /// Carries out what the agent decided; `bytes` is the packet at hand.
+    pub(super) fn act(
+        &mut self,
+        mut actions: Vec<Action>,
+        bytes: &mut [u8],
+        segment: Option<&Segment>,
+    ) {
+        for action in actions.drain(..) {
+            self.act_one(action, bytes, segment);
+        }
+        self.actions = actions;
+    }
+
+    fn act_one(&mut self, action: Action, bytes: &mut [u8], segment: Option<&Segment>) {
+        match action {
+            Action::Deliver { bytes: held, tag } => self.deliver(held, bytes, tag),
+            Action::Pass {
+                bytes: held,
+                to,
+                tag,
+                reason,
+            } => {
+                self.pass(held, bytes, to, tag);
+                self.log_pass(segment, to, tag, reason);
+            }
+            Action::Answer => {
+                if let Some(segment) = segment {
+                    self.send_to_caller(bytes, *segment.target.ip());
+                }
+            }
+            Action::Reset {
+                key,
+                sequence,
+                reason,
+            } => {
+                let reset = (self.format.reset)(&key, sequence);
+                self.send_to_caller(&reset, *key.caller.ip());
+                self.metrics.count(Count::FlowsReset);
+                self.log_reset(&key, reason);
+            }
+            Action::Ask { to, question } => self.asks.push((to, question)),
+            Action::Hint { to, key, agent } => {
+                let hint = HintMessage {
+                    flow: key.into(),
+                    agent: pack(agent),
+                };
+                let to = SocketAddrV4::new(*to.ip(), self.settings.inner_port);
+                self.send(SocketAddr::V4(to), &PeerMessage::of(PeerBody::Hint(hint)));
+            }
+            Action::Opened { key } => {
+                self.metrics.count(Count::FlowsStarted);
+                self.log_opened(&key);
+            }
+            Action::Served { took, .. } => self.metrics.time(Span::Request, took),
+            Action::Unfound { key, missing } => {
+                self.metrics.count(Count::PacketsDroppedNoOwner);
+                self.log_unfound(&key, missing);
+            }
+            Action::Drop(reason) => {
+                self.metrics.count(drop_count(reason));
+                self.log_drop(segment, reason);
+            }
+        }
+    }
+
+    /// Gives a packet to the backend server: the one that was kept, or the one at hand.
+    fn deliver(&self, held: Option<Vec<u8>>, bytes: &mut [u8], tag: Tag) {
+        if let Role::Agent {
+            outbound, backend, ..
+        } = &self.role
+        {
+            let mut held = held;
+            let packet = held.as_deref_mut().unwrap_or(bytes);
+            (self.format.mark)(packet, tag.word());
+            outbound.send(packet, *backend, &self.metrics);
+        }
+    }
+
+    /// Gives a packet to another agent: the one that was kept, or the one at hand.
+    fn pass(&self, held: Option<Vec<u8>>, bytes: &mut [u8], to: SocketAddrV4, tag: Tag) {
+        if let Role::Agent { packets, .. } = &self.role {
+            let mut held = held;
+            let packet = held.as_deref_mut().unwrap_or(bytes);
+            (self.format.mark)(packet, tag.word());
+            packets.send(packet, to, &self.metrics);
+            self.metrics.count(Count::PacketsForwarded);
+        }
+    }
+
+    fn send_to_caller(&self, bytes: &[u8], caller: Ipv4Addr) {
+        if let Role::Balancer { packets, .. } | Role::Agent { packets, .. } = &self.role {
+            let to = SocketAddrV4::new(caller, port_of(&self.settings));
+            packets.send(bytes, to, &self.metrics);
+        }
+    }
+
+    /// Returns the agent's core if a line about a flow may be written now.
+    fn agent_to_log(&mut self) -> Option<&Agent> {
+        let allowed = self.lines.take(self.started.elapsed());
+        match &self.role {
+            Role::Agent { core, .. } if allowed => Some(core),
+            _ => None,
+        }
+    }
+
+    fn log_pass(
+        &mut self,
+        segment: Option<&Segment>,
+        to: SocketAddrV4,
+        tag: Tag,
+        reason: PassReason,
+    ) {
+        let revision = self.plans.plan().revision;
+        if let Some(syn) = segment.filter(|s| s.syn)
+            && let Some(core) = self.agent_to_log()
+        {
+            tracing::info!(
+                event = "flow_passed_on",
+                flow = %syn.from_caller(),
+                agent = %to,
+                ?reason,
+                hops = tag.hops,
+                running = core.flows().running(),
+                slots = core.backend().slots(),
+                revision,
+            );
+        }
+    }
+
+    fn log_reset(&mut self, key: &FlowKey, reason: ResetReason) {
+        let revision = self.plans.plan().revision;
+        let agents = self.peers.len();
+        if let Some(core) = self.agent_to_log() {
+            let report = core.backend().last_report();
+            tracing::info!(
+                event = "flow_reset",
+                flow = %key,
+                ?reason,
+                running = core.flows().running(),
+                report = ?report.map(|r| (r.state, r.sequence)),
+                agents,
+                revision,
+            );
+        }
+    }
+
+    fn log_opened(&mut self, key: &FlowKey) {
+        let now = self.now();
+        let revision = self.plans.plan().revision;
+        if let Some(core) = self.agent_to_log() {
+            tracing::info!(
+                event = "flow_opened",
+                flow = %key,
+                running = core.flows().running(),
+                slots = core.backend().slots(),
+                cold = core.backend().is_cold(now),
+                revision,
+            );
+        }
+    }
+
+    fn log_unfound(&mut self, key: &FlowKey, missing: usize) {
+        let revision = self.plans.plan().revision;
+        let agents = self.peers.len();
+        if self.agent_to_log().is_some() {
+            tracing::info!(event = "owner_not_found", flow = %key, missing, agents, revision);
+        }
+    }
+
+    fn log_drop(&mut self, segment: Option<&Segment>, reason: DropReason) {
+        let revision = self.plans.plan().revision;
+        let agents = self.peers.len();
+        if let Some(segment) = segment
+            && reason != DropReason::Held
+            && self.agent_to_log().is_some()
+        {
+            tracing::info!(
+                event = "packet_dropped",
+                flow = %segment.from_caller(),
+                ?reason,
+                syn = segment.syn,
+                agents,
+                revision,
+            );
+        }
+    }
+}
+
+fn drop_count(reason: DropReason) -> Count {
+    match reason {
+        DropReason::Held => Count::PacketsAwaitingOwner,
+        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::HopLimit => Count::PacketsHopLimit,
+        DropReason::NoRoute => Count::PacketsDroppedWrongService,
+        DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
+        DropReason::Odd => Count::PacketsMalformed,
+    }
+}
