Make a packet at hand one value, and give each run of the node tests its own addresses

The parts of a packet went through seven parameters in four functions; an Arrival holds them now.

Two runs at once pass now; a node that is started again waits until its addresses are free.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -28,6 +28,18 @@
 /// How often ended flows are forgotten.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// A packet at hand, and what it is decided by.
+#[derive(Clone, Copy, Debug)]
+struct Arrival<'a> {
+    now: Duration,
+    view: View<'a>,
+    /// Who sent it here; this agent itself for a packet that the backend server returned.
+    from: SocketAddrV4,
+    segment: &'a Segment,
+    tag: Tag,
+    bytes: &'a [u8],
+}
+
 /// The decisions of one agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -128,18 +140,26 @@
         out: &mut Vec<Action>,
     ) {
         let tag = Tag::read(segment.tag);
+        let arrival = Arrival {
+            now,
+            view,
+            from,
+            segment,
+            tag,
+            bytes,
+        };
         if segment.syn {
-            return self.syn(now, view, from, segment, tag, bytes, out);
+            return self.syn(arrival, out);
         }
         let key = segment.from_caller();
         let Some(flow) = self.flows.get_mut(&key) else {
-            return self.unknown(now, view, from, segment, tag, bytes, out);
+            return self.unknown(arrival, out);
         };
         match flow.holder {
             Holder::Peer(to) if to == from || !view.peers.has(&to) => {
                 // The other agent does not hold it any more, or is gone.
                 self.flows.remove(&key);
-                self.unknown(now, view, from, segment, tag, bytes, out);
+                self.unknown(arrival, out);
             }
             Holder::Peer(to) => {
                 flow.seen = now;
@@ -154,7 +174,7 @@
                     self.flows.start(now, key, Holder::Peer(to));
                     self.pass_on(from, key, to, tag, PassReason::Owner, out);
                 }
-                None => self.ask(now, view, from, segment, tag, bytes, out),
+                None => self.ask(arrival, out),
             },
         }
     }
@@ -170,7 +190,15 @@
     ) {
         self.backend.note_packet();
         if segment.returned {
-            return self.returned(now, view, segment, bytes, out);
+            let arrival = Arrival {
+                now,
+                view,
+                from: self.limits.packets,
+                segment,
+                tag: Tag::read(segment.tag),
+                bytes,
+            };
+            return self.returned(arrival, out);
         }
         let key = segment.from_backend();
         let took = self.flows.note_backend(now, &key, segment);
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Action, Agent, DropReason, HOP_LIMIT, PassReason, ResetReason, View};
+use super::{Action, Agent, Arrival, DropReason, HOP_LIMIT, PassReason, ResetReason, View};
 use crate::backend::{Shut, Standing};
 use crate::flows::Holder;
 use crate::peers::Peer;
@@ -19,20 +19,15 @@
 const BUSY_HOPS: u8 = 2;
 
 impl Agent {
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one packet and of the view"
-    )]
-    pub(super) fn syn(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        from: SocketAddrV4,
-        segment: &Segment,
-        tag: Tag,
-        bytes: &[u8],
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn syn(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            view,
+            from,
+            segment,
+            tag,
+            ..
+        } = arrival;
         let key = segment.from_caller();
         match self.flows.get_mut(&key) {
             Some(flow) if flow.has_ended() => {}
@@ -44,25 +39,25 @@
                 Holder::Here => {
                     let waits = flow.answer.is_none() && now >= flow.since + ANSWER_WAIT;
                     if waits && !flow.opened && flow.spare.is_none() {
-                        return self.syn_copy(now, view, segment, tag, out);
+                        return self.syn_copy(arrival, out);
                     }
                     return self.deliver(now, &key, segment, tag, out);
                 }
             },
             None => {}
         }
-        self.new_flow(now, view, from, segment, tag, bytes, out);
+        self.new_flow(arrival, out);
     }
 
     /// Gives a copy of a SYN that the backend server has not answered to another agent.
-    pub(super) fn syn_copy(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        segment: &Segment,
-        tag: Tag,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn syn_copy(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            view,
+            segment,
+            tag,
+            ..
+        } = arrival;
         let key = segment.from_caller();
         let spare = self.sibling(view, &key, tag).map(|peer| peer.packets);
         let Some(to) = spare.filter(|_| tag.hops < HOP_LIMIT) else {
@@ -79,20 +74,15 @@
         });
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one packet and of the view"
-    )]
-    pub(super) fn new_flow(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        from: SocketAddrV4,
-        segment: &Segment,
-        tag: Tag,
-        bytes: &[u8],
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn new_flow(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            view,
+            from,
+            segment,
+            tag,
+            bytes,
+        } = arrival;
         let key = segment.from_caller();
         let route = view.plan.route(&key.service);
         if !route.is_some_and(|route| route.allows(&self.limits.service)) {
@@ -232,14 +222,14 @@
         Some(if other.free > one.free { other } else { one })
     }
 
-    pub(super) fn returned_syn(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        segment: &Segment,
-        tag: Tag,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn returned_syn(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            view,
+            segment,
+            tag,
+            ..
+        } = arrival;
         let key = segment.from_caller();
         let own = self.limits.packets;
         self.backend.note_full(now);
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Action, Agent, Answer, DropReason, PassReason, Question, Reply, ResetReason, View};
+use super::{
+    Action, Agent, Answer, Arrival, DropReason, PassReason, Question, Reply, ResetReason, View,
+};
 use crate::flows::Holder;
 use crate::lookup::{Found, Held};
 use crate::peers::Peer;
-use crate::segment::{FlowKey, Segment};
-use crate::tag::Tag;
+use crate::segment::FlowKey;
 
 /// How much later than its backend server an agent must have started to have missed flows.
 const BIRTH_MARGIN: Duration = Duration::from_millis(1_500);
@@ -80,20 +81,14 @@
     }
 
     /// Decides about a packet of a flow that is not known here.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one packet and of the view"
-    )]
-    pub(super) fn unknown(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        from: SocketAddrV4,
-        segment: &Segment,
-        tag: Tag,
-        bytes: &[u8],
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn unknown(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            segment,
+            tag,
+            bytes,
+            ..
+        } = arrival;
         let key = segment.from_caller();
         if segment.rst {
             // The flow's end is all that it says; whoever holds it forgets it in time.
@@ -107,7 +102,7 @@
             return out.push(Action::Drop(DropReason::Held));
         }
         if !self.backend.is_present() {
-            return self.ask(now, view, from, segment, tag, bytes, out);
+            return self.ask(arrival, out);
         }
         // The backend server knows best; it returns the packet if the flow is not its own.
         let flow = self.flows.start(now, key, Holder::Here);
@@ -116,18 +111,13 @@
     }
 
     /// Decides about a packet that the backend server returned.
-    pub(super) fn returned(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        segment: &Segment,
-        bytes: &[u8],
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn returned(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now, segment, tag, ..
+        } = arrival;
         let key = segment.from_caller();
-        let tag = Tag::read(segment.tag);
         if segment.syn {
-            return self.returned_syn(now, view, segment, tag, out);
+            return self.returned_syn(arrival, out);
         }
         self.denied.note(now, key);
         let opened = self.flows.get(&key).is_some_and(|flow| flow.opened);
@@ -144,25 +134,20 @@
         }
         match self.flows.get(&key).map(|flow| flow.holder) {
             Some(Holder::Peer(to)) => self.pass_on(own, key, to, tag, PassReason::Owner, out),
-            Some(Holder::Here) | None => self.ask(now, view, own, segment, tag, bytes, out),
+            Some(Holder::Here) | None => self.ask(arrival, out),
         }
     }
 
     /// Asks the other agents for the owner of a flow and keeps the packet until one answers.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of one packet and of the view"
-    )]
-    pub(super) fn ask(
-        &mut self,
-        now: Duration,
-        view: View<'_>,
-        from: SocketAddrV4,
-        segment: &Segment,
-        tag: Tag,
-        bytes: &[u8],
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn ask(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival {
+            now,
+            view,
+            from,
+            segment,
+            tag,
+            bytes,
+        } = arrival;
         let key = segment.from_caller();
         let held = Held {
             bytes: bytes.to_vec(),
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -16,6 +16,8 @@
 
 pub(crate) const INNER: u16 = 17_720;
 pub(crate) const PACKETS: u16 = 17_730;
+/// Runs of the tests that have addresses of their own.
+const RUNS: u32 = 251;
 const OUTBOUND: u16 = 17_731;
 const BACKEND: u16 = 17_732;
 /// How long a test waits for what must come; loaded machines are slow, and no verdict hangs on it.
@@ -39,13 +41,14 @@
     }
 }
 
-/// The addresses of one test: `127.<net>.0.<host>`.
+/// The addresses of one test: `127.<net>.<run>.<host>`, so that two runs at once don't meet.
 #[derive(Clone, Copy)]
 pub(crate) struct Net(pub(crate) u8);
 
 impl Net {
     pub(crate) fn ip(self, host: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.0, 0, host)
+        let run = std::process::id() % RUNS;
+        Ipv4Addr::new(127, self.0, run as u8, host)
     }
 
     fn settings(self, host: u8, role: RoleSettings) -> NodeSettings {
@@ -239,9 +242,21 @@
     }
 }
 
+/// Starts a node; the addresses of one that was killed are free soon after.
 async fn start(settings: NodeSettings) -> Running {
-    let stop = CancellationToken::new();
-    let (node, handle) = Node::bind(settings, FORMAT, read_plan, stop.clone())
+    let bound = async {
+        loop {
+            let stop = CancellationToken::new();
+            match Node::bind(settings.clone(), FORMAT, read_plan, stop.clone()).await {
+                Ok((node, handle)) => return (node, handle, stop),
+                Err(_) => {
+                    stop.cancel();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    };
+    let (node, handle, stop) = tokio::time::timeout(LIMIT, bound)
         .await
         .expect("the addresses are free");
     Running {
