--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -105,7 +105,7 @@
     /// Opens the log of the data folder; one that can't be opened is tried again later.
     pub(crate) fn new(now: Duration, node: &NodeSettings, settings: &ControlSettings) -> Self {
         let mut replica = Self {
-            own: node.inner(),
+            own: node.announced_inner(),
             seeds: node.seed_addresses(),
             folder: settings.data.join("log"),
             may_found: settings.found,
--- a/crates/buckthornweir_node/src/links.rs
+++ b/crates/buckthornweir_node/src/links.rs
@@ -1,14 +1,14 @@
 //! Messages that are too large for a datagram, and plans: each over a connection of its own, which
 //! ends within a limit and so never goes silent unnoticed.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use prost::Message as _;
 use quick_error::quick_error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -67,10 +67,10 @@
         .new_codec()
 }
 
-/// Sends one message and forgets the connection.
-pub(crate) async fn send(to: SocketAddr, body: PeerBody) -> Result<()> {
+/// Sends one message from `source` and forgets the connection.
+pub(crate) async fn send(source: Option<Ipv4Addr>, to: SocketAddr, body: PeerBody) -> Result<()> {
     let exchange = async {
-        let mut framed = dial(to).await?;
+        let mut framed = dial(source, to).await?;
         framed.send(encode(body)).await?;
         SinkExt::<Bytes>::close(&mut framed).await?;
         Ok(())
@@ -79,26 +79,30 @@
 }
 
 /// Asks another process for a plan above a revision; returns `None` when it has none.
-pub(crate) async fn pull(from: SocketAddr, above: u64) -> Result<Option<PlanMessage>> {
+pub(crate) async fn pull(
+    source: Option<Ipv4Addr>,
+    from: SocketAddr,
+    above: u64,
+) -> Result<Option<PlanMessage>> {
     let request = PeerBody::PlanRequest(PlanRequestMessage { above });
-    match ask(from, request).await? {
+    match ask(source, from, request).await? {
         PeerBody::Plan(plan) => Ok((plan.revision > above).then_some(plan)),
         _ => Err(LinkError::Malformed),
     }
 }
 
 /// Asks another process for all members that it knows.
-pub(crate) async fn roster(from: SocketAddr) -> Result<RosterMessage> {
+pub(crate) async fn roster(source: Option<Ipv4Addr>, from: SocketAddr) -> Result<RosterMessage> {
     let request = PeerBody::RosterRequest(RosterRequestMessage {});
-    match ask(from, request).await? {
+    match ask(source, from, request).await? {
         PeerBody::Roster(roster) => Ok(roster),
         _ => Err(LinkError::Malformed),
     }
 }
 
-async fn ask(from: SocketAddr, request: PeerBody) -> Result<PeerBody> {
+async fn ask(source: Option<Ipv4Addr>, from: SocketAddr, request: PeerBody) -> Result<PeerBody> {
     let exchange = async {
-        let mut framed = dial(from).await?;
+        let mut framed = dial(source, from).await?;
         framed.send(encode(request)).await?;
         read(&mut framed).await
     };
@@ -156,8 +160,15 @@
     Ok(())
 }
 
-async fn dial(to: SocketAddr) -> Result<Framed<TcpStream, LengthDelimitedCodec>> {
-    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(to)).await;
+async fn dial(
+    source: Option<Ipv4Addr>,
+    to: SocketAddr,
+) -> Result<Framed<TcpStream, LengthDelimitedCodec>> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(source) = source {
+        socket.bind(SocketAddr::from((source, 0)))?;
+    }
+    let stream = timeout(CONNECT_LIMIT, socket.connect(to)).await;
     let stream = stream.map_err(|_| LinkError::TimedOut)??;
     stream.set_nodelay(true)?;
     Ok(Framed::new(stream, codec()))
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -6,7 +6,7 @@
 mod requests;
 mod traffic;
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -203,6 +203,12 @@
         self.started.elapsed()
     }
 
+    /// Returns the address that connections to other processes come from: what stands between them
+    /// tells processes apart by it.
+    fn link_source(&self) -> Option<Ipv4Addr> {
+        self.settings.announced.map(|_| self.settings.ip)
+    }
+
     fn sleep(&self) -> Duration {
         let now = self.now();
         let mut next = self.gossip.next_tick().min(now + LONGEST_SLEEP);
--- a/crates/buckthornweir_node/src/node/binding.rs
+++ b/crates/buckthornweir_node/src/node/binding.rs
@@ -30,7 +30,7 @@
         RoleSettings::Agent(agent) => {
             let limits = AgentLimits {
                 node,
-                packets: agent.packets,
+                packets: settings.announce(agent.packets),
                 domain: settings.domain.clone(),
                 service: agent.service.clone(),
                 cold: agent.cold,
--- a/crates/buckthornweir_node/src/node/fetching.rs
+++ b/crates/buckthornweir_node/src/node/fetching.rs
@@ -25,9 +25,10 @@
         let above = self.plans.document().revision;
         let spare = self.gossip.holder_above(above, pull.from);
         let done = self.fetched.0.clone();
+        let source = self.link_source();
         tokio::spawn(async move {
             for holder in std::iter::once(pull.from).chain(spare) {
-                match links::pull(holder, above).await {
+                match links::pull(source, holder, above).await {
                     Ok(Some(plan)) => {
                         // The loop that would take it has ended.
                         let _ = done.send(Fetched::Plan(plan.into())).await;
@@ -45,18 +46,19 @@
     /// Fetches all members from the seeds, several times: after a start of all VMs the first answers name
     /// few.
     pub(super) fn fetch_rosters(&self) {
-        let own = self.settings.inner();
+        let own = self.settings.announced_inner();
         let seeds = self.settings.seed_addresses().into_iter();
         let seeds: Vec<_> = seeds.filter(|s| *s != own).map(SocketAddr::V4).collect();
         let done = self.fetched.0.clone();
         let stop = self.stop.clone();
+        let source = self.link_source();
         tokio::spawn(async move {
             for (pause, seed) in ROSTER_PAUSES.into_iter().zip(seeds.iter().cycle()) {
                 tokio::select! {
                     () = stop.cancelled() => return,
                     () = tokio::time::sleep(pause) => {}
                 }
-                match links::roster(*seed).await {
+                match links::roster(source, *seed).await {
                     // The loop that would take it may have ended.
                     Ok(roster) => drop(done.send(Fetched::Roster(*seed, roster)).await),
                     Err(error) => tracing::info!(event = "roster_failed", %seed, %error),
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -61,12 +61,13 @@
                 return self.carry_out(outcome);
             }
             (Role::Agent { core, .. }, PeerBody::Ask(ask)) => {
+                let agent = packets_address(&self.settings).map(|own| self.settings.announce(own));
                 let told = |asked: &AskedFlow| ToldFlow {
                     flow: asked.flow,
                     reply: reply_number(core.answer(&(*asked).into())),
                 };
                 let tell = TellMessage {
-                    agent: packets_address(&self.settings).map_or(0, pack),
+                    agent: agent.map_or(0, pack),
                     known: self.peers.fingerprint(),
                     flows: ask.flows.iter().take(ASKED_FLOWS).map(told).collect(),
                 };
@@ -119,7 +120,7 @@
         for (to, question) in self.asks.drain(..) {
             by_agent.entry(to).or_default().push(question.into());
         }
-        let asker = pack(self.settings.inner());
+        let asker = pack(self.settings.announced_inner());
         for (to, flows) in by_agent {
             for part in flows.chunks(ASKED_FLOWS) {
                 let flows = part.to_vec();
@@ -147,8 +148,9 @@
             return;
         }
         if let Some(body) = message.body.clone() {
+            let source = self.link_source();
             tokio::spawn(async move {
-                if let Err(error) = links::send(to, body).await {
+                if let Err(error) = links::send(source, to, body).await {
                     tracing::debug!(event = "link_failed", %to, %error);
                 }
             });
--- a/crates/buckthornweir_node/src/settings.rs
+++ b/crates/buckthornweir_node/src/settings.rs
@@ -16,6 +16,9 @@
     pub domain: SmolStr,
     /// Address of the VM.
     pub ip: Ipv4Addr,
+    /// Address at which other processes reach this one, where address translation or a proxy stands
+    /// between them.
+    pub announced: Option<Ipv4Addr>,
     /// Port for messages between processes, over UDP and TCP; the same on all VMs.
     pub inner_port: u16,
     /// Some control VMs; the others are learned from them.
@@ -27,12 +30,24 @@
 }
 
 impl NodeSettings {
-    /// Returns the address for messages between processes.
+    /// Returns the address on which messages between processes arrive.
     #[must_use]
     pub fn inner(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip, self.inner_port)
     }
 
+    /// Returns the address that other processes send messages to.
+    #[must_use]
+    pub fn announced_inner(&self) -> SocketAddrV4 {
+        self.announce(self.inner())
+    }
+
+    /// Returns the address at which other processes reach one of this process's own addresses.
+    #[must_use]
+    pub fn announce(&self, own: SocketAddrV4) -> SocketAddrV4 {
+        SocketAddrV4::new(self.announced.unwrap_or(*own.ip()), own.port())
+    }
+
     /// Returns the seeds' addresses for messages between processes.
     #[must_use]
     pub fn seed_addresses(&self) -> Vec<SocketAddrV4> {
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -61,6 +61,7 @@
             }
             .into(),
             ip: self.ip(host),
+            announced: None,
             inner_port: INNER,
             seeds: [1, 2, 3].map(|seed| self.ip(seed)).to_vec(),
             metrics: None,
