Keep open flows while an agent is stopped as planned

Cause: an agent that stops as planned beside a backend server that stays fell silent. After 1.6 s the others held it as dead, all living agents denied its flows, and those were reset although they were open. Ruled out: the backend server (up, held the flows), the balancers, the links (no fault for 6 s). Change: the agent announces that it is suspended and tells several members at once; it stays known as such after its death. While one is away, at most for the plan's idle time, no flow is reset because nobody holds it; the fingerprint of agents tells those that know of it from those that don't. Tests that failed first: node flows_outlive_a_long_planned_stop_of_their_agent.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -201,7 +201,7 @@
             Found::Nobody {
                 complete: Some(sequence),
                 ..
-            } if view.complete && self.denied.contains(&key) => out.push(Action::Reset {
+            } if self.may_reset(view, &key) => out.push(Action::Reset {
                 key,
                 sequence,
                 reason: ResetReason::Unowned,
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Returns whether a flow that all other agents deny is certainly gone.
+    fn may_reset(&self, view: View<'_>, key: &FlowKey) -> bool {
+        view.complete && !view.peers.has_away() && self.denied.contains(key)
+    }
+
     /// Sends the packets that waited to the owner, and remembers it.
     pub(super) fn settle(
         &mut self,
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -12,6 +12,9 @@
 /// Keeps the ids of agents from cancelling each other out.
 const FINGERPRINT_SALT: u64 = 0x0041_4745_4e54;
 
+/// The same for agents that are away.
+const AWAY_SALT: u64 = 0x4157_4159;
+
 /// One agent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -41,6 +44,8 @@
 pub struct Peers {
     by_service: BTreeMap<SmolStr, Places>,
     addresses: HashSet<SocketAddrV4>,
+    /// Agents that stopped as planned and come back with their flows.
+    away: usize,
     fingerprint: u64,
 }
 
@@ -60,10 +65,27 @@
         Self {
             by_service,
             addresses,
+            away: 0,
             fingerprint,
         }
     }
 
+    /// Adds agents that stopped as planned and come back with their flows.
+    #[must_use]
+    pub fn with_away(mut self, away: impl IntoIterator<Item = NodeId>) -> Self {
+        for node in away {
+            self.away += 1;
+            self.fingerprint ^= mix(node, AWAY_SALT);
+        }
+        self
+    }
+
+    /// Returns whether an agent is away that comes back with its flows.
+    #[must_use]
+    pub fn has_away(&self) -> bool {
+        self.away > 0
+    }
+
     /// Returns what stands for the set of agents: two processes that know the same ones have the same.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -241,6 +241,18 @@
         "another agent is known there"
     );
 
+    // An agent that stopped as planned comes back with its flows; those that know of it say so.
+    let away = bench.peers.clone().with_away([9]);
+    let mut bench = asking();
+    bench.peers = away.clone();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    let got = tell(&mut bench, 3, 40_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Dropped), "an agent is away");
+    let mut bench = asking();
+    tell_knowing(&mut bench, 2, 40_000, Reply::NotMine, away.fingerprint());
+    let got = tell(&mut bench, 3, 40_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Dropped), "another one knows of it");
+
     // Without a backend server beside it an agent can't say that its own does not hold the flow.
     let mut bench = Bench::reported();
     bench.agent.leave("i-1");
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -226,6 +226,17 @@
         self.take_actions()
     }
 
+    /// Announces that the process stops as planned and comes back with what it holds: it stays
+    /// [`MemberState::Draining`] until then, also for those that hold it as dead.
+    pub fn suspend(&mut self, now: Duration) -> Vec<Action> {
+        self.advance(now);
+        if !self.has_left() {
+            self.announce_state(MemberState::Draining);
+            self.push_farewell();
+        }
+        self.take_actions()
+    }
+
     /// Sets the seeds anew.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
--- a/crates/buckthornweir_members/tests/members/changes.rs
+++ b/crates/buckthornweir_members/tests/members/changes.rs
@@ -33,6 +33,25 @@
     }
 }
 
+#[test]
+fn a_suspended_member_is_known_as_such_after_its_death() {
+    for (count, loss) in [(3, 0.0), (10, 0.0), (100, 0.0), (50, 0.1)] {
+        let mut queue = Queue::joined(count, 1);
+        queue.loss = loss;
+        queue.act(address(2), Members::suspend);
+        queue.kill(2);
+        let suspended = |queue: &Queue| queue.all_hold_state(2, MemberState::Draining);
+        let took = queue.run_until(seconds(LEAVE_LIMIT), suspended);
+        assert!(took.is_some(), "{count} members, loss {loss}");
+        let dead = queue.run_until(seconds(30.0), |queue| queue.all_hold(2, Health::Dead));
+        assert!(dead.is_some(), "{count} members, loss {loss}");
+        assert!(suspended(&queue), "{count} members, loss {loss}");
+        queue.start(record(2, 3).with_incarnation(1));
+        let back = queue.run_until(seconds(SPREAD_LIMIT), Queue::is_complete);
+        assert!(back.is_some(), "{count} members, loss {loss}");
+    }
+}
+
 #[test]
 fn a_member_that_left_may_come_back() {
     let left = Announcement::State(MemberState::Left);
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Membership over the socket for messages between processes, and the view of agents that it gives.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -59,6 +60,8 @@
 /// The membership of one process.
 pub(crate) struct Gossip {
     core: Members,
+    /// Agents that stopped as planned while their backend servers stayed, and when that was heard.
+    away: BTreeMap<NodeId, Duration>,
 }
 
 impl Gossip {
@@ -81,6 +84,7 @@
             .with_pull_timeout(PULL_TIMEOUT);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
+            away: BTreeMap::new(),
         })
     }
 
@@ -151,9 +155,31 @@
         self.carry_out(actions)
     }
 
-    /// Returns the live agents.
-    pub(crate) fn peers(&self) -> Peers {
-        Peers::new(self.core.iter().filter_map(|(r, health)| agent(r, health)))
+    /// Announces that the process stops as planned and comes back.
+    pub(crate) fn suspend(&mut self, now: Duration) -> Outcome {
+        let actions = self.core.suspend(now);
+        self.carry_out(actions)
+    }
+
+    /// Returns the live agents. One that is away counts for `limit`, after which its backend server may
+    /// have discarded its flows.
+    pub(crate) fn peers(&mut self, now: Duration, limit: Duration) -> Peers {
+        let agents = self.core.iter().filter(|(r, _)| is_away(r));
+        let away: BTreeMap<NodeId, Duration> = agents
+            .map(|(r, _)| (r.node, self.away.get(&r.node).copied().unwrap_or(now)))
+            .collect();
+        for node in away.keys().filter(|node| !self.away.contains_key(node)) {
+            tracing::info!(event = "agent_away", node);
+        }
+        self.away = away;
+        let still = self.away.iter().filter(|(_, since)| now < **since + limit);
+        let agents = self.core.iter().filter_map(|(r, health)| agent(r, health));
+        Peers::new(agents).with_away(still.map(|(node, _)| *node))
+    }
+
+    /// Returns whether the last agent that was away has been so for `limit`.
+    pub(crate) fn none_away(&self, now: Duration, limit: Duration) -> bool {
+        self.away.values().all(|since| now >= *since + limit)
     }
 
     /// Returns where other control processes that are not known to be dead take messages.
@@ -225,6 +251,10 @@
     seeds.map(SocketAddr::V4).collect()
 }
 
+fn is_away(record: &Record) -> bool {
+    record.roles.contains(Roles::AGENT) && record.state == MemberState::Draining
+}
+
 fn agent(record: &Record, health: Health) -> Option<Peer> {
     let lives = health != Health::Dead && record.state != MemberState::Left;
     let is_agent = record.roles.contains(Roles::AGENT);
@@ -235,7 +265,7 @@
             questions,
             domain: record.domain.clone(),
             service: record.service.clone(),
-            accepts: record.weight > 0,
+            accepts: record.weight > 0 && !is_away(record),
             cold: record.state == MemberState::Cold,
             free: record.free,
         }),
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -240,12 +240,19 @@
 
     async fn end(&mut self) {
         let now = self.now();
-        // An agent whose backend server stays comes back at once, and its flows with it.
-        let leaves = match &self.role {
-            Role::Agent { core, .. } => !core.backend().is_present(),
-            Role::Balancer { .. } => true,
-            Role::Control(_) => false,
+        // An agent whose backend server stays comes back, and its flows with it.
+        let (leaves, suspends) = match &self.role {
+            Role::Agent { core, .. } => {
+                let stays = core.backend().is_present();
+                (!stays, stays)
+            }
+            Role::Balancer { .. } => (true, false),
+            Role::Control(_) => (false, false),
         };
+        if suspends {
+            let outcome = self.gossip.suspend(now);
+            self.carry_out(outcome);
+        }
         if leaves {
             let outcome = self.gossip.leave(now);
             self.carry_out(outcome);
@@ -287,12 +294,14 @@
 
     /// Works the view of agents out anew, some time after the first change: changes come in crowds.
     fn renew_view(&mut self, now: Duration) {
+        let idle = self.plans.plan().idle;
+        self.stale |= self.peers.has_away() && self.gossip.none_away(now, idle);
         if !self.stale || now < self.next_view {
             return;
         }
         self.stale = false;
         self.next_view = now + VIEW_PERIOD;
-        self.peers = self.gossip.peers();
+        self.peers = self.gossip.peers(now, idle);
         let alive = i64::try_from(self.gossip.alive()).unwrap_or(i64::MAX);
         self.metrics.set(Gauge::MembersAlive, alive);
     }
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -91,6 +91,43 @@
     }
 }
 
+/// Longer than it takes until the other processes hold a silent one as dead.
+const LONG_STOP: Duration = Duration::from_secs(4);
+
+#[tokio::test]
+async fn flows_outlive_a_long_planned_stop_of_their_agent() {
+    let mut path = path(95).await;
+    path.net.backend(23);
+    path.agents.push(path.net.agent(23).await);
+    let third = &path.agents[2].handle;
+    assert!(third.report(report(1, ReportState::Ready)).await);
+    let caller = path.net.caller(31).await;
+    let balancer = path.net.ip(11);
+    let mut flows = Vec::new();
+    for port in 1..=20 {
+        let opened = caller.open(balancer, port).await;
+        flows.push((port, opened));
+    }
+    let holder = 21;
+    flows.retain(|(_, opened)| opened.sequence == holder << 16);
+    path.agents.remove(0).stop().await;
+    let back = async {
+        tokio::time::sleep(LONG_STOP).await;
+        let agent = path.net.agent(21).await;
+        agent.handle.report(report(2, ReportState::Ready)).await;
+        agent
+    };
+    let requests = async {
+        for (port, opened) in &flows {
+            let answer = caller.request(balancer, *port, opened).await;
+            assert_eq!((answer.sequence, answer.rst), (opened.sequence, false));
+        }
+    };
+    let (agent, ()) = tokio::join!(back, requests);
+    path.agents.push(agent);
+    assert!(!flows.is_empty());
+}
+
 #[tokio::test]
 async fn a_draining_backend_server_gets_no_new_flows_and_keeps_its_own() {
     let path = path(92).await;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -32,6 +32,13 @@
 }
 
 impl Running {
+    /// Stops the node as planned and waits until its addresses are free.
+    pub(crate) async fn stop(self) {
+        self.handle.stop().await;
+        let _ = self.task.await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
     /// Ends the node at once, as a kill does, and waits until its addresses are free.
     pub(crate) async fn kill(self) {
         self.task.abort();
