Count a backend server as cold a little longer than it says

Cause: a report states whole milliseconds, rounded down, so an agent's span ended up to 1 ms before the backend server's own, and the SYNs that had waited for it all went out in that moment. Ruled out: doubled reports, a report of an earlier start (the log shows one report, Restarted, cold 1.886 s). Change: 20 ms more after a stated span; none after a report that says warm. Tests: a_backend_server_counts_as_cold_a_little_longer_than_it_says failed first; the last line of a_doubt_lasts_until_a_report_that_was_sent_after_it named the moment without the margin and now names the last cold and the first warm millisecond.

--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -16,6 +16,10 @@
 /// New flows that a cold backend server is spared of its bound, for packets that arrive bunched.
 const COLD_RESERVE: f64 = 1.0;
 
+/// How much longer than it says a backend server counts as cold: reports state whole milliseconds, and
+/// timers of two processes end some milliseconds apart.
+const COLD_MARGIN: Duration = Duration::from_millis(20);
+
 /// How long a report may be on its way; a report that arrives later than this after a doubt arose was
 /// sent after it.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
@@ -166,7 +170,10 @@
         self.heard = now;
         self.silent = false;
         self.unanswered = 0;
-        self.cold_until = now + report.cold;
+        self.cold_until = match report.cold {
+            Duration::ZERO => now,
+            cold => now + cold + COLD_MARGIN,
+        };
         if restarted || first || self.doubt.is_some_and(|since| now >= since + REPORT_DELAY) {
             self.doubt = None;
         }
--- a/crates/buckthornweir_forward/tests/forward/backend.rs
+++ b/crates/buckthornweir_forward/tests/forward/backend.rs
@@ -153,6 +153,23 @@
     }
 }
 
+/// A report states whole milliseconds, and two processes don't end a span in the same moment.
+#[test]
+fn a_backend_server_counts_as_cold_a_little_longer_than_it_says() {
+    for (after, cold) in [(499, true), (502, true), (515, true), (530, false)] {
+        let mut backend = backend();
+        let report = Report {
+            cold: ms(500),
+            ..report(1)
+        };
+        backend.report(ms(1_000), report);
+        assert_eq!(backend.is_cold(ms(1_000 + after)), cold, "{after}");
+    }
+    let mut warm = backend();
+    warm.report(ms(1_000), report(1));
+    assert!(!warm.is_cold(ms(1_000)));
+}
+
 #[test]
 fn a_doubt_lasts_until_a_report_that_was_sent_after_it() {
     let mut backend = backend();
@@ -169,6 +186,6 @@
         ..report(1)
     };
     backend.report(ms(2_250), restarted);
-    assert!(backend.is_cold(ms(4_200)), "its own word counts");
-    assert!(!backend.is_cold(ms(4_250)));
+    assert!(backend.is_cold(ms(4_269)), "its own word counts");
+    assert!(!backend.is_cold(ms(4_270)));
 }
