Await only agents whose backend servers still report

Ruled out: fingerprints that differ (the number of agents stood still at 55), silent agents (0 missing). Change: only an agent whose backend server reports counts as one that comes back, for 8 s (a stop may take 6 s). One whose backend server's reports stopped leaves at once. One that does not know falls silent as before. Tests: whether_the_backend_server_is_there (new); flows_outlive_a_long_planned_stop_of_their_agent stays.

--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -101,6 +101,17 @@
     Shut(Shut),
 }
 
+/// Whether the backend server is there, as far as its reports tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// It reports.
+    Reporting,
+    /// It has not reported yet, and a report is not overdue.
+    Unknown,
+    /// It has left, or its reports stopped.
+    Gone,
+}
+
 /// Bounds for cold backend servers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdBound {
@@ -223,6 +234,24 @@
         !self.gone
     }
 
+    /// Returns whether the backend server is there, as far as its reports tell.
+    #[must_use]
+    pub fn presence(&self, now: Duration) -> Presence {
+        if self.gone || self.is_overdue(now) {
+            return Presence::Gone;
+        }
+        match self.report {
+            Some(_) => Presence::Reporting,
+            None => Presence::Unknown,
+        }
+    }
+
+    /// Returns whether the next report should have come long ago; an agent that has just started waits as
+    /// long for the first one.
+    fn is_overdue(&self, now: Duration) -> bool {
+        now >= self.heard + self.period * LOST_PERIODS
+    }
+
     /// Returns whether the backend server takes new flows at all, whatever its load.
     #[must_use]
     pub fn accepts(&mut self, now: Duration) -> bool {
@@ -272,7 +301,7 @@
             self.silent = true;
             self.doubt = Some(now);
         }
-        let lost = now >= self.heard + self.period * LOST_PERIODS;
+        let lost = self.is_overdue(now);
         if lost && self.doubt.is_none() {
             self.doubt = Some(now);
         }
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -33,7 +33,7 @@
 pub mod prelude {
     pub use crate::NodeId;
     pub use crate::agent::{Action, Agent, AgentLimits, Answer, DropReason, Question, Reply};
-    pub use crate::backend::{Backend, Report, ReportState, Standing};
+    pub use crate::backend::{Backend, Presence, Report, ReportState, Standing};
     pub use crate::balancer::{Balancer, Choice, Loss};
     pub use crate::peers::{Peer, Peers};
     pub use crate::plan::{Plan, Route, Service, Split};
--- a/crates/buckthornweir_forward/tests/forward/backend.rs
+++ b/crates/buckthornweir_forward/tests/forward/backend.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use buckthornweir_forward::backend::{
-    Backend, ColdBound, Report, ReportState, Reported, Shut, Standing,
+    Backend, ColdBound, Presence, Report, ReportState, Reported, Shut, Standing,
 };
 
 use crate::common::{PERIOD, ms, report};
@@ -112,6 +112,23 @@
     assert!(!backend.is_cold(ms(1_200)));
 }
 
+#[test]
+fn whether_the_backend_server_is_there() {
+    let after = |backend: &Backend, periods: f64| backend.presence(PERIOD.mul_f64(periods));
+    // None has reported since the agent's start.
+    let unheard = backend();
+    assert_eq!(after(&unheard, 2.9), Presence::Unknown);
+    assert_eq!(after(&unheard, 3.0), Presence::Gone);
+    let mut reporting = backend();
+    reporting.report(PERIOD, report(1));
+    assert_eq!(after(&reporting, 3.9), Presence::Reporting);
+    assert_eq!(after(&reporting, 4.0), Presence::Gone);
+    reporting.report(PERIOD * 5, report(2));
+    assert_eq!(after(&reporting, 5.1), Presence::Reporting);
+    reporting.leave("i-1");
+    assert_eq!(after(&reporting, 5.1), Presence::Gone);
+}
+
 /// No second, wherever it begins, has more new flows than a cold backend server bears.
 #[test]
 fn a_cold_backend_server_gets_what_it_bears() {
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -37,6 +37,10 @@
 /// exchange with a seed tells the rest.
 const ALL_HEARD: Duration = Duration::from_millis(1_500);
 
+/// How long an agent that stopped as planned is awaited: a stop may take 6 s on the users' platform, and a
+/// start some hundred milliseconds.
+const AWAY_LIMIT: Duration = Duration::from_secs(8);
+
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -167,9 +171,8 @@
         self.carry_out(actions)
     }
 
-    /// Returns the live agents. One that is away counts for `limit`, after which its backend server may
-    /// have discarded its flows.
-    pub(crate) fn peers(&mut self, now: Duration, limit: Duration) -> Peers {
+    /// Returns the live agents, and those that are away.
+    pub(crate) fn peers(&mut self, now: Duration) -> Peers {
         let agents = self.core.iter().filter(|(r, _)| is_away(r));
         let away: BTreeMap<NodeId, Duration> = agents
             .map(|(r, _)| (r.node, self.away.get(&r.node).copied().unwrap_or(now)))
@@ -178,14 +181,18 @@
             tracing::info!(event = "agent_away", node);
         }
         self.away = away;
-        let still = self.away.iter().filter(|(_, since)| now < **since + limit);
+        let still = self
+            .away
+            .iter()
+            .filter(|(_, since)| now < **since + AWAY_LIMIT);
         let agents = self.core.iter().filter_map(|(r, health)| agent(r, health));
         Peers::new(agents).with_away(still.map(|(node, _)| *node))
     }
 
-    /// Returns whether the last agent that was away has been so for `limit`.
-    pub(crate) fn none_away(&self, now: Duration, limit: Duration) -> bool {
-        self.away.values().all(|since| now >= *since + limit)
+    /// Returns whether the last agent that was away has been so for too long.
+    pub(crate) fn none_away(&self, now: Duration) -> bool {
+        let mut away = self.away.values();
+        away.all(|since| now >= *since + AWAY_LIMIT)
     }
 
     /// Returns where other control processes that are not known to be dead take messages.
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -13,6 +13,7 @@
 
 use buckthornweir_events::{Gauge, LineBudget, Metrics};
 use buckthornweir_forward::agent::{Action, Agent, Offer, Question, View};
+use buckthornweir_forward::backend::Presence;
 use buckthornweir_forward::balancer::Balancer;
 use buckthornweir_forward::peers::Peers;
 use tokio::net::UdpSocket;
@@ -253,12 +254,14 @@
 
     async fn end(&mut self) {
         let now = self.now();
-        // An agent whose backend server stays comes back, and its flows with it.
+        // An agent whose backend server stays comes back, and its flows with it. One that does not know
+        // falls silent, and the others wait a moment for it.
         let (leaves, suspends) = match &self.role {
-            Role::Agent { core, .. } => {
-                let stays = core.backend().is_present();
-                (!stays, stays)
-            }
+            Role::Agent { core, .. } => match core.backend().presence(now) {
+                Presence::Reporting => (false, true),
+                Presence::Unknown => (false, false),
+                Presence::Gone => (true, false),
+            },
             Role::Balancer { .. } => (true, false),
             Role::Control(_) => (false, false),
         };
@@ -271,7 +274,7 @@
             self.carry_out(outcome);
             tokio::time::sleep(FAREWELL).await;
         }
-        tracing::info!(event = "stopped", left = leaves);
+        tracing::info!(event = "stopped", left = leaves, comes_back = suspends);
         self.stop.cancel();
     }
 
@@ -308,14 +311,13 @@
 
     /// Works the view of agents out anew, some time after the first change: changes come in crowds.
     fn renew_view(&mut self, now: Duration) {
-        let idle = self.plans.plan().idle;
-        self.stale |= self.peers.has_away() && self.gossip.none_away(now, idle);
+        self.stale |= self.peers.has_away() && self.gossip.none_away(now);
         if !self.stale || now < self.next_view {
             return;
         }
         self.stale = false;
         self.next_view = now + VIEW_PERIOD;
-        self.peers = self.gossip.peers(now, idle);
+        self.peers = self.gossip.peers(now);
         let alive = i64::try_from(self.gossip.alive()).unwrap_or(i64::MAX);
         self.metrics.set(Gauge::MembersAlive, alive);
     }
