Ask a stopping agent's backend server whether it is there

Cause: an agent that stops does not know whether its backend server crashed before: reports tell that 3.6 s late. Change: a stopping agent opens a connection to its backend server's health port; refused means that it has ended, and the agent leaves at once. Ruled out: a shorter wait alone (a planned stop may take 6 s).

--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -6,6 +6,7 @@
 mod requests;
 mod traffic;
 
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,7 +17,7 @@
 use buckthornweir_forward::backend::Presence;
 use buckthornweir_forward::balancer::Balancer;
 use buckthornweir_forward::peers::Peers;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -58,6 +59,9 @@
 /// How long a stopping control VM waits for another one to lead.
 const TRANSFER: Duration = Duration::from_millis(400);
 
+/// How long a stopping agent waits for a connection to its backend server, on the same VM.
+const HEALTH_LIMIT: Duration = Duration::from_millis(50);
+
 /// How long messages of a process that ends take to leave.
 const FAREWELL: Duration = Duration::from_millis(20);
 
@@ -255,16 +259,15 @@
     async fn end(&mut self) {
         let now = self.now();
         // An agent whose backend server stays comes back, and its flows with it. One that does not know
-        // falls silent, and the others wait a moment for it.
-        let (leaves, suspends) = match &self.role {
-            Role::Agent { core, .. } => match core.backend().presence(now) {
-                Presence::Reporting => (false, true),
-                Presence::Unknown => (false, false),
-                Presence::Gone => (true, false),
-            },
-            Role::Balancer { .. } => (true, false),
-            Role::Control(_) => (false, false),
+        // falls silent, as control does, and the others wait a moment for it.
+        let reported = match &self.role {
+            Role::Agent { core, .. } => core.backend().presence(now),
+            Role::Balancer { .. } => Presence::Gone,
+            Role::Control(_) => Presence::Unknown,
         };
+        let presence = presence(health_address(&self.settings), reported).await;
+        let leaves = presence == Presence::Gone;
+        let suspends = presence == Presence::Reporting;
         if suspends {
             let outcome = self.gossip.suspend(now);
             self.carry_out(outcome);
@@ -402,6 +405,27 @@
     }
 }
 
+/// Returns where the backend server of an agent takes TCP connections.
+fn health_address(settings: &NodeSettings) -> Option<SocketAddrV4> {
+    match &settings.role {
+        RoleSettings::Agent(agent) => agent.health,
+        RoleSettings::Balancer(_) | RoleSettings::Control(_) => None,
+    }
+}
+
+/// Returns whether a backend server is there: its reports tell late that it has ended, a connection
+/// tells at once.
+async fn presence(health: Option<SocketAddrV4>, reported: Presence) -> Presence {
+    let (Some(health), true) = (health, reported != Presence::Gone) else {
+        return reported;
+    };
+    match tokio::time::timeout(HEALTH_LIMIT, TcpStream::connect(health)).await {
+        Ok(Ok(_)) => Presence::Reporting,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Presence::Gone,
+        Ok(Err(_)) | Err(_) => reported,
+    }
+}
+
 fn port_of(settings: &NodeSettings) -> u16 {
     packets_address(settings).map_or(0, |address| address.port())
 }
--- a/crates/buckthornweir_node/src/settings.rs
+++ b/crates/buckthornweir_node/src/settings.rs
@@ -87,6 +87,8 @@
     pub outbound: SocketAddrV4,
     /// Where the backend server takes packets.
     pub backend: SocketAddrV4,
+    /// Where the backend server takes TCP connections, if it does: one that refuses them has ended.
+    pub health: Option<SocketAddrV4>,
     /// Service of the backend server.
     pub service: SmolStr,
     /// Time between two reports of the backend server.
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -1,10 +1,12 @@
 //! A flow from the caller to the backend server and back, while the processes between them change.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthornweir_forward::backend::ReportState;
+use buckthornweir_forward::segment::Segment;
+use tokio::task::JoinHandle;
 
-use crate::support::{Net, Running, give, order, report, until};
+use crate::support::{Caller, Net, Running, give, order, report, until};
 
 struct Path {
     net: Net,
@@ -12,6 +14,7 @@
     control: Vec<Running>,
     balancers: Vec<Running>,
     agents: Vec<Running>,
+    servers: Vec<JoinHandle<()>>,
 }
 
 /// Three control VMs (1 to 3), balancers 11 and 12, agents 21 and 22 with their backend servers.
@@ -25,6 +28,7 @@
         control: Vec::new(),
         balancers: Vec::new(),
         agents: Vec::new(),
+        servers: Vec::new(),
         data,
     };
     for host in 1..=3 {
@@ -35,7 +39,7 @@
         path.balancers.push(net.balancer(host).await);
     }
     for host in [21, 22] {
-        net.backend(host);
+        path.servers.push(net.backend(host));
         path.agents.push(net.agent(host).await);
     }
     give(&path.control.iter().collect::<Vec<_>>(), order(1)).await;
@@ -94,19 +98,24 @@
 /// Longer than it takes until the other processes hold a silent one as dead.
 const LONG_STOP: Duration = Duration::from_secs(4);
 
-#[tokio::test]
-async fn flows_outlive_a_long_planned_stop_of_their_agent() {
-    let mut path = path(95).await;
+/// How long an agent is awaited whose backend server stays.
+const AWAITED: Duration = Duration::from_secs(8);
+
+/// A path with a third agent, 23, in the failure domain of 21.
+async fn path_of_three(net: u8) -> Path {
+    let mut path = path(net).await;
     path.net.backend(23);
     path.agents.push(path.net.agent(23).await);
     let third = &path.agents[2].handle;
     assert!(third.report(report(1, ReportState::Ready)).await);
-    let caller = path.net.caller(31).await;
-    let balancer = path.net.ip(11);
-    // The balancer gives flows to the agent once it has heard that it takes them.
+    path
+}
+
+/// Opens five flows at agent 21. The balancer gives it flows once it has heard that it takes them.
+async fn flows_of_21(path: &Path, caller: &Caller) -> Vec<(u16, Segment)> {
     let mut flows = Vec::new();
     for port in 1..10_000 {
-        let opened = caller.open(balancer, port).await;
+        let opened = caller.open(path.net.ip(11), port).await;
         if opened.sequence == 21 << 16 {
             flows.push((port, opened));
         }
@@ -115,6 +124,30 @@
         }
     }
     assert_eq!(flows.len(), 5, "the agent got flows");
+    flows
+}
+
+#[tokio::test]
+async fn flows_end_with_a_backend_server_that_crashed_before_its_agent_stopped() {
+    let mut path = path_of_three(96).await;
+    let caller = path.net.caller(31).await;
+    let flows = flows_of_21(&path, &caller).await;
+    path.servers.remove(0).abort();
+    let began = Instant::now();
+    path.agents.remove(0).stop().await;
+    for (port, opened) in &flows {
+        let answer = caller.request(path.net.ip(11), *port, opened).await;
+        assert!(answer.rst);
+    }
+    assert!(began.elapsed() < AWAITED, "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn flows_outlive_a_long_planned_stop_of_their_agent() {
+    let mut path = path_of_three(95).await;
+    let caller = path.net.caller(31).await;
+    let balancer = path.net.ip(11);
+    let flows = flows_of_21(&path, &caller).await;
     path.agents.remove(0).stop().await;
     let back = async {
         tokio::time::sleep(LONG_STOP).await;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -9,7 +9,7 @@
 use buckthornweir_forward::plan::{Plan, Route, Service, Split};
 use buckthornweir_forward::segment::Segment;
 use buckthornweir_node::prelude::*;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
 use crate::format::{FORMAT, read, write};
@@ -98,6 +98,7 @@
             packets: SocketAddrV4::new(self.ip(host), PACKETS),
             outbound: SocketAddrV4::new(self.ip(host), OUTBOUND),
             backend: SocketAddrV4::new(self.ip(host), BACKEND),
+            health: Some(SocketAddrV4::new(self.ip(host), BACKEND)),
             service: "desk".into(),
             period: LIMIT,
             cold: ColdBound {
@@ -113,6 +114,9 @@
         let address = SocketAddrV4::new(self.ip(host), BACKEND);
         let outbound = SocketAddrV4::new(self.ip(host), OUTBOUND);
         tokio::spawn(async move {
+            let _health = TcpListener::bind(address)
+                .await
+                .expect("a working test set-up");
             let socket = UdpSocket::bind(address)
                 .await
                 .expect("a working test set-up");
