Await an agent that is held as dead for a second

Cause: a process that could hear but not be heard for 2 s held others as dead, and said so when the cut ended; all believed it until the accused one refuted. In that moment a flow of the accused agent was looked for among all others, which denied it, and was reset although it was open and its agent lived. Ruled out: the search's stages, the suspended state, copies of packets (none was sent). Change: agents that are not there are kept with the reason; one that stopped as planned is awaited for 8 s, one that is held as dead for 1 s, and while one is awaited nothing is reset as unowned. Left: that a process which was cut off accuses living ones at all.

--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -15,6 +15,7 @@
 //!
 //! [`Duration`]: std::time::Duration
 
+pub mod absences;
 pub mod agent;
 pub mod backend;
 pub mod balancer;
@@ -32,6 +33,7 @@
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::NodeId;
+    pub use crate::absences::{Absence, Absences};
     pub use crate::agent::{Action, Agent, AgentLimits, Answer, DropReason, Question, Reply};
     pub use crate::backend::{Backend, Presence, Report, ReportState, Standing};
     pub use crate::balancer::{Balancer, Choice, Loss};
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -44,7 +44,7 @@
 pub struct Peers {
     by_service: BTreeMap<SmolStr, Places>,
     addresses: HashSet<SocketAddrV4>,
-    /// Agents that stopped as planned and come back with their flows.
+    /// Agents that are not there, but may come back with their flows.
     away: usize,
     fingerprint: u64,
 }
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Adds agents that stopped as planned and come back with their flows.
+    /// Adds agents that are not there, but may come back with their flows.
     #[must_use]
     pub fn with_away(mut self, away: impl IntoIterator<Item = NodeId>) -> Self {
         for node in away {
@@ -80,7 +80,7 @@
         self
     }
 
-    /// Returns whether an agent is away that comes back with its flows.
+    /// Returns whether an agent is away that may come back with its flows.
     #[must_use]
     pub fn has_away(&self) -> bool {
         self.away > 0
--- /dev/null
+++ b/crates/buckthornweir_forward/tests/forward/absences.rs
@@ -0,0 +1,34 @@
+//! Agents that are awaited, and for how long.
+
+use buckthornweir_forward::absences::{Absence, Absences};
+
+use crate::common::ms;
+
+const STOPPED: Absence = Absence::Stopped;
+const DEAD: Absence = Absence::Dead;
+
+#[test]
+fn agents_are_awaited_for_some_time() {
+    for (absence, limit) in [(STOPPED, 8_000), (DEAD, 1_000)] {
+        let mut absences = Absences::default();
+        assert_eq!(absences.update(ms(100), [(1, absence)]), [(1, absence)]);
+        // Views are worked out over and over meanwhile.
+        assert!(absences.update(ms(500), [(1, absence)]).is_empty());
+        assert_eq!(absences.awaited(ms(99 + limit)).collect::<Vec<_>>(), [1]);
+        assert!(absences.is_over(ms(100 + limit)));
+    }
+}
+
+#[test]
+fn one_that_is_back_is_not_awaited_and_may_be_absent_again() {
+    let mut absences = Absences::default();
+    absences.update(ms(0), [(1, DEAD), (2, STOPPED)]);
+    absences.update(ms(300), [(2, STOPPED)]);
+    assert_eq!(absences.awaited(ms(300)).collect::<Vec<_>>(), [2]);
+    let fresh = absences.update(ms(900), [(1, DEAD), (2, STOPPED)]);
+    assert_eq!(fresh, [(1, DEAD)]);
+    assert_eq!(absences.awaited(ms(1_800)).collect::<Vec<_>>(), [1, 2]);
+    // One that is held as dead, and then says that it stopped.
+    assert_eq!(absences.update(ms(1_850), [(1, STOPPED)]), [(1, STOPPED)]);
+    assert_eq!(absences.awaited(ms(9_000)).collect::<Vec<_>>(), [1]);
+}
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Decisions about packets of forward services, as tables of steps and fault cases.
 
+mod absences;
 mod agent;
 mod backend;
 mod balancer;
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -1,10 +1,10 @@
 //! Membership over the socket for messages between processes, and the view of agents that it gives.
 
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use buckthornweir_forward::NodeId;
+use buckthornweir_forward::absences::{Absence, Absences};
 use buckthornweir_forward::agent::Offer;
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_members::{
@@ -37,10 +37,6 @@
 /// exchange with a seed tells the rest.
 const ALL_HEARD: Duration = Duration::from_millis(1_500);
 
-/// How long an agent that stopped as planned is awaited: a stop may take 6 s on the users' platform, and a
-/// start some hundred milliseconds.
-const AWAY_LIMIT: Duration = Duration::from_secs(8);
-
 /// How soon a plan that did not arrive is pulled again.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -64,8 +60,7 @@
 /// The membership of one process.
 pub(crate) struct Gossip {
     core: Members,
-    /// Agents that stopped as planned while their backend servers stayed, and when that was heard.
-    away: BTreeMap<NodeId, Duration>,
+    absences: Absences,
 }
 
 impl Gossip {
@@ -88,7 +83,7 @@
             .with_pull_timeout(PULL_TIMEOUT);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
-            away: BTreeMap::new(),
+            absences: Absences::default(),
         })
     }
 
@@ -171,28 +166,23 @@
         self.carry_out(actions)
     }
 
-    /// Returns the live agents, and those that are away.
+    /// Returns the live agents, and those that may come back.
     pub(crate) fn peers(&mut self, now: Duration) -> Peers {
-        let agents = self.core.iter().filter(|(r, _)| is_away(r));
-        let away: BTreeMap<NodeId, Duration> = agents
-            .map(|(r, _)| (r.node, self.away.get(&r.node).copied().unwrap_or(now)))
-            .collect();
-        for node in away.keys().filter(|node| !self.away.contains_key(node)) {
-            tracing::info!(event = "agent_away", node);
+        let absent = self.core.iter().filter_map(|(r, health)| {
+            let absence = absence(r, health)?;
+            Some((r.node, absence))
+        });
+        for (node, absence) in self.absences.update(now, absent) {
+            let name = self.core.get(node).map(|(record, _)| &*record.name);
+            tracing::info!(event = "agent_absent", name, ?absence);
         }
-        self.away = away;
-        let still = self
-            .away
-            .iter()
-            .filter(|(_, since)| now < **since + AWAY_LIMIT);
         let agents = self.core.iter().filter_map(|(r, health)| agent(r, health));
-        Peers::new(agents).with_away(still.map(|(node, _)| *node))
+        Peers::new(agents).with_away(self.absences.awaited(now))
     }
 
-    /// Returns whether the last agent that was away has been so for too long.
-    pub(crate) fn none_away(&self, now: Duration) -> bool {
-        let mut away = self.away.values();
-        away.all(|since| now >= *since + AWAY_LIMIT)
+    /// Returns whether no agent is awaited any more.
+    pub(crate) fn none_awaited(&self, now: Duration) -> bool {
+        self.absences.is_over(now)
     }
 
     /// Returns where other control processes that are not known to be dead take messages.
@@ -274,8 +264,14 @@
     seeds.map(SocketAddr::V4).collect()
 }
 
-fn is_away(record: &Record) -> bool {
-    record.roles.contains(Roles::AGENT) && record.state == MemberState::Draining
+/// Returns why an agent is not there, if it is not.
+fn absence(record: &Record, health: Health) -> Option<Absence> {
+    match record.state {
+        _ if !record.roles.contains(Roles::AGENT) => None,
+        MemberState::Left => None,
+        MemberState::Draining => Some(Absence::Stopped),
+        MemberState::Cold | MemberState::Ready => (health == Health::Dead).then_some(Absence::Dead),
+    }
 }
 
 fn agent(record: &Record, health: Health) -> Option<Peer> {
@@ -288,7 +284,7 @@
             questions,
             domain: record.domain.clone(),
             service: record.service.clone(),
-            accepts: record.weight > 0 && !is_away(record),
+            accepts: record.weight > 0 && record.state != MemberState::Draining,
             cold: record.state == MemberState::Cold,
             free: record.free,
         }),
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -314,7 +314,7 @@
 
     /// Works the view of agents out anew, some time after the first change: changes come in crowds.
     fn renew_view(&mut self, now: Duration) {
-        self.stale |= self.peers.has_away() && self.gossip.none_away(now);
+        self.stale |= self.peers.has_away() && self.gossip.none_awaited(now);
         if !self.stale || now < self.next_view {
             return;
         }
