Reset no flow when an agent came back during the search, and search at once for those of a dead server

Cause 1: the answers of a search were compared with the view at their arrival. An agent that came back, or joined, while the last stage was asked was known to all by then and had not been asked, so the flow that it held was reset. Change 1: answers are compared with the view at the search's start, and so is the own view at its end. Cause 2: an agent that is back after a loss of power while its backend server is not answered 'perhaps' for 3.6 s and more and gave packets to nobody, so that flows that are gone waited for their deadlines. Change 2: an agent looks at its start whether its backend server is there; one that is not there holds nothing from before. Ruled out: the suspended state (the reset came after the return), a refused health port (its listener lives on). Tests that failed first: a_search_begins_near (two cases), flows_end_with_a_backend_server_that_is_not_back (no answer in 20 s), an_agent_that_began_without_its_backend_server_has_missed_nothing.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -48,6 +48,8 @@
     flows: Flows,
     lookups: Lookups,
     denied: Denied,
+    /// Whether the backend server was not there when this agent started.
+    began_alone: bool,
     waiting: Waiting,
     was_out: bool,
     next_sweep: Duration,
@@ -63,6 +65,7 @@
             flows: Flows::default(),
             lookups: Lookups::default(),
             denied: Denied::default(),
+            began_alone: false,
             waiting: Waiting::default(),
             was_out: false,
             next_sweep: Duration::ZERO,
@@ -101,6 +104,12 @@
         reported
     }
 
+    /// Notes that the backend server was not there when this agent started: one that starts later holds no
+    /// flows from before.
+    pub fn begin_alone(&mut self) {
+        self.began_alone = true;
+    }
+
     /// Notes that the backend server says that it has left.
     pub fn leave(&mut self, id: &str) {
         self.backend.leave(id);
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -39,11 +39,18 @@
     pub(super) fn may_have_missed(&self) -> bool {
         let margin = BIRTH_MARGIN.as_millis() as u64;
         match self.backend.last_report() {
+            _ if self.began_alone => false,
             Some(report) => report.born + margin < self.limits.started,
             None => true,
         }
     }
 
+    /// Returns whether the backend server certainly holds no flow: it was not there when this agent started,
+    /// and has not reported since.
+    fn holds_nothing(&self) -> bool {
+        self.began_alone && self.backend.last_report().is_none()
+    }
+
     /// Takes another agent's answer to a question about a flow.
     pub fn answered(
         &mut self,
@@ -54,7 +61,6 @@
         out: &mut Vec<Action>,
     ) {
         let agent = answer.agent;
-        let same_view = answer.known == view.peers.fingerprint();
         let found = match answer.reply {
             Reply::Mine => {
                 if let Some(ended) = self.lookups.end(&key, agent) {
@@ -62,7 +68,7 @@
                 }
                 return;
             }
-            Reply::NotMine => self.lookups.deny(&key, agent, same_view),
+            Reply::NotMine => self.lookups.deny(&key, agent, answer.known),
             Reply::Perhaps => {
                 let copy = self.lookups.probe(now, &key, agent);
                 out.extend(copy.map(|held| Action::Pass {
@@ -109,6 +115,10 @@
         if self.lookups.hold(now, &key, held) {
             return out.push(Action::Drop(DropReason::Held));
         }
+        if self.holds_nothing() {
+            self.denied.note(now, key);
+            return self.ask(arrival, out);
+        }
         if !self.backend.is_present() {
             return self.ask(arrival, out);
         }
@@ -271,8 +281,9 @@
             Found::Open | Found::NotNear { .. } => {}
             Found::Nobody {
                 complete: Some(sequence),
+                fingerprint,
                 ..
-            } if self.may_reset(view, &key) => out.push(Action::Reset {
+            } if self.may_reset(view, &key, fingerprint) => out.push(Action::Reset {
                 key,
                 sequence,
                 reason: ResetReason::Unowned,
@@ -281,9 +292,11 @@
         }
     }
 
-    /// Returns whether a flow that all other agents deny is certainly gone.
-    fn may_reset(&self, view: View<'_>, key: &FlowKey) -> bool {
-        view.complete && !view.peers.has_away() && self.denied.contains(key)
+    /// Returns whether a flow that all other agents deny is certainly gone; `asked` is the fingerprint of
+    /// the agents that were known when the search began. One that came since may hold the flow.
+    fn may_reset(&self, view: View<'_>, key: &FlowKey, asked: u64) -> bool {
+        let same = view.peers.fingerprint() == asked;
+        same && view.complete && !view.peers.has_away() && self.denied.contains(key)
     }
 
     /// Sends the packets that waited to the owner, and remembers it.
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -82,6 +82,8 @@
         complete: Option<u32>,
         /// Agents that did not answer.
         missing: usize,
+        /// Fingerprint of the agents that were known when the search began.
+        fingerprint: u64,
     },
 }
 
@@ -222,8 +224,8 @@
         lookup.held.first().cloned()
     }
 
-    /// Takes the answer of an agent that does not hold the flow, and whether it knows the same agents.
-    pub(crate) fn deny(&mut self, key: &FlowKey, agent: SocketAddrV4, same_view: bool) -> Found {
+    /// Takes the answer of an agent that does not hold the flow, and the fingerprint of those it knows.
+    pub(crate) fn deny(&mut self, key: &FlowKey, agent: SocketAddrV4, known: u64) -> Found {
         let Some(lookup) = self.map.get_mut(key) else {
             return Found::Open;
         };
@@ -232,7 +234,7 @@
         if lookup.open.len() == before {
             return Found::Open;
         }
-        lookup.same_view &= same_view;
+        lookup.same_view &= known == lookup.search.fingerprint;
         match lookup.open.is_empty() {
             true => lookup.conclude(),
             false => Found::Open,
@@ -270,6 +272,7 @@
         Found::Nobody {
             complete: complete.then_some(acknowledged),
             missing: self.missing,
+            fingerprint: self.search.fingerprint,
         }
     }
 }
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -193,6 +193,20 @@
     assert_eq!((asked(&got), fate(&got)), (1, None));
     let got = tell(&mut bench, 3, 40_000, Reply::NotMine);
     assert_eq!(fate(&got), Some(Fate::Dropped));
+    // One that joins, or comes back, while the far ones are asked is not asked either.
+    let mut bench = near_and_far();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    let before = bench.peers.fingerprint();
+    let more = [(1, "a"), (2, "a"), (3, "b"), (4, "a")];
+    bench.peers = Peers::new(more.map(|(node, domain)| peer(node, domain, "desk")));
+    let mut same = bench.peers.clone();
+    let got = tell(&mut bench, 3, 40_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Dropped), "both know of it by now");
+    let mut bench = near_and_far();
+    tell(&mut bench, 2, 40_000, Reply::NotMine);
+    std::mem::swap(&mut bench.peers, &mut same);
+    let got = tell_knowing(&mut bench, 3, 40_000, Reply::NotMine, before);
+    assert_eq!(fate(&got), Some(Fate::Dropped), "it is known here alone");
     // An agent that joins between the two is not asked.
     let mut bench = near_and_far();
     let more = [(1, "a"), (2, "a"), (3, "b"), (4, "a")];
@@ -387,6 +401,31 @@
     assert_eq!(bench.agent.answer(&question), Reply::Mine);
 }
 
+#[test]
+fn an_agent_that_began_without_its_backend_server_has_missed_nothing() {
+    let question = Question {
+        key: key(40_000),
+        acknowledged: 0,
+    };
+    let mut bench = Bench::new();
+    assert_eq!(bench.agent.answer(&question), Reply::Perhaps);
+    bench.agent.begin_alone();
+    assert_eq!(bench.agent.answer(&question), Reply::NotMine);
+    // The others are asked at once, and when all deny the flow it is gone.
+    assert_eq!(asked(&bench.caller(data(50_000, 90))), 2);
+    tell(&mut bench, 2, 50_000, Reply::NotMine);
+    let got = tell(&mut bench, 3, 50_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Reset));
+    // Whatever its clock says of its start.
+    bench.report(buckthornweir_forward::backend::Report {
+        born: 10,
+        ..report(1)
+    });
+    assert_eq!(bench.agent.answer(&question), Reply::NotMine);
+    bench.open(40_000);
+    assert_eq!(bench.agent.answer(&question), Reply::Mine);
+}
+
 /// Where there are more agents than are asked, no flow is known to be held by none.
 #[test]
 fn a_search_that_can_not_ask_all_resets_nothing() {
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -72,6 +72,8 @@
 enum Fetched {
     Plan(Document),
     Roster(SocketAddr, RosterMessage),
+    /// Whether the backend server was there when its agent started.
+    Backend(Presence),
 }
 
 enum Role {
@@ -187,6 +189,7 @@
     pub async fn run(mut self) {
         tracing::info!(event = "started", name = %self.settings.name, domain = %self.settings.domain);
         let mut buffer = [0; PACKET_LIMIT];
+        self.look_for_backend();
         // The first turn of the loop registers the sockets, which sends need.
         let mut first = true;
         while !self.is_over() {
--- a/crates/buckthornweir_node/src/node/fetching.rs
+++ b/crates/buckthornweir_node/src/node/fetching.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use buckthornweir_events::{Count, Gauge};
+use buckthornweir_forward::backend::Presence;
 
-use super::{Fetched, Node, Role};
+use super::{Fetched, Node, Role, health_address, presence};
 use crate::gossip::Pull;
 use crate::links;
 use crate::plans::Document;
@@ -45,6 +46,19 @@
 }
 
 impl Node {
+    /// Looks whether the backend server of an agent that starts is there.
+    pub(super) fn look_for_backend(&self) {
+        let Some(health) = health_address(&self.settings) else {
+            return;
+        };
+        let done = self.fetched.0.clone();
+        tokio::spawn(async move {
+            let found = presence(Some(health), Presence::Unknown).await;
+            // The loop that would take it may have ended.
+            let _ = done.send(Fetched::Backend(found)).await;
+        });
+    }
+
     /// Fetches a newer plan: from control in the own failure domain first, since traffic between them is
     /// dear, then from the process that announced it, then from another holder.
     pub(super) fn pull(&self, pull: Pull) {
@@ -101,6 +115,12 @@
     pub(super) fn take(&mut self, fetched: Fetched) {
         match fetched {
             Fetched::Plan(document) => self.apply(document),
+            Fetched::Backend(found) => {
+                tracing::info!(event = "backend_looked_for", ?found);
+                if let (Role::Agent { core, .. }, Presence::Gone) = (&mut self.role, found) {
+                    core.begin_alone();
+                }
+            }
             Fetched::Roster(from, roster) => {
                 let now = self.now();
                 for bytes in roster.messages {
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -142,6 +142,21 @@
     assert!(began.elapsed() < AWAITED, "{:?}", began.elapsed());
 }
 
+/// After a loss of power the VM's agent is back, its backend server is not: what it held is gone.
+#[tokio::test]
+async fn flows_end_with_a_backend_server_that_is_not_back() {
+    let mut path = path_of_three(97).await;
+    let caller = path.net.caller(31).await;
+    let flows = flows_of_21(&path, &caller).await;
+    path.servers.remove(0).abort();
+    path.agents.remove(0).kill().await;
+    path.agents.push(path.net.agent(21).await);
+    for (port, opened) in &flows {
+        let answer = caller.request(path.net.ip(11), *port, opened).await;
+        assert!(answer.rst);
+    }
+}
+
 #[tokio::test]
 async fn flows_outlive_a_long_planned_stop_of_their_agent() {
     let mut path = path_of_three(95).await;
