Fill tables of members over connections until they are whole

Cause: the byte budget of gossip is meant for single changes. Ruled out: answers that come late (missing is 0 in most lines after 27 s); deaths that are not known (the views are too small, not too large, from 26 s on). Change: a process that starts, that was paused or that heard nobody for 1.5 s fetches what it lacks from seeds and from those that it comes to know, near and far by turns, until a process with a whole table names nobody new, or three that have none agree. Later it fetches when tables differ for 0.6 s, or at once while the budget is used up. Each exchange goes both ways. A roster names deaths too. A balancer that joins is not ready before; an agent resets no unowned flow before. The daemon's settings keep the comparison by digests.

--- a/crates/buckthornweir_daemon/src/gossip.rs
+++ b/crates/buckthornweir_daemon/src/gossip.rs
@@ -137,6 +137,8 @@
                 }
                 Action::Removed { .. } => changed = true,
                 Action::PullBundle { from, stamp } => pulls.push(Pull { from, stamp }),
+                // The daemon's tables are compared by digests, within the byte budget.
+                Action::FetchRoster { .. } => {}
                 Action::Conflict { other, .. } => {
                     let state = format_smolstr!("same name at {other}");
                     self.record_state(self.board.settings.node.name.clone(), state);
--- a/crates/buckthornweir_members/src/action.rs
+++ b/crates/buckthornweir_members/src/action.rs
@@ -31,6 +31,12 @@
         /// The bundle to pull.
         stamp: BundleStamp,
     },
+    /// Another process is to be sent [`Members::roster_request`](crate::Members::roster_request) over a
+    /// connection; its answer goes to [`Members::take_roster`](crate::Members::take_roster).
+    FetchRoster {
+        /// Where that process takes connections.
+        from: SocketAddr,
+    },
     /// Another living process uses the node's id.
     Conflict {
         /// The membership address of the other process.
--- a/crates/buckthornweir_members/src/config.rs
+++ b/crates/buckthornweir_members/src/config.rs
@@ -28,6 +28,7 @@
     pub(crate) lone_interval: Duration,
     pub(crate) forget_after: Duration,
     pub(crate) pull_timeout: Duration,
+    pub(crate) rosters: bool,
     pub(crate) byte_budget: u32,
     pub(crate) datagram_size: usize,
     pub(crate) envelope: usize,
@@ -53,6 +54,7 @@
             lone_interval: Duration::from_millis(1_000),
             forget_after: Duration::from_secs(2 * 60 * 60),
             pull_timeout: Duration::from_secs(2),
+            rosters: false,
             byte_budget: 3_000,
             datagram_size: 1_200,
             envelope: 64,
@@ -133,6 +135,13 @@
         self
     }
 
+    /// Sets whether tables are filled and compared by [`Action::FetchRoster`](crate::Action::FetchRoster),
+    /// and not by digests within the byte budget.
+    pub fn with_rosters(mut self, rosters: bool) -> Self {
+        self.rosters = rosters;
+        self
+    }
+
     /// Sets the bytes a second that the node sends at most, as the mean of any two
     /// minutes.
     pub fn with_byte_budget(mut self, bytes: u32) -> Self {
--- a/crates/buckthornweir_members/src/lib.rs
+++ b/crates/buckthornweir_members/src/lib.rs
@@ -35,14 +35,14 @@
 pub use action::{Action, Announcement};
 pub use config::Config;
 pub use counters::Counters;
-pub use members::Members;
+pub use members::{Filling, Members, Roster, RosterRequest};
 pub use messages::Message;
 pub use record::{BundleStamp, Health, Incarnation, Instance, MemberState, NodeId, Record, Roles};
 
 /// Names that most users of this crate import.
 pub mod prelude {
     pub use crate::{
-        Action, Announcement, BundleStamp, Config, Health, MemberState, Members, Message, NodeId,
-        Record, Roles,
+        Action, Announcement, BundleStamp, Config, Filling, Health, MemberState, Members, Message,
+        NodeId, Record, Roles,
     };
 }
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -6,6 +6,7 @@
 mod identity;
 mod merging;
 mod probing;
+mod rosters;
 mod spreading;
 mod suspicion;
 mod syncing;
@@ -20,6 +21,8 @@
 use self::bundles::Bundles;
 use self::identity::Identity;
 use self::probing::Probing;
+use self::rosters::Rosters;
+pub use self::rosters::{Filling, Roster, RosterRequest};
 use self::suspicion::Suspicions;
 use self::syncing::Syncing;
 use crate::budget::Budget;
@@ -59,6 +62,7 @@
     probing: Probing,
     suspicions: Suspicions,
     syncing: Syncing,
+    rosters: Rosters,
     bundles: Bundles,
     now: Duration,
     started: bool,
@@ -99,6 +103,7 @@
         Self {
             budget: Budget::new(rate, burst),
             syncing: Syncing::new(&config),
+            rosters: Rosters::new(&config),
             bundles: Bundles::new(bundle),
             config,
             own: node,
@@ -134,6 +139,7 @@
             self.handle_namesake(from, &message);
             return self.take_actions();
         }
+        self.note_silence(self.now - self.heard);
         self.heard = self.now;
         let sender = message.header.node;
         self.merge_header(&message.header);
@@ -173,6 +179,7 @@
             self.tick_suspicions();
             self.tick_contacts();
             self.tick_sync();
+            self.tick_rosters();
             self.tick_report();
         }
         self.tick_forget();
@@ -189,6 +196,9 @@
         if self.has_fresh() {
             due = due.min(self.next_gossip);
         }
+        if let Some(at) = self.rosters.next_due() {
+            due = due.min(at);
+        }
         due.clamp(self.now + MIN_TICK, self.now + MAX_TICK)
     }
 
@@ -323,6 +333,7 @@
         self.probing.clear(self.now);
         self.suspicions.postpone(gap);
         self.syncing.clear();
+        self.rosters.restart(self.now);
     }
 
     fn take_actions(&mut self) -> Vec<Action> {
--- a/crates/buckthornweir_members/src/members/syncing.rs
+++ b/crates/buckthornweir_members/src/members/syncing.rs
@@ -8,7 +8,7 @@
 use crate::budget::Budget;
 use crate::messages::{Body, Held, Rumour};
 use crate::table::{Entry, held, is_newer};
-use crate::{Config, Health, Message, NodeId};
+use crate::{Config, Health, NodeId};
 
 /// The most fetches in flight.
 const MAX_FETCHES: usize = 4;
@@ -16,9 +16,6 @@
 /// The most buckets that one fetch asks for.
 const MAX_BUCKETS: usize = 16;
 
-/// The most records in one message of a roster; they fit into a datagram.
-const ROSTER_PART: usize = 6;
-
 /// The most versions that one fetch shows, unless a single bucket holds more.
 const MAX_HELD: usize = 40;
 
@@ -116,37 +113,11 @@
 }
 
 impl Members {
-    /// Returns a digest for each part of the table, by which [`Members::roster`] tells what is unknown.
-    pub fn digests(&self) -> Vec<u32> {
-        self.table.digests()
-    }
-
-    /// Returns messages that name the members that are not dead, for a process that has just started;
-    /// parts of the table whose digests that process shows are left out.
-    ///
-    /// They count against no budget: the caller sends them over a connection to a process that asks, which
-    /// asks a few times. The receiver takes them with [`Members::handle`].
-    pub fn roster(&self, known: &[u32]) -> Vec<Message> {
-        let own = self.table.digests();
-        let unknown = (0..=u8::MAX).filter(|bucket| {
-            let bucket = usize::from(*bucket);
-            known.get(bucket) != own.get(bucket)
-        });
-        let entries = unknown.flat_map(|bucket| self.table.bucket(bucket));
-        let live = entries.filter(|entry| entry.health != Health::Dead);
-        let rumours: Vec<Rumour> = live.map(|entry| entry.rumour(true)).collect();
-        let body = Body::Chunk {
-            sequence: 0,
-            more: false,
-        };
-        let parts = rumours.chunks(ROSTER_PART);
-        parts
-            .map(|part| self.message(body.clone(), part.to_vec()))
-            .collect()
-    }
-
     /// Compares the digest in a message's header with the own one.
     pub(super) fn note_digest(&mut self, from: SocketAddr, digest: u32) {
+        if self.config.rosters {
+            return self.note_table(digest);
+        }
         let differences = self.syncing.differences;
         if digest == self.table.digest() {
             self.syncing.differences = differences.saturating_sub(1);
--- a/crates/buckthornweir_members/src/table.rs
+++ b/crates/buckthornweir_members/src/table.rs
@@ -111,6 +111,11 @@
         self.entries.get(&node)
     }
 
+    /// Returns how many nodes are known, dead ones included.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
     }
--- a/crates/buckthornweir_members/tests/members/main.rs
+++ b/crates/buckthornweir_members/tests/members/main.rs
@@ -8,3 +8,4 @@
 mod join;
 mod masses;
 mod queue;
+mod rosters;
--- a/crates/buckthornweir_members/tests/members/queue.rs
+++ b/crates/buckthornweir_members/tests/members/queue.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use buckthornweir_members::Counters;
 use buckthornweir_members::messages::{Body, Header, MAX_ENTRIES, Rumour};
 use buckthornweir_members::prelude::*;
+use buckthornweir_members::{Counters, Roster, RosterRequest};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,16 +19,35 @@
 /// How long it takes to pull a bundle.
 const PULL_TIME: Duration = Duration::from_millis(20);
 
+/// How long a connection to a process that is not there takes to fail.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
 type Cut = Box<dyn Fn(SocketAddr, SocketAddr) -> bool>;
 
 enum Event {
-    Datagram { from: SocketAddr, bytes: Vec<u8> },
-    Pulled { stamp: BundleStamp },
+    Datagram {
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    Pulled {
+        stamp: BundleStamp,
+    },
+    Asked {
+        from: SocketAddr,
+        request: RosterRequest,
+    },
+    Told {
+        from: SocketAddr,
+        roster: Option<Roster>,
+    },
 }
 
 pub(crate) struct Process {
     pub(crate) members: Members,
     pub(crate) received_bytes: u64,
+    /// Bytes of requests for rosters and of their answers, both at the process that asks.
+    pub(crate) roster_bytes: u64,
+    pub(crate) fetches: u64,
     pub(crate) conflicts: Vec<bool>,
     pub(crate) pulls: Vec<u64>,
     pub(crate) busy: Duration,
@@ -162,7 +181,12 @@
 
     /// Starts members 1 to `count` with tables that are already complete.
     pub(crate) fn filled(count: u64, seed: u64) -> Self {
-        let mut queue = Self::new(Config::default(), seed);
+        Self::filled_with(Config::default(), count, seed)
+    }
+
+    /// The same under a configuration.
+    pub(crate) fn filled_with(config: Config, count: u64, seed: u64) -> Self {
+        let mut queue = Self::new(config, seed);
         let mut rumours = Vec::new();
         for index in 1..=count {
             let seed = queue.rng.random();
@@ -197,6 +221,8 @@
         let process = Process {
             members,
             received_bytes: 0,
+            roster_bytes: 0,
+            fetches: 0,
             conflicts: Vec::new(),
             pulls: Vec::new(),
             busy: Duration::ZERO,
@@ -318,6 +344,12 @@
                     process.inbox.push((from, bytes));
                 }
             }
+            // A paused process's connections wait; the fetch is given up before that matters.
+            Event::Asked { .. } | Event::Told { .. } if self.now < process.paused_until => {}
+            Event::Asked { from, request } => self.tell_roster(to, from, request),
+            Event::Told { from, roster } => {
+                self.act(to, |members, now| members.take_roster(now, from, roster));
+            }
             Event::Datagram { from, bytes } => self.receive(to, from, &bytes),
             Event::Pulled { stamp } => {
                 self.act(to, |members, now| {
@@ -346,6 +378,7 @@
                     self.push(PULL_TIME, from, Event::Pulled { stamp });
                 }
             }
+            Action::FetchRoster { from: teller } => self.ask_roster(from, teller),
             Action::Conflict { keeps, .. } => {
                 self.process(from).conflicts.push(keeps);
             }
@@ -353,6 +386,64 @@
         }
     }
 
+    fn ask_roster(&mut self, from: SocketAddr, teller: SocketAddr) {
+        let process = self.process(from);
+        let request = process.members.roster_request();
+        let bytes = request.introduction.encode().len() + 4 * request.digests.len();
+        process.fetches += 1;
+        process.roster_bytes += bytes as u64;
+        let cut = self
+            .cuts
+            .iter()
+            .any(|cut| cut(from, teller) || cut(teller, from));
+        if cut || !self.processes.contains_key(&teller) {
+            let roster = None;
+            return self.push(
+                CONNECT_TIME,
+                from,
+                Event::Told {
+                    from: teller,
+                    roster,
+                },
+            );
+        }
+        // The connection takes a round trip before the request leaves.
+        let delay = self.delay() * 3;
+        self.push(delay, teller, Event::Asked { from, request });
+    }
+
+    fn tell_roster(&mut self, teller: SocketAddr, asker: SocketAddr, request: RosterRequest) {
+        let mut told = None;
+        self.act(teller, |members, now| {
+            let (roster, actions) = members.answer_roster(now, asker, request);
+            told = Some(roster);
+            actions
+        });
+        let bytes = told.iter().flat_map(|roster| &roster.messages);
+        let bytes: usize = bytes.map(|message| message.encode().len()).sum();
+        let bytes = bytes
+            + told
+                .iter()
+                .map(|roster| 4 * roster.digests.len())
+                .sum::<usize>();
+        if let Some(process) = self.processes.get_mut(&asker) {
+            process.roster_bytes += bytes as u64;
+        }
+        let delay = self.delay();
+        self.push(
+            delay,
+            asker,
+            Event::Told {
+                from: teller,
+                roster: told,
+            },
+        );
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(300..3_000))
+    }
+
     fn send(&mut self, from: SocketAddr, to: SocketAddr, message: &Message) {
         let began = self.timed.then(std::time::Instant::now);
         let bytes = message.encode();
@@ -367,7 +458,7 @@
         if self.cuts.iter().any(|cut| cut(from, to)) || self.rng.random_bool(self.loss) {
             return;
         }
-        let delay = Duration::from_micros(self.rng.random_range(300..3_000));
+        let delay = self.delay();
         self.push(delay, to, Event::Datagram { from, bytes });
     }
 
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -8,7 +8,8 @@
 use buckthornweir_forward::agent::Offer;
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_members::{
-    Action, Announcement, BundleStamp, Config, Health, MemberState, Members, Message, Record, Roles,
+    Action, Announcement, BundleStamp, Config, Filling, Health, MemberState, Members, Message,
+    Record, Roles, Roster, RosterRequest,
 };
 use siphasher::sip::SipHasher13;
 
@@ -32,9 +33,7 @@
 /// within some hundred milliseconds, in any order.
 const LONE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long after its start a process has surely heard of all agents: the restart of an agent takes about
-/// half a second, and one
-/// exchange with a seed tells the rest.
+/// How long after its start a process has surely heard of all agents that started with it.
 const ALL_HEARD: Duration = Duration::from_millis(1_500);
 
 /// How soon a plan that did not arrive is pulled again.
@@ -55,6 +54,8 @@
     pub(crate) sends: Vec<(SocketAddr, PeerMessage)>,
     pub(crate) changed: bool,
     pub(crate) pulls: Vec<Pull>,
+    /// Processes whose members are to be fetched.
+    pub(crate) rosters: Vec<SocketAddr>,
 }
 
 /// The membership of one process.
@@ -80,7 +81,8 @@
             .with_suspicion(SUSPICION)
             .with_contact_interval(CONTACT_INTERVAL)
             .with_lone_interval(LONE_INTERVAL)
-            .with_pull_timeout(PULL_TIMEOUT);
+            .with_pull_timeout(PULL_TIMEOUT)
+            .with_rosters(true);
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
             absences: Absences::default(),
@@ -99,7 +101,12 @@
     ///
     /// An agent that restarts is not held as dead: that takes longer than its restart.
     pub(crate) fn knows_agents(&self, now: Duration) -> bool {
-        now >= ALL_HEARD
+        now >= ALL_HEARD && self.filling() == Filling::Whole
+    }
+
+    /// Returns how far the table of members is filled.
+    pub(crate) fn filling(&self) -> Filling {
+        self.core.filling()
     }
 
     pub(crate) fn next_tick(&self) -> Duration {
@@ -107,7 +114,11 @@
     }
 
     pub(crate) fn tick(&mut self, now: Duration) -> Outcome {
+        let before = self.core.filling();
         let actions = self.core.tick(now);
+        if before != self.core.filling() {
+            self.log_filling();
+        }
         self.carry_out(actions)
     }
 
@@ -124,16 +135,39 @@
         }
     }
 
-    /// Returns digests of the members that are known.
-    pub(crate) fn digests(&self) -> Vec<u32> {
-        self.core.digests()
+    /// Returns what another process is asked for the members that are unknown here.
+    pub(crate) fn roster_request(&self) -> RosterRequest {
+        self.core.roster_request()
+    }
+
+    /// Answers such a request of the process that takes messages at `asker`.
+    pub(crate) fn answer_roster(
+        &mut self,
+        now: Duration,
+        asker: SocketAddr,
+        request: RosterRequest,
+    ) -> (Roster, Outcome) {
+        let (roster, actions) = self.core.answer_roster(now, asker, request);
+        (roster, self.carry_out(actions))
+    }
+
+    /// Takes the answer to a request, or `None` when there was none.
+    pub(crate) fn take_roster(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        roster: Option<Roster>,
+    ) -> Outcome {
+        let before = self.core.filling();
+        let actions = self.core.take_roster(now, from, roster);
+        if before != self.core.filling() {
+            self.log_filling();
+        }
+        self.carry_out(actions)
     }
 
-    /// Returns the members that are not dead and not known by these digests, as messages for a process
-    /// that has just started.
-    pub(crate) fn roster(&self, known: &[u32]) -> Vec<Vec<u8>> {
-        let messages = self.core.roster(known);
-        messages.iter().map(Message::encode).collect()
+    fn log_filling(&self) {
+        tracing::info!(event = "members_filled", filling = ?self.core.filling(), alive = self.alive());
     }
 
     /// Announces what the agent offers to new flows.
@@ -236,6 +270,7 @@
                         .pulls
                         .extend(record.map(|r| Pull { from: r.control }));
                 }
+                Action::FetchRoster { from } => outcome.rosters.push(from),
                 Action::Conflict { other, keeps } => {
                     tracing::warn!(event = "name_conflict", %other, keeps);
                 }
--- a/crates/buckthornweir_node/src/links.rs
+++ b/crates/buckthornweir_node/src/links.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use buckthornweir_members::Roster;
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use prost::Message as _;
@@ -15,8 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::messages::{
-    FRAME_LIMIT, PeerBody, PeerMessage, PlanMessage, PlanRequestMessage, RosterMessage,
-    RosterRequestMessage,
+    FRAME_LIMIT, PeerBody, PeerMessage, PlanMessage, PlanRequestMessage, RosterRequestMessage,
 };
 
 /// How long one exchange may take: a plan of a megabyte on a link of 5 Mbit/s takes 1.6 s.
@@ -93,15 +93,14 @@
     }
 }
 
-/// Asks another process for the members that these digests don't show.
+/// Asks another process for the members that are unknown here.
 pub(crate) async fn roster(
     source: Option<Ipv4Addr>,
     from: SocketAddr,
-    digests: Vec<u32>,
-) -> Result<RosterMessage> {
-    let request = PeerBody::RosterRequest(RosterRequestMessage { digests });
-    match ask(source, from, request).await? {
-        PeerBody::Roster(roster) => Ok(roster),
+    request: RosterRequestMessage,
+) -> Result<Roster> {
+    match ask(source, from, PeerBody::RosterRequest(request)).await? {
+        PeerBody::Roster(roster) => roster.read().map_err(|_| LinkError::Malformed),
         _ => Err(LinkError::Malformed),
     }
 }
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -4,6 +4,8 @@
 
 use buckthornweir_forward::agent::{Question, Reply};
 use buckthornweir_forward::segment::FlowKey;
+use buckthornweir_members::messages::MessageError;
+use buckthornweir_members::{Message as MembersMessage, Roster, RosterRequest};
 use prost::{Message, Oneof};
 
 /// Largest message that travels in one datagram, in bytes; it fits into every usual link.
@@ -63,6 +65,12 @@
 /// Asks for the members that the sender does not know.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub(crate) struct RosterRequestMessage {
+    /// Where the sender takes messages.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) asker: u64,
+    /// The sender's own record, as a message of the membership.
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) introduction: Vec<u8>,
     /// Digests of those that it knows, one for each part of its table.
     #[prost(fixed32, repeated, tag = "1")]
     pub(crate) digests: Vec<u32>,
@@ -74,6 +82,12 @@
     /// Messages of the membership, as its crate encodes them.
     #[prost(bytes = "vec", repeated, tag = "1")]
     pub(crate) messages: Vec<Vec<u8>>,
+    /// Digests of those that the sender knows, one for each part of its table.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub(crate) digests: Vec<u32>,
+    /// Whether the sender's table is whole.
+    #[prost(bool, tag = "3")]
+    pub(crate) whole: bool,
 }
 
 /// A flow, as two addresses with ports.
@@ -196,6 +210,58 @@
     }
 }
 
+impl RosterRequestMessage {
+    pub(crate) fn new(asker: SocketAddrV4, request: &RosterRequest) -> Self {
+        Self {
+            asker: pack(asker),
+            introduction: request.introduction.encode(),
+            digests: request.digests.clone(),
+        }
+    }
+
+    /// Returns the asker's address and what it asks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the introduction is malformed.
+    pub(crate) fn read(self) -> Result<(SocketAddrV4, RosterRequest), MessageError> {
+        let request = RosterRequest {
+            introduction: MembersMessage::decode(&self.introduction)?,
+            digests: self.digests,
+        };
+        Ok((unpack(self.asker), request))
+    }
+}
+
+impl From<&Roster> for RosterMessage {
+    fn from(roster: &Roster) -> Self {
+        Self {
+            messages: roster.messages.iter().map(MembersMessage::encode).collect(),
+            digests: roster.digests.clone(),
+            whole: roster.whole,
+        }
+    }
+}
+
+impl RosterMessage {
+    /// Returns the roster.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when one of its messages is malformed.
+    pub(crate) fn read(self) -> Result<Roster, MessageError> {
+        let messages = self
+            .messages
+            .iter()
+            .map(|bytes| MembersMessage::decode(bytes));
+        Ok(Roster {
+            messages: messages.collect::<Result<_, _>>()?,
+            digests: self.digests,
+            whole: self.whole,
+        })
+    }
+}
+
 impl From<FlowKey> for FlowMessage {
     fn from(key: FlowKey) -> Self {
         Self {
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -17,18 +17,18 @@
 use buckthornweir_forward::backend::Presence;
 use buckthornweir_forward::balancer::Balancer;
 use buckthornweir_forward::peers::Peers;
+use buckthornweir_members::{Filling, Roster};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use self::binding::{bind_inner, bind_role, listen, serve_metrics};
-use self::fetching::Rosters;
 use crate::control::Replica;
 use crate::fault::Result;
 use crate::gossip::{Gossip, Outcome};
 use crate::handle::{Handle, Request};
 use crate::links::{self, Incoming};
-use crate::messages::{RosterMessage, ToldFlow};
+use crate::messages::ToldFlow;
 use crate::packets::{PACKET_LIMIT, PacketFormat, PacketSocket};
 use crate::plans::{Document, PlanReader, Plans};
 use crate::settings::{NodeSettings, RoleSettings};
@@ -71,7 +71,7 @@
 /// What came from another process over a connection.
 enum Fetched {
     Plan(Document),
-    Roster(SocketAddr, RosterMessage),
+    Roster(SocketAddr, Option<Roster>),
     /// Whether the backend server was there when its agent started.
     Backend(Presence),
 }
@@ -109,7 +109,6 @@
     requests: mpsc::Receiver<Request>,
     incoming: mpsc::Receiver<Incoming>,
     fetched: (mpsc::Sender<Fetched>, mpsc::Receiver<Fetched>),
-    rosters: Rosters,
     stop: CancellationToken,
     stopping: Option<Duration>,
     last_packet: Duration,
@@ -169,7 +168,6 @@
             requests,
             incoming,
             fetched: mpsc::channel(INCOMING),
-            rosters: Rosters::new(),
             stop,
             stopping: None,
             last_packet: Duration::ZERO,
@@ -235,9 +233,6 @@
         if self.stale {
             next = next.min(self.next_view);
         }
-        if let Some(due) = self.rosters.due() {
-            next = next.min(due);
-        }
         if !self.asks.is_empty() || !self.tells.is_empty() {
             next = next.min(self.next_asks);
         }
@@ -307,7 +302,6 @@
             Role::Control(_) | Role::Balancer { .. } => {}
         }
         self.ask(now);
-        self.fetch_roster(now);
         self.renew_view(now);
         self.show();
         if let Some(left_out) = self.lines.overdue(now) {
@@ -332,7 +326,9 @@
         let ready = match &self.role {
             Role::Balancer { .. } => {
                 let known = self.plans.plan().is_known() && !self.peers.is_empty();
-                known && self.stopping.is_none()
+                // A balancer that joins others waits for the members that these know.
+                let behind = self.gossip.filling() == Filling::Behind;
+                known && !behind && self.stopping.is_none()
             }
             Role::Agent { .. } | Role::Control(_) => self.stopping.is_none(),
         };
@@ -377,6 +373,9 @@
         if outcome.changed {
             self.stale = true;
         }
+        for teller in outcome.rosters {
+            self.fetch_roster(teller);
+        }
         for pull in outcome.pulls {
             self.pull(pull);
         }
--- a/crates/buckthornweir_node/src/node/fetching.rs
+++ b/crates/buckthornweir_node/src/node/fetching.rs
@@ -9,42 +9,13 @@
 use super::{Fetched, Node, Role, health_address, presence};
 use crate::gossip::Pull;
 use crate::links;
+use crate::messages::RosterRequestMessage;
 use crate::plans::Document;
 
-/// Pauses before each fetch of members after the start: after a start of all VMs the first answers name
-/// few.
-const ROSTER_PAUSES: [Duration; 5] = [
-    Duration::ZERO,
-    Duration::from_millis(150),
-    Duration::from_millis(300),
-    Duration::from_millis(600),
-    Duration::from_millis(1_500),
-];
-
 /// How long the control process of the own failure domain may take to answer before the process that
 /// announced a plan is asked: a plan of 50 KB takes 80 ms on a link of 5 Mbit/s.
 const NEAR_LIMIT: Duration = Duration::from_millis(400);
 
-/// The fetches of members that are left.
-pub(super) struct Rosters {
-    next: usize,
-    due: Duration,
-}
-
-impl Rosters {
-    pub(super) fn new() -> Self {
-        Self {
-            next: 0,
-            due: Duration::ZERO,
-        }
-    }
-
-    /// Returns when the next fetch is due.
-    pub(super) fn due(&self) -> Option<Duration> {
-        (self.next < ROSTER_PAUSES.len()).then_some(self.due)
-    }
-}
-
 impl Node {
     /// Looks whether the backend server of an agent that starts is there.
     pub(super) fn look_for_backend(&self) {
@@ -87,28 +58,19 @@
         });
     }
 
-    /// Fetches the members that are not known yet from a seed, if that is due.
-    pub(super) fn fetch_roster(&mut self, now: Duration) {
-        if self.rosters.due().is_none_or(|due| now < due) {
-            return;
-        }
+    /// Fetches the members that are unknown here from another process.
+    pub(super) fn fetch_roster(&self, from: SocketAddr) {
         let own = self.settings.announced_inner();
-        let seeds = self.settings.seed_addresses().into_iter();
-        let seeds: Vec<_> = seeds.filter(|s| *s != own).map(SocketAddr::V4).collect();
-        let seed = seeds.get(self.rosters.next % seeds.len().max(1)).copied();
-        self.rosters.next += 1;
-        let pause = ROSTER_PAUSES.get(self.rosters.next).copied();
-        self.rosters.due = now + pause.unwrap_or_default();
-        let Some(seed) = seed else { return };
+        let request = RosterRequestMessage::new(own, &self.gossip.roster_request());
         let done = self.fetched.0.clone();
         let source = self.link_source();
-        let digests = self.gossip.digests();
         tokio::spawn(async move {
-            match links::roster(source, seed, digests).await {
-                // The loop that would take it may have ended.
-                Ok(roster) => drop(done.send(Fetched::Roster(seed, roster)).await),
-                Err(error) => tracing::info!(event = "roster_failed", %seed, %error),
+            let roster = links::roster(source, from, request).await;
+            if let Err(error) = &roster {
+                tracing::info!(event = "roster_failed", %from, %error);
             }
+            // The loop that would take it may have ended.
+            let _ = done.send(Fetched::Roster(from, roster.ok())).await;
         });
     }
 
@@ -122,11 +84,8 @@
                 }
             }
             Fetched::Roster(from, roster) => {
-                let now = self.now();
-                for bytes in roster.messages {
-                    let outcome = self.gossip.handle(now, from, &bytes);
-                    self.carry_out(outcome);
-                }
+                let outcome = self.gossip.take_roster(self.now(), from, roster);
+                self.carry_out(outcome);
             }
         }
     }
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -13,7 +13,7 @@
 use crate::links::{self, Incoming};
 use crate::messages::{
     ASKED_FLOWS, AskMessage, AskedFlow, DATAGRAM_LIMIT, PeerBody, PeerMessage, PlanMessage,
-    RosterMessage, TellMessage, pack, reply_of, told_flow, unpack,
+    TellMessage, pack, reply_of, told_flow, unpack,
 };
 use crate::packets::BATCH;
 
@@ -50,13 +50,19 @@
                 // The asker may have given up.
                 let _ = incoming.answer.send(PeerBody::Plan(plan));
             }
-            PeerBody::RosterRequest(request) => {
-                let messages = self.gossip.roster(&request.digests);
-                // The asker may have given up.
-                let _ = incoming
-                    .answer
-                    .send(PeerBody::Roster(RosterMessage { messages }));
-            }
+            PeerBody::RosterRequest(request) => match request.read() {
+                Ok((asker, request)) => {
+                    let now = self.now();
+                    let asker = SocketAddr::V4(asker);
+                    let (roster, outcome) = self.gossip.answer_roster(now, asker, request);
+                    self.carry_out(outcome);
+                    // The asker may have given up.
+                    let _ = incoming.answer.send(PeerBody::Roster((&roster).into()));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "message_malformed", from = %incoming.from, %error);
+                }
+            },
             body => self.message(incoming.from, body),
         }
     }
