Name the agents that a failed search got no answer from

Cause: owner_not_found counted them; a replay could not tell whether the owner was asked. Change: the line says how many were asked, up to four that were silent, the view's fingerprint and how far the table of members is filled. Ruled out: a list of all that were asked, 200 names a line.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -288,7 +288,11 @@
                 sequence,
                 reason: ResetReason::Unowned,
             }),
-            Found::Nobody { missing, .. } => out.push(Action::Unfound { key, missing }),
+            Found::Nobody { missing, asked, .. } => out.push(Action::Unfound {
+                key,
+                missing,
+                asked,
+            }),
         }
     }
 
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -165,8 +165,10 @@
     Unfound {
         /// The flow.
         key: FlowKey,
-        /// Agents that did not answer.
-        missing: usize,
+        /// Where the agents that did not answer take packets.
+        missing: Vec<SocketAddrV4>,
+        /// How many agents were asked.
+        asked: usize,
     },
 }
 
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -62,7 +62,10 @@
     probed: Vec<SocketAddrV4>,
     /// Whether all agents were asked, and all that answered know the same ones.
     same_view: bool,
-    missing: usize,
+    /// Where the agents that did not answer in time take packets.
+    missing: Vec<SocketAddrV4>,
+    /// How many agents were asked.
+    count: usize,
     held: Vec<Held>,
 }
 
@@ -80,8 +83,10 @@
     Nobody {
         /// Acknowledgement of the caller's packet, when all agents answered and all know the same ones.
         complete: Option<u32>,
-        /// Agents that did not answer.
-        missing: usize,
+        /// Where the agents that did not answer take packets.
+        missing: Vec<SocketAddrV4>,
+        /// How many agents were asked.
+        asked: usize,
         /// Fingerprint of the agents that were known when the search began.
         fingerprint: u64,
     },
@@ -166,7 +171,8 @@
             open: asked.iter().map(|peer| peer.packets).collect(),
             probed: Vec::new(),
             same_view: search.whole,
-            missing: 0,
+            missing: Vec::new(),
+            count: asked.len(),
             held: vec![held],
         };
         self.map.insert(key, lookup);
@@ -187,6 +193,7 @@
         };
         lookup.search.is_last = true;
         lookup.asked = now;
+        lookup.count += asked.len();
         lookup.open.extend(asked.iter().map(|peer| peer.packets));
         // An agent that joined since was not asked.
         lookup.same_view &= lookup.search.fingerprint == fingerprint;
@@ -262,16 +269,17 @@
 
 impl Lookup {
     fn conclude(&mut self) -> Found {
-        self.missing += std::mem::take(&mut self.open).len();
+        self.missing.append(&mut self.open);
         let acknowledged = self.search.acknowledged;
         if !self.search.is_last {
             return Found::NotNear { acknowledged };
         }
         // An agent that has just joined may know few others; those that answer then know more.
-        let complete = self.missing == 0 && self.same_view;
+        let complete = self.missing.is_empty() && self.same_view;
         Found::Nobody {
             complete: complete.then_some(acknowledged),
-            missing: self.missing,
+            missing: std::mem::take(&mut self.missing),
+            asked: self.count,
             fingerprint: self.search.fingerprint,
         }
     }
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -12,6 +12,9 @@
 use crate::messages::{HintMessage, PeerBody, PeerMessage, pack, told_flow};
 use crate::packets::BATCH;
 
+/// Agents without answer that a line about a search names.
+const SILENT_NAMED: usize = 4;
+
 impl Node {
     pub(super) fn read_packets(&mut self, buffer: &mut [u8]) {
         let now = self.now();
@@ -176,9 +179,13 @@
                 self.log_opened(&key);
             }
             Action::Served { took, .. } => self.metrics.time(Span::Request, took),
-            Action::Unfound { key, missing } => {
+            Action::Unfound {
+                key,
+                missing,
+                asked,
+            } => {
                 self.metrics.count(Count::PacketsDroppedNoOwner);
-                self.log_unfound(&key, missing);
+                self.log_unfound(&key, &missing, asked);
             }
             Action::Drop(reason) => {
                 self.metrics.count(drop_count(reason));
@@ -283,11 +290,23 @@
         }
     }
 
-    fn log_unfound(&mut self, key: &FlowKey, missing: usize) {
+    fn log_unfound(&mut self, key: &FlowKey, missing: &[SocketAddrV4], asked: usize) {
         let revision = self.plans.plan().revision;
         let agents = self.peers.len();
+        let fingerprint = self.peers.fingerprint();
+        let filling = self.gossip.filling();
         if self.agent_to_log().is_some() {
-            tracing::info!(event = "owner_not_found", flow = %key, missing, agents, revision);
+            tracing::info!(
+                event = "owner_not_found",
+                flow = %key,
+                asked,
+                missing = missing.len(),
+                silent = ?&missing[..missing.len().min(SILENT_NAMED)],
+                agents,
+                fingerprint,
+                ?filling,
+                revision,
+            );
         }
     }
 
