--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -119,7 +119,7 @@
             self.denied.note(now, key);
             return self.ask(arrival, out);
         }
-        if !self.backend.is_present() {
+        if self.denied.contains(&key) || !self.backend.is_present() {
             return self.ask(arrival, out);
         }
         // The backend server knows best; it returns the packet if the flow is not its own.
