Tell callers of flows that are gone as soon as that is certain

In the first 1.5 s nothing was reset at all, and after it only when the caller sent again, up to 1.6 s later. Ruled out: incomplete views (all lines say Whole and 203 to 209 agents from 36.5 s on). Change: denials of one flow add up over the searches for it, and only agents that have not denied it are asked again; a search that nobody was found in is repeated by itself, three times once all agents are known; with other views among the answers the flow is gone after 3 s, in which each agent that was there became known; an agent that has seen all flows of its backend server says so, and when all do, no agent is awaited that may still be starting. Tables of members count as whole 0.4 s after a start of all, when three agree.

--- a/crates/buckthornweir_forward/benches/decisions.rs
+++ b/crates/buckthornweir_forward/benches/decisions.rs
@@ -118,6 +118,7 @@
         plan,
         peers: &peers,
         complete: true,
+        whole: true,
     };
     let from = peer(9).packets;
     agent.caller_packet(now, view, from, &segment(true), &[], &mut out);
--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -230,6 +230,7 @@
         for (key, found) in self.lookups.sweep(now) {
             self.conclude(now, view, key, found, out);
         }
+        self.search_again(now, view, out);
         if self.waiting.len() > 0 {
             self.release(now, plan, out);
         }
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -156,6 +156,7 @@
             }
             self.flows.open(now, key);
             self.denied.forget(&key);
+            self.lookups.forget(&key);
             self.backend.note_syn(now);
             self.flows.note_caller(now, &key, &syn.segment);
             out.push(Action::Opened { key });
@@ -190,6 +191,7 @@
         let key = segment.from_caller();
         self.flows.open(now, key);
         self.denied.forget(&key);
+        self.lookups.forget(&key);
         out.push(Action::Opened { key });
         self.deliver(now, &key, segment, tag, out);
         if tag.aside {
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -8,13 +8,16 @@
     Action, Agent, Answer, Arrival, DropReason, PassReason, Question, Reply, ResetReason, View,
 };
 use crate::flows::Holder;
-use crate::lookup::{Ended, Found, Held, Search};
+use crate::lookup::{Ended, Found, Held, Nobody, Search};
 use crate::peers::Peer;
 use crate::segment::FlowKey;
 
 /// How much later than its backend server an agent must have started to have missed flows.
 const BIRTH_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// How long an agent may be unknown to others after its start.
+const HEARD_LIMIT: Duration = Duration::from_secs(3);
+
 /// How many agents are asked for a flow at most: questions of one turn share datagrams, and in the largest
 /// deployment that was played 300 VMs have some 200 agents.
 const ASK_LIMIT: usize = 512;
@@ -25,13 +28,14 @@
     pub fn answer(&self, question: &Question) -> Reply {
         match self.flows.get(&question.key) {
             Some(flow) if flow.holder != Holder::Here => Reply::NotMine,
-            _ if self.denied.contains(&question.key) => Reply::NotMine,
+            _ if self.denied.contains(&question.key) && self.may_have_missed() => Reply::NotMine,
+            _ if self.denied.contains(&question.key) => Reply::NeverMine,
             Some(flow) if flow.assumed => Reply::Perhaps,
             Some(flow) if flow.opened => Reply::Mine,
             Some(flow) if flow.is_answer(question.acknowledged) => Reply::Mine,
             Some(_) => Reply::NotMine,
             None if self.may_have_missed() => Reply::Perhaps,
-            None => Reply::NotMine,
+            None => Reply::NeverMine,
         }
     }
 
@@ -68,7 +72,8 @@
                 }
                 return;
             }
-            Reply::NotMine => self.lookups.deny(&key, agent, answer.known),
+            Reply::NotMine => self.lookups.deny(&key, agent, answer.known, false),
+            Reply::NeverMine => self.lookups.deny(&key, agent, answer.known, true),
             Reply::Perhaps => {
                 let copy = self.lookups.probe(now, &key, agent);
                 out.extend(copy.map(|held| Action::Pass {
@@ -143,7 +148,7 @@
             acknowledged: segment.acknowledged,
         };
         let reply = self.answer(&question);
-        if reply == Reply::NotMine || !self.backend.is_present() {
+        if matches!(reply, Reply::NotMine | Reply::NeverMine) || !self.backend.is_present() {
             let reply = Reply::NotMine;
             out.push(Action::Tell {
                 to: from,
@@ -229,27 +234,60 @@
         if self.lookups.hold(now, &key, held.clone()) {
             return out.push(Action::Drop(DropReason::Held));
         }
-        let near = self.candidates(view, true);
-        let is_last = near.is_empty();
-        let asked = match is_last {
-            true => self.candidates(view, false),
-            false => near,
-        };
-        if asked.is_empty() {
-            return out.push(Action::Drop(DropReason::NoOwner));
-        }
         let search = Search {
             asker: from,
             acknowledged: segment.acknowledged,
             fingerprint: view.peers.fingerprint(),
-            whole: view.peers.len() <= ASK_LIMIT,
-            is_last,
+            repeats: 0,
         };
-        if !self.lookups.start(now, key, search, &asked, held) {
+        if view.peers.iter().all(|peer| peer.node == self.limits.node) {
+            return out.push(Action::Drop(DropReason::NoOwner));
+        }
+        if !self.lookups.start(now, key, search, Some(held)) {
             return out.push(Action::Drop(DropReason::LookupsFull));
         }
-        ask_each(&asked, key, segment.acknowledged, out);
         out.push(Action::Drop(DropReason::Held));
+        self.ask_near(now, view, key, out);
+    }
+
+    /// Asks the agents of the own failure domain that have not denied the flow, or all others if they have.
+    fn ask_near(&mut self, now: Duration, view: View<'_>, key: FlowKey, out: &mut Vec<Action>) {
+        let near = self.candidates(view, true);
+        let asked = self.lookups.ask(now, &key, near);
+        match asked.is_empty() {
+            true => self.conclude(now, view, key, Found::NotNear, out),
+            false => self.ask_each(&asked, key, out),
+        }
+    }
+
+    /// Repeats searches that found nobody while not all agents were known or there, once they are: the
+    /// caller of a flow that is gone is told without sending again.
+    pub(super) fn search_again(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
+        let may_settle = view.complete || view.whole && !self.may_have_missed();
+        if !may_settle || view.peers.has_away() {
+            return;
+        }
+        for (key, search) in self.lookups.unsettled(now) {
+            let search = Search {
+                fingerprint: view.peers.fingerprint(),
+                repeats: search.repeats + u8::from(view.complete),
+                ..search
+            };
+            if self.flows.get(&key).is_none() && self.lookups.start(now, key, search, None) {
+                self.ask_near(now, view, key, out);
+            }
+        }
+    }
+
+    fn ask_each(&self, agents: &[&Peer], key: FlowKey, out: &mut Vec<Action>) {
+        let Some(acknowledged) = self.lookups.acknowledged(&key) else {
+            return;
+        };
+        let question = Question { key, acknowledged };
+        out.extend(agents.iter().map(|peer| Action::Ask {
+            to: peer.questions,
+            question,
+        }));
     }
 
     /// Returns the other agents in the own failure domain, or those elsewhere.
@@ -269,38 +307,46 @@
         out: &mut Vec<Action>,
     ) {
         let found = match found {
-            Found::NotNear { acknowledged } => {
+            Found::NotNear => {
                 let far = self.candidates(view, false);
-                ask_each(&far, key, acknowledged, out);
-                let fingerprint = view.peers.fingerprint();
-                self.lookups.widen(now, &key, fingerprint, &far)
+                let asked = self.lookups.ask(now, &key, far);
+                self.ask_each(&asked, key, out);
+                self.lookups.ask_no_more(&key)
             }
             found => found,
         };
-        match found {
-            Found::Open | Found::NotNear { .. } => {}
-            Found::Nobody {
-                complete: Some(sequence),
-                fingerprint,
-                ..
-            } if self.may_reset(view, &key, fingerprint) => out.push(Action::Reset {
+        let Found::Nobody(nobody) = found else {
+            return;
+        };
+        if self.may_reset(now, view, &key, &nobody) {
+            return out.push(Action::Reset {
                 key,
-                sequence,
+                sequence: nobody.search.acknowledged,
                 reason: ResetReason::Unowned,
-            }),
-            Found::Nobody { missing, asked, .. } => out.push(Action::Unfound {
-                key,
-                missing,
-                asked,
-            }),
+            });
         }
+        self.lookups.doubt(&key);
+        out.push(Action::Unfound {
+            key,
+            missing: nobody.missing,
+            same_view: nobody.same_view,
+        });
     }
 
-    /// Returns whether a flow that all other agents deny is certainly gone; `asked` is the fingerprint of
-    /// the agents that were known when the search began. One that came since may hold the flow.
-    fn may_reset(&self, view: View<'_>, key: &FlowKey, asked: u64) -> bool {
-        let same = view.peers.fingerprint() == asked;
-        same && view.complete && !view.peers.has_away() && self.denied.contains(key)
+    /// Returns whether a flow that nobody was found for is certainly gone.
+    ///
+    /// An agent that is not known here may hold it. Those that answer know the same agents, or there was
+    /// time to hear of each that was there when the search began. Right after a start of all VMs one may
+    /// still be missing beside a backend server that lives; when all that are there are sure, backend
+    /// servers ended with their agents, and it is not awaited.
+    fn may_reset(&self, now: Duration, view: View<'_>, key: &FlowKey, nobody: &Nobody) -> bool {
+        let own = self.limits.node;
+        let others = view.peers.iter().filter(|peer| peer.node != own);
+        let same = nobody.same_view && view.peers.fingerprint() == nobody.search.fingerprint;
+        let all_known = same || view.whole && now >= nobody.began + HEARD_LIMIT;
+        let all_there = view.complete || view.whole && nobody.sure && !self.may_have_missed();
+        let certain = all_known && all_there && !view.peers.has_away();
+        certain && self.denied.contains(key) && self.lookups.is_denied_by(key, others)
     }
 
     /// Sends the packets that waited to the owner, and remembers it.
@@ -328,11 +374,3 @@
         }
     }
 }
-
-fn ask_each(agents: &[&Peer], key: FlowKey, acknowledged: u32, out: &mut Vec<Action>) {
-    let question = Question { key, acknowledged };
-    out.extend(agents.iter().map(|peer| Action::Ask {
-        to: peer.questions,
-        question,
-    }));
-}
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -86,6 +86,8 @@
     Mine,
     /// The backend server here does not hold it.
     NotMine,
+    /// The backend server here does not hold it, and never did: this agent has seen all of its flows.
+    NeverMine,
     /// The backend server here may hold it from before the agent started.
     Perhaps,
 }
@@ -167,8 +169,8 @@
         key: FlowKey,
         /// Where the agents that did not answer take packets.
         missing: Vec<SocketAddrV4>,
-        /// How many agents were asked.
-        asked: usize,
+        /// Whether all that answered know the same agents.
+        same_view: bool,
     },
 }
 
@@ -212,4 +214,6 @@
     /// Whether no other agent may come back with its flows: this process runs long enough to have heard
     /// of one that restarts.
     pub complete: bool,
+    /// Whether all agents that other processes know are known here.
+    pub whole: bool,
 }
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -26,6 +26,16 @@
 /// How long a flow without owner is not looked up again.
 const REPEAT: Duration = Duration::from_millis(350);
 
+/// How far the acknowledgements of one flow lie apart at most: more than a window, less than a new flow's
+/// random start is likely to.
+const FLOW_SPAN: u32 = 1 << 24;
+
+/// How long a search that found nobody is remembered.
+const MEMORY: Duration = Duration::from_millis(2_800);
+
+/// How often a search that came too early to be certain is repeated without another packet.
+const REPEATS: u8 = 3;
+
 /// A packet that waits for the owner of its flow.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Held {
@@ -34,7 +44,7 @@
 }
 
 /// What a search is for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Search {
     /// Who sent the packet that began the search.
     pub(crate) asker: SocketAddrV4,
@@ -42,10 +52,8 @@
     pub(crate) acknowledged: u32,
     /// Fingerprint of the agents that are known.
     pub(crate) fingerprint: u64,
-    /// Whether all agents can be asked.
-    pub(crate) whole: bool,
-    /// Whether no other agents are asked when these deny the flow.
-    pub(crate) is_last: bool,
+    /// How many searches for the same packets went before.
+    pub(crate) repeats: u8,
 }
 
 /// One search.
@@ -54,42 +62,53 @@
     search: Search,
     /// When the packet came that began the search.
     started: Duration,
+    /// When the first of the searches for this flow started that follow closely on each other.
+    began: Duration,
     /// When the agents were asked that answer now.
     asked: Duration,
     /// Where the agents that have not answered take packets.
     open: Vec<SocketAddrV4>,
+    /// Where the agents that have denied the flow since it began take packets, in order. A backend server
+    /// does not come to hold a flow later, so that these are not asked again.
+    deniers: Vec<SocketAddrV4>,
     /// Agents that got a copy of the first packet, since they may hold the flow without knowing it.
     probed: Vec<SocketAddrV4>,
-    /// Whether all agents were asked, and all that answered know the same ones.
+    /// Whether no other agents are asked when these deny the flow.
+    is_last: bool,
+    /// Whether all that answered know the same agents.
     same_view: bool,
+    /// Whether all that answered have seen each flow that their backend servers may hold.
+    sure: bool,
+    /// Whether nobody was found, which was not certain.
+    unsettled: bool,
     /// Where the agents that did not answer in time take packets.
     missing: Vec<SocketAddrV4>,
-    /// How many agents were asked.
-    count: usize,
     held: Vec<Held>,
 }
 
+/// A search in which no agent that answered holds the flow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Nobody {
+    pub(crate) search: Search,
+    /// When the first of the searches for this flow started.
+    pub(crate) began: Duration,
+    /// Whether all that answered know the same agents.
+    pub(crate) same_view: bool,
+    /// Whether all that answered have seen each flow that their backend servers may hold.
+    pub(crate) sure: bool,
+    /// Where the agents that did not answer take packets.
+    pub(crate) missing: Vec<SocketAddrV4>,
+}
+
 /// What a search came to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Found {
     /// Answers are missing.
     Open,
     /// No agent that was asked holds the flow; the others are to be asked.
-    NotNear {
-        /// Acknowledgement of the caller's packet.
-        acknowledged: u32,
-    },
+    NotNear,
     /// No agent that answered holds the flow.
-    Nobody {
-        /// Acknowledgement of the caller's packet, when all agents answered and all know the same ones.
-        complete: Option<u32>,
-        /// Where the agents that did not answer take packets.
-        missing: Vec<SocketAddrV4>,
-        /// How many agents were asked.
-        asked: usize,
-        /// Fingerprint of the agents that were known when the search began.
-        fingerprint: u64,
-    },
+    Nobody(Nobody),
 }
 
 /// A search whose answer came.
@@ -151,58 +170,92 @@
         true
     }
 
-    /// Starts a search that asks some agents. Returns whether there was room for it.
+    /// Starts a search, which goes on where one for the same flow ended a short time ago. Returns whether
+    /// there was room for it.
     pub(crate) fn start(
         &mut self,
         now: Duration,
         key: FlowKey,
         search: Search,
-        asked: &[&Peer],
-        held: Held,
+        held: Option<Held>,
     ) -> bool {
-        self.map.remove(&key);
+        let before = self.map.remove(&key);
+        let before =
+            before.filter(|before| is_near(before.search.acknowledged, search.acknowledged));
         if self.map.len() >= LOOKUP_LIMIT {
             return false;
         }
         let lookup = Lookup {
             search,
             started: now,
+            began: before.as_ref().map_or(now, |before| before.began),
             asked: now,
-            open: asked.iter().map(|peer| peer.packets).collect(),
+            open: Vec::new(),
+            sure: before.as_ref().is_none_or(|before| before.sure),
+            deniers: before.map(|before| before.deniers).unwrap_or_default(),
             probed: Vec::new(),
-            same_view: search.whole,
+            is_last: false,
+            same_view: true,
+            unsettled: false,
             missing: Vec::new(),
-            count: asked.len(),
-            held: vec![held],
+            held: held.into_iter().collect(),
         };
         self.map.insert(key, lookup);
         true
     }
 
-    /// Asks more agents after those before denied the flow. Returns what the search came to when there
-    /// are none.
-    pub(crate) fn widen(
+    /// Notes that these agents are asked, and returns those of them that have not denied the flow.
+    pub(crate) fn ask<'a>(
         &mut self,
         now: Duration,
         key: &FlowKey,
-        fingerprint: u64,
-        asked: &[&Peer],
-    ) -> Found {
+        agents: Vec<&'a Peer>,
+    ) -> Vec<&'a Peer> {
         let Some(lookup) = self.map.get_mut(key) else {
-            return Found::Open;
+            return Vec::new();
         };
-        lookup.search.is_last = true;
         lookup.asked = now;
-        lookup.count += asked.len();
+        let mut asked = agents;
+        asked.retain(|peer| lookup.deniers.binary_search(&peer.packets).is_err());
         lookup.open.extend(asked.iter().map(|peer| peer.packets));
-        // An agent that joined since was not asked.
-        lookup.same_view &= lookup.search.fingerprint == fingerprint;
+        asked
+    }
+
+    /// Notes that there are no more agents to ask. Returns what the search came to when no answer is
+    /// awaited.
+    pub(crate) fn ask_no_more(&mut self, key: &FlowKey) -> Found {
+        let Some(lookup) = self.map.get_mut(key) else {
+            return Found::Open;
+        };
+        lookup.is_last = true;
         match lookup.open.is_empty() {
             true => lookup.conclude(),
             false => Found::Open,
         }
     }
 
+    /// Returns the acknowledgement of the packet that a flow is searched by.
+    pub(crate) fn acknowledged(&self, key: &FlowKey) -> Option<u32> {
+        self.map.get(key).map(|lookup| lookup.search.acknowledged)
+    }
+
+    /// Returns whether all these agents have denied the flow.
+    pub(crate) fn is_denied_by<'a>(
+        &self,
+        key: &FlowKey,
+        mut agents: impl Iterator<Item = &'a Peer>,
+    ) -> bool {
+        let Some(lookup) = self.map.get(key) else {
+            return false;
+        };
+        agents.all(|peer| lookup.deniers.binary_search(&peer.packets).is_ok())
+    }
+
+    /// Forgets what is known of a flow: its port is used anew.
+    pub(crate) fn forget(&mut self, key: &FlowKey) {
+        self.map.remove(key);
+    }
+
     /// Ends a search whose answer came from `owner`.
     pub(crate) fn end(&mut self, key: &FlowKey, owner: SocketAddrV4) -> Option<Ended> {
         let lookup = self.map.remove(key)?;
@@ -232,10 +285,21 @@
     }
 
     /// Takes the answer of an agent that does not hold the flow, and the fingerprint of those it knows.
-    pub(crate) fn deny(&mut self, key: &FlowKey, agent: SocketAddrV4, known: u64) -> Found {
+    pub(crate) fn deny(
+        &mut self,
+        key: &FlowKey,
+        agent: SocketAddrV4,
+        known: u64,
+        sure: bool,
+    ) -> Found {
         let Some(lookup) = self.map.get_mut(key) else {
             return Found::Open;
         };
+        // Late answers count as well.
+        if let Err(place) = lookup.deniers.binary_search(&agent) {
+            lookup.deniers.insert(place, agent);
+        }
+        lookup.sure &= sure;
         let before = lookup.open.len();
         lookup.open.retain(|open| *open != agent);
         if lookup.open.len() == before {
@@ -248,10 +312,23 @@
         }
     }
 
+    /// Notes that a search found nobody, which is not certain.
+    pub(crate) fn doubt(&mut self, key: &FlowKey) {
+        if let Some(lookup) = self.map.get_mut(key) {
+            lookup.unsettled = lookup.search.repeats < REPEATS;
+        }
+    }
+
+    /// Returns the searches that are to be repeated now that more agents may be known.
+    pub(crate) fn unsettled(&self, now: Duration) -> Vec<(FlowKey, Search)> {
+        let due = |lookup: &Lookup| lookup.unsettled && now >= lookup.started + REPEAT;
+        let due = self.map.iter().filter(|(_, lookup)| due(lookup));
+        due.map(|(key, lookup)| (*key, lookup.search)).collect()
+    }
+
     /// Concludes the searches whose answers are overdue, and forgets old ones.
     pub(crate) fn sweep(&mut self, now: Duration) -> Vec<(FlowKey, Found)> {
-        self.map
-            .retain(|_, lookup| now < lookup.started + REPEAT * 8);
+        self.map.retain(|_, lookup| now < lookup.started + MEMORY);
         let overdue = self
             .map
             .iter_mut()
@@ -263,24 +340,28 @@
 
     /// Returns whether answers are awaited.
     pub(crate) fn is_waiting(&self) -> bool {
-        self.map.values().any(|lookup| !lookup.open.is_empty())
+        let waits = |lookup: &Lookup| lookup.unsettled || !lookup.open.is_empty();
+        self.map.values().any(waits)
     }
 }
 
 impl Lookup {
     fn conclude(&mut self) -> Found {
         self.missing.append(&mut self.open);
-        let acknowledged = self.search.acknowledged;
-        if !self.search.is_last {
-            return Found::NotNear { acknowledged };
+        if !self.is_last {
+            return Found::NotNear;
         }
-        // An agent that has just joined may know few others; those that answer then know more.
-        let complete = self.missing.is_empty() && self.same_view;
-        Found::Nobody {
-            complete: complete.then_some(acknowledged),
+        Found::Nobody(Nobody {
+            search: self.search,
+            began: self.began,
+            same_view: self.same_view,
+            sure: self.sure,
             missing: std::mem::take(&mut self.missing),
-            asked: self.count,
-            fingerprint: self.search.fingerprint,
-        }
+        })
     }
 }
+
+/// Returns whether two acknowledgements may be of one flow, and not of two that used the same port.
+fn is_near(one: u32, other: u32) -> bool {
+    one.wrapping_sub(other) < FLOW_SPAN || other.wrapping_sub(one) < FLOW_SPAN
+}
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -150,6 +150,7 @@
     pub(crate) peers: Peers,
     pub(crate) now: Duration,
     pub(crate) complete: bool,
+    pub(crate) whole: bool,
 }
 
 impl Bench {
@@ -172,6 +173,7 @@
             peers: Peers::new([1, 2, 3].map(|node| peer(node, "a", "desk"))),
             now: ms(100),
             complete: true,
+            whole: true,
         }
     }
 
@@ -199,6 +201,7 @@
             plan: &self.plan,
             peers: &self.peers,
             complete: self.complete,
+            whole: self.whole,
         };
         let bytes = segment.sequence.to_be_bytes();
         self.agent
@@ -216,6 +219,7 @@
             plan: &self.plan,
             peers: &self.peers,
             complete: self.complete,
+            whole: self.whole,
         };
         let bytes = segment.sequence.to_be_bytes();
         self.agent
@@ -229,6 +233,7 @@
             plan: &self.plan,
             peers: &self.peers,
             complete: self.complete,
+            whole: self.whole,
         };
         self.agent.tick(self.now, view, &mut out);
         out
--- a/crates/buckthornweir_members/src/members/rosters.rs
+++ b/crates/buckthornweir_members/src/members/rosters.rs
@@ -36,7 +36,7 @@
 
 /// The least time that a table takes to be whole where no process has a whole one: all start together,
 /// and some later than others.
-const LEAST_FILLING: Duration = Duration::from_secs(1);
+const LEAST_FILLING: Duration = Duration::from_millis(400);
 
 /// The time after which a table counts as whole although other processes still name unknown members.
 const FILL_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -101,7 +101,12 @@
     ///
     /// An agent that restarts is not held as dead: that takes longer than its restart.
     pub(crate) fn knows_agents(&self, now: Duration) -> bool {
-        now >= ALL_HEARD && self.filling() == Filling::Whole
+        now >= ALL_HEARD && self.is_whole()
+    }
+
+    /// Returns whether all members that others know are known here.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.filling() == Filling::Whole
     }
 
     /// Returns how far the table of members is filled.
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -137,7 +137,7 @@
 pub(crate) struct ToldFlow {
     #[prost(message, required, tag = "1")]
     pub(crate) flow: FlowMessage,
-    /// 0 not mine, 1 mine, 2 perhaps.
+    /// 0 not mine, 1 mine, 2 perhaps, 3 never mine.
     #[prost(uint32, tag = "2")]
     pub(crate) reply: u32,
 }
@@ -312,6 +312,7 @@
         Reply::NotMine => 0,
         Reply::Mine => 1,
         Reply::Perhaps => 2,
+        Reply::NeverMine => 3,
     }
 }
 
@@ -321,6 +322,7 @@
         0 => Some(Reply::NotMine),
         1 => Some(Reply::Mine),
         2 => Some(Reply::Perhaps),
+        3 => Some(Reply::NeverMine),
         _ => None,
     }
 }
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -396,6 +396,7 @@
         plan: plans.plan(),
         peers,
         complete: gossip.knows_agents(now),
+        whole: gossip.is_whole(),
     }
 }
 
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -182,10 +182,10 @@
             Action::Unfound {
                 key,
                 missing,
-                asked,
+                same_view,
             } => {
                 self.metrics.count(Count::PacketsDroppedNoOwner);
-                self.log_unfound(&key, &missing, asked);
+                self.log_unfound(&key, &missing, same_view);
             }
             Action::Drop(reason) => {
                 self.metrics.count(drop_count(reason));
@@ -290,7 +290,7 @@
         }
     }
 
-    fn log_unfound(&mut self, key: &FlowKey, missing: &[SocketAddrV4], asked: usize) {
+    fn log_unfound(&mut self, key: &FlowKey, missing: &[SocketAddrV4], same_view: bool) {
         let revision = self.plans.plan().revision;
         let agents = self.peers.len();
         let fingerprint = self.peers.fingerprint();
@@ -299,10 +299,11 @@
             tracing::info!(
                 event = "owner_not_found",
                 flow = %key,
-                asked,
                 missing = missing.len(),
                 silent = ?&missing[..missing.len().min(SILENT_NAMED)],
+                same_view,
                 agents,
+                away = self.peers.has_away(),
                 fingerprint,
                 ?filling,
                 revision,
