Hold backend servers as cold when their failure domain is taken back a second time

Change: the log remembers for each failure domain the last order that took it back; that is a new revision of the plan, and an agent that learns of it holds its backend server as cold until a report that was sent after it.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -13,7 +13,7 @@
 use crate::backend::{Backend, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::lookup::{Denied, Lookups};
-use crate::plan::Plan;
+use crate::plan::{Plan, Revision};
 use crate::segment::{FlowKey, Segment};
 use crate::tag::Tag;
 use crate::waiting::Waiting;
@@ -51,7 +51,10 @@
     /// Whether the backend server was not there when this agent started.
     began_alone: bool,
     waiting: Waiting,
-    was_out: bool,
+    /// Revision of the last order that took the own failure domain back.
+    taken_back: Option<Revision>,
+    /// Whether a plan came into force before.
+    applied: bool,
     next_sweep: Duration,
 }
 
@@ -67,7 +70,8 @@
             denied: Denied::default(),
             began_alone: false,
             waiting: Waiting::default(),
-            was_out: false,
+            taken_back: None,
+            applied: false,
             next_sweep: Duration::ZERO,
         }
     }
@@ -117,11 +121,13 @@
 
     /// Takes the plan that came into force.
     pub fn apply(&mut self, now: Duration, plan: &Plan) {
-        let out = plan.is_out(&self.limits.domain);
-        if self.was_out && !out {
+        let back = plan.domains_back.get(&self.limits.domain).copied();
+        // An agent that has just started goes by the first report, which tells how cold its server is.
+        if self.applied && back > self.taken_back {
             self.backend.doubt(now);
         }
-        self.was_out = out;
+        self.taken_back = back;
+        self.applied |= plan.is_known();
     }
 
     /// Resets the flows that a restart of the backend server ended.
--- a/crates/buckthornweir_forward/src/plan.rs
+++ b/crates/buckthornweir_forward/src/plan.rs
@@ -83,6 +83,8 @@
     pub services: BTreeMap<SmolStr, Service>,
     /// Failure domains that get no new flows.
     pub domains_out: BTreeSet<SmolStr>,
+    /// Failure domains that were taken back, with the revision of the last order to do so.
+    pub domains_back: BTreeMap<SmolStr, Revision>,
     /// Time without packets after which a flow may be forgotten.
     pub idle: Duration,
 }
@@ -95,6 +97,7 @@
             routes: BTreeMap::new(),
             services: BTreeMap::new(),
             domains_out: BTreeSet::new(),
+            domains_back: BTreeMap::new(),
             idle: DEFAULT_IDLE,
         }
     }
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -350,3 +350,31 @@
     assert_eq!(fate(&got), Some(Fate::Held), "its owner is looked up");
     assert_eq!(asked(&got), 2);
 }
+
+/// A failure domain that is taken back, whether it was out or not, may have turned cold.
+#[test]
+fn a_failure_domain_that_is_taken_back_counts_as_cold_until_the_next_report() {
+    for out_before in [true, false] {
+        let mut bench = Bench::reported();
+        let cold = |bench: &mut Bench| bench.agent.offer(bench.now, &bench.plan).cold;
+        bench.agent.apply(bench.now, &bench.plan);
+        if out_before {
+            bench.plan.domains_out.insert("a".into());
+            bench.agent.apply(bench.now, &bench.plan);
+            bench.plan.domains_out.clear();
+        }
+        assert!(!cold(&mut bench));
+        bench.plan.domains_back.insert("b".into(), 7);
+        bench.agent.apply(bench.now, &bench.plan);
+        assert!(!cold(&mut bench), "another one");
+        for (revision, sequence) in [(8, 2), (9, 3)] {
+            bench.plan.domains_back.insert("a".into(), revision);
+            bench.agent.apply(bench.now, &bench.plan);
+            assert!(cold(&mut bench), "taken back at {revision}");
+            bench.after(500).report(report(sequence));
+            assert!(!cold(&mut bench));
+            bench.agent.apply(bench.now, &bench.plan);
+            assert!(!cold(&mut bench), "nothing new");
+        }
+    }
+}
--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -495,6 +495,10 @@
         version: newest.map_or(0, |bundle| bundle.version),
         text: newest.map_or_else(Vec::new, |bundle| bundle.bytes.clone()),
         domains_out: bundles.domains_out().cloned().collect(),
+        domains_back: bundles
+            .domains_back()
+            .map(|(n, i)| (n.clone(), i))
+            .collect(),
     }
 }
 
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use buckthornweir_forward::agent::{Question, Reply};
@@ -202,6 +203,9 @@
     /// Failure domains that are out.
     #[prost(string, repeated, tag = "4")]
     pub(crate) domains_out: Vec<String>,
+    /// Failure domains that were taken back, with the state of the log that the last order to do so made.
+    #[prost(btree_map = "string, uint64", tag = "5")]
+    pub(crate) domains_back: BTreeMap<String, u64>,
 }
 
 impl PeerMessage {
--- a/crates/buckthornweir_node/src/plans.rs
+++ b/crates/buckthornweir_node/src/plans.rs
@@ -1,5 +1,6 @@
 //! The plan in force at a process, and the document that it was read from.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use buckthornweir_forward::plan::Plan;
@@ -24,6 +25,8 @@
     pub text: Vec<u8>,
     /// Failure domains that are out.
     pub domains_out: Vec<SmolStr>,
+    /// Failure domains that were taken back, with the state of the log that the last order to do so made.
+    pub domains_back: BTreeMap<SmolStr, u64>,
 }
 
 impl Document {
@@ -35,6 +38,11 @@
             hash.update([0]);
             hash.update(domain.as_bytes());
         }
+        for (domain, index) in &self.domains_back {
+            hash.update([1]);
+            hash.update(domain.as_bytes());
+            hash.update(index.to_be_bytes());
+        }
         BundleStamp {
             version: self.revision,
             digest: hash.finalize().into(),
@@ -53,6 +61,11 @@
                 .iter()
                 .map(ToString::to_string)
                 .collect(),
+            domains_back: document
+                .domains_back
+                .iter()
+                .map(|(name, index)| (name.to_string(), *index))
+                .collect(),
         }
     }
 }
@@ -68,6 +81,11 @@
                 .iter()
                 .map(ToSmolStr::to_smolstr)
                 .collect(),
+            domains_back: message
+                .domains_back
+                .into_iter()
+                .map(|(name, index)| (name.into(), index))
+                .collect(),
         }
     }
 }
@@ -117,6 +135,7 @@
         plan.revision = document.revision;
         plan.version = document.version;
         plan.domains_out = document.domains_out.iter().cloned().collect();
+        plan.domains_back = document.domains_back.clone();
         tracing::info!(
             event = "plan_applied",
             revision = document.revision,
@@ -124,6 +143,7 @@
             before = self.document.version,
             routes = plan.routes.len(),
             domains_out = ?document.domains_out,
+            domains_back = ?document.domains_back,
         );
         self.plan = Arc::new(plan);
         self.document = Arc::new(document);
--- a/crates/buckthornweir_quorum/src/bundles.rs
+++ b/crates/buckthornweir_quorum/src/bundles.rs
@@ -13,7 +13,7 @@
 //! assert_eq!(bundles.apply(2, &push), PushResult::Same { version: 1 });
 //! ```
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -134,6 +134,7 @@
     history: VecDeque<Accepted>,
     kept: VecDeque<Bundle>,
     out: BTreeSet<SmolStr>,
+    back: BTreeMap<SmolStr, Index>,
     revision: Index,
 }
 
@@ -188,18 +189,38 @@
             true => self.out.insert(name.clone()),
             false => self.out.remove(name),
         };
-        if changed {
+        if !out {
+            self.note_back(index, name);
+        }
+        if changed || !out {
             self.revision = index;
         }
         PushResult::Domain { changed }
     }
 
+    /// Notes that a failure domain was taken back: its backend servers may have turned cold, also where it
+    /// was not out.
+    fn note_back(&mut self, index: Index, name: &SmolStr) {
+        self.back.insert(name.clone(), index);
+        if self.back.len() > DOMAIN_LIMIT {
+            let oldest = self.back.iter().min_by_key(|(_, index)| **index);
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.back.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns the failure domains that were taken back, with the index of the last order to do so.
+    pub fn domains_back(&self) -> impl Iterator<Item = (&SmolStr, Index)> {
+        self.back.iter().map(|(name, index)| (name, *index))
+    }
+
     /// Returns the failure domains that are out by order, in order of their names.
     pub fn domains_out(&self) -> impl Iterator<Item = &SmolStr> {
         self.out.iter()
     }
 
-    /// Returns the index of the last entry that changed the newest bundle or a failure domain.
+    /// Returns the index of the last entry that changed the newest bundle or a failure domain, or took one back.
     #[must_use]
     pub fn revision(&self) -> Index {
         self.revision
@@ -254,6 +275,7 @@
             kept: self.kept.iter().map(BundleRecord::from).collect(),
             out: self.out.iter().map(ToString::to_string).collect(),
             revision: self.revision,
+            back: self.back.iter().map(|(n, i)| (n.to_string(), *i)).collect(),
         };
         record.encode_to_vec().into()
     }
@@ -285,6 +307,9 @@
         crate::entry::check_size("failure domains", record.out.len(), DOMAIN_LIMIT)?;
         bundles.out = record.out.into_iter().map(SmolStr::from).collect();
         bundles.revision = record.revision;
+        crate::entry::check_size("failure domains", record.back.len(), DOMAIN_LIMIT)?;
+        let back = record.back.into_iter();
+        bundles.back = back.map(|(name, index)| (name.into(), index)).collect();
         Ok(bundles)
     }
 
@@ -338,4 +363,6 @@
     out: Vec<String>,
     #[prost(uint64, tag = "5")]
     revision: u64,
+    #[prost(btree_map = "string, uint64", tag = "6")]
+    back: BTreeMap<String, u64>,
 }
