Show what the processes wrote when a daemon test fails

Cause: a_silent_flow_stays_open failed once without a trace; the processes' lines went nowhere. Change: each process of a test writes to a file that the test shows when it panics, the last 60 lines of each. Ruled out: lines of all tests on the terminal, which hide the failure.

--- a/crates/buckthornweir_daemon/tests/support/mod.rs
+++ b/crates/buckthornweir_daemon/tests/support/mod.rs
@@ -4,8 +4,10 @@
 
 pub(crate) mod deployment;
 
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -21,6 +23,9 @@
 /// How long a test waits for anything before it fails.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
 
+/// Lines of each process that a test shows when it fails.
+const SHOWN_LINES: usize = 60;
+
 /// Returns the key that signs the bundles of tests.
 pub(crate) fn signing_key() -> SigningKey {
     SigningKey::from_secret(&[7; 32])
@@ -115,6 +120,8 @@
     /// Where it is reached.
     pub(crate) planned: PlannedNode,
     child: Child,
+    /// What the process wrote; it stays readable when the folder is gone.
+    lines: File,
     settings: PathBuf,
     wire: Option<Wire>,
 }
@@ -124,10 +131,18 @@
     pub(crate) fn start(planned: PlannedNode, folder: &TempDir) -> Self {
         let settings = folder.path().join(format!("{}.ini", planned.name));
         std::fs::write(&settings, &planned.settings).unwrap();
-        let child = spawn(&settings);
+        let lines = settings.with_extension("log");
+        let lines = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .read(true)
+            .open(lines);
+        let lines = lines.unwrap();
+        let child = spawn(&settings, &lines);
         Self {
             planned,
             child,
+            lines,
             settings,
             wire: None,
         }
@@ -162,7 +177,7 @@
 
     /// Starts the process anew with the same settings.
     pub(crate) fn restart(&mut self) {
-        self.child = spawn(&self.settings);
+        self.child = spawn(&self.settings, &self.lines);
         self.tell_wire();
     }
 
@@ -173,6 +188,20 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Shows what the process wrote last, for a test that fails.
+    fn show_lines(&mut self) {
+        let mut text = String::new();
+        let read = self
+            .lines
+            .rewind()
+            .and_then(|()| self.lines.read_to_string(&mut text));
+        let lines: Vec<_> = text.lines().collect();
+        eprintln!("last lines of {} ({read:?}):", self.planned.name);
+        for line in &lines[lines.len().saturating_sub(SHOWN_LINES)..] {
+            eprintln!("    {line}");
+        }
+    }
+
     /// Waits until the process has ended and returns its exit code.
     pub(crate) async fn ended(&mut self) -> Option<i32> {
         let mut code = None;
@@ -191,14 +220,18 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.show_lines();
+        }
     }
 }
 
-fn spawn(settings: &std::path::Path) -> Child {
+fn spawn(settings: &Path, lines: &File) -> Child {
     Command::new(env!("CARGO_BIN_EXE_buckthornweird"))
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
+        .stdout(lines.try_clone().unwrap())
         .spawn()
         .unwrap()
 }
