Announce what an agent finds out while its process starts

Cause: a_silent_flow_stays_open got no first connection. Membership read the own state twice at its start: once for the own record, and again as what is announced already. When the first look at the backend server fell between, the weight of a cold one stayed 0 for all others until it changed, which without traffic is never. Ruled out: ports taken by others (each process has an address of its own), lost datagrams, plans (version 1 at all). Change: the state that was announced is what the core's own record says; there is no second copy. The new test makes 20 starts, so it finds the fault in about one run of four; the race itself can't be placed from outside.

--- a/crates/buckthornweir_daemon/src/gossip.rs
+++ b/crates/buckthornweir_daemon/src/gossip.rs
@@ -13,7 +13,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio_util::sync::CancellationToken;
 
-use crate::board::{Blackboard, Member, OwnState};
+use crate::board::{Blackboard, Member};
 use crate::fault::{DaemonError, Result};
 use crate::pull::{Pull, PullSender};
 use crate::settings::Settings;
@@ -67,7 +67,6 @@
         socket,
         core,
         pulls,
-        announced: board.own(),
     };
     let token = stop.clone();
     spawn("gossip", move || gossip.run(&inbox, &token))
@@ -78,7 +77,6 @@
     socket: UdpSocket,
     core: Members,
     pulls: PullSender,
-    announced: OwnState,
 }
 
 impl Gossip {
@@ -104,21 +102,15 @@
         self.carry_out(actions);
     }
 
-    /// Announces what changed about this process since the last time.
+    /// Announces what changed about this process; the core leaves out what its own record says already.
     fn announce(&mut self) {
         let own = self.board.own();
-        let stamp = self.board.bundle_stamp();
-        let mut changes = vec![Announcement::Bundle(stamp)];
-        if own.state != self.announced.state {
-            changes.push(Announcement::State(own.state));
-        }
-        if own.weight != self.announced.weight {
-            changes.push(Announcement::Weight(own.weight));
-        }
-        if own.free != self.announced.free {
-            changes.push(Announcement::Free(own.free));
-        }
-        self.announced = own;
+        let changes = [
+            Announcement::Bundle(self.board.bundle_stamp()),
+            Announcement::State(own.state),
+            Announcement::Weight(own.weight),
+            Announcement::Free(own.free),
+        ];
         for change in changes {
             let actions = self.core.announce(self.board.now(), change);
             self.carry_out(actions);
--- a/crates/buckthornweir_daemon/tests/failures.rs
+++ b/crates/buckthornweir_daemon/tests/failures.rs
@@ -357,6 +357,19 @@
     }
 }
 
+/// What an agent finds out about its backend server while it starts reaches the balancer, whenever it does
+/// so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_service_is_reached_after_each_of_many_starts() {
+    let service = support::deployment::ORDERS.parse().unwrap();
+    for start in 0..20 {
+        let deployment = Deployment::start(1, 1).await;
+        let connected = support::connect(&deployment.fabric, service);
+        let connected = tokio::time::timeout(support::LIMIT / 2, connected).await;
+        assert!(connected.is_ok(), "start {start}");
+    }
+}
+
 /// A flow that is silent for longer than any other limit of the agent, but not for its idle limit, is
 /// still there.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
