Await no agent that said that it holds nothing

Ruled out: incomplete views (Whole at all), agents that started late. Change: an agent that began without its backend server and has heard of none since answers that it holds nothing; one that said so last, and takes no new flows since, is neither awaited nor need it answer again.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -7,9 +7,11 @@
 mod owners;
 mod types;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::NodeId;
 use crate::backend::{Backend, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::lookup::{Denied, Lookups};
@@ -48,6 +50,8 @@
     flows: Flows,
     lookups: Lookups,
     denied: Denied,
+    /// Where agents take packets that said last that they hold nothing.
+    idle: BTreeMap<SocketAddrV4, NodeId>,
     /// Whether the backend server was not there when this agent started.
     began_alone: bool,
     waiting: Waiting,
@@ -68,6 +72,7 @@
             flows: Flows::default(),
             lookups: Lookups::default(),
             denied: Denied::default(),
+            idle: BTreeMap::new(),
             began_alone: false,
             waiting: Waiting::default(),
             taken_back: None,
@@ -244,6 +249,9 @@
             self.next_sweep = now + SWEEP_PERIOD;
             self.flows.sweep(now, plan.idle);
             self.denied.sweep(now);
+            let is_away = |node: &NodeId| view.peers.away().any(|away| away == *node);
+            self.idle
+                .retain(|agent, node| view.peers.has(agent) || is_away(node));
             self.backend.sweep(now);
         }
     }
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -27,6 +27,7 @@
     #[must_use]
     pub fn answer(&self, question: &Question) -> Reply {
         match self.flows.get(&question.key) {
+            _ if self.holds_nothing() => Reply::Nothing,
             Some(flow) if flow.holder != Holder::Here => Reply::NotMine,
             _ if self.denied.contains(&question.key) && self.may_have_missed() => Reply::NotMine,
             _ if self.denied.contains(&question.key) => Reply::NeverMine,
@@ -65,6 +66,10 @@
         out: &mut Vec<Action>,
     ) {
         let agent = answer.agent;
+        match (answer.reply, view.peers.at(&agent)) {
+            (Reply::Nothing, Some(peer)) => drop(self.idle.insert(agent, peer.node)),
+            _ => drop(self.idle.remove(&agent)),
+        }
         let found = match answer.reply {
             Reply::Mine => {
                 if let Some(ended) = self.lookups.end(&key, agent) {
@@ -73,7 +78,7 @@
                 return;
             }
             Reply::NotMine => self.lookups.deny(&key, agent, answer.known, false),
-            Reply::NeverMine => self.lookups.deny(&key, agent, answer.known, true),
+            Reply::NeverMine | Reply::Nothing => self.lookups.deny(&key, agent, answer.known, true),
             Reply::Perhaps => {
                 let copy = self.lookups.probe(now, &key, agent);
                 out.extend(copy.map(|held| Action::Pass {
@@ -148,7 +153,7 @@
             acknowledged: segment.acknowledged,
         };
         let reply = self.answer(&question);
-        if matches!(reply, Reply::NotMine | Reply::NeverMine) || !self.backend.is_present() {
+        if !matches!(reply, Reply::Mine | Reply::Perhaps) || !self.backend.is_present() {
             let reply = Reply::NotMine;
             out.push(Action::Tell {
                 to: from,
@@ -264,7 +269,7 @@
     /// caller of a flow that is gone is told without sending again.
     pub(super) fn search_again(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
         let may_settle = view.complete || view.whole && !self.may_have_missed();
-        if !may_settle || view.peers.has_away() {
+        if !may_settle || self.awaits_agents(view) {
             return;
         }
         for (key, search) in self.lookups.unsettled(now) {
@@ -333,19 +338,29 @@
         });
     }
 
+    /// Returns whether an agent is away that may come back with flows. One that said last that it holds
+    /// nothing comes back with none.
+    fn awaits_agents(&self, view: View<'_>) -> bool {
+        let mut away = view.peers.away();
+        away.any(|node| !self.idle.values().any(|idle| *idle == node))
+    }
+
     /// Returns whether a flow that nobody was found for is certainly gone.
     ///
     /// An agent that is not known here may hold it. Those that answer know the same agents, or there was
     /// time to hear of each that was there when the search began. Right after a start of all VMs one may
     /// still be missing beside a backend server that lives; when all that are there are sure, backend
-    /// servers ended with their agents, and it is not awaited.
+    /// servers ended with their agents, and it is not awaited. An agent that said that it holds nothing, and
+    /// takes no new flows since, need not answer again.
     fn may_reset(&self, now: Duration, view: View<'_>, key: &FlowKey, nobody: &Nobody) -> bool {
         let own = self.limits.node;
+        let is_idle = |peer: &&Peer| self.idle.contains_key(&peer.packets) && !peer.accepts;
         let others = view.peers.iter().filter(|peer| peer.node != own);
+        let others = others.filter(|peer| !is_idle(peer));
         let same = nobody.same_view && view.peers.fingerprint() == nobody.search.fingerprint;
         let all_known = same || view.whole && now >= nobody.began + HEARD_LIMIT;
         let all_there = view.complete || view.whole && nobody.sure && !self.may_have_missed();
-        let certain = all_known && all_there && !view.peers.has_away();
+        let certain = all_known && all_there && !self.awaits_agents(view);
         certain && self.denied.contains(key) && self.lookups.is_denied_by(key, others)
     }
 
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -88,6 +88,8 @@
     NotMine,
     /// The backend server here does not hold it, and never did: this agent has seen all of its flows.
     NeverMine,
+    /// No backend server has been here since this agent started, and no flow is held.
+    Nothing,
     /// The backend server here may hold it from before the agent started.
     Perhaps,
 }
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -45,7 +45,7 @@
     by_service: BTreeMap<SmolStr, Places>,
     addresses: HashSet<SocketAddrV4>,
     /// Agents that are not there, but may come back with their flows.
-    away: usize,
+    away: Vec<NodeId>,
     fingerprint: u64,
 }
 
@@ -65,7 +65,7 @@
         Self {
             by_service,
             addresses,
-            away: 0,
+            away: Vec::new(),
             fingerprint,
         }
     }
@@ -74,7 +74,7 @@
     #[must_use]
     pub fn with_away(mut self, away: impl IntoIterator<Item = NodeId>) -> Self {
         for node in away {
-            self.away += 1;
+            self.away.push(node);
             self.fingerprint ^= mix(node, AWAY_SALT);
         }
         self
@@ -83,7 +83,12 @@
     /// Returns whether an agent is away that may come back with its flows.
     #[must_use]
     pub fn has_away(&self) -> bool {
-        self.away > 0
+        !self.away.is_empty()
+    }
+
+    /// Returns the agents that are away and may come back with their flows.
+    pub fn away(&self) -> impl Iterator<Item = NodeId> {
+        self.away.iter().copied()
     }
 
     /// Returns what stands for the set of agents: two processes that know the same ones have the same.
@@ -122,6 +127,12 @@
         self.addresses.contains(packets)
     }
 
+    /// Returns the agent that takes packets at this address.
+    #[must_use]
+    pub fn at(&self, packets: &SocketAddrV4) -> Option<&Peer> {
+        self.iter().find(|peer| peer.packets == *packets)
+    }
+
     /// Returns the agent that placement names for a flow: the first in rendezvous order among those in
     /// the failure domain `near`, or among all where that has none.
     ///
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -138,7 +138,7 @@
 pub(crate) struct ToldFlow {
     #[prost(message, required, tag = "1")]
     pub(crate) flow: FlowMessage,
-    /// 0 not mine, 1 mine, 2 perhaps, 3 never mine.
+    /// 0 not mine, 1 mine, 2 perhaps, 3 never mine, 4 nothing.
     #[prost(uint32, tag = "2")]
     pub(crate) reply: u32,
 }
@@ -317,6 +317,7 @@
         Reply::Mine => 1,
         Reply::Perhaps => 2,
         Reply::NeverMine => 3,
+        Reply::Nothing => 4,
     }
 }
 
@@ -327,6 +328,7 @@
         1 => Some(Reply::Mine),
         2 => Some(Reply::Perhaps),
         3 => Some(Reply::NeverMine),
+        4 => Some(Reply::Nothing),
         _ => None,
     }
 }
