--- a/crates/buckthornweir_members/benches/masses.rs
+++ b/crates/buckthornweir_members/benches/masses.rs
@@ -2,7 +2,8 @@
 //! all processes together, and one process that joins.
 //!
 //! `cargo bench -p buckthornweir_members --bench masses -- 100 500 3400` runs these sizes. The words
-//! `domain`, `regions` and `start` among them choose what runs.
+//! `domain`, `regions`, `start` and `rosters` (a start with whole tables over connections) among them choose
+//! what runs.
 
 #[allow(dead_code, reason = "the other benches use the rest of the figures")]
 mod figures;
@@ -27,10 +28,11 @@
 type Event = fn(u64);
 
 /// The events in the order in which they run, with their names as arguments.
-const EVENTS: [(&str, Event); 3] = [
+const EVENTS: [(&str, Event); 4] = [
     ("domain", lose_domain),
     ("regions", part_regions),
     ("start", start_together),
+    ("rosters", start_with_rosters),
 ];
 
 fn main() {
@@ -59,7 +61,7 @@
 /// Returns whether an event runs: when it is named, or when none is named and it ends in time.
 fn is_chosen(named: &[String], name: &str, count: u64) -> bool {
     if named.is_empty() {
-        name != "start" || count <= MAX_START
+        !matches!(name, "start" | "rosters") || count <= MAX_START
     } else {
         named.iter().any(|other| other == name)
     }
@@ -137,12 +139,29 @@
 }
 
 fn start_together(count: u64) {
-    let mut queue = Queue::new(Config::default(), count);
+    start_under(Config::default(), count);
+}
+
+fn start_with_rosters(count: u64) {
+    let config = Config::default()
+        .with_lone_interval(Duration::from_millis(100))
+        .with_rosters(true);
+    let queue = start_under(config, count);
+    let bytes = queue.processes.values().map(|p| p.roster_bytes as f64);
+    Sample::new(bytes).print("bytes of rosters, B", "");
+    let fetches = queue.processes.values().map(|p| p.fetches as f64);
+    Sample::new(fetches).print("rosters fetched", "");
+}
+
+/// Starts all processes at once, and waits until each knows all others.
+fn start_under(config: Config, count: u64) -> Queue {
+    let mut queue = Queue::new(config, count);
     for index in 1..=count {
         queue.start(record(index, DOMAINS));
     }
     let taken = times(&mut queue, LIMIT, |process| alive(process) == count);
     let rate = sent(&queue) as f64 / count as f64 / queue.now.as_secs_f64();
-    Sample::new(taken.into_iter()).print("all started together, s", "");
+    Sample::new(taken.into_iter()).print("all started together, s", "5.0");
     Sample::new([rate].into_iter()).print("sent meanwhile, B/s", "3000");
+    queue
 }
