Answer the requests that were accepted before a planned stop

Ruled out: packets of flows; an agent's stop leaves them to its backend server, and a balancer goes on for 1.5 s.

--- a/crates/buckthornweir_node/src/http_server.rs
+++ b/crates/buckthornweir_node/src/http_server.rs
@@ -1,6 +1,7 @@
 //! A small HTTP server: each request is answered by one function.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// How long a client may take for the head of a request, idle time between requests included.
 const HEAD_LIMIT: Duration = Duration::from_secs(20);
@@ -22,13 +24,17 @@
 /// How long the server pauses after it could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long requests that were accepted before a stop may take to be answered.
+const END_LIMIT: Duration = Duration::from_millis(300);
+
 /// An answer.
 pub type Reply = Response<Full<Bytes>>;
 
 /// A request with its whole body.
 pub type Body = Request<Bytes>;
 
-/// Serves connections until `stop` is cancelled. Bodies over `limit` bytes are answered with 413.
+/// Serves connections until `stop` is cancelled, and then answers the requests that were accepted before.
+/// Bodies over `limit` bytes are answered with 413.
 pub async fn serve_http<F, A>(
     listener: TcpListener,
     limit: usize,
@@ -38,9 +44,10 @@
     F: Fn(Body) -> A + Clone + Send + 'static,
     A: Future<Output = Reply> + Send,
 {
+    let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         let stream = match accepted {
@@ -53,7 +60,7 @@
         };
         let answer = answer.clone();
         let stop = stop.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let service = service_fn(move |request| {
                 let answer = answer.clone();
                 async move { Ok::<_, Infallible>(handle(request, limit, answer).await) }
@@ -62,13 +69,22 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_LIMIT)
                 .serve_connection(TokioIo::new(stream), service);
+            let mut connection = pin!(connection);
+            // A client that goes away ends its own connection only.
             tokio::select! {
-                () = stop.cancelled() => {}
-                // A client that goes away ends its own connection only.
-                _ = connection => {}
+                () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+                _ = connection.as_mut() => return,
             }
+            let _ = connection.await;
         });
     }
+    connections.close();
+    if tokio::time::timeout(END_LIMIT, connections.wait())
+        .await
+        .is_err()
+    {
+        tracing::warn!(event = "requests_cut_off", connections = connections.len());
+    }
 }
 
 async fn handle<F, A>(request: Request<Incoming>, limit: usize, answer: F) -> Reply
