Count denials of a flow under one view only, or after three seconds

A flow at an agent that had just joined could have been reset. Change: each denial keeps the fingerprint of the agents that its sender knew; one under another fingerprint than the own one is asked for again. The test of denials that add up now wants that nothing is reset before 3 s while views differ. Conclusion: as certain as one search with equal answers was.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -255,7 +255,7 @@
         self.ask_near(now, view, key, out);
     }
 
-    /// Asks the agents of the own failure domain that have not denied the flow, or all others if they have.
+    /// Asks the agents of the own failure domain, or all others if these have denied the flow.
     fn ask_near(&mut self, now: Duration, view: View<'_>, key: FlowKey, out: &mut Vec<Action>) {
         let near = self.candidates(view, true);
         let asked = self.lookups.ask(now, &key, near);
@@ -334,7 +334,7 @@
         out.push(Action::Unfound {
             key,
             missing: nobody.missing,
-            same_view: nobody.same_view,
+            same_view: self.is_denied_alike(view, &key),
         });
     }
 
@@ -347,21 +347,31 @@
 
     /// Returns whether a flow that nobody was found for is certainly gone.
     ///
-    /// An agent that is not known here may hold it. Those that answer know the same agents, or there was
+    /// An agent that is not known here may hold it. Those that deny it know the same agents, or there was
     /// time to hear of each that was there when the search began. Right after a start of all VMs one may
     /// still be missing beside a backend server that lives; when all that are there are sure, backend
-    /// servers ended with their agents, and it is not awaited. An agent that said that it holds nothing, and
-    /// takes no new flows since, need not answer again.
+    /// servers ended with their agents, and it is not awaited.
     fn may_reset(&self, now: Duration, view: View<'_>, key: &FlowKey, nobody: &Nobody) -> bool {
+        let all_known = self.is_denied_alike(view, key)
+            || view.whole && now >= nobody.began + HEARD_LIMIT && self.is_denied(view, key, None);
+        let all_there = view.complete || view.whole && nobody.sure && !self.may_have_missed();
+        let certain = all_known && all_there && !self.awaits_agents(view);
+        certain && self.denied.contains(key)
+    }
+
+    /// Returns whether all other agents have denied a flow while they knew the same agents as this one.
+    fn is_denied_alike(&self, view: View<'_>, key: &FlowKey) -> bool {
+        self.is_denied(view, key, Some(view.peers.fingerprint()))
+    }
+
+    /// Returns whether all other agents have denied a flow. One that said that it holds nothing, and takes no
+    /// new flows since, need not.
+    fn is_denied(&self, view: View<'_>, key: &FlowKey, known: Option<u64>) -> bool {
         let own = self.limits.node;
         let is_idle = |peer: &&Peer| self.idle.contains_key(&peer.packets) && !peer.accepts;
         let others = view.peers.iter().filter(|peer| peer.node != own);
         let others = others.filter(|peer| !is_idle(peer));
-        let same = nobody.same_view && view.peers.fingerprint() == nobody.search.fingerprint;
-        let all_known = same || view.whole && now >= nobody.began + HEARD_LIMIT;
-        let all_there = view.complete || view.whole && nobody.sure && !self.may_have_missed();
-        let certain = all_known && all_there && !self.awaits_agents(view);
-        certain && self.denied.contains(key) && self.lookups.is_denied_by(key, others)
+        self.lookups.is_denied_by(key, others, known)
     }
 
     /// Sends the packets that waited to the owner, and remembers it.
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -171,7 +171,7 @@
         key: FlowKey,
         /// Where the agents that did not answer take packets.
         missing: Vec<SocketAddrV4>,
-        /// Whether all that answered know the same agents.
+        /// Whether all other agents denied the flow while they knew the same ones.
         same_view: bool,
     },
 }
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -56,6 +56,14 @@
     pub(crate) repeats: u8,
 }
 
+/// An agent that has denied a flow, by where it takes packets.
+#[derive(Clone, Copy, Debug)]
+struct Denier {
+    agent: SocketAddrV4,
+    /// Fingerprint of the agents that it knew then.
+    known: u64,
+}
+
 /// One search.
 #[derive(Clone, Debug)]
 struct Lookup {
@@ -68,15 +76,13 @@
     asked: Duration,
     /// Where the agents that have not answered take packets.
     open: Vec<SocketAddrV4>,
-    /// Where the agents that have denied the flow since it began take packets, in order. A backend server
-    /// does not come to hold a flow later, so that these are not asked again.
-    deniers: Vec<SocketAddrV4>,
+    /// Agents that have denied the flow since it began. A backend server does not come to hold a flow later, so
+    /// that these are asked again only for the agents that they know.
+    deniers: Vec<Denier>,
     /// Agents that got a copy of the first packet, since they may hold the flow without knowing it.
     probed: Vec<SocketAddrV4>,
     /// Whether no other agents are asked when these deny the flow.
     is_last: bool,
-    /// Whether all that answered know the same agents.
-    same_view: bool,
     /// Whether all that answered have seen each flow that their backend servers may hold.
     sure: bool,
     /// Whether nobody was found, which was not certain.
@@ -92,8 +98,6 @@
     pub(crate) search: Search,
     /// When the first of the searches for this flow started.
     pub(crate) began: Duration,
-    /// Whether all that answered know the same agents.
-    pub(crate) same_view: bool,
     /// Whether all that answered have seen each flow that their backend servers may hold.
     pub(crate) sure: bool,
     /// Where the agents that did not answer take packets.
@@ -195,7 +199,6 @@
             deniers: before.map(|before| before.deniers).unwrap_or_default(),
             probed: Vec::new(),
             is_last: false,
-            same_view: true,
             unsettled: false,
             missing: Vec::new(),
             held: held.into_iter().collect(),
@@ -204,7 +207,8 @@
         true
     }
 
-    /// Notes that these agents are asked, and returns those of them that have not denied the flow.
+    /// Notes that these agents are asked, and returns those of them that have not denied the flow while they
+    /// knew the same agents.
     pub(crate) fn ask<'a>(
         &mut self,
         now: Duration,
@@ -216,7 +220,12 @@
         };
         lookup.asked = now;
         let mut asked = agents;
-        asked.retain(|peer| lookup.deniers.binary_search(&peer.packets).is_err());
+        let view = lookup.search.fingerprint;
+        asked.retain(|peer| {
+            lookup
+                .denial(&peer.packets)
+                .is_none_or(|known| known != view)
+        });
         lookup.open.extend(asked.iter().map(|peer| peer.packets));
         asked
     }
@@ -239,16 +248,21 @@
         self.map.get(key).map(|lookup| lookup.search.acknowledged)
     }
 
-    /// Returns whether all these agents have denied the flow.
+    /// Returns whether all these agents have denied the flow, while they knew the agents with the fingerprint
+    /// `view` if one is given.
     pub(crate) fn is_denied_by<'a>(
         &self,
         key: &FlowKey,
         mut agents: impl Iterator<Item = &'a Peer>,
+        view: Option<u64>,
     ) -> bool {
         let Some(lookup) = self.map.get(key) else {
             return false;
         };
-        agents.all(|peer| lookup.deniers.binary_search(&peer.packets).is_ok())
+        agents.all(|peer| {
+            let denial = lookup.denial(&peer.packets);
+            denial.is_some_and(|known| view.is_none_or(|view| view == known))
+        })
     }
 
     /// Forgets what is known of a flow: its port is used anew.
@@ -296,16 +310,13 @@
             return Found::Open;
         };
         // Late answers count as well.
-        if let Err(place) = lookup.deniers.binary_search(&agent) {
-            lookup.deniers.insert(place, agent);
-        }
+        lookup.note_denial(agent, known);
         lookup.sure &= sure;
         let before = lookup.open.len();
         lookup.open.retain(|open| *open != agent);
         if lookup.open.len() == before {
             return Found::Open;
         }
-        lookup.same_view &= known == lookup.search.fingerprint;
         match lookup.open.is_empty() {
             true => lookup.conclude(),
             false => Found::Open,
@@ -346,6 +357,25 @@
 }
 
 impl Lookup {
+    /// Returns the fingerprint of the agents that an agent knew when it denied the flow last, if it did.
+    fn denial(&self, agent: &SocketAddrV4) -> Option<u64> {
+        let place = self
+            .deniers
+            .binary_search_by_key(agent, |denier| denier.agent);
+        place.ok().map(|place| self.deniers[place].known)
+    }
+
+    fn note_denial(&mut self, agent: SocketAddrV4, known: u64) {
+        let denier = Denier { agent, known };
+        match self
+            .deniers
+            .binary_search_by_key(&agent, |denier| denier.agent)
+        {
+            Ok(place) => self.deniers[place] = denier,
+            Err(place) => self.deniers.insert(place, denier),
+        }
+    }
+
     fn conclude(&mut self) -> Found {
         self.missing.append(&mut self.open);
         if !self.is_last {
@@ -354,7 +384,6 @@
         Found::Nobody(Nobody {
             search: self.search,
             began: self.began,
-            same_view: self.same_view,
             sure: self.sure,
             missing: std::mem::take(&mut self.missing),
         })
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -6,7 +6,7 @@
 use buckthornweir_forward::tag::Tag;
 
 use crate::common::{
-    ANSWER, BALANCER, Bench, Fate, asked, data, fate, hops, key, packets, peer, reply, report,
+    ANSWER, BALANCER, Bench, Fate, asked, data, fate, hops, key, ms, packets, peer, reply, report,
     returned, syn, syn_ack,
 };
 
@@ -580,21 +580,56 @@
     tell_knowing(&mut bench, 2, 40_000, Reply::NotMine, 77);
     // Agent 3 has left; the view here does not say so yet.
     assert_eq!(fate(&bench.after(200).tick()), Some(Fate::Dropped));
-    // Agent 4 has joined since, and it alone is asked.
+    // Agent 4 has joined since; agent 2 did not know it, or the one that it knew then.
     bench.peers = Peers::new([1, 2, 4].map(|node| peer(node, "a", "desk")));
-    assert_eq!(asked(&bench.after(400).tick()), 1);
+    assert_eq!(asked(&bench.after(400).tick()), 2);
+    tell_knowing(&mut bench, 2, 40_000, Reply::NotMine, 78);
     let got = tell_knowing(&mut bench, 4, 40_000, Reply::NotMine, 78);
     assert_eq!(fate(&got), Some(Fate::Dropped), "one may be unknown here");
-    let mut outcomes = Vec::new();
-    for _ in 0..12 {
-        outcomes.extend(bench.after(350).caller(data(40_000, 90)));
-        outcomes.extend(bench.tick());
+    // Each answer still shows another view: 3 s after the search began each agent would be known.
+    let mut told = None;
+    for step in 1..16 {
+        let mut out = bench.after(250).caller(data(40_000, 90));
+        out.extend(bench.tick());
+        out.extend(tell_knowing(
+            &mut bench,
+            2,
+            40_000,
+            Reply::NotMine,
+            100 + step,
+        ));
+        out.extend(tell_knowing(
+            &mut bench,
+            4,
+            40_000,
+            Reply::NotMine,
+            200 + step,
+        ));
+        if out
+            .iter()
+            .any(|action| matches!(action, Action::Reset { .. }))
+        {
+            told = told.or(Some(bench.now));
+        }
     }
-    assert_eq!(asked(&outcomes), 0, "all have denied the flow");
-    let resets = outcomes
-        .iter()
-        .filter(|action| matches!(action, Action::Reset { .. }));
-    assert!(resets.count() >= 1, "there was time to hear of all");
+    let began = ms(100);
+    let waited = told.map(|at| at - began);
+    assert!(
+        waited >= Some(ms(3_000)) && waited <= Some(ms(3_600)),
+        "{waited:?}"
+    );
+}
+
+/// Answers that showed other views are asked for again; denials under the same view count at once.
+#[test]
+fn agents_that_knew_others_are_asked_again() {
+    let mut bench = asking();
+    tell_knowing(&mut bench, 2, 40_000, Reply::NotMine, 77);
+    let got = tell(&mut bench, 3, 40_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Dropped));
+    assert_eq!(asked(&bench.after(400).tick()), 1, "agent 2 alone");
+    let got = tell(&mut bench, 2, 40_000, Reply::NotMine);
+    assert_eq!(fate(&got), Some(Fate::Reset));
 }
 
 /// A port that is used anew within seconds is another flow.
