--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -4,9 +4,15 @@
 
 use buckthornweir_forward::backend::ReportState;
 use buckthornweir_forward::segment::Segment;
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt, SeedableRng};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::task::JoinHandle;
 
-use crate::support::{Caller, Net, Running, give, order, report, until};
+use crate::support::{
+    Caller, INNER, Net, OUTBOUND, PACKETS, Running, give, newest, order, report, until,
+};
 
 struct Path {
     net: Net,
@@ -233,3 +239,62 @@
     let refused = caller.open_any(path.net.ip(11), 5).await;
     assert!(refused.rst, "no backend server takes new flows");
 }
+
+/// First bytes of messages between processes that name no address to answer to.
+const MESSAGE_TAGS: [u8; 7] = [0x0a, 0x1a, 0x22, 0x3a, 0x42, 0x4a, 0x5a];
+
+/// Returns bytes that mean nothing, half of them with the head of a message.
+fn noise(rng: &mut StdRng) -> Vec<u8> {
+    let mut bytes = vec![0; rng.random_range(0..1_300)];
+    rng.fill_bytes(&mut bytes);
+    if let [tag, length, ..] = bytes.as_mut_slice()
+        && rng.random_bool(0.5)
+    {
+        *tag = MESSAGE_TAGS[rng.random_range(0..MESSAGE_TAGS.len())];
+        *length %= 64;
+    }
+    bytes
+}
+
+/// Malformed messages arrive at each listener of each process while it serves.
+#[tokio::test]
+async fn malformed_messages_end_no_process() {
+    let path = path(95).await;
+    let caller = path.net.caller(31).await;
+    let balancer = path.net.ip(11);
+    let opened = caller.open(balancer, 7).await;
+    let mut rng = StdRng::seed_from_u64(95);
+    let socket = UdpSocket::bind((path.net.ip(41), 0)).await;
+    let socket = socket.expect("a working test set-up");
+    for round in 0..150 {
+        for host in [1, 2, 3, 11, 12, 21, 22] {
+            for port in [INNER, PACKETS, OUTBOUND] {
+                // Not every process listens at each port.
+                let _ = socket
+                    .send_to(&noise(&mut rng), (path.net.ip(host), port))
+                    .await;
+            }
+            if round % 10 == 0 {
+                let link = TcpStream::connect((path.net.ip(host), INNER)).await;
+                let mut link = link.expect("the process listens");
+                let bytes = noise(&mut rng);
+                let length = u32::try_from(bytes.len()).expect("short");
+                let length = if round % 20 == 0 { length } else { u32::MAX };
+                link.write_all(&length.to_be_bytes())
+                    .await
+                    .expect("it reads");
+                // The process may hang up at once.
+                let _ = link.write_all(&bytes).await;
+            }
+        }
+        let answer = caller.request(balancer, 7, &opened).await;
+        assert_eq!(
+            (answer.sequence, answer.rst),
+            (opened.sequence, false),
+            "round {round}"
+        );
+    }
+    let control: Vec<_> = path.control.iter().collect();
+    give(&control, order(2)).await;
+    assert_eq!(newest(&control).await, 2);
+}
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -18,7 +18,7 @@
 pub(crate) const PACKETS: u16 = 17_730;
 /// Runs of the tests that have addresses of their own.
 const RUNS: u32 = 251;
-const OUTBOUND: u16 = 17_731;
+pub(crate) const OUTBOUND: u16 = 17_731;
 const BACKEND: u16 = 17_732;
 /// How long a test waits for what must come; loaded machines are slow, and no verdict hangs on it.
 const LIMIT: Duration = Duration::from_secs(20);
