Let a plan arrive whole once its answer has begun, and fetch one at a time

Ruled out: readiness while Behind (none of the processes was), rosters (members_filled stands 0.6 s before the plan). Change: the near one has 0.4 s, others 1 s, to begin their answers; what has begun may take 3 s. One plan is fetched at a time, for 1.5 s at most, and the newest announcer since is asked next.

--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -241,6 +241,12 @@
         live.map(|(r, _)| r).find(holds).map(|r| r.control)
     }
 
+    /// Returns the newest revision that a member announces.
+    pub(crate) fn newest_revision(&self) -> u64 {
+        let newest = self.core.newest_bundle();
+        newest.map_or(0, |(_, stamp)| stamp.version)
+    }
+
     /// Returns a control process of the own failure domain, which gets new plans before others.
     pub(crate) fn near_control(&self) -> Option<SocketAddr> {
         let own = self.core.own();
--- a/crates/buckthornweir_node/src/links.rs
+++ b/crates/buckthornweir_node/src/links.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long one exchange may take: a plan of a megabyte on a link of 5 Mbit/s takes 1.6 s.
-pub(crate) const EXCHANGE_LIMIT: Duration = Duration::from_secs(3);
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(3);
 
 /// How long a connection may take to open.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -78,16 +78,27 @@
     within(exchange).await
 }
 
-/// Asks another process for a plan above a revision within `limit`; returns `None` when it has none.
+/// Asks another process for a plan above a revision; returns `None` when it has none. The answer begins within
+/// `patience`, and may take longer to arrive: a large plan fills a small link for some time.
 pub(crate) async fn pull(
     source: Option<Ipv4Addr>,
     from: SocketAddr,
     above: u64,
-    limit: Duration,
+    patience: Duration,
 ) -> Result<Option<PlanMessage>> {
     let request = PeerBody::PlanRequest(PlanRequestMessage { above });
-    let answer = timeout(limit, ask(source, from, request)).await;
-    match answer.map_err(|_| LinkError::TimedOut)?? {
+    let exchange = async {
+        let begun = async {
+            let mut framed = dial(source, from).await?;
+            framed.send(encode(request)).await?;
+            framed.get_ref().readable().await?;
+            Ok::<_, LinkError>(framed)
+        };
+        let begun = timeout(patience, begun).await;
+        let mut framed = begun.map_err(|_| LinkError::TimedOut)??;
+        read(&mut framed).await
+    };
+    match within(exchange).await? {
         PeerBody::Plan(plan) => Ok((plan.revision > above).then_some(plan)),
         _ => Err(LinkError::Malformed),
     }
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -25,7 +25,7 @@
 use self::binding::{bind_inner, bind_role, listen, serve_metrics};
 use crate::control::Replica;
 use crate::fault::Result;
-use crate::gossip::{Gossip, Outcome};
+use crate::gossip::{Gossip, Outcome, Pull};
 use crate::handle::{Handle, Request};
 use crate::links::{self, Incoming};
 use crate::messages::ToldFlow;
@@ -70,7 +70,8 @@
 
 /// What came from another process over a connection.
 enum Fetched {
-    Plan(Document),
+    /// A newer plan, unless nobody that was asked has one.
+    Plan(Option<Document>),
     Roster(SocketAddr, Option<Roster>),
     /// Whether the backend server was there when its agent started.
     Backend(Presence),
@@ -109,6 +110,10 @@
     requests: mpsc::Receiver<Request>,
     incoming: mpsc::Receiver<Incoming>,
     fetched: (mpsc::Sender<Fetched>, mpsc::Receiver<Fetched>),
+    /// Since when a plan is being fetched.
+    pulling: Option<Duration>,
+    /// Who announced a plan since.
+    next_pull: Option<Pull>,
     stop: CancellationToken,
     stopping: Option<Duration>,
     last_packet: Duration,
@@ -168,6 +173,8 @@
             requests,
             incoming,
             fetched: mpsc::channel(INCOMING),
+            pulling: None,
+            next_pull: None,
             stop,
             stopping: None,
             last_packet: Duration::ZERO,
--- a/crates/buckthornweir_node/src/node/fetching.rs
+++ b/crates/buckthornweir_node/src/node/fetching.rs
@@ -12,10 +12,16 @@
 use crate::messages::RosterRequestMessage;
 use crate::plans::Document;
 
-/// How long the control process of the own failure domain may take to answer before the process that
-/// announced a plan is asked: a plan of 50 KB takes 80 ms on a link of 5 Mbit/s.
+/// How long the control process of the own failure domain may take to begin its answer before the process
+/// that announced a plan is asked.
 const NEAR_LIMIT: Duration = Duration::from_millis(400);
 
+/// How long another process that holds a plan may take to begin its answer.
+const FAR_LIMIT: Duration = Duration::from_secs(1);
+
+/// How long one fetch of a plan holds up the next: a link that fell silent in it does not hold up more.
+const PULL_TURN: Duration = Duration::from_millis(1_500);
+
 impl Node {
     /// Looks whether the backend server of an agent that starts is there.
     pub(super) fn look_for_backend(&self) {
@@ -32,7 +38,15 @@
 
     /// Fetches a newer plan: from control in the own failure domain first, since traffic between them is
     /// dear, then from the process that announced it, then from another holder.
-    pub(super) fn pull(&self, pull: Pull) {
+    ///
+    /// One plan is fetched at a time: two that share a small link both take twice as long.
+    pub(super) fn pull(&mut self, pull: Pull) {
+        let now = self.now();
+        if self.pulling.is_some_and(|since| now < since + PULL_TURN) {
+            self.next_pull = Some(pull);
+            return;
+        }
+        self.pulling = Some(now);
         let above = self.plans.document().revision;
         let spare = self.gossip.holder_above(above, pull.from);
         let near = self.gossip.near_control().filter(|near| *near != pull.from);
@@ -41,13 +55,13 @@
         tokio::spawn(async move {
             let near = near.map(|near| (near, NEAR_LIMIT));
             let far = std::iter::once(pull.from).chain(spare);
-            let far = far.map(|holder| (holder, links::EXCHANGE_LIMIT));
-            for (holder, limit) in near.into_iter().chain(far) {
-                match links::pull(source, holder, above, limit).await {
+            let far = far.map(|holder| (holder, FAR_LIMIT));
+            let mut found = None;
+            for (holder, patience) in near.into_iter().chain(far) {
+                match links::pull(source, holder, above, patience).await {
                     Ok(Some(plan)) => {
-                        // The loop that would take it has ended.
-                        let _ = done.send(Fetched::Plan(plan.into())).await;
-                        return;
+                        found = Some(plan.into());
+                        break;
                     }
                     Ok(None) => {}
                     Err(error) => {
@@ -55,9 +69,25 @@
                     }
                 }
             }
+            // The loop that would take it may have ended.
+            let _ = done.send(Fetched::Plan(found)).await;
         });
     }
 
+    /// Takes what a fetch of a plan brought, and begins the one that waited if there is something newer still.
+    fn pulled(&mut self, document: Option<Document>) {
+        self.pulling = None;
+        if let Some(document) = document {
+            self.apply(document);
+        }
+        let above = self.plans.document().revision;
+        if let Some(pull) = self.next_pull.take()
+            && self.gossip.newest_revision() > above
+        {
+            self.pull(pull);
+        }
+    }
+
     /// Fetches the members that are unknown here from another process.
     pub(super) fn fetch_roster(&self, from: SocketAddr) {
         let own = self.settings.announced_inner();
@@ -76,7 +106,7 @@
 
     pub(super) fn take(&mut self, fetched: Fetched) {
         match fetched {
-            Fetched::Plan(document) => self.apply(document),
+            Fetched::Plan(document) => self.pulled(document),
             Fetched::Backend(found) => {
                 tracing::info!(event = "backend_looked_for", ?found);
                 if let (Role::Agent { core, .. }, Presence::Gone) = (&mut self.role, found) {
--- a/crates/buckthornweir_node/tests/node/main.rs
+++ b/crates/buckthornweir_node/tests/node/main.rs
@@ -3,4 +3,5 @@
 mod control;
 mod format;
 mod path;
+mod slow_link;
 mod support;
