Tell a departure to processes that have not answered an introduction

Cause: a process that is stopped right after its start tells its departure to the members that it knows, and it may know none: it has only introduced itself. Ruled out: telling random seeds (the introduction may have gone to another); waiting for an answer before the stop (the process that was introduced may not be there yet); accepting departures of unknown nodes from anybody (processes forget them at different times and would return them to each other forever). Change: a process remembers up to 16 addresses that have not answered its introduction or request for a roster, and sends them its full record when it leaves or stops as planned.

--- a/crates/buckthornweir_members/src/members/rosters.rs
+++ b/crates/buckthornweir_members/src/members/rosters.rs
@@ -226,6 +226,7 @@
         let Some(roster) = roster else {
             return self.take_actions();
         };
+        self.introductions.note_answer(from);
         let before = self.table.len();
         let mut actions = Vec::new();
         for message in roster.messages {
@@ -303,6 +304,7 @@
         self.rosters.next = now + self.fetch_interval();
         if let Some(source) = self.choose_source() {
             self.rosters.in_flight.insert(source, now + FETCH_TIMEOUT);
+            self.introductions.note_sent(source);
             self.actions.push(Action::FetchRoster { from: source });
         }
     }
