--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -274,6 +274,11 @@
             .map(|entry| (&*entry.record, entry.health))
     }
 
+    /// Returns the instance of a known node, which differs after each restart of its process.
+    pub fn instance(&self, node: NodeId) -> Option<Instance> {
+        self.table.get(node).map(|entry| entry.instance)
+    }
+
     /// Returns this node's record.
     pub fn own(&self) -> &Record {
         &self.own_entry().record
