--- a/crates/buckthornweir_forward/tests/forward/mass_restart.rs
+++ b/crates/buckthornweir_forward/tests/forward/mass_restart.rs
@@ -223,7 +223,6 @@
                     agent: packet_addr(to),
                     reply,
                     known,
-                    instances: self.peers.instances(),
                 };
                 self.count(to, from);
                 self.push(
@@ -295,7 +294,6 @@
                     agent: packet_addr(node),
                     reply,
                     known,
-                    instances: self.peers.instances(),
                 };
                 self.count(node, agent_of(to));
                 self.push(
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -20,7 +20,6 @@
 
 use self::anti_entropy::AntiEntropy;
 use self::bundles::Bundles;
-use self::contacts::Introductions;
 use self::identity::Identity;
 use self::probing::Probing;
 use self::rosters::Rosters;
@@ -64,7 +63,6 @@
     suspicions: Suspicions,
     anti_entropy: AntiEntropy,
     rosters: Rosters,
-    introductions: Introductions,
     bundles: Bundles,
     now: Duration,
     started: bool,
@@ -107,7 +105,6 @@
             budget: Budget::new(rate, burst),
             anti_entropy: AntiEntropy::new(&config),
             rosters: Rosters::new(&config),
-            introductions: Introductions::default(),
             bundles: Bundles::new(bundle),
             config,
             own: node,
@@ -145,7 +142,6 @@
         }
         self.check_silence(self.now - self.last_received);
         self.last_received = self.now;
-        self.introductions.note_answer(from);
         let sender = message.header.node;
         self.merge_header(&message.header);
         let spread = !matches!(message.body, Body::Chunk { .. });
@@ -274,11 +270,6 @@
             .map(|entry| (&*entry.record, entry.health))
     }
 
-    /// Returns the instance of a known node, which differs after each restart of its process.
-    pub fn instance(&self, node: NodeId) -> Option<Instance> {
-        self.table.get(node).map(|entry| entry.instance)
-    }
-
     /// Returns this node's record.
     pub fn own(&self) -> &Record {
         &self.own_entry().record
--- a/crates/buckthornweir_members/src/members/merging.rs
+++ b/crates/buckthornweir_members/src/members/merging.rs
@@ -13,9 +13,7 @@
     /// Merges the header of a message into the entry of its sender.
     pub(super) fn merge_header(&mut self, header: &Header) {
         let Some(entry) = self.table.get(header.node) else {
-            if header.state != MemberState::Left {
-                self.want(header.node);
-            }
+            self.want(header.node);
             return;
         };
         let known = entry.record.incarnation;
@@ -62,7 +60,7 @@
             return;
         }
         let Some(entry) = self.table.get(rumour.node) else {
-            self.merge_unknown(sender, rumour, spread);
+            self.merge_unknown(rumour, spread);
             return;
         };
         if !supersedes(entry, rumour) || !self.is_credible(sender, rumour) {
@@ -110,14 +108,8 @@
         !accuses || sender.is_none_or(|entry| entry.health != Health::Dead)
     }
 
-    /// Merges a rumour about an unknown node.
-    ///
-    /// Deaths are ignored, except the departure of the sender itself: it may have overtaken the sender's
-    /// introduction, which would make it a member. Departures are not accepted from others, because
-    /// processes forget a departure at different times and would return it to each other forever.
-    fn merge_unknown(&mut self, sender: NodeId, rumour: &Rumour, spread: bool) {
-        let departs = sender == rumour.node && rumour.state == MemberState::Left;
-        if rumour.health == Health::Dead && !(departs && rumour.profile.is_some()) {
+    fn merge_unknown(&mut self, rumour: &Rumour, spread: bool) {
+        if rumour.health == Health::Dead {
             return;
         }
         if rumour.profile.is_some() {
