--- a/crates/buckthornweir_daemon/src/agent/attempts.rs
+++ b/crates/buckthornweir_daemon/src/agent/attempts.rs
@@ -193,6 +193,10 @@
             if was_not_written(&error) {
                 guard.set_progress(Progress::NotWritten);
             }
+            if matches!(error, BackendError::OtherResponse) {
+                let backend = guard.coordinator().backend();
+                backend.note_other_response(&request.head);
+            }
             return guard.end(Outcome::Cut);
         }
     };
--- a/crates/buckthornweir_daemon/src/agent/backend.rs
+++ b/crates/buckthornweir_daemon/src/agent/backend.rs
@@ -1,12 +1,18 @@
 //! Connections to the backend server. Each runs one request at a time. A connection with an
 //! abandoned request is closed and never reused.
+//!
+//! HTTP/1.1 matches responses to requests only by their order, so a response that the backend server
+//! sends twice could be taken for that to the next request on the connection. Each request therefore
+//! carries an id of its own, and a connection is reused only if the backend server returns it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use buckthornweir_events::Count;
+use buckthornweir_events::{Count, LogRateLimiter};
 use bytes::Bytes;
+use http::header::HeaderValue;
+use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::headers::{EXCHANGE_HEADER, REQUEST_ID_HEADER};
 use super::idle::IdlePool;
 use crate::board::Blackboard;
 
@@ -30,6 +37,9 @@
 /// The maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// The maximum number of log lines per second about responses to other requests.
+const MAX_RESPONSE_LINES: u32 = 20;
+
 /// The result of working with a backend connection.
 pub(crate) type Result<T> = std::result::Result<T, BackendError>;
 
@@ -48,6 +58,10 @@
         TimedOut {
             display("backend server: no connection within {CONNECT_TIMEOUT:?}")
         }
+        /// The response belongs to another request.
+        OtherResponse {
+            display("backend server: response to another request")
+        }
         /// The HTTP exchange failed.
         Exchange(source: hyper::Error) {
             from()
@@ -62,11 +76,16 @@
     board: Arc<Blackboard>,
     address: SocketAddr,
     idle: Mutex<IdlePool<Connection>>,
+    log_budget: Mutex<LogRateLimiter>,
 }
 
 /// An HTTP connection.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a response was received on it.
+    is_used: bool,
+    /// Whether the last response returned the id of its request.
+    is_verified: bool,
 }
 
 impl Backend {
@@ -76,6 +95,7 @@
             board,
             address,
             idle: Mutex::new(IdlePool::new(MAX_IDLE_CONNECTIONS, IDLE_TTL)),
+            log_budget: Mutex::new(LogRateLimiter::new(MAX_RESPONSE_LINES)),
         }
     }
 
@@ -119,18 +139,32 @@
             // Errors are returned to the request that runs on the connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender })
+        Ok(Connection {
+            sender,
+            is_used: false,
+            is_verified: false,
+        })
     }
 
-    /// Returns a connection to the pool after a complete response.
+    /// Returns a connection to the pool after a complete response, or closes it if it must not be
+    /// reused.
     pub(crate) fn check_in(&self, connection: Connection) {
         let mut idle = self.idle.lock();
         idle.close_stale(Connection::is_ready);
-        if !connection.sender.is_closed() {
+        if connection.is_verified && !connection.sender.is_closed() {
             idle.put(connection);
         }
     }
 
+    /// Records that the response to this request was that to another one.
+    pub(crate) fn note_other_response(&self, request: &Parts) {
+        self.board.metrics.count(Count::BackendAbandonedOther);
+        if self.log_budget.lock().try_acquire(self.board.now()) {
+            let id = request.headers.get(REQUEST_ID_HEADER);
+            tracing::warn!(event = "other_response", request = ?id, method = %request.method);
+        }
+    }
+
     /// Returns a guard for a request that is about to be sent.
     pub(crate) fn abandon_guard(&self) -> AbandonGuard {
         AbandonGuard {
@@ -150,16 +184,29 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and returns the head of the response.
+    /// Sends a request with an id of its own and returns the head of the response.
+    ///
+    /// A connection whose backend server doesn't return the id carries one request.
     ///
     /// # Errors
     ///
-    /// Returns [`BackendError::Exchange`].
+    /// Returns [`BackendError::Exchange`], or [`BackendError::OtherResponse`] if the response belongs to
+    /// another request.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>> {
-        Ok(self.sender.send_request(request).await?)
+        let id = HeaderValue::from(rand::random::<u64>());
+        request.headers_mut().insert(EXCHANGE_HEADER, id.clone());
+        let mut response = self.sender.send_request(request).await?;
+        let returned = response.headers_mut().remove(EXCHANGE_HEADER);
+        self.is_verified = returned.as_ref() == Some(&id);
+        let may_omit = returned.is_none() && !self.is_used;
+        self.is_used = true;
+        if !self.is_verified && !may_omit {
+            return Err(BackendError::OtherResponse);
+        }
+        Ok(response)
     }
 }
 
--- a/crates/buckthornweir_daemon/src/agent/headers.rs
+++ b/crates/buckthornweir_daemon/src/agent/headers.rs
@@ -20,6 +20,9 @@
 /// The request id set by the caller.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// The id of a request on a connection to the backend server, which may return it with its response.
+pub(crate) const EXCHANGE_HEADER: &str = "x-exchange-id";
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
     "connection",
--- a/crates/buckthornweir_daemon/tests/support/mod.rs
+++ b/crates/buckthornweir_daemon/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 pub(crate) mod deployment;
+pub(crate) mod repeating_backend;
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek};
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -151,6 +151,8 @@
         BackendAbandonedWaiting = "backend_abandoned_total", "Backend connections closed with an abandoned request", reason = "no-answer";
         /// Backend connections closed during the response to an abandoned request.
         BackendAbandonedAnswering = "backend_abandoned_total", "Backend connections closed with an abandoned request", reason = "answer-part";
+        /// Backend connections closed because their response belongs to another request.
+        BackendAbandonedOther = "backend_abandoned_total", "Backend connections closed with an abandoned request", reason = "other-response";
         /// Bundles put in force.
         BundlesApplied = "bundles_applied_total", "Bundles put in force";
         /// Bundles refused.
--- a/crates/buckthornweir_events/tests/metrics.rs
+++ b/crates/buckthornweir_events/tests/metrics.rs
@@ -16,6 +16,7 @@
     expect![[r#"
         buckthornweir_backend_abandoned_total{reason="answer-part"} 0
         buckthornweir_backend_abandoned_total{reason="no-answer"} 0
+        buckthornweir_backend_abandoned_total{reason="other-response"} 0
         buckthornweir_packets_dropped_total{reason="behind"} 0
         buckthornweir_packets_dropped_total{reason="domain-out"} 0
         buckthornweir_packets_dropped_total{reason="flows-full"} 0
--- a/crates/buckthornweir_forward/benches/decisions.rs
+++ b/crates/buckthornweir_forward/benches/decisions.rs
@@ -21,6 +21,7 @@
     let ip = Ipv4Addr::new(10, 0, high, low);
     Peer {
         node: u64::from(index) + 1,
+        instance: 1,
         packet_addr: SocketAddrV4::new(ip, 7000),
         ask_addr: SocketAddrV4::new(ip, 7100),
         domain: format!("domain-{}", index % DOMAINS).into(),
--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use self::owners::Considered;
 use crate::NodeId;
 use crate::backend::{Backend, Report, Reported};
 use crate::flows::{Flows, Holder};
@@ -49,6 +50,7 @@
     backend: Backend,
     flows: Flows,
     lookups: Lookups,
+    considered: Considered,
     denied: DeniedFlows,
     /// Agents whose last answer was [`Reply::Empty`], by packet address.
     flowless: BTreeMap<SocketAddrV4, NodeId>,
@@ -71,6 +73,7 @@
             config,
             flows: Flows::default(),
             lookups: Lookups::default(),
+            considered: Considered::default(),
             denied: DeniedFlows::default(),
             flowless: BTreeMap::new(),
             backendless_start: false,
@@ -246,6 +249,7 @@
         for (key, outcome) in self.lookups.sweep(now) {
             self.conclude(now, view, key, outcome, out);
         }
+        self.reconsider_lookups(now, view, out);
         self.retry_lookups(now, view, out);
         if self.syn_queue.len() > 0 {
             self.release_queued_syns(now, plan, out);
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -9,7 +9,7 @@
 };
 use crate::flows::Holder;
 use crate::lookup::{HeldPacket, LookupOutcome, LookupRequest, OwnerNotFound, ResolvedLookup};
-use crate::peers::Peer;
+use crate::peers::{Peer, Peers};
 use crate::segment::FlowKey;
 
 /// How much later than its backend server an agent must have started to have missed flows.
@@ -22,6 +22,14 @@
 /// share datagrams, and the largest tested deployment of 300 VMs has about 200 agents.
 const MAX_QUESTIONS: usize = 512;
 
+/// What was known of the agents when lookups were last reconsidered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Considered {
+    instances: u64,
+    grace_elapsed: bool,
+    peers_synced: bool,
+}
+
 impl Agent {
     /// Answers another agent's question.
     #[must_use]
@@ -78,8 +86,8 @@
                 }
                 return;
             }
-            Reply::NotOwned => self.lookups.deny(&key, agent, answer.known, false),
-            Reply::NeverOwned | Reply::Empty => self.lookups.deny(&key, agent, answer.known, true),
+            Reply::NotOwned => self.lookups.deny(&key, answer, false),
+            Reply::NeverOwned | Reply::Empty => self.lookups.deny(&key, answer, true),
             Reply::MaybeOwned => {
                 let probe = self.lookups.probe(now, &key, agent);
                 out.extend(probe.map(|held| Action::Pass {
@@ -244,7 +252,6 @@
         let request = LookupRequest {
             requester: from,
             acknowledged: segment.acknowledged,
-            fingerprint: view.peers.fingerprint(),
             retries: 0,
         };
         if view.peers.iter().all(|peer| peer.node == self.config.node) {
@@ -267,7 +274,7 @@
         out: &mut Vec<Action>,
     ) {
         let near = self.candidates(view, true);
-        let asked = self.lookups.ask(now, &key, near);
+        let asked = self.lookups.ask(now, &key, near, view.peers);
         match asked.is_empty() {
             true => self.conclude(now, view, key, LookupOutcome::NotLocal, out),
             false => self.push_questions(&asked, key, out),
@@ -283,7 +290,6 @@
         }
         for (key, request) in self.lookups.due_retries(now) {
             let request = LookupRequest {
-                fingerprint: view.peers.fingerprint(),
                 retries: request.retries + u8::from(view.grace_elapsed),
                 ..request
             };
@@ -324,7 +330,7 @@
         let outcome = match outcome {
             LookupOutcome::NotLocal => {
                 let far = self.candidates(view, false);
-                let asked = self.lookups.ask(now, &key, far);
+                let asked = self.lookups.ask(now, &key, far, view.peers);
                 self.push_questions(&asked, key, out);
                 self.lookups.finish_asking(&key)
             }
@@ -333,7 +339,7 @@
         let LookupOutcome::NotFound(not_found) = outcome else {
             return;
         };
-        let same_view = self.is_denied(view, &key, Some(view.peers.fingerprint()));
+        let same_view = self.is_denied(view, &key, Some(view.peers));
         if self.may_reset(now, view, &key, &not_found, same_view) {
             return out.push(Action::Reset {
                 key,
@@ -349,6 +355,39 @@
         });
     }
 
+    /// Reconsiders running and inconclusive lookups if what is known of the agents has changed, so
+    /// that callers of lost flows are told without another question.
+    pub(super) fn reconsider_lookups(
+        &mut self,
+        now: Duration,
+        view: View<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let considered = Considered {
+            instances: view.peers.instances(),
+            grace_elapsed: view.grace_elapsed,
+            peers_synced: view.peers_synced,
+        };
+        if considered == self.considered {
+            return;
+        }
+        self.considered = considered;
+        for (key, outcome) in self.lookups.drop_unknown(view.peers) {
+            self.conclude(now, view, key, outcome, out);
+        }
+        for (key, not_found) in self.lookups.undecided() {
+            let same_view = self.is_denied(view, &key, Some(view.peers));
+            if self.may_reset(now, view, &key, &not_found, same_view) {
+                self.lookups.decide(&key);
+                out.push(Action::Reset {
+                    key,
+                    sequence: not_found.request.acknowledged,
+                    reason: ResetReason::Unowned,
+                });
+            }
+        }
+    }
+
     /// Returns whether an absent agent may return with flows. An agent whose last answer was
     /// [`Reply::Empty`] returns with none.
     fn awaits_absent(&self, view: View<'_>) -> bool {
@@ -357,10 +396,10 @@
     }
 
     /// Returns whether a flow without a known owner is certainly lost. `same_view` is set if all
-    /// other agents denied the flow while knowing the same agents as this one.
+    /// other agents denied the flow while knowing no agent that is unknown here.
     ///
     /// An agent that is unknown here may own the flow. This is ruled out if the agents that denied
-    /// the flow know the same agents, or if enough time has passed to learn of every agent that was
+    /// the flow know no such agent, or if enough time has passed to learn of every agent that was
     /// running when the lookup began. Right after a start of all VMs, an agent may still be missing
     /// although its backend server kept running. If every agent that answered has seen all flows of
     /// its backend server, the backend servers started together with their agents, so a missing
@@ -383,10 +422,10 @@
         certain && self.denied.contains(key)
     }
 
-    /// Returns whether all other agents have denied a flow. If `known` is given, only denials made
-    /// with that fingerprint of known agents count. Agents whose last answer was [`Reply::Empty`]
-    /// and that accept no new flows are skipped.
-    fn is_denied(&self, view: View<'_>, key: &FlowKey, known: Option<u64>) -> bool {
+    /// Returns whether all other agents have denied a flow. If `known` is given, a denial counts only
+    /// if its agent knew no agent that is not among these. Agents whose last answer was
+    /// [`Reply::Empty`] and that accept no new flows are skipped.
+    fn is_denied(&self, view: View<'_>, key: &FlowKey, known: Option<&Peers>) -> bool {
         let own = self.config.node;
         let is_idle = |peer: &&Peer| self.flowless.contains_key(&peer.packet_addr) && !peer.accepts;
         let others = view.peers.iter().filter(|peer| peer.node != own);
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -77,6 +77,9 @@
     pub reply: Reply,
     /// [`Peers::fingerprint`] of the agents that it knows.
     pub known: u64,
+    /// [`Peers::instances`] of the agents that it knows, or 0 if it is of a release that doesn't
+    /// send it.
+    pub instances: u64,
 }
 
 /// What an agent reports about a flow that it was asked about.
@@ -172,7 +175,7 @@
         key: FlowKey,
         /// Packet addresses of the agents that did not answer.
         missing: Vec<SocketAddrV4>,
-        /// Whether all other agents denied the flow while knowing the same agents as this one.
+        /// Whether all other agents denied the flow while knowing no agent that is unknown here.
         same_view: bool,
     },
 }
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod agent;
 pub mod backend;
 pub mod balancer;
+pub mod changes;
 pub mod flows;
 mod lookup;
 pub mod peers;
@@ -37,6 +38,7 @@
     pub use crate::agent::{Action, Agent, AgentConfig, Answer, DropReason, Question, Reply};
     pub use crate::backend::{Admission, Backend, Presence, Report, ReportState};
     pub use crate::balancer::{Balancer, Decision, Loss};
+    pub use crate::changes::{Changes, Span};
     pub use crate::peers::{Peer, Peers};
     pub use crate::plan::{Plan, Route, Service, Split};
     pub use crate::segment::{FlowKey, Segment};
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use crate::peers::Peer;
+use crate::agent::Answer;
+use crate::peers::{Peer, Peers};
 use crate::segment::FlowKey;
 use crate::tag::Tag;
 
@@ -53,8 +54,6 @@
     pub(crate) requester: SocketAddrV4,
     /// Acknowledgement number of that packet.
     pub(crate) acknowledged: u32,
-    /// Fingerprint of the agents known to this process.
-    pub(crate) fingerprint: u64,
     /// Number of earlier lookups for the same packet, not counting retries made before the agent's
     /// grace period after its start has elapsed.
     pub(crate) retries: u8,
@@ -66,6 +65,16 @@
     agent: SocketAddrV4,
     /// Fingerprint of the agents that it knew when it answered.
     known: u64,
+    /// Fingerprint of their starts, or 0.
+    instances: u64,
+}
+
+impl Denier {
+    /// Returns whether it knew no agent that is unknown here.
+    fn is_covered(&self, peers: &Peers) -> bool {
+        let has_instances = self.instances != 0;
+        self.known == peers.fingerprint() || has_instances && peers.accounts_for(self.instances)
+    }
 }
 
 /// The state of one lookup.
@@ -81,8 +90,8 @@
     /// Packet addresses of the agents that have not answered yet.
     pending: Vec<SocketAddrV4>,
     /// Agents that denied the flow since `first_started`. A backend server can't become the owner
-    /// of an existing flow later, so these are asked again only if their set of known agents may
-    /// have changed.
+    /// of an existing flow later, so these are asked again only if they knew an agent that is
+    /// unknown here.
     deniers: Vec<Denier>,
     /// Agents that received a copy of the first packet because they may own the flow unknowingly.
     probed: Vec<SocketAddrV4>,
@@ -90,7 +99,9 @@
     asked_all: bool,
     /// Whether every agent that answered has seen all flows that its backend server may hold.
     conclusive: bool,
-    /// Whether the lookup found no owner, was inconclusive and is to be retried.
+    /// Whether the lookup found no owner and was inconclusive.
+    undecided: bool,
+    /// Whether it is to be retried.
     retry_pending: bool,
     /// Packet addresses of the agents that did not answer in time.
     missing: Vec<SocketAddrV4>,
@@ -204,6 +215,7 @@
             deniers: prior.map(|prior| prior.deniers).unwrap_or_default(),
             probed: Vec::new(),
             asked_all: false,
+            undecided: false,
             retry_pending: false,
             missing: Vec::new(),
             held: held.into_iter().collect(),
@@ -213,23 +225,22 @@
     }
 
     /// Records that these agents are asked. Returns those that have to be sent a question: the ones
-    /// that have not denied the flow while knowing the same set of agents.
+    /// that have not denied the flow while knowing no agent that is unknown here.
     pub(crate) fn ask<'a>(
         &mut self,
         now: Duration,
         key: &FlowKey,
         agents: Vec<&'a Peer>,
+        peers: &Peers,
     ) -> Vec<&'a Peer> {
         let Some(lookup) = self.map.get_mut(key) else {
             return Vec::new();
         };
         lookup.asked = now;
         let mut asked = agents;
-        let view = lookup.request.fingerprint;
         asked.retain(|peer| {
-            lookup
-                .denial(&peer.packet_addr)
-                .is_none_or(|known| known != view)
+            let denial = lookup.denial(&peer.packet_addr);
+            !denial.is_some_and(|denier| denier.is_covered(peers))
         });
         lookup
             .pending
@@ -255,20 +266,20 @@
         self.map.get(key).map(|lookup| lookup.request.acknowledged)
     }
 
-    /// Returns whether all these agents have denied the flow. If `view` is given, only denials made
-    /// with that fingerprint of known agents count.
+    /// Returns whether all these agents have denied the flow. If `known` is given, a denial counts
+    /// only if its agent knew no agent that is not among these.
     pub(crate) fn is_denied_by<'a>(
         &self,
         key: &FlowKey,
         mut agents: impl Iterator<Item = &'a Peer>,
-        view: Option<u64>,
+        known: Option<&Peers>,
     ) -> bool {
         let Some(lookup) = self.map.get(key) else {
             return false;
         };
         agents.all(|peer| {
             let denial = lookup.denial(&peer.packet_addr);
-            denial.is_some_and(|known| view.is_none_or(|view| view == known))
+            denial.is_some_and(|denier| known.is_none_or(|known| denier.is_covered(known)))
         })
     }
 
@@ -305,20 +316,19 @@
         lookup.held.first().cloned()
     }
 
-    /// Handles the answer of an agent that does not own the flow and knows the agents with the
-    /// fingerprint `known`.
+    /// Handles the answer of an agent that does not own the flow.
     pub(crate) fn deny(
         &mut self,
         key: &FlowKey,
-        agent: SocketAddrV4,
-        known: u64,
+        answer: Answer,
         conclusive: bool,
     ) -> LookupOutcome {
+        let agent = answer.agent;
         let Some(lookup) = self.map.get_mut(key) else {
             return LookupOutcome::Pending;
         };
         // Late answers also count as denials.
-        lookup.note_denial(agent, known);
+        lookup.note_denial(answer);
         lookup.conclusive &= conclusive;
         let before = lookup.pending.len();
         lookup.pending.retain(|pending| *pending != agent);
@@ -334,10 +344,40 @@
     /// Schedules a retry of an inconclusive lookup, unless it has been retried often enough.
     pub(crate) fn schedule_retry(&mut self, key: &FlowKey) {
         if let Some(lookup) = self.map.get_mut(key) {
+            lookup.undecided = true;
             lookup.retry_pending = lookup.request.retries < MAX_RETRIES;
         }
     }
 
+    /// Stops waiting for agents that are no longer known. Returns the lookups that waited for no
+    /// others.
+    pub(crate) fn drop_unknown(&mut self, peers: &Peers) -> Vec<(FlowKey, LookupOutcome)> {
+        let mut concluded = Vec::new();
+        for (key, lookup) in &mut self.map {
+            let before = lookup.pending.len();
+            lookup.pending.retain(|agent| peers.has(agent));
+            if before > 0 && lookup.pending.is_empty() {
+                concluded.push((*key, lookup.conclude()));
+            }
+        }
+        concluded
+    }
+
+    /// Returns the lookups that found no owner and were inconclusive.
+    pub(crate) fn undecided(&self) -> Vec<(FlowKey, OwnerNotFound)> {
+        let undecided = self.map.iter().filter(|(_, lookup)| lookup.undecided);
+        undecided
+            .map(|(key, lookup)| (*key, lookup.not_found()))
+            .collect()
+    }
+
+    /// Records that a lookup is conclusive after all.
+    pub(crate) fn decide(&mut self, key: &FlowKey) {
+        if let Some(lookup) = self.map.get_mut(key) {
+            (lookup.undecided, lookup.retry_pending) = (false, false);
+        }
+    }
+
     /// Returns the lookups that are due for a retry.
     pub(crate) fn due_retries(&self, now: Duration) -> Vec<(FlowKey, LookupRequest)> {
         let due = |lookup: &Lookup| lookup.retry_pending && now >= lookup.started + RETRY_DELAY;
@@ -360,25 +400,29 @@
 
     /// Returns whether answers or retries are outstanding.
     pub(crate) fn is_waiting(&self) -> bool {
-        let is_waiting = |lookup: &Lookup| lookup.retry_pending || !lookup.pending.is_empty();
+        let is_waiting = |lookup: &Lookup| lookup.undecided || !lookup.pending.is_empty();
         self.map.values().any(is_waiting)
     }
 }
 
 impl Lookup {
-    /// Returns the fingerprint of known agents in the agent's last denial of the flow, if any.
-    fn denial(&self, agent: &SocketAddrV4) -> Option<u64> {
+    /// Returns the agent's last denial of the flow, if any.
+    fn denial(&self, agent: &SocketAddrV4) -> Option<&Denier> {
         let index = self
             .deniers
             .binary_search_by_key(agent, |denier| denier.agent);
-        index.ok().map(|index| self.deniers[index].known)
+        index.ok().map(|index| &self.deniers[index])
     }
 
-    fn note_denial(&mut self, agent: SocketAddrV4, known: u64) {
-        let denier = Denier { agent, known };
+    fn note_denial(&mut self, answer: Answer) {
+        let denier = Denier {
+            agent: answer.agent,
+            known: answer.known,
+            instances: answer.instances,
+        };
         match self
             .deniers
-            .binary_search_by_key(&agent, |denier| denier.agent)
+            .binary_search_by_key(&answer.agent, |denier| denier.agent)
         {
             Ok(index) => self.deniers[index] = denier,
             Err(index) => self.deniers.insert(index, denier),
@@ -390,12 +434,20 @@
         if !self.asked_all {
             return LookupOutcome::NotLocal;
         }
+        let missing = std::mem::take(&mut self.missing);
         LookupOutcome::NotFound(OwnerNotFound {
+            missing,
+            ..self.not_found()
+        })
+    }
+
+    fn not_found(&self) -> OwnerNotFound {
+        OwnerNotFound {
             request: self.request,
             first_started: self.first_started,
             conclusive: self.conclusive,
-            missing: std::mem::take(&mut self.missing),
-        })
+            missing: Vec::new(),
+        }
     }
 }
 
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::NodeId;
+use crate::changes::{Span, mark};
 use crate::plan::Plan;
 use crate::segment::{FlowKey, mix};
 
@@ -20,6 +21,8 @@
 pub struct Peer {
     /// Process of the agent.
     pub node: NodeId,
+    /// Start of the process, which differs after each restart.
+    pub instance: u32,
     /// Address at which it receives packets.
     pub packet_addr: SocketAddrV4,
     /// Address at which it receives questions.
@@ -47,6 +50,10 @@
     /// Agents that are absent but may return with their flows.
     away: Vec<NodeId>,
     fingerprint: u64,
+    /// Fingerprint of the starts of the agents.
+    instances: u64,
+    /// Differences from the agents known to others for which recent changes account.
+    span: Span,
 }
 
 impl Peers {
@@ -55,10 +62,11 @@
     pub fn new(peers: impl IntoIterator<Item = Peer>) -> Self {
         let mut by_service: BTreeMap<SmolStr, DomainPeers> = BTreeMap::new();
         let mut addresses = HashSet::new();
-        let mut fingerprint = 0;
+        let (mut fingerprint, mut instances) = (0, 0);
         for peer in peers {
             addresses.insert(peer.packet_addr);
             fingerprint ^= mix(peer.node, FINGERPRINT_SALT);
+            instances ^= mark(peer.node, peer.instance);
             let domains = by_service.entry(peer.service.clone()).or_default();
             domains.entry(peer.domain.clone()).or_default().push(peer);
         }
@@ -67,6 +75,8 @@
             addresses,
             away: Vec::new(),
             fingerprint,
+            instances,
+            span: Span::default(),
         }
     }
 
@@ -76,10 +86,18 @@
         for node in away {
             self.away.push(node);
             self.fingerprint ^= mix(node, AWAY_SALT);
+            self.instances ^= mix(node, AWAY_SALT);
         }
         self
     }
 
+    /// Adds the differences for which recent changes account.
+    #[must_use]
+    pub fn with_changes(mut self, span: Span) -> Self {
+        self.span = span;
+        self
+    }
+
     /// Returns whether an absent agent may return with its flows.
     #[must_use]
     pub fn has_away(&self) -> bool {
@@ -98,6 +116,26 @@
         self.fingerprint
     }
 
+    /// Returns a fingerprint of the starts of the agents, which also differs if an agent has
+    /// restarted.
+    #[must_use]
+    pub fn instances(&self) -> u64 {
+        self.instances
+    }
+
+    /// Returns the marks of the live agents.
+    pub fn marks(&self) -> impl Iterator<Item = u64> {
+        self.iter().map(|peer| mark(peer.node, peer.instance))
+    }
+
+    /// Returns whether a process whose agents have the fingerprint `instances` knows no agent that
+    /// may own flows and is unknown here: its agents differ from those known here at most by some
+    /// that joined or left recently.
+    #[must_use]
+    pub fn accounts_for(&self, instances: u64) -> bool {
+        self.span.contains(self.instances ^ instances)
+    }
+
     /// Returns the agents of a service.
     pub fn in_service(&self, service: &str) -> impl Iterator<Item = &Peer> {
         let domains = self.by_service.get(service).into_iter();
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -42,6 +42,7 @@
 pub(crate) fn peer(node: u8, domain: &str, service: &str) -> Peer {
     Peer {
         node: u64::from(node),
+        instance: 1,
         packet_addr: packet_addr(node),
         ask_addr: ask_addr(node),
         domain: domain.into(),
@@ -281,11 +282,19 @@
     asks.count()
 }
 
+/// Answers for an agent that knows the same agents as the harness.
 pub(crate) fn answer_from(harness: &mut Harness, from: u8, port: u16, reply: Reply) -> Vec<Action> {
-    let known = harness.peers.fingerprint();
-    answer_from_with_known(harness, from, port, reply, known)
+    let answer = Answer {
+        agent: packet_addr(from),
+        reply,
+        known: harness.peers.fingerprint(),
+        instances: harness.peers.instances(),
+    };
+    handle_answer(harness, port, answer)
 }
 
+/// Answers for an agent that knows the agents with this fingerprint and does not send their
+/// instances.
 pub(crate) fn answer_from_with_known(
     harness: &mut Harness,
     from: u8,
@@ -297,7 +306,12 @@
         agent: packet_addr(from),
         reply,
         known,
+        instances: 0,
     };
+    handle_answer(harness, port, answer)
+}
+
+pub(crate) fn handle_answer(harness: &mut Harness, port: u16, answer: Answer) -> Vec<Action> {
     let mut out = Vec::new();
     let view = View {
         plan: &harness.plan,
--- a/crates/buckthornweir_forward/tests/forward/lost_flows.rs
+++ b/crates/buckthornweir_forward/tests/forward/lost_flows.rs
@@ -130,6 +130,7 @@
                 agent,
                 reply: Reply::NotOwned,
                 known,
+                instances: 0,
             };
             let view = View {
                 plan: &harness.plan,
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -4,6 +4,8 @@
 mod agent;
 mod backend;
 mod balancer;
+mod changes;
+mod changing_views;
 mod cold_start;
 mod common;
 mod lookup;
--- a/crates/buckthornweir_forward/tests/forward/mass_restart.rs
+++ b/crates/buckthornweir_forward/tests/forward/mass_restart.rs
@@ -223,6 +223,7 @@
                     agent: packet_addr(to),
                     reply,
                     known,
+                    instances: self.peers.instances(),
                 };
                 self.count(to, from);
                 self.push(
@@ -294,6 +295,7 @@
                     agent: packet_addr(node),
                     reply,
                     known,
+                    instances: self.peers.instances(),
                 };
                 self.count(node, agent_of(to));
                 self.push(
--- a/crates/buckthornweir_members/src/members.rs
+++ b/crates/buckthornweir_members/src/members.rs
@@ -20,6 +20,7 @@
 
 use self::anti_entropy::AntiEntropy;
 use self::bundles::Bundles;
+use self::contacts::Introductions;
 use self::identity::Identity;
 use self::probing::Probing;
 use self::rosters::Rosters;
@@ -63,6 +64,7 @@
     suspicions: Suspicions,
     anti_entropy: AntiEntropy,
     rosters: Rosters,
+    introductions: Introductions,
     bundles: Bundles,
     now: Duration,
     started: bool,
@@ -105,6 +107,7 @@
             budget: Budget::new(rate, burst),
             anti_entropy: AntiEntropy::new(&config),
             rosters: Rosters::new(&config),
+            introductions: Introductions::default(),
             bundles: Bundles::new(bundle),
             config,
             own: node,
@@ -142,6 +145,7 @@
         }
         self.check_silence(self.now - self.last_received);
         self.last_received = self.now;
+        self.introductions.note_answer(from);
         let sender = message.header.node;
         self.merge_header(&message.header);
         let spread = !matches!(message.body, Body::Chunk { .. });
@@ -270,6 +274,11 @@
             .map(|entry| (&*entry.record, entry.health))
     }
 
+    /// Returns the instance of a known node, which differs after each restart of its process.
+    pub fn instance(&self, node: NodeId) -> Option<Instance> {
+        self.table.get(node).map(|entry| entry.instance)
+    }
+
     /// Returns this node's record.
     pub fn own(&self) -> &Record {
         &self.own_entry().record
--- a/crates/buckthornweir_members/src/members/contacts.rs
+++ b/crates/buckthornweir_members/src/members/contacts.rs
@@ -1,5 +1,6 @@
 //! Contacts dead members and seeds, so that the fabric reunites after a network partition.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use rand::RngExt;
@@ -10,6 +11,36 @@
 /// The number of seeds that a process without live members contacts at once.
 const SEEDS_AT_ONCE: usize = 3;
 
+/// The maximum number of unanswered introductions that are remembered.
+const MAX_UNANSWERED: usize = 16;
+
+/// The addresses to which this node has sent its record and that have not answered since.
+///
+/// The processes there may hold this node as a member although it doesn't know them.
+#[derive(Debug, Default)]
+pub(super) struct Introductions {
+    /// The latest introduction last.
+    unanswered: VecDeque<SocketAddr>,
+}
+
+impl Introductions {
+    pub(super) fn note_sent(&mut self, to: SocketAddr) {
+        self.note_answer(to);
+        if self.unanswered.len() == MAX_UNANSWERED {
+            self.unanswered.pop_front();
+        }
+        self.unanswered.push_back(to);
+    }
+
+    pub(super) fn note_answer(&mut self, from: SocketAddr) {
+        self.unanswered.retain(|address| *address != from);
+    }
+
+    pub(super) fn unanswered(&self) -> impl Iterator<Item = SocketAddr> {
+        self.unanswered.iter().copied()
+    }
+}
+
 impl Members {
     /// Contacts a random dead member that has not left and a random seed without a live member, either of which
     /// may be reachable again after a network partition.
--- a/crates/buckthornweir_members/src/members/dissemination.rs
+++ b/crates/buckthornweir_members/src/members/dissemination.rs
@@ -107,6 +107,7 @@
     pub(super) fn send_introduction(&mut self, to: SocketAddr) {
         let own = self.own_entry().rumour(true);
         let message = self.message(Body::Ping { sequence: 0 }, vec![own]);
+        self.introductions.note_sent(to);
         self.transmit(to, message);
     }
 
@@ -208,9 +209,16 @@
         self.config.gossip_interval * flood
     }
 
-    /// Pushes the departure of this node to several members at once.
+    /// Pushes the departure of this node to several members at once, and to the processes that have not
+    /// answered its introduction.
     pub(super) fn push_departure(&mut self) {
         self.push(DEPARTURE_COPIES);
+        let own = self.own_entry().rumour(true);
+        let message = self.message(Body::Gossip, vec![own]);
+        let unanswered: Vec<_> = self.introductions.unanswered().collect();
+        for to in unanswered {
+            self.transmit(to, message.clone());
+        }
     }
 
     fn push(&mut self, copies: usize) {
--- a/crates/buckthornweir_members/src/members/merging.rs
+++ b/crates/buckthornweir_members/src/members/merging.rs
@@ -13,7 +13,9 @@
     /// Merges the header of a message into the entry of its sender.
     pub(super) fn merge_header(&mut self, header: &Header) {
         let Some(entry) = self.table.get(header.node) else {
-            self.want(header.node);
+            if header.state != MemberState::Left {
+                self.want(header.node);
+            }
             return;
         };
         let known = entry.record.incarnation;
@@ -60,7 +62,7 @@
             return;
         }
         let Some(entry) = self.table.get(rumour.node) else {
-            self.merge_unknown(rumour, spread);
+            self.merge_unknown(sender, rumour, spread);
             return;
         };
         if !supersedes(entry, rumour) || !self.is_credible(sender, rumour) {
@@ -108,8 +110,14 @@
         !accuses || sender.is_none_or(|entry| entry.health != Health::Dead)
     }
 
-    fn merge_unknown(&mut self, rumour: &Rumour, spread: bool) {
-        if rumour.health == Health::Dead {
+    /// Merges a rumour about an unknown node.
+    ///
+    /// Deaths are ignored, except the departure of the sender itself: it may have overtaken the sender's
+    /// introduction, which would make it a member. Departures are not accepted from others, because
+    /// processes forget a departure at different times and would return it to each other forever.
+    fn merge_unknown(&mut self, sender: NodeId, rumour: &Rumour, spread: bool) {
+        let departs = sender == rumour.node && rumour.state == MemberState::Left;
+        if rumour.health == Health::Dead && !(departs && rumour.profile.is_some()) {
             return;
         }
         if rumour.profile.is_some() {
--- a/crates/buckthornweir_members/src/members/rosters.rs
+++ b/crates/buckthornweir_members/src/members/rosters.rs
@@ -25,7 +25,8 @@
 /// The timeout of a fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The maximum number of fetches in flight.
+/// The maximum number of fetches in flight. Those from seeds that are no members yet don't delay those
+/// from members, because connections to a VM that is down wait for their time limit.
 const MAX_FETCHES: usize = 3;
 
 /// The number of processes that must have returned no unknown member if none of them has a complete table.
@@ -89,6 +90,14 @@
     Whole,
 }
 
+/// A fetch in flight.
+#[derive(Debug)]
+struct Fetch {
+    deadline: Duration,
+    /// Whether the responding process was a known member when it was asked.
+    from_member: bool,
+}
+
 /// The state of roster fetches.
 #[derive(Debug)]
 pub(super) struct Rosters {
@@ -99,8 +108,8 @@
     complete_answers: u32,
     /// Processes that returned no unknown member since the last roster with one.
     agreed: BTreeSet<SocketAddr>,
-    /// Fetches in flight, with their deadlines.
-    in_flight: BTreeMap<SocketAddr, Duration>,
+    /// Fetches in flight, by the address of the responding process.
+    in_flight: BTreeMap<SocketAddr, Fetch>,
     next: Duration,
     /// Whether the next fetch prefers another failure domain.
     remote_next: bool,
@@ -130,9 +139,15 @@
         self.next = now;
     }
 
+    /// Returns whether another fetch from a member may start.
+    fn has_capacity(&self) -> bool {
+        let fetches = self.in_flight.values();
+        fetches.filter(|fetch| fetch.from_member).count() < MAX_FETCHES
+    }
+
     /// Returns when the next fetch is due, if any.
     pub(super) fn next_due(&self) -> Option<Duration> {
-        let may_fetch = self.enabled && self.in_flight.len() < MAX_FETCHES;
+        let may_fetch = self.enabled && self.has_capacity();
         match (self.filling_since, self.fetch_due) {
             (Some(_), _) if may_fetch => Some(self.next),
             (None, Some(due)) if may_fetch => Some(self.next.max(due)),
@@ -226,6 +241,7 @@
         let Some(roster) = roster else {
             return self.take_actions();
         };
+        self.introductions.note_answer(from);
         let before = self.table.len();
         let mut actions = Vec::new();
         for message in roster.messages {
@@ -295,14 +311,22 @@
 
     pub(super) fn tick_rosters(&mut self) {
         let now = self.now;
-        self.rosters.in_flight.retain(|_, deadline| now < *deadline);
+        self.rosters
+            .in_flight
+            .retain(|_, fetch| now < fetch.deadline);
         self.update_filling(false);
         if self.rosters.next_due().is_none_or(|due| now < due) {
             return;
         }
         self.rosters.next = now + self.fetch_interval();
-        if let Some(source) = self.choose_source() {
-            self.rosters.in_flight.insert(source, now + FETCH_TIMEOUT);
+        if let Some((source, from_member)) = self.choose_source() {
+            let deadline = now + FETCH_TIMEOUT;
+            let fetch = Fetch {
+                deadline,
+                from_member,
+            };
+            self.rosters.in_flight.insert(source, fetch);
+            self.introductions.note_sent(source);
             self.actions.push(Action::FetchRoster { from: source });
         }
     }
@@ -315,12 +339,13 @@
         }
     }
 
-    /// Returns the address for the next request, or `None` if there is no candidate.
+    /// Returns the address for the next request and whether it is that of a member, or `None` if there is
+    /// no candidate.
     ///
     /// Alternates between members of this node's failure domain, because traffic between domains is
     /// expensive, and members of other domains, because members of one domain may miss the same records.
     /// Falls back to seeds if no member is a candidate.
-    fn choose_source(&mut self) -> Option<SocketAddr> {
+    fn choose_source(&mut self) -> Option<(SocketAddr, bool)> {
         let own = self.own().control;
         let is_candidate = |at: &SocketAddr| {
             !self.rosters.in_flight.contains_key(at) && !self.rosters.agreed.contains(at)
@@ -343,6 +368,11 @@
             .filter(|seed| *seed != own && is_candidate(seed))
             .collect();
         self.rosters.remote_next = !self.rosters.remote_next;
-        self.choose(&chosen).or_else(|| self.choose(&seeds))
+        if let Some(member) = self.choose(&chosen) {
+            return Some((member, true));
+        }
+        let has_capacity = self.rosters.in_flight.len() < MAX_FETCHES;
+        let seed = self.choose(&seeds).filter(|_| has_capacity)?;
+        Some((seed, false))
     }
 }
--- a/crates/buckthornweir_members/tests/members/changes.rs
+++ b/crates/buckthornweir_members/tests/members/changes.rs
@@ -1,5 +1,7 @@
 //! Tests of the spread of departures, weights, bundles and load reports, and of missed changes.
 
+use std::time::Duration;
+
 use buckthornweir_members::prelude::*;
 
 use crate::simulation::{Simulation, address, record, seconds, stamp};
@@ -52,6 +54,90 @@
     }
 }
 
+/// Starts a process in a settled deployment and stops it while the answers to its introductions are still
+/// on their way, so that it knows no member itself.
+fn stop_while_joining(
+    config: &Config,
+    count: u64,
+    seed: u64,
+    stop: fn(&mut Members, Duration) -> Vec<Action>,
+) -> Simulation {
+    let mut sim = Simulation::filled_with(config.clone(), count, seed);
+    sim.run(seconds(6.0));
+    let joining = count + 1;
+    sim.start(record(joining, 3));
+    sim.run(seconds(0.05));
+    assert_eq!(sim.members(joining).iter().count(), 1);
+    sim.act(address(joining), stop);
+    sim.kill(joining);
+    sim
+}
+
+fn joining_configs() -> [Config; 2] {
+    let join_interval = Duration::from_millis(100);
+    let config = Config::default().with_join_interval(join_interval);
+    [config.clone(), config.with_rosters(true)]
+}
+
+/// A process that stops right after its start has introduced itself, but knows nobody to whom it can say
+/// that it leaves. The others must not hold it alive until its probes fail.
+#[test]
+fn departure_of_joining_process_reaches_those_that_received_its_introduction() {
+    for config in joining_configs() {
+        for (count, seed) in [(10, 1), (10, 2), (50, 3), (50, 4), (300, 5)] {
+            let mut sim = stop_while_joining(&config, count, seed, Members::leave);
+            // Delivers the introductions that are on their way.
+            sim.run(seconds(0.05));
+            let took = sim.run_until(seconds(LEAVE_LIMIT_S), |sim| {
+                let alive = sim.count_with_health(count + 1, Health::Alive);
+                alive + sim.count_with_health(count + 1, Health::Suspect) == 0
+            });
+            assert!(took.is_some(), "{count} members, seed {seed}");
+            sim.run(seconds(10.0));
+            let deaths = sim.total(|counters| counters.deaths);
+            assert_eq!(deaths, 0, "{count} members, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn planned_stop_of_joining_process_reaches_those_that_received_its_introduction() {
+    for config in joining_configs() {
+        for (count, seed) in [(10, 1), (50, 2), (300, 3)] {
+            let mut sim = stop_while_joining(&config, count, seed, Members::suspend);
+            let took = sim.run_until(seconds(LEAVE_LIMIT_S), |sim| {
+                sim.all_see_state(count + 1, MemberState::Draining)
+            });
+            assert!(took.is_some(), "{count} members, seed {seed}");
+        }
+    }
+}
+
+/// Members forget a departure at different times. If they accepted one of an unknown member from each other,
+/// it would circulate forever.
+#[test]
+fn departure_of_unknown_member_is_stored_only_if_received_first_hand() {
+    let departure = |sender: u64| {
+        let mut leaving = Members::new(Config::default(), record(9, 3), vec![address(1)], 1);
+        leaving.tick(Duration::ZERO);
+        let actions = leaving.leave(seconds(0.01));
+        let messages = actions.into_iter().filter_map(|action| match action {
+            Action::Send { message, .. } => Some(message),
+            _ => None,
+        });
+        let mut message = messages.last().expect("a departure is sent");
+        message.header.node = sender;
+        message
+    };
+    for (sender, stored) in [(9, true), (8, false)] {
+        let mut members = Members::new(Config::default(), record(1, 3), Vec::new(), 2);
+        members.handle(seconds(1.0), address(sender), departure(sender));
+        assert_eq!(members.get(9).is_some(), stored, "from {sender}");
+        let alive = |(_, health): (&Record, Health)| health != Health::Dead;
+        assert!(!members.get(9).is_some_and(alive), "from {sender}");
+    }
+}
+
 #[test]
 fn member_that_left_can_rejoin() {
     let left = Announcement::State(MemberState::Left);
--- a/crates/buckthornweir_members/tests/members/rosters.rs
+++ b/crates/buckthornweir_members/tests/members/rosters.rs
@@ -202,3 +202,32 @@
         &responder.roster(&others.collect::<Vec<_>>())
     ));
 }
+
+/// After a power loss, seeds may start later than other processes, and connections to them wait for
+/// their time limit. Guards against a process that has heard of members but asks none of them meanwhile.
+#[test]
+fn fetches_from_silent_seeds_do_not_delay_fetches_from_members() {
+    let seeds = [1, 2, 3].map(address).to_vec();
+    let mut members = Members::new(config(), record(9, DOMAINS), seeds, 1);
+    let mut asked = Vec::new();
+    let mut fetch = |actions: Vec<Action>| {
+        let sources = actions.into_iter().filter_map(|action| match action {
+            Action::FetchRoster { from } => Some(from),
+            _ => None,
+        });
+        asked.extend(sources);
+        asked.len()
+    };
+    for step in 0..=4 {
+        fetch(members.tick(seconds(0.1 * f64::from(step))));
+    }
+    assert_eq!(fetch(Vec::new()), 3, "each seed is asked once");
+
+    let mut other = Members::new(config(), record(5, DOMAINS), Vec::new(), 2);
+    let (roster, _) = other.answer_roster(seconds(1.0), address(9), members.roster_request());
+    for message in roster.messages {
+        members.handle(seconds(0.45), address(5), message);
+    }
+    assert_eq!(fetch(members.tick(seconds(0.5))), 4);
+    assert_eq!(asked.last(), Some(&address(5)));
+}
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -6,10 +6,11 @@
 use buckthornweir_forward::NodeId;
 use buckthornweir_forward::absences::{Absence, Absences};
 use buckthornweir_forward::agent::Offer;
+use buckthornweir_forward::changes::{Changes, mark};
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_members::{
-    Action, Announcement, BundleStamp, Config, Filling, Health, MemberState, Members, Message,
-    Record, Roles, Roster, RosterRequest,
+    Action, Announcement, BundleStamp, Config, Filling, Health, Instance, MemberState, Members,
+    Message, Record, Roles, Roster, RosterRequest,
 };
 use siphasher::sip::SipHasher13;
 
@@ -62,6 +63,7 @@
 pub(crate) struct Gossip {
     core: Members,
     absences: Absences,
+    changes: Changes,
 }
 
 impl Gossip {
@@ -86,6 +88,7 @@
         Ok(Self {
             core: Members::new(config, record, seeds(settings), rand::random()),
             absences: Absences::default(),
+            changes: Changes::default(),
         })
     }
 
@@ -216,11 +219,19 @@
             let name = self.core.get(node).map(|(record, _)| &*record.name);
             tracing::info!(event = "agent_absent", name, ?absence);
         }
+        let instance = |node| self.core.instance(node).unwrap_or_default();
         let agents = self
             .core
             .iter()
-            .filter_map(|(r, health)| agent_peer(r, health));
-        Peers::new(agents).with_away(self.absences.awaited(now))
+            .filter_map(|(r, health)| agent_peer(r, instance(r.node), health));
+        let peers = Peers::new(agents);
+        let has_left = |r: &&Record| r.roles.contains(Roles::AGENT) && r.state == MemberState::Left;
+        let left = self.core.iter().map(|(r, _)| r).filter(has_left);
+        let left = left.map(|r| mark(r.node, instance(r.node)));
+        let span = self.changes.update(peers.marks(), left);
+        peers
+            .with_away(self.absences.awaited(now))
+            .with_changes(span)
     }
 
     /// Returns whether no absent agent is awaited.
@@ -327,12 +338,13 @@
     }
 }
 
-fn agent_peer(record: &Record, health: Health) -> Option<Peer> {
+fn agent_peer(record: &Record, instance: Instance, health: Health) -> Option<Peer> {
     let live = health != Health::Dead && record.state != MemberState::Left;
     let is_agent = record.roles.contains(Roles::AGENT);
     match (record.flows, record.gossip) {
         (SocketAddr::V4(packet_addr), SocketAddr::V4(ask_addr)) if live && is_agent => Some(Peer {
             node: record.node,
+            instance,
             packet_addr,
             ask_addr,
             domain: record.domain.clone(),
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -132,6 +132,9 @@
     pub(crate) known: u64,
     #[prost(message, repeated, tag = "3")]
     pub(crate) flows: Vec<ToldFlow>,
+    /// Fingerprint of the starts of these agents. 0 in releases that don't send it.
+    #[prost(fixed64, tag = "4")]
+    pub(crate) instances: u64,
 }
 
 /// The answer about a flow.
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -100,6 +100,7 @@
                 let tell = TellMessage {
                     agent: agent.map_or(0, pack),
                     known: self.peers.fingerprint(),
+                    instances: self.peers.instances(),
                     flows: ask
                         .flows
                         .iter()
@@ -142,6 +143,7 @@
                     agent: unpack(tell.agent),
                     reply,
                     known: tell.known,
+                    instances: tell.instances,
                 };
                 core.handle_answer(now, view, answered.flow.into(), answer, &mut actions);
             }
@@ -170,12 +172,13 @@
             self.send(SocketAddr::V4(to), &PeerMessage::new(PeerBody::Ask(ask)));
         }
         let agent = packet_addr(&self.settings).map(|own| self.settings.announced_addr(own));
-        let known = self.peers.fingerprint();
+        let (known, instances) = (self.peers.fingerprint(), self.peers.instances());
         for (to, flows) in batch(std::mem::take(&mut self.answers)) {
             let agent = agent.map_or(0, pack);
             let tell = TellMessage {
                 agent,
                 known,
+                instances,
                 flows,
             };
             self.send(SocketAddr::V4(to), &PeerMessage::new(PeerBody::Tell(tell)));
--- a/crates/buckthornweir_standins/src/backend/endpoints.rs
+++ b/crates/buckthornweir_standins/src/backend/endpoints.rs
@@ -30,6 +30,8 @@
     pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
     /// The time until the request's deadline, in milliseconds.
     pub const DEADLINE: &str = "x-deadline-ms";
+    /// The agent's id of the request, which a response returns.
+    pub const EXCHANGE: &str = "x-exchange-id";
     /// Has the value `yes` on the refusal of a request that was not run.
     pub const NOT_RUN: &str = "x-not-run";
 }
@@ -109,11 +111,16 @@
 
     /// Handles one request. An error closes the connection.
     pub(crate) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Answer> {
-        match request.uri().path() {
-            "/-/health" => Ok(self.health()),
-            "/-/load" => Ok(self.load()),
-            _ => self.work(request).await,
+        let exchange = request.headers().get(headers::EXCHANGE).cloned();
+        let mut response = match request.uri().path() {
+            "/-/health" => self.health(),
+            "/-/load" => self.load(),
+            _ => self.work(request).await?,
+        };
+        if let Some(id) = exchange {
+            response.headers_mut().insert(headers::EXCHANGE, id);
         }
+        Ok(response)
     }
 
     fn health(&self) -> Answer {
