Specify overload control and define the interfaces of its parts

Cause: under more load than the slots can serve, agents deliver SYNs to full backend servers, which shed the requests late; requests of the highest priority fail beside others. Ruled out: separate messages for loads (hints already answer every SYN that an agent passes on). Change: docs/overload.md; routes carry the class of their requests, services an optional overload policy, hints an optional load that earlier releases ignore. No decision uses them yet. Result: the workspace compiles; behaviour is unchanged. Conclusion: the parts can be built side by side.

--- a/crates/buckthornweir_forward/benches/decisions.rs
+++ b/crates/buckthornweir_forward/benches/decisions.rs
@@ -38,6 +38,7 @@
             service: "desk".into(),
             weight: 1,
         }],
+        ..Route::default()
     };
     Plan {
         version: 1,
--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -15,6 +15,7 @@
 use crate::NodeId;
 use crate::backend::{Backend, Report, Reported};
 use crate::flows::{Flows, Holder};
+use crate::loads::{Load, Loads};
 use crate::lookup::{DeniedFlows, Lookups};
 use crate::plan::{Plan, Revision};
 use crate::segment::{FlowKey, Segment};
@@ -57,6 +58,8 @@
     /// Whether no backend server was present when this agent started.
     backendless_start: bool,
     syn_queue: SynQueue,
+    /// Loads of other agents.
+    loads: Loads,
     /// Revision of the last order that brought the own failure domain back.
     back_revision: Option<Revision>,
     /// Whether a plan has been in force before.
@@ -78,6 +81,7 @@
             flowless: BTreeMap::new(),
             backendless_start: false,
             syn_queue: SynQueue::default(),
+            loads: Loads::default(),
             back_revision: None,
             had_plan: false,
             next_sweep: Duration::ZERO,
@@ -116,6 +120,11 @@
         reported
     }
 
+    /// Records the load that another agent reported.
+    pub fn note_load(&mut self, now: Duration, agent: SocketAddrV4, load: Load) {
+        self.loads.note(now, agent, load);
+    }
+
     /// Records that no backend server was present when this agent started. One that starts later
     /// can't hold flows that this agent has not seen.
     pub fn note_backendless_start(&mut self) {
@@ -262,6 +271,7 @@
             self.flowless
                 .retain(|agent, node| view.peers.has(agent) || is_away(node));
             self.backend.sweep(now);
+            self.loads.sweep(now);
         }
     }
 
@@ -313,6 +323,7 @@
             to: from,
             key,
             agent: to,
+            load: None,
         });
     }
 }
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -210,6 +210,7 @@
                 to: from,
                 key,
                 agent: self.config.packet_addr,
+                load: None,
             });
         }
     }
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -454,6 +454,7 @@
                 to: resolved.requester,
                 key,
                 agent: owner,
+                load: None,
             });
         }
     }
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -7,6 +7,7 @@
 
 use crate::NodeId;
 use crate::backend::{ColdBound, Shut};
+use crate::loads::Load;
 use crate::peers::Peers;
 use crate::plan::Plan;
 use crate::segment::FlowKey;
@@ -154,6 +155,8 @@
         key: FlowKey,
         /// Packet address of the flow's agent.
         agent: SocketAddrV4,
+        /// Load of the sending agent; `None` without overload control.
+        load: Option<Load>,
     },
     /// Records that a new flow was delivered to the backend server.
     Opened {
--- a/crates/buckthornweir_forward/src/plan.rs
+++ b/crates/buckthornweir_forward/src/plan.rs
@@ -27,11 +27,46 @@
     pub weight: u32,
 }
 
+/// Whether the requests of a route may be repeated.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RequestKind {
+    /// Running a request twice has the same effect as running it once.
+    Idempotent,
+    /// A request runs at most once.
+    #[default]
+    NonIdempotent,
+    /// An idempotent request with a long response.
+    Download,
+}
+
+impl RequestKind {
+    /// Returns whether a request may be sent again after an unknown outcome.
+    #[must_use]
+    pub fn is_repeatable(self) -> bool {
+        self != Self::NonIdempotent
+    }
+}
+
+/// What operators state about the requests of a route.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Class {
+    /// Whether the requests may be repeated.
+    pub kind: RequestKind,
+    /// Priority of the requests, 0 is the highest; `None` if not stated.
+    pub priority: Option<u8>,
+    /// Latency objective of the requests; `None` if not stated.
+    pub objective: Option<Duration>,
+    /// Timeout of the requests; `None` if not stated.
+    pub timeout: Option<Duration>,
+}
+
 /// The services that receive the flows of an address.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Route {
     /// The services and their weights.
     pub splits: Vec<Split>,
+    /// The class of the requests.
+    pub class: Class,
 }
 
 impl Route {
@@ -64,11 +99,31 @@
     }
 }
 
+/// How a service treats new flows that exceed its capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OverloadPolicy {
+    /// Share of the started flows that lower priorities get while they wait, from 0 to 1.
+    pub least_share: f64,
+    /// Limit of second SYNs as a share of new flows, from 0 to 1; 0 disables them.
+    pub second_tries: f64,
+}
+
+impl Default for OverloadPolicy {
+    fn default() -> Self {
+        Self {
+            least_share: 0.1,
+            second_tries: 0.0,
+        }
+    }
+}
+
 /// Settings of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Service {
     /// New flows per second that a cold backend server can handle; `None` if unknown.
     pub cold_rate: Option<f64>,
+    /// Treatment of new flows under overload; `None` disables overload control.
+    pub overload: Option<OverloadPolicy>,
 }
 
 /// The plan in force at a process.
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -208,6 +208,7 @@
             to: BALANCER,
             key: key(40_000),
             agent: packet_addr(sibling),
+            load: None,
         }),
         "the balancer gets a hint"
     );
--- a/crates/buckthornweir_forward/tests/forward/cold_start.rs
+++ b/crates/buckthornweir_forward/tests/forward/cold_start.rs
@@ -54,6 +54,7 @@
     let mut harness = without_siblings();
     let service = Service {
         cold_rate: Some(10.0),
+        ..Service::default()
     };
     harness.plan.services.insert("desk".into(), service);
     harness.report(Report {
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -59,6 +59,7 @@
             service: service.into(),
             weight: 1,
         }],
+        ..Route::default()
     };
     Plan {
         revision: 1,
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -30,6 +30,7 @@
         to: BALANCER,
         key: key(40_000),
         agent: packet_addr(3),
+        load: None,
     }));
 }
 
--- a/crates/buckthornweir_forward/tests/forward/plan.rs
+++ b/crates/buckthornweir_forward/tests/forward/plan.rs
@@ -17,6 +17,7 @@
 fn flows_are_split_by_weight() {
     let route = Route {
         splits: vec![split("desk", 90), split("proofs", 10), split("old", 0)],
+        ..Route::default()
     };
     let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
     for port in 0..10_000 {
@@ -33,9 +34,11 @@
 fn a_change_of_weights_moves_few_flows() {
     let before = Route {
         splits: vec![split("desk", 90), split("proofs", 10)],
+        ..Route::default()
     };
     let after = Route {
         splits: vec![split("desk", 80), split("proofs", 20)],
+        ..Route::default()
     };
     let moved =
         (0..10_000).filter(|port| before.service(&key(*port)) != after.service(&key(*port)));
@@ -49,6 +52,10 @@
         vec![split("desk", 0)],
         vec![split("desk", 0), split("proofs", 0)],
     ] {
-        assert_eq!(Route { splits }.service(&key(1)), None);
+        let route = Route {
+            splits,
+            ..Route::default()
+        };
+        assert_eq!(route.service(&key(1)), None);
     }
 }
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use buckthornweir_forward::agent::{Question, Reply};
+use buckthornweir_forward::loads::Load;
 use buckthornweir_forward::segment::FlowKey;
 use buckthornweir_members::messages::MessageError;
 use buckthornweir_members::{Message as MembersMessage, Roster, RosterRequest};
@@ -155,6 +157,52 @@
     /// Packet address of the flow's agent.
     #[prost(fixed64, tag = "2")]
     pub(crate) agent: u64,
+    /// Load of the sender. Earlier releases neither send nor read it.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) load: Option<LoadMessage>,
+}
+
+/// The load of an agent's backend server.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct LoadMessage {
+    /// Packet address of the agent whose load this is.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) agent: u64,
+    /// Expected wait of a new flow of the lowest priority, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub(crate) wait: u32,
+    /// Mean service time of a request in milliseconds; 0 if unknown.
+    #[prost(uint32, tag = "3")]
+    pub(crate) service: u32,
+    /// Number of further flows that start without waiting.
+    #[prost(uint32, tag = "4")]
+    pub(crate) capacity: u32,
+    /// Number of requests that run concurrently.
+    #[prost(uint32, tag = "5")]
+    pub(crate) slots: u32,
+}
+
+impl LoadMessage {
+    pub(crate) fn new(agent: SocketAddrV4, load: Load) -> Self {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            agent: pack(agent),
+            wait: millis(load.wait),
+            service: millis(load.service),
+            capacity: load.capacity,
+            slots: load.slots,
+        }
+    }
+
+    pub(crate) fn read(self) -> (SocketAddrV4, Load) {
+        let load = Load {
+            wait: Duration::from_millis(self.wait.into()),
+            service: Duration::from_millis(self.service.into()),
+            capacity: self.capacity,
+            slots: self.slots,
+        };
+        (unpack(self.agent), load)
+    }
 }
 
 /// A message of the replicated log.
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -12,8 +12,8 @@
 use crate::control::Outbox;
 use crate::links::{self, Incoming};
 use crate::messages::{
-    AskMessage, AskedFlow, MAX_DATAGRAM_BYTES, MAX_FLOWS_PER_MESSAGE, PeerBody, PeerMessage,
-    PlanMessage, TellMessage, flow_answer, pack, reply_from_code, unpack,
+    AskMessage, AskedFlow, LoadMessage, MAX_DATAGRAM_BYTES, MAX_FLOWS_PER_MESSAGE, PeerBody,
+    PeerMessage, PlanMessage, TellMessage, flow_answer, pack, reply_from_code, unpack,
 };
 use crate::packets::MAX_BATCH;
 
@@ -113,6 +113,9 @@
             }
             (Role::Agent { .. }, PeerBody::Tell(tell)) => return self.handle_answers(now, &tell),
             (Role::Agent { core, .. }, PeerBody::Hint(hint)) => {
+                if let Some((agent, load)) = hint.load.map(LoadMessage::read) {
+                    core.note_load(now, agent, load);
+                }
                 return core.hint(hint.flow.into(), unpack(hint.agent));
             }
             (Role::Balancer { core, .. }, PeerBody::Hint(hint)) => {
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -8,8 +8,8 @@
 use buckthornweir_forward::segment::{FlowKey, Segment};
 use buckthornweir_forward::tag::Tag;
 
-use super::{Node, Role, agent_view, packet_port};
-use crate::messages::{HintMessage, PeerBody, PeerMessage, flow_answer, pack};
+use super::{Node, Role, agent_view, packet_addr, packet_port};
+use crate::messages::{HintMessage, LoadMessage, PeerBody, PeerMessage, flow_answer, pack};
 use crate::packets::MAX_BATCH;
 
 /// Maximum number of silent agents listed in a log line about a lookup.
@@ -166,10 +166,17 @@
                 let to = SocketAddrV4::new(*to.ip(), self.settings.peer_port);
                 self.answers.push((to, flow_answer(key.into(), reply)));
             }
-            Action::Hint { to, key, agent } => {
+            Action::Hint {
+                to,
+                key,
+                agent,
+                load,
+            } => {
+                let own = packet_addr(&self.settings).map(|own| self.settings.announced_addr(own));
                 let hint = HintMessage {
                     flow: key.into(),
                     agent: pack(agent),
+                    load: own.zip(load).map(|(own, load)| LoadMessage::new(own, load)),
                 };
                 let to = SocketAddrV4::new(*to.ip(), self.settings.peer_port);
                 self.send(SocketAddr::V4(to), &PeerMessage::new(PeerBody::Hint(hint)));
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -285,9 +285,13 @@
         service: "desk".into(),
         weight: 1,
     }];
+    let route = Route {
+        splits,
+        ..Route::default()
+    };
     Ok(Plan {
         version,
-        routes: [(SERVICE_ADDR, Route { splits })].into(),
+        routes: [(SERVICE_ADDR, route)].into(),
         services: [("desk".into(), Service::default())].into(),
         ..Plan::default()
     })
