Count rejected, passed on and waiting flows, and log the class with them

Cause: the metrics did not tell a new flow that was rejected from an open one that was reset, nor why flows were passed on, and the log lines named neither priority nor objective. Ruled out: one metric for each process and reason of the existing reset counter; its name and meaning are in use by alerts. Change: metrics of new flows rejected and passed on by reason, of waiting flows, weight step, service time and hedged SYNs; the first two are counted, the others have no source yet. flow_passed_on and flow_reset state priority, objective and, where the agent gives them, the inputs of the decision (OverloadInputs). A SYN that is passed on from a queue is logged as itself; before, the line named the flow of the current packet or was left out. Conclusion: admission decisions can be connected by adding match arms in flow_metrics.rs and one action in traffic.rs.

--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -119,6 +119,28 @@
         FlowsEnded = "flows_ended_total", "Flows that ended at this agent";
         /// Flows aborted with a reset.
         FlowsReset = "flows_reset_total", "Flows given up with a reset";
+        /// New flows rejected because no backend server can serve them within their objective.
+        FlowsRejectedOverloaded = "flows_rejected_total", "New flows that were rejected without being run", reason = "overloaded";
+        /// New flows rejected because no backend server accepts new flows.
+        FlowsRejectedNobodyTakes = "flows_rejected_total", "New flows that were rejected without being run", reason = "nobody-takes";
+        /// New flows passed to another agent because the backend server has no free slot.
+        FlowsPassedOnBusy = "flows_passed_on_total", "New flows that were passed to another agent", reason = "busy";
+        /// New flows passed to another agent that is expected to complete the request sooner.
+        FlowsPassedOnOverloaded = "flows_passed_on_total", "New flows that were passed to another agent", reason = "overloaded";
+        /// New flows passed to another agent because the backend server accepts none.
+        FlowsPassedOnShut = "flows_passed_on_total", "New flows that were passed to another agent", reason = "shut";
+        /// New flows passed to another agent because the backend server returned the SYN.
+        FlowsPassedOnReturned = "flows_passed_on_total", "New flows that were passed to another agent", reason = "returned";
+        /// New flows passed to another agent because the backend server did not answer the SYN.
+        FlowsPassedOnUnanswered = "flows_passed_on_total", "New flows that were passed to another agent", reason = "unanswered";
+        /// Hedged SYNs sent by a balancer.
+        HedgedSynsSent = "hedged_syns_total", "Hedged SYNs that this balancer sent";
+        /// Hedged SYNs not sent because the limit was reached.
+        HedgedSynsDeniedLimit = "hedged_syns_denied_total", "Hedged SYNs that this balancer did not send", reason = "limit";
+        /// Hedged SYNs not sent because no other agent announces a free slot.
+        HedgedSynsDeniedNoSlot = "hedged_syns_denied_total", "Hedged SYNs that this balancer did not send", reason = "no-slot";
+        /// SYNs that can't be hedged because too many others await their flow's next packet.
+        HedgedSynsDeniedFull = "hedged_syns_denied_total", "Hedged SYNs that this balancer did not send", reason = "full";
         /// Packets answered with a reset because no agent owns their flow.
         FlowsUnowned = "flows_unowned_total", "Packets answered with a reset because no agent owns their flow";
         /// Flows handed over to another agent.
@@ -182,6 +204,12 @@
     Gauge {
         /// Open flows.
         FlowsOpen = "flows_open", "Flows open at this agent";
+        /// SYNs in the admission queue of this agent.
+        FlowsWaiting = "flows_waiting", "New flows that wait at this agent for a slot";
+        /// The share of new flows that this agent announces, from 1 to 16.
+        WeightStep = "weight_step", "Share of new flows that this agent asks for, from 1 to 16";
+        /// The mean service time in milliseconds, or 0 if it is unknown.
+        ServiceTimeMs = "service_time_ms", "Mean service time of requests in milliseconds, 0 when unknown";
         /// Requests running at the backend server.
         RequestsRunning = "requests_running", "Requests that run at the backend server";
         /// Requests waiting for a slot.
@@ -210,10 +238,12 @@
 pub enum Latency {
     /// The time from a request's first packet to its response's first packet, at the agent.
     Request,
+    /// The time that a SYN spent in the admission queue of the agent.
+    FlowWait,
 }
 
 impl Latency {
-    const ALL: &'static [Latency] = &[Latency::Request];
+    const ALL: &'static [Latency] = &[Latency::Request, Latency::FlowWait];
 
     fn opts(self) -> HistogramOpts {
         let (name, help) = match self {
@@ -221,6 +251,10 @@
                 "request_seconds",
                 "Time from a request's first packet to its answer's first packet",
             ),
+            Self::FlowWait => (
+                "flow_wait_seconds",
+                "Time that a new flow waited at the agent for a slot",
+            ),
         };
         HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_SECONDS.to_vec())
     }
--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -4,6 +4,7 @@
 //! server itself, which returns packets of flows that it doesn't hold.
 
 mod new_flows;
+mod overload_inputs;
 mod owners;
 mod types;
 
@@ -22,6 +23,7 @@
 use crate::syn_queue::SynQueue;
 use crate::tag::Tag;
 
+pub use self::overload_inputs::OverloadInputs;
 pub use self::types::{
     Action, AgentConfig, Answer, DropReason, Offer, PassReason, Question, Reply, ResetReason, View,
 };
--- /dev/null
+++ b/crates/buckthornweir_forward/src/agent/overload_inputs.rs
@@ -0,0 +1,19 @@
+//! Inputs of a decision about a new flow, for log lines.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// What an agent knew when it passed on or rejected a new flow because of overload.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OverloadInputs {
+    /// Expected wait of the flow at this agent.
+    pub wait: Duration,
+    /// Expected service time of the request; `None` if unknown.
+    pub service: Option<Duration>,
+    /// Number of queued SYNs.
+    pub queued: usize,
+    /// Packet address of the best sibling; `None` if no sibling is eligible.
+    pub sibling: Option<SocketAddrV4>,
+    /// Age of the sibling's load; `None` if the load is unknown.
+    pub load_age: Option<Duration>,
+}
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -2,6 +2,7 @@
 
 mod binding;
 mod fetching;
+mod flow_metrics;
 mod peer_messages;
 mod requests;
 mod traffic;
@@ -13,10 +14,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use buckthornweir_events::{Gauge, LogRateLimiter, Metrics};
-use buckthornweir_forward::agent::{Action, Agent, Offer, Question, View};
+use buckthornweir_forward::agent::{Action, Agent, Offer, OverloadInputs, Question, View};
 use buckthornweir_forward::backend::Presence;
 use buckthornweir_forward::balancer::Balancer;
 use buckthornweir_forward::peers::Peers;
+use buckthornweir_forward::segment::FlowKey;
 use buckthornweir_members::{Filling, Roster};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::mpsc;
@@ -122,6 +124,9 @@
     next_offer: Duration,
     log_budget: LogRateLimiter,
     actions: Vec<Action>,
+    /// Inputs of the agent's latest decision about a new flow, for the log line about the next
+    /// action.
+    explained: Option<(FlowKey, OverloadInputs)>,
     questions: Vec<(SocketAddrV4, Question)>,
     answers: Vec<(SocketAddrV4, ToldFlow)>,
     /// Time at which the queued questions and answers are sent.
@@ -184,6 +189,7 @@
             next_offer: Duration::ZERO,
             log_budget: LogRateLimiter::new(MAX_FLOW_LINES_PER_SECOND),
             actions: Vec::new(),
+            explained: None,
             questions: Vec::new(),
             answers: Vec::new(),
             next_flush: Duration::ZERO,
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -1,13 +1,18 @@
 //! Receiving and sending of packets, and execution of the decisions about them.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
 
 use buckthornweir_events::{Count, Latency};
-use buckthornweir_forward::agent::{Action, Agent, DropReason, PassReason, ResetReason};
+use buckthornweir_forward::agent::{
+    Action, Agent, DropReason, OverloadInputs, PassReason, ResetReason,
+};
 use buckthornweir_forward::balancer::{Decision, Loss};
+use buckthornweir_forward::plan::{Class, Revision};
 use buckthornweir_forward::segment::{FlowKey, Segment};
 use buckthornweir_forward::tag::Tag;
 
+use super::flow_metrics::{drop_metric, pass_metric, reset_metric};
 use super::{Node, Role, agent_view, packet_addr, packet_port};
 use crate::messages::{HintMessage, LoadMessage, PeerBody, PeerMessage, flow_answer, pack};
 use crate::packets::MAX_BATCH;
@@ -143,8 +148,17 @@
                 tag,
                 reason,
             } => {
+                let passed = match &held {
+                    Some(held) => (self.format.read)(held),
+                    None => segment.copied(),
+                };
                 self.pass(held, bytes, to, tag);
-                self.log_pass(segment, to, tag, reason);
+                if let Some(syn) = passed.filter(|passed| passed.syn) {
+                    if let Some(count) = pass_metric(reason) {
+                        self.metrics.count(count);
+                    }
+                    self.log_pass(&syn, to, tag, reason);
+                }
             }
             Action::ToCaller => {
                 if let Some(segment) = segment {
@@ -159,6 +173,9 @@
                 let reset = (self.format.reset)(&key, sequence);
                 self.send_to_caller(&reset, *key.caller.ip());
                 self.metrics.count(Count::FlowsReset);
+                if let Some(count) = reset_metric(reason) {
+                    self.metrics.count(count);
+                }
                 self.log_reset(&key, reason);
             }
             Action::Ask { to, question } => self.questions.push((to, question)),
@@ -241,33 +258,35 @@
         }
     }
 
-    fn log_pass(
-        &mut self,
-        segment: Option<&Segment>,
-        to: SocketAddrV4,
-        tag: Tag,
-        reason: PassReason,
-    ) {
-        let revision = self.plans.plan().revision;
-        if let Some(syn) = segment.filter(|s| s.syn)
-            && let Some(core) = self.agent_within_log_budget()
-        {
+    fn log_pass(&mut self, syn: &Segment, to: SocketAddrV4, tag: Tag, reason: PassReason) {
+        let key = syn.caller_flow();
+        let (revision, class) = self.revision_and_class(&key);
+        let inputs = self.take_inputs(&key);
+        if let Some(core) = self.agent_within_log_budget() {
             tracing::info!(
                 event = "flow_passed_on",
-                flow = %syn.caller_flow(),
+                flow = %key,
                 agent = %to,
                 ?reason,
                 hops = tag.hops,
                 running = core.flows().running(),
                 slots = core.backend().slots(),
+                priority = class.priority,
+                objective_ms = millis(class.objective),
+                wait_ms = millis(inputs.map(|i| i.wait)),
+                service_ms = millis(inputs.and_then(|i| i.service)),
+                queued = inputs.map(|i| i.queued),
+                load_age_ms = millis(inputs.and_then(|i| i.load_age)),
                 revision,
             );
         }
     }
 
     fn log_reset(&mut self, key: &FlowKey, reason: ResetReason) {
-        let revision = self.plans.plan().revision;
+        let (revision, class) = self.revision_and_class(key);
         let agents = self.peers.len();
+        let inputs = self.take_inputs(key);
+        let sibling = inputs.and_then(|i| i.sibling);
         if let Some(core) = self.agent_within_log_budget() {
             let report = core.backend().last_report();
             tracing::info!(
@@ -275,13 +294,34 @@
                 flow = %key,
                 ?reason,
                 running = core.flows().running(),
+                slots = core.backend().slots(),
                 report = ?report.map(|r| (r.state, r.sequence)),
+                priority = class.priority,
+                objective_ms = millis(class.objective),
+                wait_ms = millis(inputs.map(|i| i.wait)),
+                service_ms = millis(inputs.and_then(|i| i.service)),
+                queued = inputs.map(|i| i.queued),
+                sibling = sibling.map(tracing::field::display),
+                load_age_ms = millis(inputs.and_then(|i| i.load_age)),
                 agents,
                 revision,
             );
         }
     }
 
+    /// Returns the revision of the plan in force and the class of the flow's requests.
+    fn revision_and_class(&self, key: &FlowKey) -> (Revision, Class) {
+        let plan = self.plans.plan();
+        let class = plan.route(&key.service).map(|route| route.class);
+        (plan.revision, class.unwrap_or_default())
+    }
+
+    /// Returns the inputs of the decision about the flow if the agent stated them just before.
+    fn take_inputs(&mut self, key: &FlowKey) -> Option<OverloadInputs> {
+        let (explained, inputs) = self.explained.take()?;
+        (explained == *key).then_some(inputs)
+    }
+
     fn log_opened(&mut self, key: &FlowKey) {
         let now = self.now();
         let revision = self.plans.plan().revision;
@@ -337,13 +377,6 @@
     }
 }
 
-fn drop_metric(reason: DropReason) -> Count {
-    match reason {
-        DropReason::Held => Count::PacketsAwaitingOwner,
-        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
-        DropReason::HopLimit => Count::PacketsHopLimit,
-        DropReason::NoRoute => Count::PacketsDroppedWrongService,
-        DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
-        DropReason::Odd => Count::PacketsMalformed,
-    }
+fn millis(duration: Option<Duration>) -> Option<u64> {
+    duration.map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
