Hedge SYNs whose flow's next packet is late

Cause: a SYN at a slow backend server, or at an agent that has ended, waits for the caller's retransmission after 200 ms while other backend servers have free slots. Ruled out: raising the retransmission count of the copy to 1. The checksum of the platform's packets is keyed and covers the count (platform/src/packets.rs: all but the tag, the padding and the flag of a returned packet), so the copy goes out unchanged except for its tag, and counts as a first SYN where it arrives. Ruled out, too: retrying a denied copy later; it would be sent when slots become free after an overload, when the caller retransmits anyway. Change: Hedging remembers at most 1,024 SYNs of repeatable routes and, 60 ms after one, returns a copy for the next warm accepting agent that announces a free slot. A limit as a share of the new flows of the last 10 s holds whenever a copy is sent. Balancers forget a SYN at the flow's next packet and tick only while they remember one. Conclusion: hedging is off unless a limit is set, and keeps within it in any 10 s that end with a copy.

--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod balancer;
 pub mod changes;
 pub mod flows;
+pub mod hedging;
 pub mod loads;
 mod lookup;
 pub mod peers;
@@ -40,6 +41,7 @@
     pub use crate::backend::{Admission, Backend, Presence, Report, ReportState};
     pub use crate::balancer::{Balancer, Decision, Loss};
     pub use crate::changes::{Changes, Span};
+    pub use crate::hedging::{Denial, Hedge, Hedging};
     pub use crate::loads::{Load, Loads};
     pub use crate::peers::{Peer, Peers};
     pub use crate::plan::{Class, OverloadPolicy, Plan, RequestKind, Route, Service, Split};
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod changing_views;
 mod cold_start;
 mod common;
+mod hedging;
 mod lookup;
 mod lost_flows;
 mod mass_restart;
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -3,6 +3,7 @@
 mod binding;
 mod fetching;
 mod flow_metrics;
+mod hedged_syns;
 mod peer_messages;
 mod requests;
 mod traffic;
@@ -17,6 +18,7 @@
 use buckthornweir_forward::agent::{Action, Agent, Offer, OverloadInputs, Question, View};
 use buckthornweir_forward::backend::Presence;
 use buckthornweir_forward::balancer::Balancer;
+use buckthornweir_forward::hedging::Hedging;
 use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::segment::FlowKey;
 use buckthornweir_members::{Filling, Roster};
@@ -83,6 +85,7 @@
 enum Role {
     Balancer {
         core: Balancer,
+        hedging: Box<Hedging>,
         packets: PacketSocket,
         grace: Duration,
     },
@@ -244,7 +247,8 @@
         match &self.role {
             Role::Control(replica) => next = next.min(replica.next_tick(now)),
             Role::Agent { core, .. } if core.is_waiting() => next = next.min(now + LOOKUP_INTERVAL),
-            Role::Agent { .. } | Role::Balancer { .. } => {}
+            Role::Balancer { hedging, .. } => next = next.min(hedging.next_due().unwrap_or(next)),
+            Role::Agent { .. } => {}
         }
         if self.peers_stale {
             next = next.min(self.next_refresh);
@@ -316,7 +320,8 @@
                 self.execute_all(actions, &mut [], None);
                 self.announce_offer(now);
             }
-            Role::Control(_) | Role::Balancer { .. } => {}
+            Role::Balancer { .. } => self.send_hedged_syns(now),
+            Role::Control(_) => {}
         }
         self.flush_questions(now);
         self.refresh_peers(now);
--- a/crates/buckthornweir_node/src/node/binding.rs
+++ b/crates/buckthornweir_node/src/node/binding.rs
@@ -7,6 +7,7 @@
 use buckthornweir_events::Metrics;
 use buckthornweir_forward::agent::{Agent, AgentConfig};
 use buckthornweir_forward::balancer::Balancer;
+use buckthornweir_forward::hedging::Hedging;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +29,7 @@
     Ok(match &settings.role {
         RoleSettings::Balancer(balancer) => Role::Balancer {
             core: Balancer::new(settings.domain.clone()),
+            hedging: Box::new(Hedging::new(settings.domain.clone(), balancer.second_tries)),
             packets: PacketSocket::bind("packets", balancer.packets).await?,
             grace: balancer.grace,
         },
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -43,6 +43,7 @@
                 Role::Balancer { core, .. } => {
                     let decision = core.route(now, self.plans.plan(), &self.peers, &segment);
                     self.forward(&decision, &segment, bytes);
+                    self.note_forwarded(now, &decision, &segment, bytes);
                 }
                 Role::Agent { core, .. } => {
                     let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
--- a/crates/buckthornweir_node/src/settings.rs
+++ b/crates/buckthornweir_node/src/settings.rs
@@ -76,6 +76,9 @@
     pub packets: SocketAddrV4,
     /// Maximum time for which a stopping balancer keeps forwarding.
     pub grace: Duration,
+    /// Limit of hedged SYNs, as a share of new flows, for services whose overload policy states
+    /// none; 0 disables them.
+    pub second_tries: f64,
 }
 
 /// Settings of an agent.
--- a/crates/buckthornweir_node/tests/node/main.rs
+++ b/crates/buckthornweir_node/tests/node/main.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod format;
+mod hedged_syns;
 mod path;
 mod slow_link;
 mod support;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
-use buckthornweir_forward::plan::{Plan, Route, Service, Split};
+use buckthornweir_forward::plan::{
+    Class, OverloadPolicy, Plan, RequestKind, Route, Service, Split,
+};
 use buckthornweir_forward::segment::Segment;
 use buckthornweir_node::prelude::*;
 use tokio::net::{TcpListener, UdpSocket};
@@ -88,9 +90,14 @@
     }
 
     pub(crate) async fn balancer(self, host: u8) -> RunningNode {
+        self.hedging_balancer(host, 0.0).await
+    }
+
+    pub(crate) async fn hedging_balancer(self, host: u8, second_tries: f64) -> RunningNode {
         let role = RoleSettings::Balancer(BalancerSettings {
             packets: SocketAddrV4::new(self.ip(host), PACKET_PORT),
             grace: Duration::from_secs(2),
+            second_tries,
         });
         start(self.settings(host, role)).await
     }
@@ -185,6 +192,37 @@
         }
     }
 
+    /// Sends one SYN, which counts `retransmissions` earlier ones, and returns the response unless
+    /// there is none within `limit`.
+    pub(crate) async fn send_syn_once(
+        &self,
+        balancer: Ipv4Addr,
+        port: u16,
+        retransmissions: u32,
+        limit: Duration,
+    ) -> Option<Segment> {
+        let syn = Segment {
+            syn: true,
+            acknowledged: retransmissions,
+            ..self.packet(port)
+        };
+        let to = SocketAddrV4::new(balancer, PACKET_PORT);
+        let sent = self.socket.send_to(&write(&syn), to).await;
+        sent.expect("test setup failed");
+        let mut buffer = [0; 2_048];
+        let response = async {
+            loop {
+                let received = self.socket.recv_from(&mut buffer).await;
+                let (length, _) = received.expect("test setup failed");
+                let segment = read(&buffer[..length]).expect("test setup failed");
+                if segment.target == syn.source {
+                    return segment;
+                }
+            }
+        };
+        tokio::time::timeout(limit, response).await.ok()
+    }
+
     /// Opens a flow through a balancer and returns the response to the SYN.
     pub(crate) async fn open(&self, balancer: Ipv4Addr, port: u16) -> Segment {
         let syn = Segment {
@@ -277,22 +315,35 @@
     }
 }
 
+/// First version of a configuration whose service has an overload policy and idempotent requests.
+pub(crate) const OVERLOAD_VERSION: u64 = 1_000;
+
 /// Parses a configuration, which consists only of its version.
 fn read_plan(text: &[u8]) -> Result<Plan, smol_str::SmolStr> {
     let text = std::str::from_utf8(text).map_err(|_| "no text")?;
-    let version = text.trim().parse().map_err(|_| "no version")?;
+    let version: u64 = text.trim().parse().map_err(|_| "no version")?;
+    let overload = (version >= OVERLOAD_VERSION).then(OverloadPolicy::default);
+    let kind = match overload {
+        Some(_) => RequestKind::Idempotent,
+        None => RequestKind::default(),
+    };
     let splits = vec![Split {
         service: "desk".into(),
         weight: 1,
     }];
-    let route = Route {
-        splits,
-        ..Route::default()
+    let class = Class {
+        kind,
+        ..Class::default()
+    };
+    let route = Route { splits, class };
+    let service = Service {
+        overload,
+        ..Service::default()
     };
     Ok(Plan {
         version,
         routes: [(SERVICE_ADDR, route)].into(),
-        services: [("desk".into(), Service::default())].into(),
+        services: [("desk".into(), service)].into(),
         ..Plan::default()
     })
 }
