Drop hedged SYNs where they can't be served at once

Cause: an agent that can't take a hedged SYN rejected it with a reset, while the backend server of the first SYN may have opened the flow. The reset would end a flow that is open, and say "not run" of a request that can run. Ruled out: hop counts as a mark (an agent at the limit of hops still resets), and a message that recalls the copy (it can come too late). Change: a bit in the tag marks hedged SYNs and stays on them when they are passed on, delivered and returned. An agent whose backend server is not warm with a free slot drops them: no queue, no further hop, no reset. The drop has a reason and a counter of its own. Agents of earlier releases ignore the bit and treat the copy as any SYN. Conclusion: a copy can open a flow or vanish. The first agent's own later rejection is not covered by this.

--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -97,6 +97,8 @@
         PacketsDroppedFlowsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "flows-full";
         /// Packets dropped by an agent because its limit of pending owner lookups is reached.
         PacketsDroppedLookupsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "lookups-full";
+        /// Hedged SYNs dropped by an agent because its backend server can't serve them at once.
+        PacketsDroppedHedged = "packets_dropped_total", "Packets dropped by an agent", reason = "hedged";
         /// Packets dropped by an agent because the members of the service are not known yet.
         PacketsDroppedNotSettled = "packets_dropped_total", "Packets dropped by an agent", reason = "not-settled";
         /// Packets dropped by an agent because other processes have a newer bundle.
--- a/crates/buckthornweir_events/tests/metrics.rs
+++ b/crates/buckthornweir_events/tests/metrics.rs
@@ -32,6 +32,7 @@
         buckthornweir_packets_dropped_total{reason="behind"} 0
         buckthornweir_packets_dropped_total{reason="domain-out"} 0
         buckthornweir_packets_dropped_total{reason="flows-full"} 0
+        buckthornweir_packets_dropped_total{reason="hedged"} 0
         buckthornweir_packets_dropped_total{reason="lookups-full"} 0
         buckthornweir_packets_dropped_total{reason="no-bundle"} 0
         buckthornweir_packets_dropped_total{reason="no-owner"} 0
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -93,6 +93,9 @@
             // This agent's plan or the sender's is stale; a retransmission will meet a newer plan.
             return out.push(Action::Drop(DropReason::NoRoute));
         }
+        if tag.hedged && !self.serves_at_once(now, view.plan) {
+            return out.push(Action::Drop(DropReason::Hedged));
+        }
         let reason = match self.admission(now, view.plan) {
             Admission::Open => None,
             Admission::Busy if tag.hops >= MAX_BUSY_HOPS => None,
@@ -122,6 +125,14 @@
         }
     }
 
+    /// Returns whether the backend server is warm and has a free slot for a hedged SYN.
+    ///
+    /// Any other hedged SYN is dropped: the flow may have opened at the agent of the first SYN, so
+    /// that a reset would break it, and hedging must not add to the queues.
+    fn serves_at_once(&mut self, now: Duration, plan: &Plan) -> bool {
+        !self.backend.is_cold(now) && matches!(self.admission(now, plan), Admission::Open)
+    }
+
     /// Queues a SYN that the backend server may accept before the caller times out. Returns whether
     /// the SYN is queued.
     pub(super) fn queue_syn(
@@ -259,6 +270,10 @@
         let key = segment.caller_flow();
         let own = self.config.packet_addr;
         self.backend.note_returned_syn(now);
+        if tag.hedged {
+            self.flows.remove(&key);
+            return out.push(Action::Drop(DropReason::Hedged));
+        }
         let sibling = self
             .pick_sibling(view, &key, tag)
             .map(|peer| peer.packet_addr);
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -56,6 +56,8 @@
     NoRoute,
     /// Too many lookups are running.
     LookupsFull,
+    /// The packet is a hedged SYN that the backend server can't serve at once.
+    Hedged,
     /// The packet of the backend server has no caller as its target.
     Odd,
 }
--- a/crates/buckthornweir_forward/src/balancer.rs
+++ b/crates/buckthornweir_forward/src/balancer.rs
@@ -164,9 +164,8 @@
         Decision::Forward {
             to: peer.packet_addr,
             tag: Tag {
-                hops: 0,
                 aside,
-                probe: false,
+                ..Tag::default()
             },
         }
     }
--- a/crates/buckthornweir_forward/src/hedging.rs
+++ b/crates/buckthornweir_forward/src/hedging.rs
@@ -246,9 +246,9 @@
             first,
             to: to.packet_addr,
             tag: Tag {
-                hops: 0,
                 aside: primary.is_some_and(|primary| primary.node != to.node),
-                probe: false,
+                hedged: true,
+                ..Tag::default()
             },
         })
     }
--- a/crates/buckthornweir_forward/src/tag.rs
+++ b/crates/buckthornweir_forward/src/tag.rs
@@ -6,6 +6,7 @@
 const MAGIC_MASK: u32 = 0xff << 24;
 const ASIDE: u32 = 1 << 8;
 const PROBE: u32 = 1 << 9;
+const HEDGED: u32 = 1 << 10;
 const HOPS_MASK: u32 = 0xff;
 
 /// A tag on a packet.
@@ -18,6 +19,9 @@
     /// Whether the packet is a probe: a copy by which another agent finds out whether the backend
     /// server holds the flow.
     pub probe: bool,
+    /// Whether the packet is a balancer's copy of a SYN that may have opened its flow elsewhere, so
+    /// that it must not cause a reset. Earlier releases ignore it.
+    pub hedged: bool,
 }
 
 impl Tag {
@@ -31,6 +35,7 @@
             hops: (word & HOPS_MASK) as u8,
             aside: word & ASIDE != 0,
             probe: word & PROBE != 0,
+            hedged: word & HEDGED != 0,
         }
     }
 
@@ -39,7 +44,8 @@
     pub fn word(self) -> u32 {
         let aside = if self.aside { ASIDE } else { 0 };
         let probe = if self.probe { PROBE } else { 0 };
-        MAGIC | aside | probe | u32::from(self.hops)
+        let hedged = if self.hedged { HEDGED } else { 0 };
+        MAGIC | aside | probe | hedged | u32::from(self.hops)
     }
 
     /// Returns the tag for passing the packet on by one more hop.
@@ -49,6 +55,7 @@
             hops: self.hops.saturating_add(1),
             aside: true,
             probe: false,
+            hedged: self.hedged,
         }
     }
 
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -126,7 +126,7 @@
     let tag = Tag {
         hops,
         aside: true,
-        probe: false,
+        ..Tag::default()
     };
     Segment {
         tag: tag.word(),
--- a/crates/buckthornweir_forward/tests/forward/hedging.rs
+++ b/crates/buckthornweir_forward/tests/forward/hedging.rs
@@ -2,12 +2,18 @@
 
 use std::time::Duration;
 
+use buckthornweir_forward::agent::{Action, DropReason};
+use buckthornweir_forward::backend::{Report, ReportState};
 use buckthornweir_forward::hedging::{Denial, Hedge, Hedging, SECOND_SYN_DELAY};
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_forward::plan::{Class, OverloadPolicy, Plan, RequestKind, Service};
 use buckthornweir_forward::segment::Segment;
+use buckthornweir_forward::tag::Tag;
 
-use crate::common::{SERVICE, data, key, ms, packet_addr, peer, plan, syn};
+use crate::common::{
+    Harness as AgentHarness, Outcome, SERVICE, data, key, ms, outcome, packet_addr, peer, plan,
+    report, returned, syn,
+};
 
 const SHARE: f64 = 0.1;
 
@@ -108,6 +114,7 @@
     assert_eq!(bytes, &5_u16.to_be_bytes());
     let peers = Peers::new(harness.peers.clone());
     let primary = peers.primary("desk", "a", &key(5)).unwrap();
+    assert!(tag.hedged && !tag.probe);
     assert_eq!(tag.aside, primary.packet_addr != *to);
     // Guards against a second copy for a SYN that the network duplicated.
     harness.answered(2_000..2_100);
@@ -312,3 +319,63 @@
         );
     }
 }
+
+fn hedged(segment: Segment) -> Segment {
+    let tag = Tag {
+        aside: true,
+        hedged: true,
+        ..Tag::default()
+    };
+    Segment {
+        tag: tag.word(),
+        ..segment
+    }
+}
+
+#[test]
+fn agent_with_a_free_slot_delivers_the_copy() {
+    let mut harness = AgentHarness::reported();
+    let actions = harness.caller(hedged(syn(5, 0)));
+    assert_eq!(outcome(&actions), Some(Outcome::Delivered));
+    let marked = |a: &Action| matches!(a, Action::Deliver { tag, .. } if tag.hedged);
+    assert!(actions.iter().any(marked), "{actions:?}");
+}
+
+/// Guards against a reset of a flow that opened at the agent of the first SYN, and against copies
+/// in queues and on further hops.
+#[test]
+fn agent_without_a_free_slot_drops_the_copy() {
+    type Prepare = fn(&mut AgentHarness);
+    let table: [(&str, Prepare); 5] = [
+        ("busy", |h| {
+            (1..=2).for_each(|port| drop(h.caller(syn(port, 0))));
+        }),
+        ("cold", |h| {
+            let cold = ms(5_000);
+            drop(h.report(Report { cold, ..report(2) }));
+        }),
+        ("draining", |h| {
+            let state = ReportState::Draining;
+            drop(h.report(Report { state, ..report(2) }));
+        }),
+        ("domain out", |h| {
+            h.plan.domains_out.insert("a".into());
+        }),
+        ("not reported", |h| *h = AgentHarness::new()),
+    ];
+    for (what, prepare) in table {
+        for siblings in [true, false] {
+            let mut harness = AgentHarness::reported();
+            prepare(&mut harness);
+            if !siblings {
+                harness.peers = Peers::new([peer(1, "a", "desk")]);
+            }
+            let actions = harness.caller(hedged(syn(5, 0)));
+            assert_eq!(actions, [Action::Drop(DropReason::Hedged)], "{what}");
+        }
+    }
+    let mut harness = AgentHarness::reported();
+    harness.caller(hedged(syn(5, 0)));
+    let actions = harness.backend(returned(hedged(syn(5, 0))));
+    assert_eq!(actions, [Action::Drop(DropReason::Hedged)], "returned");
+}
--- a/crates/buckthornweir_node/src/node/flow_metrics.rs
+++ b/crates/buckthornweir_node/src/node/flow_metrics.rs
@@ -11,6 +11,7 @@
         DropReason::HopLimit => Count::PacketsHopLimit,
         DropReason::NoRoute => Count::PacketsDroppedWrongService,
         DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
+        DropReason::Hedged => Count::PacketsDroppedHedged,
         DropReason::Odd => Count::PacketsMalformed,
     }
 }
