Give agents new flows by the speed of their backend servers

Cause: placement uses equal weights, so a slow or failing backend server keeps its share of new flows. Change: under the policy an agent announces a step from 1 to 16 by time taken per objective; overdue requests and resets count as twice the objective. Balancers rank agents for SYNs by weighted rendezvous hashing in integers. Where that differs from the placement of other packets, the balancer stores a hint. Without the policy nothing changes. Conclusion: slow backend servers get fewer new flows, and open flows stay.

--- a/crates/buckthornweir_forward/benches/decisions.rs
+++ b/crates/buckthornweir_forward/benches/decisions.rs
@@ -29,6 +29,7 @@
         accepts: true,
         cold: false,
         free: 4,
+        weight: 16,
     }
 }
 
--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -5,6 +5,7 @@
 
 mod new_flows;
 mod owners;
+mod speeds;
 mod types;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 use crate::lookup::{DeniedFlows, Lookups};
 use crate::plan::{Plan, Revision};
 use crate::segment::{FlowKey, Segment};
+use crate::speed::{FULL_STEP, Speed};
 use crate::syn_queue::SynQueue;
 use crate::tag::Tag;
 
@@ -60,6 +62,8 @@
     syn_queue: SynQueue,
     /// Loads of other agents.
     loads: Loads,
+    /// Speed of the backend server.
+    speed: Speed,
     /// Revision of the last order that brought the own failure domain back.
     back_revision: Option<Revision>,
     /// Whether a plan has been in force before.
@@ -82,6 +86,7 @@
             backendless_start: false,
             syn_queue: SynQueue::default(),
             loads: Loads::default(),
+            speed: Speed::default(),
             back_revision: None,
             had_plan: false,
             next_sweep: Duration::ZERO,
@@ -108,6 +113,10 @@
             accepts: self.backend.accepts(now) && !plan.is_out(&self.config.domain),
             cold: self.backend.is_cold(now),
             free: self.backend.slots().saturating_sub(running),
+            weight: match self.measures_speed(plan) {
+                true => self.speed.step(now),
+                false => FULL_STEP,
+            },
         }
     }
 
@@ -243,11 +252,14 @@
         let key = segment.backend_flow();
         let took = self.flows.note_backend(now, &key, segment);
         if let Some(took) = took {
+            self.note_speed(now, view.plan, &key, took);
             out.push(Action::Served { key, took });
         }
         self.answer_prober(&key, Reply::Owned, out);
-        if segment.rst {
-            self.flows.remove(&key);
+        if segment.rst
+            && let Some(flow) = self.flows.remove(&key)
+        {
+            self.note_reset(now, view.plan, &key, &flow);
         }
         out.push(Action::ToCaller);
     }
@@ -272,6 +284,7 @@
                 .retain(|agent, node| view.peers.has(agent) || is_away(node));
             self.backend.sweep(now);
             self.loads.sweep(now);
+            self.note_overdue(now, plan);
         }
     }
 
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -41,6 +41,8 @@
     pub cold: bool,
     /// Number of free slots of its backend server.
     pub free: u32,
+    /// Weight step of the agent, from 1 to 16.
+    pub weight: u8,
 }
 
 /// The reason why a packet was dropped.
--- a/crates/buckthornweir_forward/src/balancer.rs
+++ b/crates/buckthornweir_forward/src/balancer.rs
@@ -6,7 +6,7 @@
 
 use smol_str::SmolStr;
 
-use crate::peers::Peers;
+use crate::peers::{Peers, has_overload_policy};
 use crate::plan::Plan;
 use crate::segment::{FlowKey, Segment};
 use crate::tag::Tag;
@@ -157,7 +157,15 @@
             return Decision::Drop(Loss::NoAgent);
         };
         let aside = primary.is_some_and(|primary| primary.node != peer.node);
-        if !aside && segment.retransmissions() == 0 {
+        if has_overload_policy(plan, service) {
+            // The balancer knows where it sent the latest SYN, and later packets are placed by
+            // equal weights. Without the hint, each of them would start a lookup until the
+            // agent's own hint arrives.
+            match aside {
+                true => self.hint(now, key, peer.packet_addr),
+                false => self.forget(now, &key),
+            }
+        } else if !aside && segment.retransmissions() == 0 {
             // An earlier flow on the same port was held by another agent.
             self.forget(now, &key);
         }
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -229,6 +229,12 @@
         Some(now.saturating_sub(since))
     }
 
+    /// Returns the running requests with the times at which they arrived.
+    pub(crate) fn requests(&self) -> impl Iterator<Item = (&FlowKey, Duration)> {
+        let flows = self.map.iter();
+        flows.filter_map(|(key, flow)| Some((key, flow.pending_since?)))
+    }
+
     /// Removes and returns all flows held by the local backend server.
     pub(crate) fn take_local(&mut self) -> Vec<(FlowKey, Flow)> {
         let local = self.map.extract_if(|_, flow| flow.holder == Holder::Local);
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -26,8 +26,10 @@
 pub mod peers;
 pub mod plan;
 pub mod segment;
+pub mod speed;
 mod syn_queue;
 pub mod tag;
+mod weighted;
 
 /// Identifies a process of the system.
 pub type NodeId = u64;
@@ -44,5 +46,6 @@
     pub use crate::peers::{Peer, Peers};
     pub use crate::plan::{Class, OverloadPolicy, Plan, RequestKind, Route, Service, Split};
     pub use crate::segment::{FlowKey, Segment};
+    pub use crate::speed::Speed;
     pub use crate::tag::Tag;
 }
--- a/crates/buckthornweir_forward/src/peers.rs
+++ b/crates/buckthornweir_forward/src/peers.rs
@@ -9,6 +9,7 @@
 use crate::changes::{Span, mark};
 use crate::plan::Plan;
 use crate::segment::{FlowKey, mix};
+use crate::weighted::weighted_score;
 
 /// Salt for hashing the ids of live agents, so that ids don't cancel out in the fingerprint.
 const FINGERPRINT_SALT: u64 = 0x0041_4745_4e54;
@@ -37,6 +38,9 @@
     pub cold: bool,
     /// Number of free slots of its backend server in its last announcement.
     pub free: u32,
+    /// Weight step, from 1 to 16: its share of new flows relative to other agents, for services
+    /// with overload control.
+    pub weight: u8,
 }
 
 /// The agents of one service by failure domain.
@@ -184,7 +188,8 @@
         nearby.or_else(|| self.in_service(service).max_by_key(score))
     }
 
-    /// Returns the agents that may be given a new flow, in order of preference.
+    /// Returns the agents that may be given a new flow, in order of preference. If the service has
+    /// overload control, an agent's share of first places is proportional to its weight.
     #[must_use]
     pub fn accepting<'a>(
         &'a self,
@@ -193,10 +198,10 @@
         near: &str,
         key: &FlowKey,
     ) -> Vec<&'a Peer> {
-        let hash = key.hash();
+        let rank = ranking(plan, service, key);
         let may_open = |peer: &&Peer| peer.accepts && !plan.is_out(&peer.domain);
         let mut open: Vec<&Peer> = self.in_service(service).filter(may_open).collect();
-        open.sort_by_cached_key(|peer| (peer.cold, peer.domain != near, !mix(hash, peer.node)));
+        open.sort_by_cached_key(|peer| (peer.cold, peer.domain != near, rank(peer)));
         open
     }
 
@@ -209,10 +214,10 @@
         near: &str,
         key: &FlowKey,
     ) -> Option<&Peer> {
-        let hash = key.hash();
+        let rank = ranking(plan, service, key);
         let nearby = self.in_domain(service, near).iter();
         let warm = nearby.filter(|peer| peer.accepts && !peer.cold && !plan.is_out(&peer.domain));
-        let warm = warm.max_by_key(|peer| mix(hash, peer.node));
+        let warm = warm.min_by_key(|peer| rank(peer));
         warm.or_else(|| self.accepting(plan, service, near, key).first().copied())
     }
 
@@ -222,3 +227,23 @@
         near.map_or(&[], Vec::as_slice)
     }
 }
+
+/// Returns the rank of an agent for a flow; the lowest is first.
+fn ranking(plan: &Plan, service: &str, key: &FlowKey) -> impl Fn(&Peer) -> (u64, u64) {
+    let hash = key.hash();
+    let weighted = has_overload_policy(plan, service);
+    move |peer| {
+        let draw = mix(hash, peer.node);
+        let score = match weighted {
+            true => weighted_score(draw, peer.weight),
+            false => 0,
+        };
+        (score, !draw)
+    }
+}
+
+/// Returns whether a service has overload control.
+pub(crate) fn has_overload_policy(plan: &Plan, service: &str) -> bool {
+    let service = plan.services.get(service);
+    service.is_some_and(|service| service.overload.is_some())
+}
--- a/crates/buckthornweir_forward/tests/forward/balancer.rs
+++ b/crates/buckthornweir_forward/tests/forward/balancer.rs
@@ -1,10 +1,11 @@
 //! Selection of the agent for a packet.
 
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use buckthornweir_forward::balancer::{Balancer, Decision, Loss};
 use buckthornweir_forward::peers::{Peer, Peers};
-use buckthornweir_forward::plan::Plan;
+use buckthornweir_forward::plan::{OverloadPolicy, Plan};
 use buckthornweir_forward::segment::Segment;
 
 use crate::common::{data, key, ms, packet_addr, peer, plan, syn};
@@ -196,3 +197,169 @@
     }
     assert!(balancer.hint_count() <= 16_384);
 }
+
+/// Returns a plan whose service has overload control.
+fn weighted_plan() -> Plan {
+    let mut plan = plan("desk");
+    for service in plan.services.values_mut() {
+        service.overload = Some(OverloadPolicy::default());
+    }
+    plan
+}
+
+fn with_weights(weight: impl Fn(u64) -> u8) -> Peers {
+    let weighted = |peer: Peer| Peer {
+        weight: weight(peer.node),
+        ..peer
+    };
+    Peers::new(peers().into_iter().map(weighted))
+}
+
+/// Guards against a change of placement for services without overload control, and by weights that
+/// are all equal, as when all backend servers slow down at once.
+#[test]
+fn equal_weights_and_services_without_overload_control_are_placed_by_equal_shares() {
+    let (plain, weighted) = (plan("desk"), weighted_plan());
+    let today = with_weights(|_| 16);
+    let mixed = with_weights(|node| node as u8);
+    let alike = [1, 5, 16].map(|weight| with_weights(|_| weight));
+    for port in 0..CALLERS {
+        for attempt in 0..3 {
+            let packet = syn(port, attempt);
+            let expected = route(&today, &plain, &packet);
+            assert_eq!(route(&mixed, &plain, &packet), expected, "no policy");
+            for peers in &alike {
+                assert_eq!(route(peers, &weighted, &packet), expected, "equal weights");
+            }
+        }
+    }
+}
+
+/// Guards against weights that move open flows or start lookups for them.
+#[test]
+fn a_change_of_weights_moves_no_open_flow() {
+    let plan = weighted_plan();
+    let views = [
+        with_weights(|_| 16),
+        with_weights(|node| if node == 2 { 1 } else { 16 }),
+        with_weights(|node| if node == 2 { 16 } else { 3 }),
+    ];
+    let mut moved = 0;
+    for port in 0..CALLERS {
+        let packet = data(port, 90);
+        let unhinted: Vec<_> = views
+            .iter()
+            .map(|peers| route(peers, &plan, &packet))
+            .collect();
+        assert!(unhinted.iter().all(|got| *got == unhinted[0]), "placement");
+        // The balancer that placed the SYN sends the flow's packets to the same agent.
+        for opened in &views {
+            let mut balancer = Balancer::new("a");
+            let placed = balancer.route(ms(1_000), &plan, opened, &syn(port, 0));
+            let aside = agent_of(&placed) != agent_of(&unhinted[0]);
+            let Decision::Forward { tag, .. } = &placed else {
+                panic!("{placed:?}");
+            };
+            assert_eq!(tag.aside, aside, "the agent sends hints to other balancers");
+            moved += u32::from(aside);
+            for later in &views {
+                let got = balancer.route(ms(1_100), &plan, later, &packet);
+                assert_eq!(agent_of(&got), agent_of(&placed));
+            }
+        }
+    }
+    assert!(moved > 0, "weights that change no choice");
+}
+
+/// Guards against packets that follow a SYN to an agent that did not open its flow.
+#[test]
+fn packets_follow_the_latest_syn() {
+    let (plan, peers) = (weighted_plan(), with_weights(|node| node as u8));
+    for port in 0..CALLERS {
+        let mut balancer = Balancer::new("a");
+        balancer.route(ms(1_000), &plan, &peers, &syn(port, 0));
+        let second = balancer.route(ms(1_200), &plan, &peers, &syn(port, 1));
+        let got = balancer.route(ms(1_300), &plan, &peers, &data(port, 90));
+        assert_eq!(agent_of(&got), agent_of(&second));
+    }
+}
+
+/// Guards against processes that place the same flow differently.
+#[test]
+fn balancers_with_the_same_view_choose_alike() {
+    let plan = weighted_plan();
+    let peers = with_weights(|node| 2 * node as u8);
+    let mut list: Vec<Peer> = peers.iter().cloned().collect();
+    list.reverse();
+    let reversed = Peers::new(list);
+    for port in 0..CALLERS {
+        let packet = syn(port, 0);
+        assert_eq!(
+            route(&peers, &plan, &packet),
+            route(&reversed, &plan, &packet)
+        );
+    }
+    // The choice of one version must be that of all others: these were chosen by the release that
+    // introduced weights.
+    let chosen: Vec<_> = (0..16)
+        .map(|port| agent_of(&route(&peers, &plan, &syn(port, 0))).unwrap())
+        .collect();
+    assert_eq!(chosen, [1, 4, 4, 4, 1, 3, 1, 4, 4, 3, 2, 2, 3, 4, 4, 3]);
+}
+
+/// Guards against a change of one weight that moves the new flows of other agents.
+#[test]
+fn a_lower_weight_moves_only_the_new_flows_of_its_agent() {
+    let plan = weighted_plan();
+    let before = with_weights(|_| 16);
+    let after = with_weights(|node| if node == 2 { 4 } else { 16 });
+    for port in 0..CALLERS {
+        let packet = syn(port, 0);
+        let first = agent_of(&route(&before, &plan, &packet));
+        let then = agent_of(&route(&after, &plan, &packet));
+        assert!(first == then || first == Some(2), "{first:?} to {then:?}");
+    }
+}
+
+/// Guards against shares of new flows that are not proportional to the weights.
+#[test]
+fn shares_are_proportional_to_weights() {
+    const WEIGHTS: [u8; 5] = [16, 12, 8, 4, 1];
+    const FLOWS: u32 = 100_000;
+    let plan = weighted_plan();
+    for agents in [10_u16, 50, 300] {
+        let weight_of = |index: u16| WEIGHTS[usize::from(index) % WEIGHTS.len()];
+        let agent = |index: u16| {
+            let [high, low] = index.to_be_bytes();
+            let ip = Ipv4Addr::new(10, 1, high, low);
+            Peer {
+                node: u64::from(index) + 1,
+                packet_addr: SocketAddrV4::new(ip, 7000),
+                ask_addr: SocketAddrV4::new(ip, 7100),
+                weight: weight_of(index),
+                ..peer(1, "a", "desk")
+            }
+        };
+        let peers = Peers::new((0..agents).map(agent));
+        let mut balancer = Balancer::new("a");
+        let mut counts: BTreeMap<u8, u32> = BTreeMap::new();
+        for flow in 0..FLOWS {
+            let [_, high, low, port] = flow.to_be_bytes();
+            let mut packet = syn(40_000 + u16::from(port), 0);
+            packet.source.set_ip(Ipv4Addr::new(100, 65, high, low));
+            let Decision::Forward { to, .. } = balancer.route(ms(1_000), &plan, &peers, &packet)
+            else {
+                panic!("not forwarded");
+            };
+            let index = u16::from_be_bytes([to.ip().octets()[2], to.ip().octets()[3]]);
+            *counts.entry(weight_of(index)).or_default() += 1;
+        }
+        let sum: u32 = WEIGHTS.iter().map(|weight| u32::from(*weight)).sum();
+        for weight in WEIGHTS {
+            let expected = f64::from(FLOWS) * f64::from(weight) / f64::from(sum);
+            let off = f64::from(counts[&weight]) / expected - 1.0;
+            println!("{agents} agents, weight {weight}: {:+.1} %", off * 100.0);
+            assert!(off.abs() <= 0.1, "{agents} agents, weight {weight}: {off}");
+        }
+    }
+}
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -50,6 +50,7 @@
         accepts: true,
         cold: false,
         free: 4,
+        weight: 16,
     }
 }
 
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -12,3 +12,4 @@
 mod lost_flows;
 mod mass_restart;
 mod plan;
+mod speed;
--- a/crates/buckthornweir_node/src/gossip.rs
+++ b/crates/buckthornweir_node/src/gossip.rs
@@ -40,9 +40,6 @@
 /// Time after which a fetch of a plan that did not arrive is retried.
 const PULL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Weight of an agent that accepts new flows.
-const ACCEPTING_WEIGHT: u8 = 16;
-
 /// The source of a newer plan.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pull {
@@ -181,7 +178,7 @@
 
     /// Announces the agent's capacity for new flows.
     pub(crate) fn announce_offer(&mut self, now: Duration, offer: Offer) -> Outcome {
-        let weight = if offer.accepts { ACCEPTING_WEIGHT } else { 0 };
+        let weight = if offer.accepts { offer.weight } else { 0 };
         let state = match offer.cold {
             true => MemberState::Cold,
             false => MemberState::Ready,
@@ -352,6 +349,7 @@
             accepts: record.weight > 0 && record.state != MemberState::Draining,
             cold: record.state == MemberState::Cold,
             free: record.free,
+            weight: record.weight,
         }),
         _ => None,
     }
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -361,12 +361,15 @@
         let mut offer = core.offer(now, self.plans.plan());
         offer.accepts &= self.stopping.is_none();
         let before = self.last_offer;
-        if (offer.accepts, offer.cold) != (before.accepts, before.cold) {
+        let weight_of = |offer: Offer| if offer.accepts { offer.weight } else { 0 };
+        let public = |offer: Offer| (offer.accepts, offer.cold, weight_of(offer));
+        if public(offer) != public(before) {
             tracing::info!(
                 event = "offer",
                 accepts = offer.accepts,
                 cold = offer.cold,
                 free = offer.free,
+                weight = weight_of(offer),
                 report = core.backend().last_report().map(|r| r.sequence),
             );
         } else if offer.free == before.free || now < self.next_offer {
