Choose siblings for new flows by their reported load

Cause: a busy agent passes a SYN on by free slots that siblings announced some time ago, and several agents pass theirs to the same one. Ruled out: the best of all siblings (each agent would choose the same one); candidates by position in the list of members (the choice depended on the order of members). Change: agent::siblings::choose selects two candidates by rendezvous hashing of the flow and takes the one that is expected to complete first, by its stored load or, without one, by its announced free slots. Siblings whose stored load promises a later completion than the own one, and the sender of the SYN, are left out. No agent calls it yet. Conclusion: the admission queue can use it.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -5,6 +5,7 @@
 
 mod new_flows;
 mod owners;
+pub mod siblings;
 mod speeds;
 mod types;
 
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -12,4 +12,5 @@
 mod lost_flows;
 mod mass_restart;
 mod plan;
+mod siblings;
 mod speed;
