--- a/crates/buckthornweir_forward/src/speed.rs
+++ b/crates/buckthornweir_forward/src/speed.rs
@@ -16,12 +16,17 @@
 /// Time constants of the averages, the fastest first. The first average whose difference from the
 /// step exceeds its own uncertainty decides: a fast one for large changes or many samples, a slow
 /// one for small changes.
-const AVERAGE_TIMES: [Duration; 3] = [
+const AVERAGE_TIMES: [Duration; 4] = [
+    Duration::from_secs(1),
     Duration::from_secs(2),
     Duration::from_secs(8),
     Duration::from_secs(30),
 ];
 
+/// Time after a fall during which half the uncertainty is enough for a further fall: an average lags
+/// behind a jump of the speed, so the first fall is rarely sufficient.
+const FALL_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time constant of the deviation of samples.
 const DEVIATION_TIME: Duration = Duration::from_secs(10);
 
@@ -29,7 +34,14 @@
 /// step is a message to all processes, so noise must not cause any.
 const UNCERTAINTY: f64 = 4.0;
 
-/// Smallest weight of a sample, for samples at the same time.
+/// Weight of one sample in the mean interval between samples. Weights of samples follow from the
+/// mean: several overdue requests are counted at the same time, and their weight must not be zero.
+const INTERVAL_WEIGHT: f64 = 1.0 / 4.0;
+
+/// Mean interval between samples that is assumed before the first ones.
+const INITIAL_INTERVAL_SECS: f64 = 1.0;
+
+/// Smallest weight of a sample.
 const MIN_SAMPLE_WEIGHT: f64 = 1.0 / 1_024.0;
 
 /// Largest weight of a sample. Three rare samples move the fastest average by two thirds, so that
@@ -89,6 +101,8 @@
     deviation: f64,
     /// Time of the last sample; `None` if the speed is unknown.
     sampled: Option<Duration>,
+    /// Mean interval between samples, in seconds.
+    interval: f64,
     /// Time until which requests that run for longer than [`MAX_RATIO`] objectives are counted.
     overdue_until: Duration,
     step: u8,
@@ -106,6 +120,7 @@
             averages: Default::default(),
             deviation: 0.0,
             sampled: None,
+            interval: INITIAL_INTERVAL_SECS,
             overdue_until: Duration::ZERO,
             step: FULL_STEP,
             changed: None,
@@ -187,13 +202,16 @@
         if self.sampled.is_some_and(|at| now >= at + SAMPLE_TTL) {
             self.forget();
         }
-        let gap = self.sampled.map(|at| now.saturating_sub(at));
+        if let Some(at) = self.sampled {
+            let interval = now.saturating_sub(at).as_secs_f64();
+            self.interval += INTERVAL_WEIGHT * (interval - self.interval);
+        }
         let mean = self.averages[0].mean;
         let difference = ((ratio - mean).abs() / mean).min(MAX_DEVIATION);
-        let weight = sample_weight(gap, DEVIATION_TIME);
+        let weight = sample_weight(self.interval, DEVIATION_TIME);
         self.deviation += weight * (difference - self.deviation);
         for (average, time) in self.averages.iter_mut().zip(AVERAGE_TIMES) {
-            let weight = sample_weight(gap, time);
+            let weight = sample_weight(self.interval, time);
             average.mean += weight * (ratio - average.mean);
             average.variance = (1.0 - weight).powi(2) * average.variance + weight.powi(2);
         }
@@ -203,6 +221,7 @@
     fn forget(&mut self) {
         self.averages = Default::default();
         self.deviation = 0.0;
+        self.interval = INITIAL_INTERVAL_SECS;
         self.sampled = None;
     }
 
@@ -213,8 +232,14 @@
         let current = ratio_of(step);
         for i in 0..self.averages.len() {
             let average = self.averages[i];
-            let uncertainty = UNCERTAINTY * self.deviation * average.variance.sqrt();
-            let uncertainty = uncertainty * average.mean;
+            let falls = average.mean > current && is_recent(now, self.fell, FALL_INTERVAL);
+            let deviations = if falls {
+                UNCERTAINTY / 2.0
+            } else {
+                UNCERTAINTY
+            };
+            let relative = deviations * self.deviation * average.variance.sqrt();
+            let uncertainty = relative * average.mean;
             // The value within the uncertainty that is nearest to the current step.
             let (low, high) = (average.mean - uncertainty, average.mean + uncertainty);
             let nearest = step_of(current.clamp(low, high));
@@ -250,9 +275,10 @@
     at.is_some_and(|at| now < at + within)
 }
 
-fn sample_weight(gap: Option<Duration>, time: Duration) -> f64 {
-    let gap = gap.unwrap_or(SAMPLE_TTL);
-    let weight = gap.as_secs_f64() / time.as_secs_f64();
+/// Returns the weight of a sample in an average with time constant `time`, at a mean interval of
+/// `interval` seconds.
+fn sample_weight(interval: f64, time: Duration) -> f64 {
+    let weight = interval / time.as_secs_f64();
     weight.clamp(MIN_SAMPLE_WEIGHT, MAX_SAMPLE_WEIGHT)
 }
 
--- a/crates/buckthornweir_forward/tests/forward/speed.rs
+++ b/crates/buckthornweir_forward/tests/forward/speed.rs
@@ -207,6 +207,27 @@
     assert!(step <= 2, "failures: {step}");
 }
 
+/// Guards against a backend server whose hanging requests weigh less than their number, since they
+/// are counted together.
+#[test]
+fn overdue_requests_weigh_as_much_as_finished_ones() {
+    let mut speed = Speed::default();
+    let mut steps = Vec::new();
+    for second in 1..=60 {
+        // Of 9 requests a second, 3 hang.
+        for i in 0..6 {
+            let at = ms(second * 1_000 - 900 + i * 150);
+            speed.note(at, ms(30), OBJECTIVE);
+        }
+        let since = ms(second * 1_000 - 700);
+        speed.note_overdue(ms(second * 1_000), [(since, OBJECTIVE); 3]);
+        steps.push(speed.step(ms(second * 1_000)));
+    }
+    // The mean of 6 at a tenth of the objective and 3 at twice the objective is 0.73.
+    let last = steps[59];
+    assert!((2..=4).contains(&last), "3 at 0.73: {steps:?}");
+}
+
 /// Guards against weights that swing when the time taken depends on the load that they cause.
 #[test]
 fn weights_that_follow_load_do_not_oscillate() {
