Hold new flows at the agent until a slot is free, and reject those that would be late

Cause: a busy agent passed a SYN on twice and the last agent delivered it whatever its backend server's queue held, so that backend servers answered with 503 after a wait, also for requests of the highest priority. Ruled out: resetting every SYN that can't start in time. A copy of it may have reached another backend server, so a SYN is reset only if each copy that its caller has sent by now came to this agent; any other is dropped. Passing on SYNs of any age: the next agent derives the age from the number of the copy, so a queued SYN is passed on only before the next copy is due. Change: service_times (estimates by route), admission_queue (priority, deadline, reserved share, bounds), agent/overload (expected wait, decision, load), agent/waiting (start and resolution of queued SYNs, also at a planned stop). Without a policy or with fewer than three slots nothing changes. Conclusion: waits end at the agent, before a backend server has work with them.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -4,13 +4,16 @@
 //! server itself, which returns packets of flows that it doesn't hold.
 
 mod new_flows;
+mod overload;
 mod owners;
 mod types;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use self::overload::Overload;
 use self::owners::Considered;
 use crate::NodeId;
 use crate::backend::{Backend, Report, Reported};
@@ -23,12 +26,17 @@
 use crate::tag::Tag;
 
 pub use self::types::{
-    Action, AgentConfig, Answer, DropReason, Offer, PassReason, Question, Reply, ResetReason, View,
+    Action, AgentConfig, Answer, DropReason, Offer, PassReason, Placement, Question, Reply,
+    ResetReason, View,
 };
 
 /// Maximum number of agents that may pass a packet on.
 const HOP_LIMIT: u8 = 4;
 
+/// Maximum number of busy agents that may pass a new flow on; the next one lets its backend server
+/// queue the request, or queues the SYN itself under an overload policy.
+const MAX_BUSY_HOPS: u8 = 2;
+
 /// Interval between sweeps for expired state.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -60,6 +68,7 @@
     syn_queue: SynQueue,
     /// Loads of other agents.
     loads: Loads,
+    overload: Overload,
     /// Revision of the last order that brought the own failure domain back.
     back_revision: Option<Revision>,
     /// Whether a plan has been in force before.
@@ -82,6 +91,7 @@
             backendless_start: false,
             syn_queue: SynQueue::default(),
             loads: Loads::default(),
+            overload: Overload::default(),
             back_revision: None,
             had_plan: false,
             next_sweep: Duration::ZERO,
@@ -102,10 +112,12 @@
 
     /// Returns the capacity that the agent announces for new flows.
     pub fn offer(&mut self, now: Duration, plan: &Plan) -> Offer {
-        self.flows.expire_fresh(now);
+        self.expire_fresh(now, plan);
         let running = u32::try_from(self.flows.load()).unwrap_or(u32::MAX);
         Offer {
-            accepts: self.backend.accepts(now) && !plan.is_out(&self.config.domain),
+            accepts: self.backend.accepts(now)
+                && !plan.is_out(&self.config.domain)
+                && !self.overload.stopping,
             cold: self.backend.is_cold(now),
             free: self.backend.slots().saturating_sub(running),
         }
@@ -116,6 +128,7 @@
         let reported = self.backend.report(now, report);
         if reported == Reported::Restarted {
             self.reset_local_flows(now, out);
+            self.overload.times.clear();
         }
         reported
     }
@@ -185,6 +198,8 @@
             return self.handle_syn(arrival, out);
         }
         let key = segment.caller_flow();
+        // The flow is open at another backend server, or its caller has given up.
+        self.forget_queued(now, &key, out);
         if tag.probe {
             return self.handle_probe(arrival, out);
         }
@@ -241,8 +256,10 @@
             return self.handle_returned(arrival, out);
         }
         let key = segment.backend_flow();
+        self.forget_queued(now, &key, out);
         let took = self.flows.note_backend(now, &key, segment);
         if let Some(took) = took {
+            self.overload.times.note(now, key.service, took);
             out.push(Action::Served { key, took });
         }
         self.answer_prober(&key, Reply::Owned, out);
@@ -250,6 +267,7 @@
             self.flows.remove(&key);
         }
         out.push(Action::ToCaller);
+        self.handle_queue(now, view, out);
     }
 
     /// Runs timeouts, retries and sweeps that are due.
@@ -263,6 +281,7 @@
         if self.syn_queue.len() > 0 {
             self.release_queued_syns(now, plan, out);
         }
+        self.handle_queue(now, view, out);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_PERIOD;
             self.flows.sweep(now, plan.idle);
@@ -278,7 +297,7 @@
     /// Returns whether [`Agent::tick`] has work to do soon.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
-        self.lookups.is_waiting() || self.syn_queue.len() > 0
+        self.lookups.is_waiting() || self.syn_queue.len() > 0 || self.queued() > 0
     }
 
     fn deliver(
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Action, Agent, Arrival, DropReason, HOP_LIMIT, PassReason, ResetReason, View};
+use super::overload::AHEAD;
+use super::{
+    Action, Agent, Arrival, DropReason, HOP_LIMIT, MAX_BUSY_HOPS, PassReason, ResetReason, View,
+};
 use crate::backend::{Admission, Shut};
-use crate::flows::Holder;
+use crate::flows::{FRESH_TTL, Holder, OVERLOAD_FRESH_TTL};
 use crate::peers::Peer;
 use crate::plan::Plan;
 use crate::segment::{FlowKey, Segment, mix};
@@ -16,12 +19,24 @@
 /// agent.
 const SYN_ACK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Maximum number of busy agents that may pass a new flow on; the next one lets its backend server
-/// queue the request.
-const MAX_BUSY_HOPS: u8 = 2;
+/// How long a SYN that was passed on may take to come back. Callers send copies, which the other
+/// agent may own, at least 200 ms apart.
+const RETURN_WINDOW: Duration = Duration::from_millis(50);
 
 impl Agent {
     pub(super) fn handle_syn(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
+        let Arrival { now, view, .. } = arrival;
+        if self.is_queued_copy(arrival, out) {
+            return out.push(Action::Drop(DropReason::Held));
+        }
+        // Flows that wait have precedence over the new one.
+        self.handle_queue(now, view, out);
+        let before = out.len();
+        self.route_syn(arrival, out);
+        self.add_load(now, view.plan, &mut out[before..]);
+    }
+
+    fn route_syn(&mut self, arrival: Arrival<'_>, out: &mut Vec<Action>) {
         let Arrival {
             now,
             view,
@@ -31,8 +46,14 @@
             ..
         } = arrival;
         let key = segment.caller_flow();
+        let is_limited = tag.hops > 0 && self.policy(view.plan).is_some();
         match self.flows.get_mut(&key) {
             Some(flow) if flow.has_ended() => {}
+            // Other agents passed the SYN on until it came back.
+            Some(flow)
+                if is_limited
+                    && flow.holder != Holder::Local
+                    && now < flow.since + RETURN_WINDOW => {}
             Some(flow) => match flow.holder {
                 Holder::Peer(to) if to != from && view.peers.has(&to) => {
                     return self.pass_on(from, key, to, tag, PassReason::Owner, out);
@@ -62,7 +83,7 @@
         } = arrival;
         let key = segment.caller_flow();
         let alternate = self
-            .pick_sibling(view, &key, tag)
+            .pick_sibling(view, &key, tag, None)
             .map(|peer| peer.packet_addr);
         let Some(to) = alternate.filter(|_| tag.hops < HOP_LIMIT) else {
             return self.deliver(now, &key, segment, tag, out);
@@ -93,7 +114,13 @@
             // This agent's plan or the sender's is stale; a retransmission will meet a newer plan.
             return out.push(Action::Drop(DropReason::NoRoute));
         }
-        let reason = match self.admission(now, view.plan) {
+        let admission = self.admission(now, view.plan);
+        if let Some(policy) = self.policy(view.plan)
+            && !matches!(admission, Admission::Shut(_))
+        {
+            return self.place_flow(arrival, policy, admission, out);
+        }
+        let reason = match admission {
             Admission::Open => None,
             Admission::Busy if tag.hops >= MAX_BUSY_HOPS => None,
             Admission::Busy => Some(PassReason::Busy),
@@ -103,7 +130,7 @@
             return self.open_flow(now, from, segment, tag, out);
         };
         let sibling = self
-            .pick_sibling(view, &key, tag)
+            .pick_sibling(view, &key, tag, None)
             .map(|peer| peer.packet_addr);
         match sibling.filter(|_| tag.hops < HOP_LIMIT) {
             Some(to) => {
@@ -161,6 +188,7 @@
             };
             let key = syn.segment.caller_flow();
             let known = self.flows.get(&key).is_some();
+            self.forget_queued(now, &key, out);
             let route = plan.route(&key.service);
             if known || !route.is_some_and(|route| route.allows(&self.config.service)) {
                 continue;
@@ -183,8 +211,18 @@
             return Admission::Shut(Shut::DomainOut);
         }
         let cold_rate = self.cold_rate(plan);
-        self.flows.expire_fresh(now);
-        self.backend.admission(now, cold_rate, self.flows.load())
+        self.expire_fresh(now, plan);
+        let ahead = self.policy(plan).map_or(0, |_| AHEAD as usize);
+        let running = self.flows.load().saturating_sub(ahead);
+        self.backend.admission(now, cold_rate, running)
+    }
+
+    pub(super) fn expire_fresh(&mut self, now: Duration, plan: &Plan) {
+        let ttl = match self.policy(plan) {
+            Some(_) => OVERLOAD_FRESH_TTL,
+            None => FRESH_TTL,
+        };
+        self.flows.expire_fresh(now, ttl);
     }
 
     pub(super) fn cold_rate(&self, plan: &Plan) -> Option<f64> {
@@ -219,20 +257,22 @@
     ///
     /// Candidates accept new flows of the same service. Warm ones with free slots in the own
     /// failure domain are preferred, then such ones in any failure domain, then all. Among them, of
-    /// two chosen by the flow's hash, the one with more free slots is returned.
+    /// two chosen by the flow's hash, the one with more free slots is returned. `except` is never
+    /// returned.
     pub(super) fn pick_sibling<'a>(
         &self,
         view: View<'a>,
         key: &FlowKey,
         tag: Tag,
+        except: Option<SocketAddrV4>,
     ) -> Option<&'a Peer> {
         let own = self.config.node;
-        let open =
-            |peer: &&Peer| peer.node != own && peer.accepts && !view.plan.is_out(&peer.domain);
+        let is_open = |peer: &&Peer| peer.accepts && !view.plan.is_out(&peer.domain);
+        let is_other = |peer: &&Peer| peer.node != own && Some(peer.packet_addr) != except;
         let peers: Vec<&Peer> = view
             .peers
             .in_service(&self.config.service)
-            .filter(open)
+            .filter(|peer| is_other(peer) && is_open(peer))
             .collect();
         let warm = |peer: &Peer| peer.free > 0 && !peer.cold;
         let near = |peer: &Peer| warm(peer) && peer.domain == self.config.domain;
@@ -260,7 +300,7 @@
         let own = self.config.packet_addr;
         self.backend.note_returned_syn(now);
         let sibling = self
-            .pick_sibling(view, &key, tag)
+            .pick_sibling(view, &key, tag, None)
             .map(|peer| peer.packet_addr);
         match sibling.filter(|_| tag.hops < HOP_LIMIT) {
             Some(to) => {
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -56,6 +56,9 @@
     NoRoute,
     /// Too many lookups are running.
     LookupsFull,
+    /// The new flow can't start in time, but an earlier copy of its SYN may have reached a backend
+    /// server, so that a reset might be untruthful.
+    Overloaded,
     /// The packet of the backend server has no caller as its target.
     Odd,
 }
@@ -170,6 +173,18 @@
         /// Time from the request's first packet to the response's first packet.
         took: Duration,
     },
+    /// Records that a SYN waits for a slot of the backend server.
+    Queued {
+        /// The flow.
+        key: FlowKey,
+    },
+    /// Records that a SYN no longer waits: it is delivered, passed on, rejected or dropped.
+    Dequeued {
+        /// The flow.
+        key: FlowKey,
+        /// How long it has waited.
+        waited: Duration,
+    },
     /// Drops the current packet.
     Drop(DropReason),
     /// Drops the packets held for a lookup that found no owner.
@@ -198,6 +213,8 @@
     Returned,
     /// The local backend server has not answered an earlier transmission.
     Unanswered,
+    /// The request would not complete in time at the local backend server.
+    Overloaded,
 }
 
 /// The reason why a flow was reset.
@@ -211,6 +228,23 @@
     Restarted,
     /// No backend server holds the flow, according to all agents.
     Unowned,
+    /// No known backend server can complete the request in time.
+    Overloaded,
+}
+
+/// What an agent expects for a new flow under an overload policy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// Priority of the route; 0 is the highest.
+    pub priority: u8,
+    /// Latency objective of the route, if stated.
+    pub objective: Option<Duration>,
+    /// Expected wait for a slot; `None` if service times are unknown.
+    pub wait: Option<Duration>,
+    /// Expected service time of the request; `None` if unknown.
+    pub service: Option<Duration>,
+    /// Number of queued SYNs.
+    pub queued: usize,
 }
 
 /// An agent's view of the system, besides its own state.
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -1,6 +1,6 @@
 //! The flow table of an agent.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -15,7 +15,10 @@
 
 /// How long a new flow counts as load before its first request arrives: a few round trips to the
 /// caller.
-const FRESH_TTL: Duration = Duration::from_millis(100);
+pub(crate) const FRESH_TTL: Duration = Duration::from_millis(100);
+
+/// The same under an overload policy, where a slot must not be kept for a request that is lost.
+pub(crate) const OVERLOAD_FRESH_TTL: Duration = Duration::from_millis(40);
 
 /// How much longer than the plan's idle timeout a flow is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
@@ -98,7 +101,8 @@
 #[derive(Debug, Default)]
 pub struct Flows {
     map: HashMap<FlowKey, Flow>,
-    running: usize,
+    /// Requests running at the local backend server, and when they arrived.
+    running: BTreeMap<FlowKey, Duration>,
     fresh: usize,
     fresh_queue: VecDeque<(Duration, FlowKey)>,
 }
@@ -107,7 +111,23 @@
     /// Returns the number of requests running at the local backend server.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.running
+        self.running.len()
+    }
+
+    /// Returns the flows whose requests run at the local backend server, and for how long.
+    pub(crate) fn running_times(&self, now: Duration) -> impl Iterator<Item = (FlowKey, Duration)> {
+        let running = self.running.iter();
+        running.map(move |(key, since)| (*key, now.saturating_sub(*since)))
+    }
+
+    /// Returns the flows that count as load although their first request has not arrived.
+    pub(crate) fn fresh(&self) -> impl Iterator<Item = FlowKey> {
+        let is_fresh = |at: &Duration, key: &FlowKey| {
+            let flow = self.map.get(key);
+            flow.is_some_and(|flow| flow.fresh && flow.since == *at)
+        };
+        let queue = self.fresh_queue.iter();
+        queue.filter_map(move |(at, key)| is_fresh(at, key).then_some(*key))
     }
 
     /// Returns the number of requests that run at the local backend server or are expected to.
@@ -115,7 +135,7 @@
     /// requests arrive.
     #[must_use]
     pub fn load(&self) -> usize {
-        self.running + self.fresh
+        self.running.len() + self.fresh
     }
 
     /// Returns the number of known flows.
@@ -153,10 +173,10 @@
         self.fresh_queue.push_back((now, key));
     }
 
-    /// Stops counting flows as load whose first request has not arrived within [`FRESH_TTL`].
-    pub(crate) fn expire_fresh(&mut self, now: Duration) {
+    /// Stops counting flows as load whose first request has not arrived within `ttl`.
+    pub(crate) fn expire_fresh(&mut self, now: Duration, ttl: Duration) {
         while let Some((at, key)) = self.fresh_queue.front()
-            && now >= *at + FRESH_TTL
+            && now >= *at + ttl
         {
             let key = *key;
             self.fresh_queue.pop_front();
@@ -175,7 +195,9 @@
     pub(crate) fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
         let flow = self.map.remove(key)?;
         self.fresh -= usize::from(flow.fresh);
-        self.running -= usize::from(flow.pending_since.is_some());
+        if flow.pending_since.is_some() {
+            self.running.remove(key);
+        }
         Some(flow)
     }
 
@@ -191,7 +213,7 @@
         }
         if segment.length > 0 && flow.pending_since.is_none() {
             flow.pending_since = Some(now);
-            self.running += 1;
+            self.running.insert(*key, now);
             self.clear_fresh(key);
         }
     }
@@ -225,7 +247,7 @@
             return None;
         }
         let since = flow.pending_since.take()?;
-        self.running -= 1;
+        self.running.remove(key);
         Some(now.saturating_sub(since))
     }
 
@@ -233,7 +255,7 @@
     pub(crate) fn take_local(&mut self) -> Vec<(FlowKey, Flow)> {
         let local = self.map.extract_if(|_, flow| flow.holder == Holder::Local);
         let local = local.collect();
-        self.running = 0;
+        self.running.clear();
         self.fresh = 0;
         local
     }
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! [`Duration`]: std::time::Duration
 
 pub mod absences;
+pub mod admission_queue;
 pub mod agent;
 pub mod backend;
 pub mod balancer;
@@ -26,6 +27,7 @@
 pub mod peers;
 pub mod plan;
 pub mod segment;
+pub mod service_times;
 mod syn_queue;
 pub mod tag;
 
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -274,6 +274,8 @@
         | Action::AnswerProbe { .. }
         | Action::Hint { .. }
         | Action::Opened { .. }
+        | Action::Queued { .. }
+        | Action::Dequeued { .. }
         | Action::Served { .. } => None,
     })
 }
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Tests of forwarding decisions, as sequences of steps and failure cases.
 
 mod absences;
+mod admission_queue;
 mod agent;
 mod backend;
 mod balancer;
@@ -11,4 +12,6 @@
 mod lookup;
 mod lost_flows;
 mod mass_restart;
+mod overload;
 mod plan;
+mod service_times;
--- a/crates/buckthornweir_node/src/node/requests.rs
+++ b/crates/buckthornweir_node/src/node/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Node, Role};
+use super::{Node, Role, agent_view};
 use crate::control::{OrderOutcome, ReadOutcome};
 use crate::handle::Request;
 use crate::settings::NodeSettings;
@@ -78,5 +78,11 @@
             let outbox = replica.transfer_leadership(now);
             self.send_all(outbox);
         }
+        if let Role::Agent { core, .. } = &mut self.role {
+            let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
+            let mut actions = std::mem::take(&mut self.actions);
+            core.set_stopping(now, view, &mut actions);
+            self.execute_all(actions, &mut [], None);
+        }
     }
 }
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -185,6 +185,7 @@
                 self.metrics.count(Count::FlowsStarted);
                 self.log_opened(&key);
             }
+            Action::Queued { .. } | Action::Dequeued { .. } => {}
             Action::Served { took, .. } => self.metrics.observe(Latency::Request, took),
             Action::OwnerNotFound {
                 key,
@@ -340,7 +341,7 @@
 fn drop_metric(reason: DropReason) -> Count {
     match reason {
         DropReason::Held => Count::PacketsAwaitingOwner,
-        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::NoOwner | DropReason::Overloaded => Count::PacketsDroppedNoOwner,
         DropReason::HopLimit => Count::PacketsHopLimit,
         DropReason::NoRoute => Count::PacketsDroppedWrongService,
         DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
