--- a/crates/buckthornweir_node/src/node/flow_metrics.rs
+++ b/crates/buckthornweir_node/src/node/flow_metrics.rs
@@ -7,7 +7,7 @@
 pub(super) fn drop_metric(reason: DropReason) -> Count {
     match reason {
         DropReason::Held => Count::PacketsAwaitingOwner,
-        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::NoOwner | DropReason::Overloaded => Count::PacketsDroppedNoOwner,
         DropReason::HopLimit => Count::PacketsHopLimit,
         DropReason::NoRoute => Count::PacketsDroppedWrongService,
         DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
@@ -21,6 +21,7 @@
     match reason {
         PassReason::Owner | PassReason::MayOwn => None,
         PassReason::Busy => Some(Count::FlowsPassedOnBusy),
+        PassReason::Overloaded => Some(Count::FlowsPassedOnOverloaded),
         PassReason::Shut(_) => Some(Count::FlowsPassedOnShut),
         PassReason::Returned => Some(Count::FlowsPassedOnReturned),
         PassReason::Unanswered => Some(Count::FlowsPassedOnUnanswered),
@@ -31,6 +32,7 @@
 pub(super) fn reset_metric(reason: ResetReason) -> Option<Count> {
     match reason {
         ResetReason::NobodyTakes => Some(Count::FlowsRejectedNobodyTakes),
+        ResetReason::Overloaded => Some(Count::FlowsRejectedOverloaded),
         ResetReason::Lost | ResetReason::Restarted | ResetReason::Unowned => None,
     }
 }
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -203,6 +203,7 @@
                 self.metrics.count(Count::FlowsStarted);
                 self.log_opened(&key);
             }
+            Action::Queued { .. } | Action::Dequeued { .. } => {}
             Action::Served { took, .. } => self.metrics.observe(Latency::Request, took),
             Action::OwnerNotFound {
                 key,
