Test overload control of one agent over long pseudo-random sequences

Cause: the tests of single decisions don't show whether sequences of them stay truthful and complete. Ruled out: leaving this to the simulation of many agents, which has no copies of a SYN that go to another agent. Change: one agent at four times its capacity with retransmissions, a tenth of which go elsewhere; the same sequence with and without an overload policy that doesn't apply. Conclusion: no SYN starts twice, after its caller's timeout, or is rejected while a copy of it is elsewhere.

--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -13,5 +13,6 @@
 mod lost_flows;
 mod mass_restart;
 mod overload;
+mod overload_runs;
 mod plan;
 mod service_times;
