--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -30,6 +30,10 @@
 /// How long a balancer waits before it sends a hedged SYN, if the policy allows those.
 pub const SECOND_SYN_DELAY: Duration = Duration::from_millis(60);
 
+/// How long before a caller sends the next copy of its SYN the queued one must start, so that the
+/// SYN-ACK or the reset arrives first.
+const COPY_MARGIN: Duration = Duration::from_millis(20);
+
 /// How long a copy of a SYN may take to arrive.
 const MAX_COPY_DELAY: Duration = Duration::from_millis(25);
 
@@ -49,7 +53,7 @@
 #[must_use]
 pub fn first_sent(now: Duration, segment: &Segment) -> Duration {
     let copy = segment.retransmissions().min(SEND_TIMES.len() - 1);
-    now.saturating_sub(SEND_TIMES[copy])
+    now.saturating_sub(SEND_TIMES[copy] + Tag::read(segment.tag).waited())
 }
 
 /// What a new flow requires.
@@ -126,12 +130,21 @@
     }
 
     /// Returns the latest time at which the flow may start: later, its request would miss its
-    /// objective, or the caller might have timed out.
+    /// objective, or the caller would send the next copy of its SYN to another agent.
     #[must_use]
     pub fn latest_start(&self) -> Duration {
         let service = self.demand.service.unwrap_or_default();
         let in_time = self.demand.ends().saturating_sub(service);
-        in_time.min(self.caller_limit())
+        in_time.min(self.copy_limit()).min(self.caller_limit())
+    }
+
+    /// Returns the time by which the flow must start or be rejected, so that no copy of its SYN
+    /// waits at another agent at the same time and a rejection is certain to be truthful.
+    fn copy_limit(&self) -> Duration {
+        match SEND_TIMES.get(self.segment.retransmissions() + 1) {
+            Some(next) => self.demand.sent + *next - COPY_MARGIN,
+            None => Duration::MAX,
+        }
     }
 
     /// Returns whether each copy that the caller has sent by now arrived here. Otherwise one may
--- a/crates/buckthornweir_forward/src/agent/waiting.rs
+++ b/crates/buckthornweir_forward/src/agent/waiting.rs
@@ -189,7 +189,7 @@
         out.push(Action::Pass {
             bytes: Some(syn.bytes),
             to,
-            tag: syn.tag.passed_on(),
+            tag: syn.tag.aged(now.saturating_sub(syn.since)).passed_on(),
             reason,
         });
         out.push(Action::Hint {
--- a/crates/buckthornweir_forward/src/tag.rs
+++ b/crates/buckthornweir_forward/src/tag.rs
@@ -1,6 +1,8 @@
 //! Tags that processes of the system write to packets: four bytes that both ends of a flow ignore
 //! and that a backend server includes in returned packets.
 
+use std::time::Duration;
+
 /// Marks a valid tag, to tell it apart from other content that a caller wrote there.
 const MAGIC: u32 = 0xb7 << 24;
 const MAGIC_MASK: u32 = 0xff << 24;
@@ -8,6 +10,11 @@
 const PROBE: u32 = 1 << 9;
 const HEDGED: u32 = 1 << 10;
 const HOPS_MASK: u32 = 0xff;
+const AGE_SHIFT: u32 = 16;
+const AGE_MASK: u32 = 0xff << AGE_SHIFT;
+
+/// Unit of [`Tag::age`].
+const AGE_UNIT: Duration = Duration::from_millis(8);
 
 /// A tag on a packet.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -22,6 +29,9 @@
     /// Whether the packet is a balancer's copy of a SYN that may have opened its flow elsewhere, so
     /// that it must not cause a reset. Earlier releases ignore it.
     pub hedged: bool,
+    /// How long the SYN waited at agents that passed it on, in units of 8 ms. Earlier releases
+    /// ignore it.
+    pub age: u8,
 }
 
 impl Tag {
@@ -36,6 +46,7 @@
             aside: word & ASIDE != 0,
             probe: word & PROBE != 0,
             hedged: word & HEDGED != 0,
+            age: ((word & AGE_MASK) >> AGE_SHIFT) as u8,
         }
     }
 
@@ -45,7 +56,8 @@
         let aside = if self.aside { ASIDE } else { 0 };
         let probe = if self.probe { PROBE } else { 0 };
         let hedged = if self.hedged { HEDGED } else { 0 };
-        MAGIC | aside | probe | hedged | u32::from(self.hops)
+        let age = u32::from(self.age) << AGE_SHIFT;
+        MAGIC | age | aside | probe | hedged | u32::from(self.hops)
     }
 
     /// Returns the tag for passing the packet on by one more hop.
@@ -56,9 +68,27 @@
             aside: true,
             probe: false,
             hedged: self.hedged,
+            age: self.age,
+        }
+    }
+
+    /// Returns the tag of a SYN that waited for `time` at an agent before it is passed on.
+    #[must_use]
+    pub fn aged(self, time: Duration) -> Self {
+        let units = time.as_millis().div_ceil(AGE_UNIT.as_millis());
+        let units = u8::try_from(units).unwrap_or(u8::MAX);
+        Self {
+            age: self.age.saturating_add(units),
+            ..self
         }
     }
 
+    /// Returns how long the SYN waited at agents that passed it on.
+    #[must_use]
+    pub fn waited(self) -> Duration {
+        AGE_UNIT * u32::from(self.age)
+    }
+
     /// Returns the tag of a probe to another agent's backend server.
     #[must_use]
     pub fn probing(self) -> Self {
