--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use super::siblings::{self, Sibling};
 use super::{
     Action, Agent, Arrival, DropReason, HOP_LIMIT, MAX_BUSY_HOPS, PassReason, Placement,
     ResetReason, View,
@@ -46,48 +47,6 @@
     pub(super) stopping: bool,
 }
 
-/// A sibling that a SYN may be passed to.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Sibling {
-    pub(super) to: SocketAddrV4,
-    load: Option<Load>,
-    /// Number of free slots that it announced.
-    free: u32,
-}
-
-impl Sibling {
-    /// Returns the expected time until it has completed a new request. Without a reported load, a
-    /// sibling without free slots is expected to take one service time longer.
-    pub(super) fn completion(&self, service: Duration) -> Duration {
-        match self.load {
-            Some(load) if load.service.is_zero() => load.wait + service,
-            Some(load) => load.completion(),
-            None if self.free > 0 => service,
-            None => service * 2,
-        }
-    }
-
-    /// Returns whether a new flow is expected to start there without waiting.
-    pub(super) fn has_capacity(&self) -> bool {
-        self.load.map_or(self.free > 0, |load| load.capacity > 0)
-    }
-
-    /// Returns whether it is known to have capacity, or a wait that the objective allows.
-    pub(super) fn may_take(&self, now: Duration, demand: &Demand) -> bool {
-        let service = demand.service.unwrap_or_default();
-        let is_known = self.load.is_some() || self.free > 0;
-        is_known && now + self.completion(service) <= demand.ends()
-    }
-
-    /// Returns whether its completion time is less than `own` by more than [`MIN_GAIN`]. If `own`
-    /// is unknown, a sibling with capacity is preferred.
-    fn is_sooner(&self, own: Option<Duration>, service: Duration) -> bool {
-        own.map_or(self.has_capacity(), |own| {
-            self.completion(service) + MIN_GAIN < own
-        })
-    }
-}
-
 impl Agent {
     /// Returns the overload policy if it applies at this agent.
     pub(super) fn policy(&self, plan: &Plan) -> Option<OverloadPolicy> {
@@ -246,16 +205,18 @@
             self.overload.queue.note_start(now, demand.priority);
             return self.open_flow(now, from, segment, tag, out);
         }
-        let wait = self.expected_wait(now, policy, demand.priority);
-        let service = demand.service.unwrap_or_default();
+        let own = Estimate {
+            wait: self.expected_wait(now, policy, demand.priority),
+            service: demand.service.unwrap_or_default(),
+        };
         let syn = WaitingSyn::new(now, from, segment, bytes, demand);
         let may_reject = syn.has_all_copies(now);
-        let in_time = wait.is_none_or(|wait| now + wait <= syn.latest_start());
+        let in_time = own.wait.is_none_or(|wait| now + wait <= syn.latest_start());
         let in_time = in_time && !self.overload.stopping;
-        let sibling = self.choose_sibling(now, view, &key, tag, from);
-        let is_better = |sibling: &Sibling| match in_time {
-            true => sibling.is_sooner(wait.map(|wait| wait + service), service),
-            false => now + sibling.completion(service) <= demand.ends(),
+        let sibling = self.choose_sibling(now, view, &key, tag, from, own);
+        let is_better = |sibling: &Sibling<'_>| match in_time {
+            true => own.is_sooner(sibling),
+            false => now + sibling.completion <= demand.ends(),
         };
         if let Some(sibling) = sibling
             && tag.hops < MAX_BUSY_HOPS
@@ -265,7 +226,7 @@
                 true => PassReason::Busy,
                 false => PassReason::Overloaded,
             };
-            return self.pass_new_flow(arrival, sibling.to, reason, out);
+            return self.pass_new_flow(arrival, sibling.peer.packet_addr, reason, out);
         }
         if in_time {
             match self.overload.queue.push(syn) {
@@ -277,9 +238,10 @@
                 }
             }
         }
-        let sibling = sibling.filter(|sibling| sibling.may_take(now, &demand));
+        let sibling = sibling.filter(|sibling| may_take(now, sibling, &demand));
         if let Some(sibling) = sibling.filter(|_| tag.hops < HOP_LIMIT) {
-            return self.pass_new_flow(arrival, sibling.to, PassReason::Overloaded, out);
+            let to = sibling.peer.packet_addr;
+            return self.pass_new_flow(arrival, to, PassReason::Overloaded, out);
         }
         self.answer_sender(arrival, out);
         out.push(match may_reject {
@@ -340,20 +302,59 @@
         }
     }
 
-    /// Returns the sibling that a SYN from `from` may be passed to.
-    pub(super) fn choose_sibling(
+    /// Returns the sibling that a SYN from `from` may be passed to. Without service times, siblings
+    /// are compared by their reported loads alone.
+    pub(super) fn choose_sibling<'a>(
         &self,
         now: Duration,
-        view: View<'_>,
+        view: View<'a>,
         key: &FlowKey,
         tag: Tag,
         from: SocketAddrV4,
-    ) -> Option<Sibling> {
-        let peer = self.pick_sibling(view, key, tag, Some(from))?;
-        Some(Sibling {
-            to: peer.packet_addr,
-            load: self.loads.get(now, &peer.packet_addr).map(|(load, _)| load),
-            free: peer.free,
+        own: Estimate,
+    ) -> Option<Sibling<'a>> {
+        siblings::choose(&siblings::Request {
+            now,
+            view,
+            config: &self.config,
+            loads: &self.loads,
+            key: *key,
+            from,
+            hops: tag.hops,
+            completion: own.completion(),
+            service: own.service,
         })
     }
 }
+
+/// What an agent expects for a new flow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    /// Expected wait at this agent; `None` if service times are unknown.
+    pub(super) wait: Option<Duration>,
+    /// Expected service time; zero if unknown.
+    pub(super) service: Duration,
+}
+
+impl Estimate {
+    /// Returns the expected time until the request is complete.
+    fn completion(&self) -> Duration {
+        let wait = self.wait.unwrap_or(SYN_TIMEOUT);
+        wait + self.service
+    }
+
+    /// Returns whether a sibling is expected to finish sooner by more than [`MIN_GAIN`]. If the own
+    /// wait is unknown, a sibling with capacity is preferred.
+    fn is_sooner(&self, sibling: &Sibling<'_>) -> bool {
+        match self.wait {
+            Some(_) => sibling.completion + MIN_GAIN < self.completion(),
+            None => sibling.has_capacity(),
+        }
+    }
+}
+
+/// Returns whether a sibling is known to have capacity, or a wait that the objective allows.
+pub(super) fn may_take(now: Duration, sibling: &Sibling<'_>, demand: &Demand) -> bool {
+    let is_known = sibling.load.is_some() || sibling.peer.free > 0;
+    is_known && now + sibling.completion <= demand.ends()
+}
--- a/crates/buckthornweir_forward/src/agent/siblings.rs
+++ b/crates/buckthornweir_forward/src/agent/siblings.rs
@@ -9,13 +9,13 @@
 use crate::peers::Peer;
 use crate::segment::{FlowKey, mix};
 
-/// A new flow for which an agent looks for a sibling.
+/// A new flow for which an agent looks for a sibling, which is part of the view.
 #[derive(Clone, Copy, Debug)]
-pub struct Request<'a> {
+pub struct Request<'v, 'a> {
     /// Current time.
     pub now: Duration,
     /// The agent's view of the system.
-    pub view: View<'a>,
+    pub view: View<'v>,
     /// The agent's configuration.
     pub config: &'a AgentConfig,
     /// Loads of other agents.
@@ -44,6 +44,17 @@
     pub completion: Duration,
 }
 
+impl Sibling<'_> {
+    /// Returns whether a new flow is expected to start there without waiting.
+    #[must_use]
+    pub fn has_capacity(&self) -> bool {
+        match self.load {
+            Some((load, _)) => load.capacity > 0,
+            None => self.peer.free > 0,
+        }
+    }
+}
+
 /// Returns the agent that a new flow is passed to, if any.
 ///
 /// Candidates accept new flows of the same service, and their stored load promises no later
@@ -52,7 +63,7 @@
 /// chosen only if no other accepts. After passing the flow, the caller records it with
 /// [`Loads::charge`].
 #[must_use]
-pub fn choose<'a>(request: &Request<'a>) -> Option<Sibling<'a>> {
+pub fn choose<'v>(request: &Request<'v, '_>) -> Option<Sibling<'v>> {
     let Request { view, config, .. } = *request;
     let may_open = |peer: &&Peer| {
         let is_known = peer.node == config.node || peer.packet_addr == request.from;
@@ -64,7 +75,7 @@
     let near = |sibling: &Sibling<'_>| sibling.peer.domain == config.domain;
     let near: Vec<_> = warm.iter().copied().filter(near).collect();
     let nearby = best_of_two(request, &near);
-    if nearby.is_some_and(|sibling| !would_wait(&sibling)) {
+    if nearby.is_some_and(|sibling| sibling.has_capacity()) {
         return nearby;
     }
     let anywhere = best_of_two(request, &warm);
@@ -75,7 +86,7 @@
 
 /// Returns the sibling with its expected completion time, unless its stored load promises a later
 /// completion than this agent's own.
-fn estimate<'a>(request: &Request<'a>, peer: &'a Peer) -> Option<Sibling<'a>> {
+fn estimate<'v>(request: &Request<'v, '_>, peer: &'v Peer) -> Option<Sibling<'v>> {
     let load = request.loads.get(request.now, &peer.packet_addr);
     let completion = match load {
         Some((load, _)) if load.service.is_zero() => load.wait + request.service,
@@ -91,22 +102,14 @@
     })
 }
 
-/// Returns whether a new flow would wait at a sibling.
-fn would_wait(sibling: &Sibling<'_>) -> bool {
-    match sibling.load {
-        Some((load, _)) => load.capacity == 0,
-        None => sibling.peer.free == 0,
-    }
-}
-
 /// Returns the better one of two siblings that the flow's hash selects. Choosing the best of all
 /// would send the flows of many agents to the same sibling.
-fn best_of_two<'a>(request: &Request<'a>, siblings: &[Sibling<'a>]) -> Option<Sibling<'a>> {
+fn best_of_two<'v>(request: &Request<'v, '_>, siblings: &[Sibling<'v>]) -> Option<Sibling<'v>> {
     let hash = mix(
         request.key.hash() ^ request.config.node,
         u64::from(request.hops),
     );
-    let draw = |sibling: &&Sibling<'a>| mix(hash, sibling.peer.node);
+    let draw = |sibling: &&Sibling<'v>| mix(hash, sibling.peer.node);
     let first = siblings.iter().min_by_key(draw)?;
     let others = siblings.iter().filter(|s| s.peer.node != first.peer.node);
     let second = others.min_by_key(draw).unwrap_or(first);
--- a/crates/buckthornweir_forward/src/agent/waiting.rs
+++ b/crates/buckthornweir_forward/src/agent/waiting.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::overload::Sibling;
+use super::overload::{Estimate, may_take};
+use super::siblings::Sibling;
 use super::{Action, Agent, Arrival, HOP_LIMIT, PassReason, ResetReason, View};
 use crate::admission_queue::WaitingSyn;
 use crate::backend::{Admission, Shut};
@@ -138,7 +139,8 @@
         for syn in late {
             match self.sibling_for(now, view, &syn) {
                 Some(sibling) if sibling.has_capacity() => {
-                    self.pass_queued(now, syn, sibling.to, PassReason::Overloaded, out);
+                    let to = sibling.peer.packet_addr;
+                    self.pass_queued(now, syn, to, PassReason::Overloaded, out);
                 }
                 _ => self.overload.queue.put_back(syn),
             }
@@ -157,13 +159,12 @@
         // A sibling is given the benefit of the doubt if the SYN can't stay for another reason than
         // its wait.
         let stays = reason == PassReason::Overloaded && !self.overload.stopping;
-        let service = syn.demand.service.unwrap_or_default();
-        let takes = |sibling: &Sibling| match stays {
-            true => sibling.may_take(now, &syn.demand),
-            false => now + sibling.completion(service) <= syn.demand.ends(),
+        let takes = |sibling: &Sibling<'_>| match stays {
+            true => may_take(now, sibling, &syn.demand),
+            false => now + sibling.completion <= syn.demand.ends(),
         };
         match self.sibling_for(now, view, &syn).filter(takes) {
-            Some(sibling) => self.pass_queued(now, syn, sibling.to, reason, out),
+            Some(sibling) => self.pass_queued(now, syn, sibling.peer.packet_addr, reason, out),
             None => {
                 let reason = match reason {
                     PassReason::Shut(_) => ResetReason::NobodyTakes,
@@ -201,11 +202,20 @@
     }
 
     /// Returns the sibling that a queued SYN may be passed to.
-    fn sibling_for(&self, now: Duration, view: View<'_>, syn: &WaitingSyn) -> Option<Sibling> {
+    fn sibling_for<'a>(
+        &self,
+        now: Duration,
+        view: View<'a>,
+        syn: &WaitingSyn,
+    ) -> Option<Sibling<'a>> {
         if !syn.may_pass(now) || syn.tag.hops >= HOP_LIMIT {
             return None;
         }
-        self.choose_sibling(now, view, &syn.key(), syn.tag, syn.from)
+        let own = Estimate {
+            wait: None,
+            service: syn.demand.service.unwrap_or_default(),
+        };
+        self.choose_sibling(now, view, &syn.key(), syn.tag, syn.from, own)
     }
 }
 
