Give the simulated agents the weight steps that they announce

Cause: agents announce a weight step with their free slots since the placement by load, and the simulation did not pass it on. Ruled out: a constant weight, which would leave the new placement untested. Change: the simulated announcements carry the step.

--- a/crates/buckthornweir_forward/tests/overload/model.rs
+++ b/crates/buckthornweir_forward/tests/overload/model.rs
@@ -11,6 +11,7 @@
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_forward::plan::{OverloadPolicy, Plan, Route, Service, Split};
 use buckthornweir_forward::segment::FlowKey;
+use buckthornweir_forward::speed::FULL_STEP;
 use buckthornweir_forward::tag::Tag;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -213,6 +214,7 @@
                     accepts: true,
                     cold: false,
                     free: SLOTS,
+                    weight: FULL_STEP,
                 },
             });
             model.report(i);
@@ -357,6 +359,7 @@
             accepts: site.announced.accepts,
             cold: site.announced.cold,
             free: site.announced.free,
+            weight: site.announced.weight,
         }));
     }
 
