Add the bundle key second-tries

Cause: hedged requests need a limit that operators set for each service.

Ruled out: writing the default to the canonical text as all other keys do, since every bundle would then get another digest and lose its signature. Refusing the key for http services without slots was not needed; for tcp services it is refused, since requests inside relayed bytes are not visible.

Change: `[service NAME]` takes `second-tries`, a whole percentage from 0% to 20%, default 0%. The canonical text omits the default. The settings crate gets a parser of whole percentages.

Measured: the digest of a canonical text, taken with the release before this commit, is the same after it (test digest_of_a_bundle_from_an_earlier_release_is_unchanged).

--- a/crates/buckthornweir_bundle/src/canonical.rs
+++ b/crates/buckthornweir_bundle/src/canonical.rs
@@ -9,7 +9,8 @@
 /// The SHA-256 digest of a bundle's canonical text.
 pub type Digest = [u8; 32];
 
-/// Returns the canonical text, with a fixed order of sections and keys and explicit defaults.
+/// Returns the canonical text, with a fixed order of sections and keys and explicit defaults,
+/// except that `second-tries` is omitted when it is 0.
 pub fn canonical_text(bundle: &Bundle) -> String {
     let mut text = String::new();
     push_line(&mut text, "[bundle]");
@@ -61,4 +62,8 @@
     let _ = writeln!(text, "connections = {}", service.connections);
     let _ = writeln!(text, "queue = {}", service.queue);
     let _ = writeln!(text, "deadline = {}ms", service.deadline.as_millis());
+    // The default is omitted, so that a bundle of a release without this key keeps its digest.
+    if service.second_tries > 0 {
+        let _ = writeln!(text, "second-tries = {}%", service.second_tries);
+    }
 }
--- a/crates/buckthornweir_bundle/src/model.rs
+++ b/crates/buckthornweir_bundle/src/model.rs
@@ -68,6 +68,8 @@
     pub queue: u32,
     /// The total time limit of a request when its caller sets no deadline.
     pub deadline: Duration,
+    /// The maximum percentage of requests that are hedged with a second copy; 0 turns hedging off.
+    pub second_tries: u32,
 }
 
 impl Bundle {
--- a/crates/buckthornweir_bundle/src/parse.rs
+++ b/crates/buckthornweir_bundle/src/parse.rs
@@ -17,6 +17,10 @@
 /// The maximum number of services in a bundle.
 const MAX_SERVICES: usize = 4_096;
 
+/// The highest percentage of hedged requests. Above a fifth, hedging costs backend servers more
+/// capacity than a caller's latency is worth.
+const MAX_SECOND_TRIES: u32 = 20;
+
 /// The highest accepted version. It is below [`Version::MAX`], so that the next version does not
 /// overflow.
 const MAX_VERSION: Version = Version::MAX - 1;
@@ -107,6 +111,12 @@
         Duration::from_secs(10),
         whole_millis(deadline_range),
     )?;
+    let most_tries = match protocol {
+        Protocol::Http => MAX_SECOND_TRIES,
+        // Requests inside relayed bytes are not visible, so none can be hedged.
+        Protocol::Tcp => 0,
+    };
+    let second_tries = section.or("second-tries", 0, value::percent(0..=most_tries))?;
     let service = Service {
         name,
         addresses: sorted(addresses),
@@ -117,6 +127,7 @@
         connections,
         queue,
         deadline,
+        second_tries,
     };
     let parsed = ParsedService {
         service,
--- a/crates/buckthornweir_bundle/tests/canonical.rs
+++ b/crates/buckthornweir_bundle/tests/canonical.rs
@@ -7,6 +7,8 @@
 
 use buckthornweir_bundle::prelude::*;
 use buckthornweir_bundle::{canonical_text, digest_of};
+use buckthornweir_settings::value::to_hex;
+use expect_test::expect;
 use proptest::collection::{btree_set, vec};
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
@@ -27,7 +29,10 @@
     let protocol = select(vec![Protocol::Tcp, Protocol::Http]);
     let slots = (1_u32..=1_000).prop_flat_map(|slots| (Just(slots), 1..=slots));
     let limits = (1_u32..=100_000, 0_u32..=10_000, 10_u64..=3_600_000);
-    (protocol, slots, limits).prop_map(|(protocol, slots, limits)| Service {
+    // Half of the services have the default, which the canonical text omits.
+    let second_tries = prop_oneof![Just(0_u32), 1_u32..=20];
+    let values = (protocol, slots, limits, second_tries);
+    values.prop_map(|(protocol, slots, limits, second_tries)| Service {
         name: "".into(),
         addresses: Vec::new(),
         protocol,
@@ -37,6 +42,10 @@
         connections: limits.0,
         queue: limits.1,
         deadline: Duration::from_millis(limits.2),
+        second_tries: match protocol {
+            Protocol::Http => second_tries,
+            Protocol::Tcp => 0,
+        },
     })
 }
 
@@ -202,3 +211,20 @@
         bundle
     );
 }
+
+/// Guards against a new key that changes the canonical text, and with it the digest and the
+/// signature, of a bundle that does not use the key. The digest is that of the release before
+/// `second-tries`.
+#[test]
+fn digest_of_a_bundle_from_an_earlier_release_is_unchanged() {
+    let text = "[bundle]\nversion = 7\nforce = no\n\n[domain a]\nregion = r\nstate = in\n\n\
+                [service s]\naddresses = 10.0.0.1:80\nprotocol = http\ndomains = a\nslots = 5\n\
+                cold = 1\nconnections = 2000\nqueue = 20\ndeadline = 10000ms\n";
+    let bundle = Bundle::parse("b.ini", text).unwrap();
+    assert_eq!(canonical_text(&bundle), text);
+    assert_eq!(bundle.services[0].second_tries, 0);
+    let explicit = Bundle::parse("b.ini", &format!("{text}second-tries = 0%\n")).unwrap();
+    assert_eq!(canonical_text(&explicit), text);
+    expect!["31d78497b5fedbb8364eddf702e024cba07c683f641b97cac14bb0e1824fcc2a"]
+        .assert_eq(&to_hex(&digest_of(text)));
+}
--- a/crates/buckthornweir_bundle/tests/faults.rs
+++ b/crates/buckthornweir_bundle/tests/faults.rs
@@ -224,11 +224,58 @@
                 r#"b.ini:11: [service orders] deadline = "11ms 5us" is not allowed; allowed: a length of time in whole milliseconds"#
             ]],
         ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = 21%",
+            expect![[
+                r#"b.ini:11: [service orders] second-tries = "21%" is not allowed; allowed: a whole percentage from 0% to 20%, such as 20%"#
+            ]],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = 5",
+            expect![[
+                r#"b.ini:11: [service orders] second-tries = "5" is not allowed; allowed: a whole percentage from 0% to 20%, such as 20%"#
+            ]],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = +5%",
+            expect![[
+                r#"b.ini:11: [service orders] second-tries = "+5%" is not allowed; allowed: a whole percentage from 0% to 20%, such as 20%"#
+            ]],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = 2.5%",
+            expect![[
+                r#"b.ini:11: [service orders] second-tries = "2.5%" is not allowed; allowed: a whole percentage from 0% to 20%, such as 20%"#
+            ]],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = %",
+            expect![[
+                r#"b.ini:11: [service orders] second-tries = "%" is not allowed; allowed: a whole percentage from 0% to 20%, such as 20%"#
+            ]],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nsecond-tries = 20%",
+            expect!["ok"],
+        ),
+        (
+            "domains = a, b",
+            "domains = a\nprotocol = tcp\nsecond-tries = 5%",
+            expect![[
+                r#"b.ini:12: [service orders] second-tries = "5%" is not allowed; allowed: a whole percentage from 0% to 0%, such as 0%"#
+            ]],
+        ),
         (
             "domains = a, b",
             "domains = a\ntimeout = 1s",
             expect![
-                "b.ini:11: [service orders] timeout is not a known key; allowed: addresses, protocol, domains, slots, cold, connections, queue, deadline"
+                "b.ini:11: [service orders] timeout is not a known key; allowed: addresses, protocol, domains, slots, cold, connections, queue, deadline, second-tries"
             ],
         ),
         (
@@ -323,7 +370,7 @@
     assert_eq!(differences(&old, &old), []);
     let text = VALID.replace(
         "addresses = 10.1.0.2:80",
-        "addresses = 10.1.0.3:80\nslots = 9",
+        "addresses = 10.1.0.3:80\nslots = 9\nsecond-tries = 5%",
     );
     let mut new = Bundle::parse("b.ini", &text).unwrap();
     new.domains.remove(1);
@@ -340,6 +387,7 @@
         - [service sheets] slots = 5
         + [bundle] version = 8
         + [service sheets] addresses = 10.1.0.3:80
-        + [service sheets] slots = 9"#]]
+        + [service sheets] slots = 9
+        + [service sheets] second-tries = 5%"#]]
     .assert_eq(&shown.join("\n"));
 }
--- a/crates/buckthornweir_load/src/deployment/mod.rs
+++ b/crates/buckthornweir_load/src/deployment/mod.rs
@@ -347,6 +347,7 @@
         connections: service.connections as u32,
         queue: 20,
         deadline: service.deadline,
+        second_tries: 0,
     };
     Bundle {
         version: 1,
--- a/crates/buckthornweir_settings/src/value.rs
+++ b/crates/buckthornweir_settings/src/value.rs
@@ -112,6 +112,24 @@
     }
 }
 
+/// Returns a parser of a whole percentage within `range`, such as `5%`.
+pub fn percent(range: RangeInclusive<u32>) -> impl FnOnce(&str) -> Result<u32> {
+    move |value| {
+        let digits = value.strip_suffix('%').unwrap_or_default();
+        let is_number = digits.bytes().all(|b| b.is_ascii_digit());
+        match digits.parse() {
+            Ok(percent) if is_number && range.contains(&percent) => Ok(percent),
+            _ => Err(format!(
+                "a whole percentage from {}% to {}%, such as {}%",
+                range.start(),
+                range.end(),
+                range.end()
+            )
+            .into()),
+        }
+    }
+}
+
 /// Returns a parser of a duration within `range`, such as `250ms` or `2s`.
 pub fn duration(range: RangeInclusive<Duration>) -> impl FnOnce(&str) -> Result<Duration> {
     move |value| match humantime::parse_duration(value) {
