Send second copies of slow idempotent requests

Cause: the decisions about hedged requests were not connected to the tasks that carry requests.

Ruled out: filtering siblings by the free slots that they report.

Change: `agent/hedging.rs` waits for the delay, asks for a slot and races both copies; bodies of up to 256 KiB are buffered meanwhile. The loser is cancelled by dropping its future. Counters of hedged requests sent, won and denied by reason; one log line each within the existing budget.

Conclusion: off without `second-tries`. The log line is not tested.

--- a/crates/buckthornweir_daemon/src/agent/attempts.rs
+++ b/crates/buckthornweir_daemon/src/agent/attempts.rs
@@ -45,6 +45,7 @@
     progress: Progress,
     started_at: Duration,
     armed: bool,
+    is_running: bool,
     /// The outcome of the previous attempt.
     previous: Option<Outcome>,
 }
@@ -60,6 +61,7 @@
                 progress: Progress::NotWritten,
                 started_at,
                 armed: true,
+                is_running: false,
                 previous: None,
             }),
         }
@@ -78,6 +80,13 @@
         }
         current.progress = Progress::NotWritten;
         current.started_at = self.coordinator.board().now();
+        current.is_running = true;
+    }
+
+    /// Returns when the attempt in progress started.
+    pub(crate) fn running_since(&self) -> Option<Duration> {
+        let current = self.current();
+        current.is_running.then_some(current.started_at)
     }
 
     /// Records the progress of the attempt.
@@ -88,7 +97,10 @@
     /// Reports how the attempt ended.
     pub(crate) fn finish(&self, outcome: Outcome) {
         let current = self.current();
-        self.current.lock().previous = Some(outcome);
+        let mut stored = self.current.lock();
+        stored.previous = Some(outcome);
+        stored.is_running = false;
+        drop(stored);
         let latency = self.latency(current);
         self.coordinator
             .finished(self.key, current.progress, outcome, latency);
--- a/crates/buckthornweir_daemon/src/agent/backend.rs
+++ b/crates/buckthornweir_daemon/src/agent/backend.rs
@@ -37,8 +37,8 @@
 /// The maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-/// The maximum number of log lines per second about responses to other requests.
-const MAX_RESPONSE_LINES: u32 = 20;
+/// The maximum number of log lines per second about single requests.
+const MAX_REQUEST_LINES: u32 = 20;
 
 /// The result of working with a backend connection.
 pub(crate) type Result<T> = std::result::Result<T, BackendError>;
@@ -95,7 +95,7 @@
             board,
             address,
             idle: Mutex::new(IdlePool::new(MAX_IDLE_CONNECTIONS, IDLE_TTL)),
-            log_budget: Mutex::new(LogRateLimiter::new(MAX_RESPONSE_LINES)),
+            log_budget: Mutex::new(LogRateLimiter::new(MAX_REQUEST_LINES)),
         }
     }
 
@@ -159,12 +159,17 @@
     /// Records that the response to this request was that to another one.
     pub(crate) fn note_other_response(&self, request: &Parts) {
         self.board.metrics.count(Count::BackendAbandonedOther);
-        if self.log_budget.lock().try_acquire(self.board.now()) {
+        if self.may_log() {
             let id = request.headers.get(REQUEST_ID_HEADER);
             tracing::warn!(event = "other_response", request = ?id, method = %request.method);
         }
     }
 
+    /// Returns whether a log line about a single request may be written.
+    pub(crate) fn may_log(&self) -> bool {
+        self.log_budget.lock().try_acquire(self.board.now())
+    }
+
     /// Returns a guard for a request that is about to be sent.
     pub(crate) fn abandon_guard(&self) -> AbandonGuard {
         AbandonGuard {
--- a/crates/buckthornweir_daemon/src/agent/body.rs
+++ b/crates/buckthornweir_daemon/src/agent/body.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
@@ -19,6 +19,53 @@
         .boxed_unsync()
 }
 
+/// Buffers a body of at most `max_bytes`. A larger one is returned as a body that streams the rest.
+///
+/// # Errors
+///
+/// Returns an error when the body fails.
+pub(crate) async fn collect_up_to(
+    mut body: ResponseBody,
+    max_bytes: usize,
+) -> io::Result<ResponseBody> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > max_bytes {
+            let first = Some(collected.freeze());
+            return Ok(PrefixedBody { first, rest: body }.boxed_unsync());
+        }
+    }
+    Ok(full_body(collected.freeze()))
+}
+
+/// A body whose first part was read before.
+struct PrefixedBody {
+    first: Option<Bytes>,
+    rest: ResponseBody,
+}
+
+impl Body for PrefixedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+            None => Pin::new(&mut self.rest).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_none() && self.rest.is_end_stream()
+    }
+}
+
 /// How a response body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyEnd {
--- a/crates/buckthornweir_daemon/src/agent/coordinator/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/coordinator/mod.rs
@@ -15,8 +15,8 @@
 use buckthornweir_flows::packet::FiveTuple;
 use buckthornweir_requests::messages::Load;
 use buckthornweir_requests::{
-    Admission, AdmissionConfig, Arrival, LimitConfig, Outcome, Progress, Refusal, RequestKey,
-    ReservationId, ServingState, Token,
+    Admission, AdmissionConfig, Arrival, Counters, HedgeResult, LimitConfig, Outcome, Progress,
+    Refusal, RequestKey, ReservationId, ServingState, Token,
 };
 use buckthornweir_wire::NodeId;
 use parking_lot::Mutex;
@@ -69,6 +69,8 @@
     requests: HashMap<RequestKey, mpsc::UnboundedSender<Directive>>,
     asks: HashMap<Token, Ask>,
     loads: HashMap<NodeId, Load>,
+    /// The counters of admission that the metrics include.
+    reported: Counters,
 }
 
 /// A pending ask for a slot at a sibling.
@@ -111,6 +113,7 @@
                 requests: HashMap::new(),
                 asks: HashMap::new(),
                 loads: HashMap::new(),
+                reported: Counters::default(),
             }),
         })
     }
@@ -155,6 +158,24 @@
         OpenRequest { key, directives }
     }
 
+    /// Returns the time after which a request is hedged, or `None` while no request is hedged.
+    pub(crate) fn hedging_delay(&self) -> Option<Duration> {
+        self.state.lock().admission.hedging_delay(self.board.now())
+    }
+
+    /// Asks siblings for a slot for a second copy of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not hedged.
+    pub(crate) fn hedge(&self, request: RequestKey) -> HedgeResult<OpenRequest> {
+        let mut state = self.state.lock();
+        let (key, actions) = state.admission.hedge(self.board.now(), request)?;
+        let directives = state.open(key);
+        self.apply_actions(&mut state, actions, None);
+        Ok(OpenRequest { key, directives })
+    }
+
     /// Submits a request that a sibling handed over. Returns `None` for a duplicate.
     pub(crate) fn submit_handed(
         &self,
@@ -177,7 +198,8 @@
 
     /// Records that the head of a response arrived.
     pub(crate) fn response_started(&self, key: RequestKey) {
-        self.state.lock().admission.answering(key);
+        let mut state = self.state.lock();
+        state.admission.response_started(self.board.now(), key);
     }
 
     /// Reports how an attempt ended.
@@ -302,7 +324,8 @@
         let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
         let config = AdmissionConfig::default()
             .with_limit(limit)
-            .with_queue(queue);
+            .with_queue(queue)
+            .with_second_tries(service.second_tries);
         self.admission.reconfigure(config, now);
     }
 }
--- a/crates/buckthornweir_daemon/src/agent/coordinator/timers.rs
+++ b/crates/buckthornweir_daemon/src/agent/coordinator/timers.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use buckthornweir_events::Gauge;
+use buckthornweir_events::{Count, Gauge};
 use buckthornweir_members::{Health, MemberState};
 use buckthornweir_requests::messages::Load;
-use buckthornweir_requests::{ServingState, Sibling, SiblingState};
+use buckthornweir_requests::{Counters, ServingState, Sibling, SiblingState};
 use buckthornweir_wire::NodeId;
 use tokio_util::sync::CancellationToken;
 
@@ -53,7 +53,8 @@
     fn report(&self) {
         self.keys.report();
         self.handoffs.close_idle();
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        self.report_hedges(&mut state);
         let limit = state.admission.limit();
         let metrics = &self.board.metrics;
         metrics.set(Gauge::AdmissionLimit, i64::from(limit.limit()));
@@ -65,6 +66,15 @@
         self.board.report_free(free);
     }
 
+    /// Adds the denials that admission counted since the last report to the metrics.
+    fn report_hedges(&self, state: &mut State) {
+        let counters = state.admission.counters();
+        let before = std::mem::replace(&mut state.reported, counters);
+        for ((count, now), (_, then)) in denials(&counters).into_iter().zip(denials(&before)) {
+            self.board.metrics.count_by(count, now - then);
+        }
+    }
+
     /// Applies the current bundle and members.
     pub(super) fn refresh(&self) {
         let Some(agent) = &self.board.settings.agent else {
@@ -128,8 +138,19 @@
         match load {
             Some(load) => sibling
                 .with_free(load.free)
-                .with_rate(f64::from(load.rate_milli) / 1_000.0),
+                .with_rate(load.rate())
+                .with_response(load.response()),
             None => sibling,
         }
     }
 }
+
+/// Returns the counters of denied hedged requests, by reason.
+fn denials(counters: &Counters) -> [(Count, u64); 4] {
+    [
+        (Count::HedgesDeniedNoSibling, counters.hedges_no_sibling),
+        (Count::HedgesDeniedDeclined, counters.hedges_declined),
+        (Count::HedgesDeniedNoSlot, counters.hedges_no_slot),
+        (Count::HedgesDeniedLimit, counters.hedges_over_limit),
+    ]
+}
--- a/crates/buckthornweir_daemon/src/agent/handoff_server.rs
+++ b/crates/buckthornweir_daemon/src/agent/handoff_server.rs
@@ -62,7 +62,7 @@
         // A duplicate: the task of the first copy sends the response.
         return;
     };
-    match coordinator.serve(request, open).await {
+    match coordinator.serve(&request, open).await {
         Served::Response(response) => responder.respond(response).await,
         Served::Refused(refusal) => responder.refuse(&refusal).await,
         Served::Cut => responder.cut().await,
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod handoff_server;
 mod headers;
 mod health;
+mod hedging;
 mod http_flow;
 mod idempotency;
 mod idle;
--- a/crates/buckthornweir_daemon/src/agent/request.rs
+++ b/crates/buckthornweir_daemon/src/agent/request.rs
@@ -12,6 +12,7 @@
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::sync::mpsc;
 
 use super::attempts::{AttemptResult, RequestGuard, exchange, until_directive};
 use super::body::ResponseBody;
@@ -100,7 +101,7 @@
     async fn serve_idempotent(self: &Arc<Self>, request: BufferedRequest) -> Served {
         let arrival = request.arrival;
         let Some(key) = request.head.headers.get(KEY_HEADER).cloned() else {
-            return self.serve(request, self.submit(arrival)).await;
+            return self.serve_hedged(&request, self.submit(arrival)).await;
         };
         let verdict = self.keys().claim(
             key.as_bytes(),
@@ -117,7 +118,7 @@
             }
         };
         claim.start();
-        match self.serve(request, self.submit(arrival)).await {
+        match self.serve(&request, self.submit(arrival)).await {
             Served::Response(response) => Served::Response(claim.responded(response)),
             Served::Refused(refusal) => {
                 claim.refused(&refusal);
@@ -130,13 +131,23 @@
     /// Follows the directives for one request until it ends.
     pub(crate) async fn serve(
         self: &Arc<Self>,
-        request: BufferedRequest,
+        request: &BufferedRequest,
         open: OpenRequest,
     ) -> Served {
-        let mut directives = open.directives;
         let guard = RequestGuard::new(self.clone(), open.key);
+        self.serve_attempts(&guard, request, open.directives, None)
+            .await
+    }
+
+    /// Follows the directives for the request of `guard`, starting with `next` if there is one.
+    pub(super) async fn serve_attempts(
+        &self,
+        guard: &RequestGuard,
+        request: &BufferedRequest,
+        mut directives: mpsc::UnboundedReceiver<Directive>,
+        mut next: Option<Directive>,
+    ) -> Served {
         let mut last_response = None;
-        let mut next = None;
         loop {
             let directive = match next.take() {
                 Some(directive) => Some(directive),
@@ -144,8 +155,8 @@
             };
             match directive {
                 Some(Directive::Run) => {
-                    let work = exchange(&guard, &request);
-                    match until_directive(&guard, work, &mut directives).await {
+                    let work = exchange(guard, request);
+                    match until_directive(guard, work, &mut directives).await {
                         AttemptResult::Response(response) => return Served::Response(response),
                         AttemptResult::Ended(response) => last_response = response,
                         AttemptResult::Interrupted(directive) => next = directive,
@@ -155,8 +166,8 @@
                     sibling,
                     reservation,
                 }) => {
-                    let work = hand_over(&guard, &request, sibling, reservation);
-                    match until_directive(&guard, work, &mut directives).await {
+                    let work = hand_over(guard, request, sibling, reservation);
+                    match until_directive(guard, work, &mut directives).await {
                         AttemptResult::Response(response) => return Served::Response(response),
                         AttemptResult::Ended(response) => last_response = response,
                         AttemptResult::Interrupted(directive) => next = directive,
--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -145,6 +145,18 @@
         RequestsRetriedCut = "requests_retried_total", "Requests that were tried again", reason = "cut";
         /// Requests retried because no response was received.
         RequestsRetriedSilent = "requests_retried_total", "Requests that were tried again", reason = "silent";
+        /// Hedged requests sent to another agent of the service.
+        HedgesSent = "hedged_requests_total", "Second copies of requests sent to a sibling agent";
+        /// Hedged requests whose second copy responded first.
+        HedgesWon = "hedged_requests_won_total", "Second copies of requests that answered first";
+        /// Requests not hedged because no other agent was warm, or all had declined a moment ago.
+        HedgesDeniedNoSibling = "hedged_requests_denied_total", "Second copies of requests that were denied", reason = "no-sibling";
+        /// Requests not hedged because the agents that were asked declined or did not answer.
+        HedgesDeniedDeclined = "hedged_requests_denied_total", "Second copies of requests that were denied", reason = "declined";
+        /// Slots for hedged requests declined to other agents because none is to spare.
+        HedgesDeniedNoSlot = "hedged_requests_denied_total", "Second copies of requests that were denied", reason = "no-slot";
+        /// Slots for hedged requests declined to other agents because of the limit.
+        HedgesDeniedLimit = "hedged_requests_denied_total", "Second copies of requests that were denied", reason = "limit";
         /// Connections opened to the backend server.
         BackendConnections = "backend_connections_total", "Connections opened to the backend server";
         /// Backend connections closed before the response to an abandoned request.
--- a/crates/buckthornweir_requests/src/admission/config.rs
+++ b/crates/buckthornweir_requests/src/admission/config.rs
@@ -130,7 +130,7 @@
     pub hedged: u64,
     /// Slots granted to siblings for hedged requests.
     pub hedges_granted: u64,
-    /// Requests not hedged because no sibling had a free slot to report.
+    /// Requests not hedged because no sibling was warm, or all had declined a moment ago.
     pub hedges_no_sibling: u64,
     /// Requests not hedged because the siblings that were asked declined or didn't answer.
     pub hedges_declined: u64,
--- a/crates/buckthornweir_requests/src/admission/hedge.rs
+++ b/crates/buckthornweir_requests/src/admission/hedge.rs
@@ -11,6 +11,11 @@
 use crate::hedging::{HedgeCandidate, HedgeDenial, HedgeResult};
 use crate::{NodeId, ProblemKind, Refusal, Token};
 
+/// How long a backend server counts as busy after a request found no free slot. At an overload of 1.2
+/// times the capacity a second slot is free now and then; without this time, copies took 0.2 % of
+/// the slots then.
+const BUSY_TIME: Duration = Duration::from_millis(200);
+
 impl Admission {
     /// Returns the time after which a request without a response is hedged, or `None` while no
     /// request is hedged.
@@ -56,8 +61,9 @@
 
     /// Handles a sibling's request for a slot for a hedged request.
     ///
-    /// The slot is granted only while another one stays free, so that hedging takes spare capacity
-    /// and ends by itself when all backend servers are busy.
+    /// The slot is granted only while another one stays free and no request found all slots in use a
+    /// moment ago, so that hedging takes spare capacity and ends by itself when all backend servers
+    /// are busy.
     pub fn hedge_requested(
         &mut self,
         now: Duration,
@@ -83,7 +89,8 @@
 
     fn has_spare_slot(&self, now: Duration) -> bool {
         let is_accepting = self.is_ready() && !self.limit.is_cold();
-        is_accepting && self.queue.is_empty() && self.limit.free_at(now) > 1
+        let was_full = self.limit.full_at().is_some_and(|at| now < at + BUSY_TIME);
+        is_accepting && !was_full && self.queue.is_empty() && self.limit.free_at(now) > 1
     }
 
     /// Asks the next sibling for a slot for the copy, or ends the copy.
--- a/crates/buckthornweir_requests/src/hedging.rs
+++ b/crates/buckthornweir_requests/src/hedging.rs
@@ -46,7 +46,7 @@
     NotRunning,
     /// The response has started, so its bytes may have gone to the caller.
     ResponseStarted,
-    /// No sibling is warm, accepts requests and reports a free slot.
+    /// No sibling is warm and accepts requests, or all of them declined a moment ago.
     NoSibling,
     /// The backend server has no slot to spare, is cold or accepts no requests.
     NoSlot,
--- a/crates/buckthornweir_requests/src/limit/mod.rs
+++ b/crates/buckthornweir_requests/src/limit/mod.rs
@@ -60,6 +60,8 @@
     slow_streak: u32,
     /// Whether all slots were in use at some time since the limit last changed.
     saturated: bool,
+    /// When a request last found no free slot.
+    full_at: Option<Duration>,
     raised_at: Duration,
     lowered_at: Duration,
     used_at: Duration,
@@ -90,6 +92,7 @@
             last_concurrent: now,
             slow_streak: 0,
             saturated: false,
+            full_at: None,
             raised_at: now,
             lowered_at: now,
             used_at: now,
@@ -122,6 +125,11 @@
         if self.is_paused(now) { 0 } else { self.free() }
     }
 
+    /// Returns when a request last found no free slot.
+    pub fn full_at(&self) -> Option<Duration> {
+        self.full_at
+    }
+
     /// Returns whether the limit is that of a cold backend server.
     pub fn is_cold(&self) -> bool {
         self.config.cold < self.config.slots && self.limit <= self.config.cold
@@ -166,6 +174,7 @@
         self.halve_after_idle(now);
         if self.free_at(now) == 0 {
             self.saturated = true;
+            self.full_at = Some(now);
             return false;
         }
         self.in_flight += 1;
--- a/crates/buckthornweir_requests/src/sibling.rs
+++ b/crates/buckthornweir_requests/src/sibling.rs
@@ -12,9 +12,6 @@
 
 /// Time for which a sibling that declined a reservation is skipped.
 const DECLINED_BACKOFF: Duration = Duration::from_millis(20);
-/// Time for which a sibling that declined a hedged request is skipped for others. It is longer than
-/// [`DECLINED_BACKOFF`], since a hedged request can do without a slot.
-const HEDGE_DECLINED_BACKOFF: Duration = Duration::from_millis(100);
 /// Initial backoff for a sibling whose backend server returned a server error.
 const FAILED_BACKOFF: Duration = Duration::from_millis(20);
 /// Initial backoff for a sibling that was lost or did not respond.
@@ -145,8 +142,11 @@
         self.pick_where(rng, is_eligible, max_rate.is_some())
     }
 
-    /// Returns the better of two siblings for a hedged request, without those in `excluded`: only
-    /// warm siblings that report a slot to spare beside another free one.
+    /// Returns the better of two warm siblings for a hedged request, without those in `excluded`.
+    ///
+    /// As in [`Siblings::pick`], free slots count only in the comparison: reports are up to a second
+    /// old, and each grant lowers the number until the next one. The sibling decides whether it has
+    /// a slot to spare.
     pub(crate) fn pick_spare(
         &self,
         rng: &mut ChaCha8Rng,
@@ -155,7 +155,6 @@
     ) -> Option<NodeId> {
         let is_eligible = |e: &&SiblingEntry| {
             e.sibling.state == SiblingState::Ready
-                && e.sibling.free > 1
                 && e.avoid_until.max(e.no_hedge_until) <= now
                 && !excluded.contains(&e.sibling.node)
         };
@@ -218,7 +217,7 @@
     /// as well cost 2 % of the throughput in the model when all backend servers were slow.
     pub(crate) fn on_hedge_declined(&mut self, node: NodeId, now: Duration) {
         if let Some(entry) = self.find(node) {
-            entry.no_hedge_until = entry.no_hedge_until.max(now + HEDGE_DECLINED_BACKOFF);
+            entry.no_hedge_until = entry.no_hedge_until.max(now + DECLINED_BACKOFF);
         }
     }
 
