--- a/benches/views.rs
+++ b/benches/views.rs
@@ -234,6 +234,7 @@
     let load = Load {
         free: 5,
         rate_milli: 100_000,
+        response_us: 0,
     };
     let load = RequestMessage::new(RequestBody::Load(load));
     print("load report", Body::Request(Box::new(load)));
--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -31,8 +31,9 @@
 pub const SECOND_SYN_DELAY: Duration = Duration::from_millis(60);
 
 /// How long before a caller sends the next copy of its SYN the queued one must start, so that the
-/// SYN-ACK or the reset arrives first.
-const COPY_MARGIN: Duration = Duration::from_millis(20);
+/// SYN-ACK or the reset arrives first. It covers the interval of 25 ms between two looks at the
+/// queue and the way to the caller.
+const COPY_MARGIN: Duration = Duration::from_millis(50);
 
 /// How long a copy of a SYN may take to arrive.
 const MAX_COPY_DELAY: Duration = Duration::from_millis(25);
