--- a/crates/buckthornweir_forward/src/speed.rs
+++ b/crates/buckthornweir_forward/src/speed.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-/// The weight step of an agent whose requests take at most [`FULL_RATIO`] of their objective.
+/// The weight step of an agent whose requests take at most an eighth of their objective.
 pub const FULL_STEP: u8 = 16;
 
 /// Time taken divided by objective up to which an agent announces [`FULL_STEP`].
