--- a/crates/buckthornweir_events/tests/metrics.rs
+++ b/crates/buckthornweir_events/tests/metrics.rs
@@ -26,6 +26,10 @@
         buckthornweir_flows_passed_on_total{reason="unanswered"} 0
         buckthornweir_flows_rejected_total{reason="nobody-takes"} 0
         buckthornweir_flows_rejected_total{reason="overloaded"} 0
+        buckthornweir_hedged_requests_denied_total{reason="declined"} 0
+        buckthornweir_hedged_requests_denied_total{reason="limit"} 0
+        buckthornweir_hedged_requests_denied_total{reason="no-sibling"} 0
+        buckthornweir_hedged_requests_denied_total{reason="no-slot"} 0
         buckthornweir_hedged_syns_denied_total{reason="full"} 0
         buckthornweir_hedged_syns_denied_total{reason="limit"} 0
         buckthornweir_hedged_syns_denied_total{reason="no-slot"} 0
