Test cases in which overload control exceeds its bounds

A review of overload control found three cases without a test: a hedged SYN at an agent that stops, a policy that is disabled while SYNs are queued for a cold backend server, and a report of u32::MAX slots. A hedged SYN at a busy, cold or draining agent was ruled out, as tests cover it.

--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod mass_restart;
 mod overload;
 mod overload_runs;
+mod overload_safety;
 mod plan;
 mod service_times;
 mod siblings;
--- a/crates/buckthornweir_forward/tests/forward/overload.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload.rs
@@ -55,7 +55,7 @@
 }
 
 /// Starts as many requests as the agent delivers at once, at the ports from 100 on.
-fn fill(mut harness: Harness) -> Harness {
+pub(crate) fn fill(mut harness: Harness) -> Harness {
     for port in 100..=100 + SLOTS as u16 {
         let got = harness.caller(syn(port, 0));
         assert_eq!(outcome(&got), Some(Outcome::Delivered));
@@ -105,11 +105,11 @@
     }};
 }
 
-fn opened(actions: &[Action]) -> Vec<FlowKey> {
+pub(crate) fn opened(actions: &[Action]) -> Vec<FlowKey> {
     select!(actions, Action::Opened { key } => *key)
 }
 
-fn resets(actions: &[Action]) -> Vec<ResetReason> {
+pub(crate) fn resets(actions: &[Action]) -> Vec<ResetReason> {
     select!(actions, Action::Reset { reason, .. } => *reason)
 }
 
@@ -263,7 +263,7 @@
     assert!(opened(&harness.backend(reply(100, 500))).contains(&key(1)));
 }
 
-fn stop(harness: &mut Harness) -> Vec<Action> {
+pub(crate) fn stop(harness: &mut Harness) -> Vec<Action> {
     let view = View {
         plan: &harness.plan,
         peers: &harness.peers,
--- /dev/null
+++ b/crates/buckthornweir_forward/tests/forward/overload_safety.rs
@@ -0,0 +1,66 @@
+//! Cases in which overload control could reset an open flow, exceed the bound of a cold backend
+//! server or fail on extreme reports.
+
+use buckthornweir_forward::agent::{Action, DropReason};
+use buckthornweir_forward::backend::Report;
+use buckthornweir_forward::plan::{OverloadPolicy, Service};
+use buckthornweir_forward::segment::Segment;
+use buckthornweir_forward::tag::Tag;
+
+use crate::common::{Outcome, ms, outcome, syn};
+use crate::overload::{SLOTS, alone, fill, opened, slots, stop};
+
+fn with_tag(segment: Segment, tag: Tag) -> Segment {
+    let tag = tag.word();
+    Segment { tag, ..segment }
+}
+
+/// Guards against a reset of a flow that opened at the agent of the first SYN: a balancer may send a
+/// hedged SYN before it knows that the agent stops.
+#[test]
+fn a_stopping_agent_drops_hedged_syns() {
+    let mut harness = alone(800);
+    stop(&mut harness);
+    let tag = Tag {
+        hedged: true,
+        ..Tag::default()
+    };
+    let got = harness.caller(with_tag(syn(1, 0), tag));
+    assert_eq!(got, [Action::Drop(DropReason::Hedged)]);
+}
+
+/// Guards against starting all queued flows at a cold backend server when operators disable the
+/// policy.
+#[test]
+fn the_cold_bound_holds_when_the_policy_is_disabled() {
+    let mut harness = fill(alone(800));
+    let service = |overload| Service {
+        cold_rate: Some(6.0),
+        overload,
+    };
+    let policy = Some(OverloadPolicy::default());
+    harness.plan.services.insert("desk".into(), service(policy));
+    harness.report(Report {
+        cold: ms(5_000),
+        ..slots(SLOTS, 2)
+    });
+    harness.tick();
+    for port in 1..=4 {
+        assert_eq!(outcome(&harness.caller(syn(port, 0))), Some(Outcome::Held));
+    }
+    harness.plan.services.insert("desk".into(), service(None));
+    // 12 flows started in the last 1.1 s, and the bound is 6 · 1.5 + 5, less a reserve of 1.
+    let got = harness.tick();
+    assert_eq!(opened(&got).len(), 1, "{got:?}");
+    assert_eq!(harness.agent.queued(), 0);
+}
+
+/// Guards against an overflow in the load of an agent whose backend server reports the largest
+/// number of slots.
+#[test]
+fn the_load_states_at_most_the_largest_number() {
+    let mut harness = alone(800);
+    harness.report(slots(u32::MAX, 2));
+    let load = harness.agent.load(harness.now, &harness.plan);
+    assert_eq!(load.map(|load| load.capacity), Some(u32::MAX));
+}
