Keep hedged SYNs, disabled policies and slot counts within their bounds

Hedged SYNs were only dropped where the backend server had no free slot, so an agent that stops passed them on or reset their flow, which may be open at the agent of the first SYN. When the policy was disabled, all queued flows started at once, regardless of the bound of a cold backend server and of callers that had timed out. The load of an agent with u32::MAX slots overflowed.

A stopping agent drops hedged SYNs, each start after the policy is disabled needs admission, and the sum saturates.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -175,6 +175,12 @@
         !self.has_all_copies(now) && self.has_all_copies(now.saturating_sub(MAX_COPY_DELAY))
     }
 
+    /// Returns whether the caller may have timed out.
+    #[must_use]
+    pub fn has_timed_out(&self, now: Duration) -> bool {
+        now > self.caller_limit()
+    }
+
     /// Returns the time after which the caller may time out before the flow is open.
     fn caller_limit(&self) -> Duration {
         let max_age = match self.tag.hops {
@@ -328,7 +334,7 @@
     pub fn pop(&mut self, now: Duration, least_share: f64) -> Option<WaitingSyn> {
         let in_time = |syn: &&WaitingSyn| now <= syn.latest_start();
         let Some(first) = self.list.iter().find(in_time) else {
-            let place = self.list.iter().position(|syn| now <= syn.caller_limit())?;
+            let place = self.list.iter().position(|syn| !syn.has_timed_out(now))?;
             let syn = self.list.remove(place);
             self.note_start(now, syn.demand.priority);
             return Some(syn);
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -152,12 +152,14 @@
         }
     }
 
-    /// Returns whether the backend server is warm and has a free slot for a hedged SYN.
+    /// Returns whether the backend server is warm and has a free slot for a hedged SYN, and the agent
+    /// does not stop.
     ///
     /// Any other hedged SYN is dropped: the flow may have opened at the agent of the first SYN, so
     /// that a reset would break it, and hedging must not add to the queues.
     fn serves_at_once(&mut self, now: Duration, plan: &Plan) -> bool {
-        !self.backend.is_cold(now) && matches!(self.admission(now, plan), Admission::Open)
+        let starts_flows = !self.backend.is_cold(now) && !self.overload.stopping;
+        starts_flows && self.admission(now, plan) == Admission::Open
     }
 
     /// Queues a SYN that the backend server may accept before the caller times out. Returns whether
--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -63,7 +63,7 @@
         let is_shut = matches!(admission, Admission::Shut(_)) || self.overload.stopping;
         let running = u32::try_from(self.flows.load()).unwrap_or(u32::MAX);
         let capacity = match admission {
-            Admission::Open if !is_shut => (slots + AHEAD).saturating_sub(running),
+            Admission::Open if !is_shut => slots.saturating_add(AHEAD).saturating_sub(running),
             _ => 0,
         };
         let wait = match capacity {
--- a/crates/buckthornweir_forward/src/agent/waiting.rs
+++ b/crates/buckthornweir_forward/src/agent/waiting.rs
@@ -56,12 +56,7 @@
                     self.turn_away(now, view, syn, reason, out);
                 }
             }
-            // Without a policy, requests wait at the backend server.
-            (None, None) => {
-                for syn in self.overload.queue.drain() {
-                    self.start_queued(now, syn, out);
-                }
-            }
+            (None, None) => self.start_without_policy(now, view, out),
             (None, Some(policy)) => {
                 self.update_services(now);
                 self.start_all_queued(now, view.plan, policy, out);
@@ -97,6 +92,22 @@
         }
     }
 
+    /// Starts the queued flows after the policy was disabled: without one, requests wait at the
+    /// backend server. Each start counts towards the bound of a cold backend server.
+    fn start_without_policy(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
+        for syn in self.overload.queue.drain() {
+            match self.admission(now, view.plan) {
+                Admission::Shut(shut) => {
+                    self.turn_away(now, view, syn, PassReason::Shut(shut), out);
+                }
+                _ if syn.has_timed_out(now) => {
+                    self.turn_away(now, view, syn, PassReason::Overloaded, out);
+                }
+                _ => self.start_queued(now, syn, out),
+            }
+        }
+    }
+
     fn start_queued(&mut self, now: Duration, syn: WaitingSyn, out: &mut Vec<Action>) {
         let key = syn.key();
         out.push(dequeued(now, &syn));
