Mark SYNs that a balancer may hedge

An agent derives from the plan whether a SYN may be hedged, and resets no flow for which that holds after the hedging delay. On the users' platform the plan states no limit, and balancers take theirs from BUCKTHORNWEIR_SECOND_TRIES, which agents don't read. A queued SYN was therefore reset after 150 ms although its hedged copy may have opened the flow at another backend server after 60 ms. The same happens with a limit in the plan while an agent has an older plan. Reading the variable at agents as well was ruled out, since nothing keeps the values of two processes equal.

A balancer now marks the SYNs that it may hedge with a bit of the tag, which earlier releases ignore.

--- a/crates/buckthornweir_forward/src/hedging.rs
+++ b/crates/buckthornweir_forward/src/hedging.rs
@@ -120,6 +120,12 @@
         self.syns.is_empty()
     }
 
+    /// Returns whether the flow's SYN was hedged or may still be.
+    #[must_use]
+    pub fn may_hedge(&self, key: &FlowKey) -> bool {
+        self.syns.contains_key(key)
+    }
+
     /// Returns when [`Hedging::due`] has work to do.
     #[must_use]
     pub fn next_due(&self) -> Option<Duration> {
@@ -128,7 +134,7 @@
         hedge.into_iter().chain(expiry).min()
     }
 
-    /// Records a caller's packet that was forwarded to `agent`. Returns [`Denial::Full`] if it is a
+    /// Records a caller's packet that is forwarded to `agent`. Returns [`Denial::Full`] if it is a
     /// SYN that might be hedged but can't be remembered.
     pub fn note(
         &mut self,
--- a/crates/buckthornweir_forward/src/tag.rs
+++ b/crates/buckthornweir_forward/src/tag.rs
@@ -9,6 +9,7 @@
 const ASIDE: u32 = 1 << 8;
 const PROBE: u32 = 1 << 9;
 const HEDGED: u32 = 1 << 10;
+const HEDGEABLE: u32 = 1 << 11;
 const HOPS_MASK: u32 = 0xff;
 const AGE_SHIFT: u32 = 16;
 const AGE_MASK: u32 = 0xff << AGE_SHIFT;
@@ -29,6 +30,9 @@
     /// Whether the packet is a balancer's copy of a SYN that may have opened its flow elsewhere, so
     /// that it must not cause a reset. Earlier releases ignore it.
     pub hedged: bool,
+    /// Whether a balancer may send a hedged SYN of the flow to another agent. Agents can't derive this
+    /// from the plan, since a balancer may have a limit of its own. Earlier releases ignore it.
+    pub hedgeable: bool,
     /// How long the SYN waited at agents that passed it on, in units of 8 ms. Earlier releases
     /// ignore it.
     pub age: u8,
@@ -46,6 +50,7 @@
             aside: word & ASIDE != 0,
             probe: word & PROBE != 0,
             hedged: word & HEDGED != 0,
+            hedgeable: word & HEDGEABLE != 0,
             age: ((word & AGE_MASK) >> AGE_SHIFT) as u8,
         }
     }
@@ -56,8 +61,9 @@
         let aside = if self.aside { ASIDE } else { 0 };
         let probe = if self.probe { PROBE } else { 0 };
         let hedged = if self.hedged { HEDGED } else { 0 };
+        let hedgeable = if self.hedgeable { HEDGEABLE } else { 0 };
         let age = u32::from(self.age) << AGE_SHIFT;
-        MAGIC | age | aside | probe | hedged | u32::from(self.hops)
+        MAGIC | age | aside | probe | hedged | hedgeable | u32::from(self.hops)
     }
 
     /// Returns the tag for passing the packet on by one more hop.
@@ -68,6 +74,7 @@
             aside: true,
             probe: false,
             hedged: self.hedged,
+            hedgeable: self.hedgeable,
             age: self.age,
         }
     }
--- a/crates/buckthornweir_forward/tests/forward/hedging.rs
+++ b/crates/buckthornweir_forward/tests/forward/hedging.rs
@@ -92,7 +92,9 @@
 #[test]
 fn late_flow_is_hedged_once_at_another_agent() {
     let mut harness = Harness::generous();
+    assert!(!harness.hedging.may_hedge(&key(5)));
     harness.note(syn(5, 0));
+    assert!(harness.hedging.may_hedge(&key(5)));
     assert_eq!(harness.hedging.next_due(), Some(ms(60_060)));
     let early = harness.after(SECOND_SYN_DELAY - ms(1));
     assert_eq!(early, [], "the delay is not over");
@@ -115,6 +117,7 @@
     let peers = Peers::new(harness.peers.clone());
     let primary = peers.primary("desk", "a", &key(5)).unwrap();
     assert!(tag.hedged && !tag.probe);
+    assert!(harness.hedging.may_hedge(&key(5)), "the first copy");
     assert_eq!(tag.aside, primary.packet_addr != *to);
     // Guards against a second copy for a SYN that the network duplicated.
     harness.answered(2_000..2_100);
--- a/crates/buckthornweir_forward/tests/forward/overload_safety.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload_safety.rs
@@ -8,7 +8,7 @@
 use buckthornweir_forward::tag::Tag;
 
 use crate::common::{Outcome, ms, outcome, syn};
-use crate::overload::{SLOTS, alone, fill, opened, slots, stop};
+use crate::overload::{SLOTS, alone, fill, opened, resets, slots, stop};
 
 fn with_tag(segment: Segment, tag: Tag) -> Segment {
     let tag = tag.word();
@@ -64,3 +64,25 @@
     let load = harness.agent.load(harness.now, &harness.plan);
     assert_eq!(load.map(|load| load.capacity), Some(u32::MAX));
 }
+
+/// Guards against a reset of a flow that a hedged SYN opened at another backend server, where only
+/// the balancer has a limit of hedged SYNs and the policy states none.
+#[test]
+fn a_syn_that_a_balancer_may_hedge_is_not_reset_after_the_hedging_delay() {
+    for hedgeable in [false, true] {
+        let tag = Tag {
+            hedgeable,
+            ..Tag::default()
+        };
+        assert_eq!(Tag::read(tag.word()), tag);
+        assert_eq!(tag.passed_on().hedgeable, hedgeable);
+        let mut harness = fill(alone(800));
+        let got = harness.caller(with_tag(syn(1, 0), tag));
+        assert_eq!(outcome(&got), Some(Outcome::Held));
+        // The SYN waits for less than 200 ms, after which its caller sends the next copy.
+        let mut got = Vec::new();
+        (0..199).for_each(|_| got.extend(harness.after(1).tick()));
+        assert_eq!(harness.agent.queued(), 0);
+        assert_eq!(resets(&got).is_empty(), hedgeable, "{got:?}");
+    }
+}
--- a/crates/buckthornweir_node/src/node/hedged_syns.rs
+++ b/crates/buckthornweir_node/src/node/hedged_syns.rs
@@ -10,15 +10,15 @@
 use super::{Node, Role};
 
 impl Node {
-    /// Records a caller's packet that the balancer forwarded.
+    /// Records a caller's packet that the balancer forwards, and marks a SYN that may be hedged.
     pub(super) fn note_forwarded(
         &mut self,
         now: Duration,
-        decision: &Decision,
+        decision: &mut Decision,
         segment: &Segment,
         bytes: &[u8],
     ) {
-        let (Role::Balancer { hedging, .. }, Decision::Forward { to, .. }) =
+        let (Role::Balancer { hedging, .. }, Decision::Forward { to, tag }) =
             (&mut self.role, decision)
         else {
             return;
@@ -26,6 +26,7 @@
         if let Some(denial) = hedging.note(now, self.plans.plan(), segment, bytes, *to) {
             self.metrics.count(denial_metric(denial));
         }
+        tag.hedgeable = segment.syn && hedging.may_hedge(&segment.caller_flow());
     }
 
     /// Sends copies of the SYNs whose flow's next packet is late.
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -41,9 +41,9 @@
             };
             match &mut self.role {
                 Role::Balancer { core, .. } => {
-                    let decision = core.route(now, self.plans.plan(), &self.peers, &segment);
+                    let mut decision = core.route(now, self.plans.plan(), &self.peers, &segment);
+                    self.note_forwarded(now, &mut decision, &segment, bytes);
                     self.forward(&decision, &segment, bytes);
-                    self.note_forwarded(now, &decision, &segment, bytes);
                 }
                 Role::Agent { core, .. } => {
                     let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
