Don't reset SYNs that a balancer may hedge after the hedging delay

An agent reset queued SYNs whose hedged copy may have opened the flow elsewhere if only the balancer has a limit of hedged SYNs. The rule from the plan stays, since an agent of an earlier release drops the mark when it passes a SYN on.

The agent heeds the mark of the SYN. The delay before a hedged SYN was a constant in two modules that had to be equal; the admission queue now uses the one of the balancer.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::hedging::SECOND_SYN_DELAY;
 use crate::segment::{FlowKey, Segment};
 use crate::syn_queue::SYN_TIMEOUT;
 use crate::tag::Tag;
@@ -27,9 +28,6 @@
     Duration::from_millis(600),
 ];
 
-/// How long a balancer waits before it sends a hedged SYN, if the policy allows those.
-pub const SECOND_SYN_DELAY: Duration = Duration::from_millis(60);
-
 /// How long before a caller sends the next copy of its SYN the queued one must start, so that the
 /// SYN-ACK or the reset arrives first. It covers the interval of 25 ms between two looks at the
 /// queue and the way to the caller.
--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -173,6 +173,7 @@
         let class = plan.route(&key.service).map(|route| route.class);
         let class = class.unwrap_or_default();
         let service = self.expected(now).service(&key.service);
+        // Covers SYNs that lost their mark at an agent of an earlier release.
         let hedges = |policy: OverloadPolicy| policy.second_tries > 0.0;
         Demand {
             priority: class.priority.unwrap_or(u8::MAX),
@@ -200,7 +201,8 @@
             bytes,
         } = arrival;
         let key = segment.caller_flow();
-        let demand = self.demand(now, view.plan, &key, first_sent(now, segment));
+        let mut demand = self.demand(now, view.plan, &key, first_sent(now, segment));
+        demand.hedged |= tag.hedgeable;
         if admission == Admission::Open && !self.overload.stopping {
             self.overload.queue.note_start(now, demand.priority);
             return self.open_flow(now, from, segment, tag, out);
