Test that a hedgeable SYN that waited is not reset when nobody takes it

A SYN that waited at an agent may have been hedged in the meantime. If its backend server then returns it, or the sibling that it is passed to drains, the agent resets the flow without checking that. The test fails; the mend follows.

--- a/crates/buckthornweir_forward/tests/forward/overload_safety.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload_safety.rs
@@ -1,13 +1,13 @@
 //! Cases in which overload control could reset an open flow, exceed the bound of a cold backend
 //! server or fail on extreme reports.
 
-use buckthornweir_forward::agent::{Action, DropReason};
-use buckthornweir_forward::backend::Report;
+use buckthornweir_forward::agent::{Action, DropReason, ResetReason};
+use buckthornweir_forward::backend::{Report, ReportState};
 use buckthornweir_forward::plan::{OverloadPolicy, Service};
 use buckthornweir_forward::segment::Segment;
 use buckthornweir_forward::tag::Tag;
 
-use crate::common::{Outcome, ms, outcome, syn};
+use crate::common::{Outcome, key, ms, outcome, packet_addr, reply, returned, syn};
 use crate::overload::{SLOTS, alone, fill, opened, resets, slots, stop};
 
 fn with_tag(segment: Segment, tag: Tag) -> Segment {
@@ -86,3 +86,32 @@
         assert_eq!(resets(&got).is_empty(), hedgeable, "{got:?}");
     }
 }
+
+/// Guards against a reset of a flow that a hedged SYN opened elsewhere while the first SYN waited at
+/// an agent, if the backend server that gets it then refuses it.
+#[test]
+fn a_hedgeable_syn_that_waited_is_not_reset_when_nobody_takes_it() {
+    let tag = Tag {
+        hedgeable: true,
+        ..Tag::default()
+    };
+    let first = with_tag(syn(1, 0), tag);
+    let mut harness = fill(alone(800));
+    harness.caller(first);
+    let got = harness.after(100).backend(reply(100, 500));
+    assert_eq!(opened(&got), [key(1)]);
+    let got = harness.backend(returned(first));
+    assert_eq!(resets(&got), [], "returned by the backend server");
+
+    let mut harness = alone(800);
+    let state = ReportState::Draining;
+    harness.report(Report {
+        state,
+        ..slots(SLOTS, 2)
+    });
+    let passed = with_tag(syn(1, 0), tag.aged(ms(100)).passed_on());
+    let got = harness.from(packet_addr(2), passed);
+    assert_eq!(resets(&got), [], "passed on");
+    let got = harness.caller(with_tag(syn(2, 0), tag));
+    assert_eq!(resets(&got), [ResetReason::NobodyTakes], "a new SYN");
+}
