Drop hedgeable SYNs that waited when nobody takes them

The agent reset a flow whose SYN its backend server returned, or that a sibling passed on to it while it accepted none, even if the SYN had waited for longer than the hedging delay at an agent. Its hedged copy may have opened the flow by then. SYNs that no balancer hedges are treated as before.

--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -144,6 +144,11 @@
             None if self.queue_syn(now, view.plan, segment, tag, bytes, reason) => {
                 out.push(Action::Drop(DropReason::Held));
             }
+            // The SYN may have waited at the agent that passed it on, and its hedged copy may have
+            // opened the flow.
+            None if tag.hedgeable && tag.hops > 0 => {
+                out.push(Action::Drop(DropReason::Overloaded));
+            }
             None => out.push(Action::Reset {
                 key,
                 sequence: segment.acknowledged,
@@ -326,10 +331,14 @@
             }
             None => {
                 self.flows.remove(&key);
-                out.push(Action::Reset {
-                    key,
-                    sequence: segment.acknowledged,
-                    reason: ResetReason::NobodyTakes,
+                out.push(match tag.hedgeable {
+                    // The SYN may have waited here, and its hedged copy may have opened the flow.
+                    true => Action::Drop(DropReason::Overloaded),
+                    false => Action::Reset {
+                        key,
+                        sequence: segment.acknowledged,
+                        reason: ResetReason::NobodyTakes,
+                    },
                 });
             }
         }
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -60,8 +60,8 @@
     LookupsFull,
     /// The packet is a hedged SYN that the backend server can't serve at once.
     Hedged,
-    /// The new flow can't start in time, but an earlier copy of its SYN may have reached a backend
-    /// server, so that a reset might be untruthful.
+    /// The new flow can't start here, but another copy of its SYN may have reached a backend server, so
+    /// that a reset might be untruthful.
     Overloaded,
     /// The packet of the backend server has no caller as its target.
     Odd,
