Count SYNs dropped under overload apart from packets without an owner

SYNs that an agent can't start but must not reset were counted under the reason no-owner, which tells operators of a lost flow. They have the reason overloaded now.

--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -99,6 +99,8 @@
         PacketsDroppedLookupsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "lookups-full";
         /// Hedged SYNs dropped by an agent because its backend server can't serve them at once.
         PacketsDroppedHedged = "packets_dropped_total", "Packets dropped by an agent", reason = "hedged";
+        /// SYNs dropped by an agent that can't start their flow but must not reset it.
+        PacketsDroppedOverloaded = "packets_dropped_total", "Packets dropped by an agent", reason = "overloaded";
         /// Packets dropped by an agent because the members of the service are not known yet.
         PacketsDroppedNotSettled = "packets_dropped_total", "Packets dropped by an agent", reason = "not-settled";
         /// Packets dropped by an agent because other processes have a newer bundle.
--- a/crates/buckthornweir_node/src/node/flow_metrics.rs
+++ b/crates/buckthornweir_node/src/node/flow_metrics.rs
@@ -7,7 +7,8 @@
 pub(super) fn drop_metric(reason: DropReason) -> Count {
     match reason {
         DropReason::Held => Count::PacketsAwaitingOwner,
-        DropReason::NoOwner | DropReason::Overloaded => Count::PacketsDroppedNoOwner,
+        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::Overloaded => Count::PacketsDroppedOverloaded,
         DropReason::HopLimit => Count::PacketsHopLimit,
         DropReason::NoRoute => Count::PacketsDroppedWrongService,
         DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
