Remove the second minimum of slots and an unused parameter

Speed measurement had its own copy of the minimum number of slots and of the rule when the policy applies; it now asks for the policy.

--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -83,7 +83,7 @@
         } = arrival;
         let key = segment.caller_flow();
         let alternate = self
-            .pick_sibling(view, &key, tag, None)
+            .pick_sibling(view, &key, tag)
             .map(|peer| peer.packet_addr);
         let Some(to) = alternate.filter(|_| tag.hops < HOP_LIMIT) else {
             return self.deliver(now, &key, segment, tag, out);
@@ -133,7 +133,7 @@
             return self.open_flow(now, from, segment, tag, out);
         };
         let sibling = self
-            .pick_sibling(view, &key, tag, None)
+            .pick_sibling(view, &key, tag)
             .map(|peer| peer.packet_addr);
         match sibling.filter(|_| tag.hops < HOP_LIMIT) {
             Some(to) => {
@@ -275,22 +275,20 @@
     ///
     /// Candidates accept new flows of the same service. Warm ones with free slots in the own
     /// failure domain are preferred, then such ones in any failure domain, then all. Among them, of
-    /// two chosen by the flow's hash, the one with more free slots is returned. `except` is never
-    /// returned.
+    /// two chosen by the flow's hash, the one with more free slots is returned.
     pub(super) fn pick_sibling<'a>(
         &self,
         view: View<'a>,
         key: &FlowKey,
         tag: Tag,
-        except: Option<SocketAddrV4>,
     ) -> Option<&'a Peer> {
         let own = self.config.node;
-        let is_open = |peer: &&Peer| peer.accepts && !view.plan.is_out(&peer.domain);
-        let is_other = |peer: &&Peer| peer.node != own && Some(peer.packet_addr) != except;
+        let open =
+            |peer: &&Peer| peer.node != own && peer.accepts && !view.plan.is_out(&peer.domain);
         let peers: Vec<&Peer> = view
             .peers
             .in_service(&self.config.service)
-            .filter(|peer| is_other(peer) && is_open(peer))
+            .filter(open)
             .collect();
         let warm = |peer: &Peer| peer.free > 0 && !peer.cold;
         let near = |peer: &Peer| warm(peer) && peer.domain == self.config.domain;
@@ -322,7 +320,7 @@
             return out.push(Action::Drop(DropReason::Hedged));
         }
         let sibling = self
-            .pick_sibling(view, &key, tag, None)
+            .pick_sibling(view, &key, tag)
             .map(|peer| peer.packet_addr);
         match sibling.filter(|_| tag.hops < HOP_LIMIT) {
             Some(to) => {
--- a/crates/buckthornweir_forward/src/agent/speeds.rs
+++ b/crates/buckthornweir_forward/src/agent/speeds.rs
@@ -4,18 +4,13 @@
 
 use super::Agent;
 use crate::flows::{Flow, Holder};
-use crate::peers::has_overload_policy;
 use crate::plan::Plan;
 use crate::segment::FlowKey;
 
-/// Minimum number of slots for overload control. With fewer, a single request makes up most of the
-/// wait.
-const MIN_SLOTS: u32 = 3;
-
 impl Agent {
     /// Returns whether the agent announces the speed of its backend server.
     pub(super) fn measures_speed(&self, plan: &Plan) -> bool {
-        self.backend.slots() >= MIN_SLOTS && has_overload_policy(plan, &self.config.service)
+        self.policy(plan).is_some()
     }
 
     /// Records that the backend server responded to a request after `took`.
