Test overload control with extreme values

No test covered values at the ends of their ranges in plans, hints, tags and reports. The test fails: a reserved share that is not a number ends the agent with a panic in the expected wait.

--- a/crates/buckthornweir_forward/tests/forward/overload_safety.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload_safety.rs
@@ -1,14 +1,20 @@
 //! Cases in which overload control could reset an open flow, exceed the bound of a cold backend
 //! server or fail on extreme reports.
 
+use std::time::Duration;
+
 use buckthornweir_forward::agent::{Action, DropReason, ResetReason};
 use buckthornweir_forward::backend::{Report, ReportState};
+use buckthornweir_forward::loads::Load;
+use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::plan::{OverloadPolicy, Service};
 use buckthornweir_forward::segment::Segment;
 use buckthornweir_forward::tag::Tag;
 
-use crate::common::{Outcome, key, ms, outcome, packet_addr, reply, returned, syn};
-use crate::overload::{SLOTS, alone, fill, opened, resets, slots, stop};
+use crate::common::{
+    Outcome, SERVICE, data, key, ms, outcome, packet_addr, peer, reply, returned, syn,
+};
+use crate::overload::{LOW, SLOTS, alone, fill, opened, resets, set_policy, slots, stop};
 
 fn with_tag(segment: Segment, tag: Tag) -> Segment {
     let tag = tag.word();
@@ -115,3 +121,70 @@
     let got = harness.caller(with_tag(syn(2, 0), tag));
     assert_eq!(resets(&got), [ResetReason::NobodyTakes], "a new SYN");
 }
+
+/// Guards against panics from values at the ends of their ranges that operators or other agents may
+/// send.
+#[test]
+fn extreme_values_are_handled() {
+    let objectives = [Duration::ZERO, ms(1), ms(u64::MAX)];
+    for (objective, least_share) in objectives
+        .into_iter()
+        .flat_map(|objective| [0.0, 1.0, f64::INFINITY, f64::NAN].map(|share| (objective, share)))
+    {
+        let mut harness = alone(800);
+        let policy = OverloadPolicy {
+            least_share,
+            second_tries: f64::NAN,
+        };
+        set_policy(&mut harness, Some(policy));
+        for (route, priority) in harness.plan.routes.values_mut().zip([255, 0]) {
+            route.class.objective = Some(objective);
+            route.class.priority = Some(priority);
+        }
+        harness.peers = Peers::new([1, 2, 3].map(|node| peer(node, "a", "desk")));
+        for port in 100..400 {
+            let load = Load {
+                wait: ms(u32::MAX.into()),
+                service: ms(u32::MAX.into()),
+                capacity: u32::from(port % 2 == 0) * u32::MAX,
+                slots: 0,
+            };
+            let now = harness.now;
+            harness.agent.note_load(now, packet_addr(2), load);
+            harness
+                .agent
+                .note_load(now, packet_addr(3), Load::default());
+            let target = [SERVICE, LOW][usize::from(port % 3 == 0)];
+            let tag = Tag {
+                hops: (port % 7) as u8 * 40,
+                age: u8::MAX * (port % 5 == 0) as u8,
+                ..Tag::default()
+            };
+            let copy = u32::from(port % 11 == 0) * u32::MAX;
+            let first = Segment {
+                target,
+                ..with_tag(syn(port, copy), tag)
+            };
+            harness.after(1).caller(first);
+            if port % 4 == 0 {
+                harness.caller(Segment {
+                    target,
+                    ..data(port, 90)
+                });
+            }
+            harness.tick();
+            let now = harness.now;
+            harness.agent.offer(now, &harness.plan);
+            harness.agent.load(now, &harness.plan);
+            if port % 20 == 0 {
+                harness.after(5_000).backend(Segment {
+                    source: target,
+                    rst: port % 40 == 0,
+                    ..reply(port, 500)
+                });
+                harness.report(slots(u32::MAX - u32::from(port), u64::from(port)));
+                harness.report(slots(SLOTS, u64::from(port) + 1));
+            }
+        }
+    }
+}
