Treat a reserved share that is not a number as none

The share of an overload policy is public and was used unchecked. NaN ended the agent with a panic, and values above 1 had no meaning.

The agent limits the share to the range from 0 to 1, and takes NaN as 0.

--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -50,7 +50,12 @@
 impl Agent {
     /// Returns the overload policy if it applies at this agent.
     pub(super) fn policy(&self, plan: &Plan) -> Option<OverloadPolicy> {
-        let policy = plan.services.get(&self.config.service)?.overload?;
+        let mut policy = plan.services.get(&self.config.service)?.overload?;
+        // Durations are multiplied by values that depend on the share, which fails for NaN.
+        policy.least_share = match policy.least_share.is_nan() {
+            true => 0.0,
+            false => policy.least_share.clamp(0.0, 1.0),
+        };
         (self.backend.slots() >= MIN_SLOTS).then_some(policy)
     }
 
