--- a/crates/buckthornweir_events/tests/metrics.rs
+++ b/crates/buckthornweir_events/tests/metrics.rs
@@ -42,6 +42,7 @@
         buckthornweir_packets_dropped_total{reason="no-owner"} 0
         buckthornweir_packets_dropped_total{reason="not-owner"} 0
         buckthornweir_packets_dropped_total{reason="not-settled"} 0
+        buckthornweir_packets_dropped_total{reason="overloaded"} 0
         buckthornweir_packets_dropped_total{reason="stray"} 3
         buckthornweir_packets_dropped_total{reason="wrong-service"} 0
         buckthornweir_requests_retried_total{reason="cut"} 1
--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::hedging::SECOND_SYN_DELAY;
 use crate::segment::{FlowKey, Segment};
 use crate::syn_queue::SYN_TIMEOUT;
 use crate::tag::Tag;
@@ -27,9 +28,6 @@
     Duration::from_millis(600),
 ];
 
-/// How long a balancer waits before it sends a hedged SYN, if the policy allows those.
-pub const SECOND_SYN_DELAY: Duration = Duration::from_millis(60);
-
 /// How long before a caller sends the next copy of its SYN the queued one must start, so that the
 /// SYN-ACK or the reset arrives first. It covers the interval of 25 ms between two looks at the
 /// queue and the way to the caller.
@@ -178,6 +176,12 @@
         !self.has_all_copies(now) && self.has_all_copies(now.saturating_sub(MAX_COPY_DELAY))
     }
 
+    /// Returns whether the caller may have timed out.
+    #[must_use]
+    pub fn has_timed_out(&self, now: Duration) -> bool {
+        now > self.caller_limit()
+    }
+
     /// Returns the time after which the caller may time out before the flow is open.
     fn caller_limit(&self) -> Duration {
         let max_age = match self.tag.hops {
@@ -333,7 +337,7 @@
     pub fn pop(&mut self, now: Duration, least_share: f64) -> Option<WaitingSyn> {
         let in_time = |syn: &&WaitingSyn| now <= syn.latest_start();
         let Some(first) = self.list.iter().find(in_time) else {
-            let place = self.list.iter().position(|syn| now <= syn.caller_limit())?;
+            let place = self.list.iter().position(|syn| !syn.has_timed_out(now))?;
             let syn = self.list.remove(place);
             self.note_start(now, syn.demand.priority);
             return Some(syn);
--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -50,7 +50,12 @@
 impl Agent {
     /// Returns the overload policy if it applies at this agent.
     pub(super) fn policy(&self, plan: &Plan) -> Option<OverloadPolicy> {
-        let policy = plan.services.get(&self.config.service)?.overload?;
+        let mut policy = plan.services.get(&self.config.service)?.overload?;
+        // Durations are multiplied by values that depend on the share, which fails for NaN.
+        policy.least_share = match policy.least_share.is_nan() {
+            true => 0.0,
+            false => policy.least_share.clamp(0.0, 1.0),
+        };
         (self.backend.slots() >= MIN_SLOTS).then_some(policy)
     }
 
@@ -63,7 +68,7 @@
         let is_shut = matches!(admission, Admission::Shut(_)) || self.overload.stopping;
         let running = u32::try_from(self.flows.load()).unwrap_or(u32::MAX);
         let capacity = match admission {
-            Admission::Open if !is_shut => (slots + AHEAD).saturating_sub(running),
+            Admission::Open if !is_shut => slots.saturating_add(AHEAD).saturating_sub(running),
             _ => 0,
         };
         let wait = match capacity {
@@ -173,6 +178,7 @@
         let class = plan.route(&key.service).map(|route| route.class);
         let class = class.unwrap_or_default();
         let service = self.expected(now).service(&key.service);
+        // Covers SYNs that lost their mark at an agent of an earlier release.
         let hedges = |policy: OverloadPolicy| policy.second_tries > 0.0;
         Demand {
             priority: class.priority.unwrap_or(u8::MAX),
@@ -200,7 +206,8 @@
             bytes,
         } = arrival;
         let key = segment.caller_flow();
-        let demand = self.demand(now, view.plan, &key, first_sent(now, segment));
+        let mut demand = self.demand(now, view.plan, &key, first_sent(now, segment));
+        demand.hedged |= tag.hedgeable;
         if admission == Admission::Open && !self.overload.stopping {
             self.overload.queue.note_start(now, demand.priority);
             return self.open_flow(now, from, segment, tag, out);
