Mark SYNs whose waiting time is known

A SYN that waited at an agent carries its waiting time in the tag. An agent of an earlier release that passes it on clears that time, so the next agent takes the SYN for a new one and may reset its flow after the caller's next copy has opened it elsewhere. The number of hops alone can't tell such a SYN from one that only agents of this release passed on.

Agents of this release set a bit of the tag when they pass a packet on, unless an earlier agent has cleared it.

--- a/crates/buckthornweir_forward/src/tag.rs
+++ b/crates/buckthornweir_forward/src/tag.rs
@@ -11,6 +11,7 @@
 const HEDGED: u32 = 1 << 10;
 const HEDGEABLE: u32 = 1 << 11;
 const HOPS_MASK: u32 = 0xff;
+const AGE_KNOWN: u32 = 1 << 12;
 const AGE_SHIFT: u32 = 16;
 const AGE_MASK: u32 = 0xff << AGE_SHIFT;
 
@@ -33,6 +34,9 @@
     /// Whether a balancer may send a hedged SYN of the flow to another agent. Agents can't derive this
     /// from the plan, since a balancer may have a limit of its own. Earlier releases ignore it.
     pub hedgeable: bool,
+    /// Whether all agents that passed the packet on keep the age and `hedgeable`. Agents of earlier
+    /// releases clear all three.
+    pub age_known: bool,
     /// How long the SYN waited at agents that passed it on, in units of 8 ms. Earlier releases
     /// ignore it.
     pub age: u8,
@@ -51,6 +55,7 @@
             probe: word & PROBE != 0,
             hedged: word & HEDGED != 0,
             hedgeable: word & HEDGEABLE != 0,
+            age_known: word & AGE_KNOWN != 0,
             age: ((word & AGE_MASK) >> AGE_SHIFT) as u8,
         }
     }
@@ -62,8 +67,9 @@
         let probe = if self.probe { PROBE } else { 0 };
         let hedged = if self.hedged { HEDGED } else { 0 };
         let hedgeable = if self.hedgeable { HEDGEABLE } else { 0 };
+        let age_known = if self.age_known { AGE_KNOWN } else { 0 };
         let age = u32::from(self.age) << AGE_SHIFT;
-        MAGIC | age | aside | probe | hedged | hedgeable | u32::from(self.hops)
+        MAGIC | age | age_known | aside | probe | hedged | hedgeable | u32::from(self.hops)
     }
 
     /// Returns the tag for passing the packet on by one more hop.
@@ -75,6 +81,7 @@
             probe: false,
             hedged: self.hedged,
             hedgeable: self.hedgeable,
+            age_known: self.hops == 0 || self.age_known,
             age: self.age,
         }
     }
--- a/crates/buckthornweir_forward/tests/forward/overload_safety.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload_safety.rs
@@ -122,6 +122,29 @@
     assert_eq!(resets(&got), [ResetReason::NobodyTakes], "a new SYN");
 }
 
+/// Guards against a reset of a flow whose next copy opened it elsewhere: an agent of an earlier release
+/// that passes a SYN on clears the time for which the SYN has waited.
+#[test]
+fn a_syn_of_unknown_age_is_not_reset() {
+    let passed = Tag::default().aged(ms(100)).passed_on();
+    let earlier_release = Tag {
+        hops: 2,
+        aside: true,
+        ..Tag::default()
+    };
+    for (tag, is_known) in [
+        (passed.passed_on(), true),
+        (earlier_release, false),
+        (earlier_release.passed_on(), false),
+    ] {
+        assert_eq!(Tag::read(tag.word()), tag);
+        let mut harness = fill(alone(300));
+        (1..40).for_each(|port| drop(harness.caller(syn(port, 0))));
+        let got = harness.from(packet_addr(2), with_tag(syn(90, 0), tag));
+        assert_eq!(!resets(&got).is_empty(), is_known, "{tag:?}: {got:?}");
+    }
+}
+
 /// Guards against panics from values at the ends of their ranges that operators or other agents may
 /// send.
 #[test]
