Don't reset SYNs of unknown age

An agent took a SYN that waited at one agent and was passed on by an agent of an earlier release for a new one. Its reset could break a flow that the caller's next copy, or a hedged SYN, had opened.

An agent now resets a flow only if the age of its SYN is known.

Without the change to with_hops, a_syn_that_misses_its_objective_here_goes_to_a_sibling_that_meets_it failed, as its SYNs had no known age.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -150,6 +150,9 @@
     /// have reached another backend server, and a reset might be untruthful.
     #[must_use]
     pub fn has_all_copies(&self, now: Duration) -> bool {
+        if self.tag.hops > 0 && !self.tag.age_known {
+            return false;
+        }
         let age = now.saturating_sub(self.demand.sent);
         // A SYN that was passed on may be older than its count of retransmissions tells.
         if self.demand.hedged && (age >= SECOND_SYN_DELAY || self.tag.hops > 0) {
--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -178,7 +178,6 @@
         let class = plan.route(&key.service).map(|route| route.class);
         let class = class.unwrap_or_default();
         let service = self.expected(now).service(&key.service);
-        // Covers SYNs that lost their mark at an agent of an earlier release.
         let hedges = |policy: OverloadPolicy| policy.second_tries > 0.0;
         Demand {
             priority: class.priority.unwrap_or(u8::MAX),
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -123,10 +123,12 @@
     }
 }
 
+/// Returns the packet as agents of this release pass it on.
 pub(crate) fn with_hops(segment: Segment, hops: u8) -> Segment {
     let tag = Tag {
         hops,
         aside: true,
+        age_known: true,
         ..Tag::default()
     };
     Segment {
