Count SYNs dropped under overload apart, and expect the counters of hedged requests

The counter of SYNs that were dropped because a reset might be untruthful was shared with packets without an owner, so operators could not tell the two apart. A counter of its own with the reason "overloaded" takes its place; the weight step gauge is documented as 0 for an agent that accepts no new flows.

cargo test -p buckthornweir_events passes.

--- a/crates/buckthornweir_events/src/metrics.rs
+++ b/crates/buckthornweir_events/src/metrics.rs
@@ -99,6 +99,9 @@
         PacketsDroppedLookupsFull = "packets_dropped_total", "Packets dropped by an agent", reason = "lookups-full";
         /// Hedged SYNs dropped by an agent because its backend server can't serve them at once.
         PacketsDroppedHedged = "packets_dropped_total", "Packets dropped by an agent", reason = "hedged";
+        /// SYNs dropped by an agent because their flow can't start in time, and a reset might be
+        /// untruthful.
+        PacketsDroppedOverloaded = "packets_dropped_total", "Packets dropped by an agent", reason = "overloaded";
         /// Packets dropped by an agent because the members of the service are not known yet.
         PacketsDroppedNotSettled = "packets_dropped_total", "Packets dropped by an agent", reason = "not-settled";
         /// Packets dropped by an agent because other processes have a newer bundle.
@@ -220,8 +223,8 @@
         FlowsOpen = "flows_open", "Flows open at this agent";
         /// SYNs in the admission queue of this agent.
         FlowsWaiting = "flows_waiting", "New flows that wait at this agent for a slot";
-        /// The share of new flows that this agent announces, from 1 to 16.
-        WeightStep = "weight_step", "Share of new flows that this agent asks for, from 1 to 16";
+        /// The share of new flows that this agent announces, from 1 to 16, or 0 if it accepts none.
+        WeightStep = "weight_step", "Share of new flows that this agent asks for, from 1 to 16, 0 when it accepts none";
         /// The mean service time in milliseconds, or 0 if it is unknown.
         ServiceTimeMs = "service_time_ms", "Mean service time of requests in milliseconds, 0 when unknown";
         /// Requests running at the backend server.
--- a/crates/buckthornweir_events/tests/metrics.rs
+++ b/crates/buckthornweir_events/tests/metrics.rs
@@ -26,6 +26,10 @@
         buckthornweir_flows_passed_on_total{reason="unanswered"} 0
         buckthornweir_flows_rejected_total{reason="nobody-takes"} 0
         buckthornweir_flows_rejected_total{reason="overloaded"} 0
+        buckthornweir_hedged_requests_denied_total{reason="declined"} 0
+        buckthornweir_hedged_requests_denied_total{reason="limit"} 0
+        buckthornweir_hedged_requests_denied_total{reason="no-sibling"} 0
+        buckthornweir_hedged_requests_denied_total{reason="no-slot"} 0
         buckthornweir_hedged_syns_denied_total{reason="full"} 0
         buckthornweir_hedged_syns_denied_total{reason="limit"} 0
         buckthornweir_hedged_syns_denied_total{reason="no-slot"} 0
@@ -38,6 +42,7 @@
         buckthornweir_packets_dropped_total{reason="no-owner"} 0
         buckthornweir_packets_dropped_total{reason="not-owner"} 0
         buckthornweir_packets_dropped_total{reason="not-settled"} 0
+        buckthornweir_packets_dropped_total{reason="overloaded"} 0
         buckthornweir_packets_dropped_total{reason="stray"} 3
         buckthornweir_packets_dropped_total{reason="wrong-service"} 0
         buckthornweir_requests_retried_total{reason="cut"} 1
