Show overload decisions in metrics and log lines

Queue waits, the gauges of overload control and the inputs of its decisions did not reach operators: the node ignored the actions that carry them.

An agent now pushes Action::Explain before each rejection and pass that overload control decides, with values that the decision has at hand. Returning the inputs within Pass and Reset was ruled out: it enlarges the actions of all other packets. The node looks up plan and route of a line only if the budget allows the line, observes the wait of queued flows, and sets the gauges where it announces its offer; the service time at most every 500 ms.

A new node test plays an overload over sockets; it, the other node tests and the new test of the inputs pass.

--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -10,8 +10,8 @@
 
 use super::siblings::{self, Sibling};
 use super::{
-    Action, Agent, Arrival, DropReason, HOP_LIMIT, MAX_BUSY_HOPS, PassReason, Placement,
-    ResetReason, View,
+    Action, Agent, Arrival, DropReason, HOP_LIMIT, MAX_BUSY_HOPS, OverloadInputs, PassReason,
+    Placement, ResetReason, View,
 };
 use crate::admission_queue::{AdmissionQueue, Demand, Pushed, WaitingSyn, first_sent};
 use crate::backend::Admission;
@@ -226,6 +226,7 @@
                 true => PassReason::Busy,
                 false => PassReason::Overloaded,
             };
+            out.push(self.explain(key, own.inputs(Some(&sibling))));
             return self.pass_new_flow(arrival, sibling.peer.packet_addr, reason, out);
         }
         if in_time {
@@ -238,12 +239,17 @@
                 }
             }
         }
+        let explanation = self.explain(key, own.inputs(sibling.as_ref()));
         let sibling = sibling.filter(|sibling| may_take(now, sibling, &demand));
         if let Some(sibling) = sibling.filter(|_| tag.hops < HOP_LIMIT) {
             let to = sibling.peer.packet_addr;
+            out.push(explanation);
             return self.pass_new_flow(arrival, to, PassReason::Overloaded, out);
         }
         self.answer_sender(arrival, out);
+        if may_reject {
+            out.push(explanation);
+        }
         out.push(match may_reject {
             true => Action::Reset {
                 key,
@@ -254,6 +260,15 @@
         });
     }
 
+    /// Returns the action that records the inputs of a decision.
+    pub(super) fn explain(&self, key: FlowKey, inputs: OverloadInputs) -> Action {
+        let queued = self.queued();
+        Action::Explain {
+            key,
+            inputs: OverloadInputs { queued, ..inputs },
+        }
+    }
+
     fn pass_new_flow(
         &mut self,
         arrival: Arrival<'_>,
@@ -337,6 +352,15 @@
 }
 
 impl Estimate {
+    /// Returns the inputs of a decision about a SYN that has arrived.
+    fn inputs(&self, sibling: Option<&Sibling<'_>>) -> OverloadInputs {
+        OverloadInputs {
+            wait: self.wait,
+            service: Some(self.service).filter(|service| !service.is_zero()),
+            ..sibling.map(Sibling::inputs).unwrap_or_default()
+        }
+    }
+
     /// Returns the expected time until the request is complete.
     fn completion(&self) -> Duration {
         let wait = self.wait.unwrap_or(SYN_TIMEOUT);
--- a/crates/buckthornweir_forward/src/agent/overload_inputs.rs
+++ b/crates/buckthornweir_forward/src/agent/overload_inputs.rs
@@ -6,8 +6,11 @@
 /// What an agent knew when it passed on or rejected a new flow because of overload.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OverloadInputs {
-    /// Expected wait of the flow at this agent.
-    pub wait: Duration,
+    /// Expected wait of the flow at this agent; `None` if service times are unknown, or if the SYN
+    /// was queued.
+    pub wait: Option<Duration>,
+    /// How long the SYN was queued; `None` if the decision was made at its arrival.
+    pub waited: Option<Duration>,
     /// Expected service time of the request; `None` if unknown.
     pub service: Option<Duration>,
     /// Number of queued SYNs.
--- a/crates/buckthornweir_forward/src/agent/siblings.rs
+++ b/crates/buckthornweir_forward/src/agent/siblings.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{AgentConfig, View};
+use super::{AgentConfig, OverloadInputs, View};
 use crate::loads::{Load, Loads};
 use crate::peers::Peer;
 use crate::segment::{FlowKey, mix};
@@ -45,6 +45,15 @@
 }
 
 impl Sibling<'_> {
+    /// Returns the inputs of a decision that describe this sibling.
+    pub(super) fn inputs(&self) -> OverloadInputs {
+        OverloadInputs {
+            sibling: Some(self.peer.packet_addr),
+            load_age: self.load.map(|(_, age)| age),
+            ..OverloadInputs::default()
+        }
+    }
+
     /// Returns whether a new flow is expected to start there without waiting.
     #[must_use]
     pub fn has_capacity(&self) -> bool {
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use super::OverloadInputs;
 use crate::NodeId;
 use crate::backend::{ColdBound, Shut};
 use crate::loads::Load;
@@ -127,6 +128,13 @@
         /// Why the packet is passed on.
         reason: PassReason,
     },
+    /// Records the inputs of an overload decision. The next action carries the decision out.
+    Explain {
+        /// The flow.
+        key: FlowKey,
+        /// The inputs.
+        inputs: OverloadInputs,
+    },
     /// Sends the current packet to its caller.
     ToCaller,
     /// Resets the caller's flow.
--- a/crates/buckthornweir_forward/src/agent/waiting.rs
+++ b/crates/buckthornweir_forward/src/agent/waiting.rs
@@ -1,12 +1,11 @@
 //! SYNs that wait at the agent for a free slot: their start, and what happens to those that can't
 //! start here.
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use super::overload::{Estimate, may_take};
 use super::siblings::Sibling;
-use super::{Action, Agent, Arrival, HOP_LIMIT, PassReason, ResetReason, View};
+use super::{Action, Agent, Arrival, HOP_LIMIT, OverloadInputs, PassReason, ResetReason, View};
 use crate::admission_queue::WaitingSyn;
 use crate::backend::{Admission, Shut};
 use crate::flows::Holder;
@@ -120,7 +119,7 @@
             route.is_some_and(|route| route.allows(service))
         };
         for syn in self.overload.queue.take_where(|syn| !has_route(syn)) {
-            reject(now, &syn, ResetReason::NobodyTakes, out);
+            reject(now, &syn, ResetReason::NobodyTakes, None, out);
         }
     }
 
@@ -139,8 +138,7 @@
         for syn in late {
             match self.sibling_for(now, view, &syn) {
                 Some(sibling) if sibling.has_capacity() => {
-                    let to = sibling.peer.packet_addr;
-                    self.pass_queued(now, syn, to, PassReason::Overloaded, out);
+                    self.pass_queued(now, syn, &sibling, PassReason::Overloaded, out);
                 }
                 _ => self.overload.queue.put_back(syn),
             }
@@ -163,30 +161,49 @@
             true => may_take(now, sibling, &syn.demand),
             false => now + sibling.completion <= syn.demand.ends(),
         };
-        match self.sibling_for(now, view, &syn).filter(takes) {
-            Some(sibling) => self.pass_queued(now, syn, sibling.peer.packet_addr, reason, out),
+        let sibling = self.sibling_for(now, view, &syn);
+        match sibling.filter(takes) {
+            Some(sibling) => self.pass_queued(now, syn, &sibling, reason, out),
             None => {
+                let explanation = self.explain_queued(now, &syn, sibling.as_ref());
                 let reason = match reason {
                     PassReason::Shut(_) => ResetReason::NobodyTakes,
                     _ => ResetReason::Overloaded,
                 };
-                reject(now, &syn, reason, out);
+                reject(now, &syn, reason, Some(explanation), out);
             }
         }
     }
 
+    /// Returns the action that records the inputs of a decision about a queued SYN. Its expected
+    /// wait is left out, since the computation takes time and few such lines are written.
+    fn explain_queued(
+        &self,
+        now: Duration,
+        syn: &WaitingSyn,
+        sibling: Option<&Sibling<'_>>,
+    ) -> Action {
+        let inputs = OverloadInputs {
+            waited: Some(now.saturating_sub(syn.since)),
+            service: syn.demand.service,
+            ..sibling.map(Sibling::inputs).unwrap_or_default()
+        };
+        self.explain(syn.key(), inputs)
+    }
+
     fn pass_queued(
         &mut self,
         now: Duration,
         syn: WaitingSyn,
-        to: SocketAddrV4,
+        sibling: &Sibling<'_>,
         reason: PassReason,
         out: &mut Vec<Action>,
     ) {
-        let key = syn.key();
+        let (key, to) = (syn.key(), sibling.peer.packet_addr);
         out.push(dequeued(now, &syn));
         self.flows.start(now, key, Holder::Peer(to));
         self.loads.charge(&to);
+        out.push(self.explain_queued(now, &syn, Some(sibling)));
         out.push(Action::Pass {
             bytes: Some(syn.bytes),
             to,
@@ -227,9 +244,16 @@
 }
 
 /// Rejects a SYN that was queued, unless a copy of it may have reached another backend server.
-fn reject(now: Duration, syn: &WaitingSyn, reason: ResetReason, out: &mut Vec<Action>) {
+fn reject(
+    now: Duration,
+    syn: &WaitingSyn,
+    reason: ResetReason,
+    explanation: Option<Action>,
+    out: &mut Vec<Action>,
+) {
     out.push(dequeued(now, syn));
     if syn.has_all_copies(now) {
+        out.extend(explanation);
         out.push(Action::Reset {
             key: syn.key(),
             sequence: syn.segment.acknowledged,
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -275,6 +275,7 @@
         | Action::AnswerProbe { .. }
         | Action::Hint { .. }
         | Action::Opened { .. }
+        | Action::Explain { .. }
         | Action::Queued { .. }
         | Action::Dequeued { .. }
         | Action::Served { .. } => None,
--- a/crates/buckthornweir_forward/tests/forward/overload.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload.rs
@@ -55,7 +55,7 @@
 }
 
 /// Starts as many requests as the agent delivers at once, at the ports from 100 on.
-fn fill(mut harness: Harness) -> Harness {
+pub(crate) fn fill(mut harness: Harness) -> Harness {
     for port in 100..=100 + SLOTS as u16 {
         let got = harness.caller(syn(port, 0));
         assert_eq!(outcome(&got), Some(Outcome::Delivered));
@@ -66,7 +66,7 @@
 }
 
 /// Returns a busy agent with two siblings that announced `free` slots.
-fn busy_with_siblings(objective: u64, free: u32) -> Harness {
+pub(crate) fn busy_with_siblings(objective: u64, free: u32) -> Harness {
     let mut harness = fill(alone(objective));
     let sibling = |node| Peer {
         free,
@@ -88,7 +88,7 @@
     [2, 3].into_iter().for_each(&mut note);
 }
 
-fn low(port: u16) -> Segment {
+pub(crate) fn low(port: u16) -> Segment {
     Segment {
         target: LOW,
         ..syn(port, 0)
@@ -109,7 +109,7 @@
     select!(actions, Action::Opened { key } => *key)
 }
 
-fn resets(actions: &[Action]) -> Vec<ResetReason> {
+pub(crate) fn resets(actions: &[Action]) -> Vec<ResetReason> {
     select!(actions, Action::Reset { reason, .. } => *reason)
 }
 
--- a/crates/buckthornweir_forward/tests/forward/overload_runs.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload_runs.rs
@@ -4,12 +4,14 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use buckthornweir_forward::agent::Action;
+use buckthornweir_forward::agent::{Action, PassReason, ResetReason};
 use buckthornweir_forward::plan::OverloadPolicy;
 use buckthornweir_forward::segment::{FlowKey, Segment};
 
 use crate::common::{Harness, SERVICE, data, ms, packet_addr, reply, syn, syn_ack, with_hops};
-use crate::overload::{LOW, SLOTS, alone, set_policy, slots};
+use crate::overload::{
+    LOW, SLOTS, alone, busy_with_siblings, fill, low, resets, set_policy, slots,
+};
 
 /// A generator of repeatable pseudo-random numbers.
 struct Random(u64);
@@ -55,6 +57,23 @@
     assert!(!run(None, 3).iter().any(is_queued));
 }
 
+/// Guards against log lines about rejected and passed flows without the inputs of the decision.
+#[test]
+fn rejections_and_passes_under_overload_state_their_inputs() {
+    let mut harness = fill(busy_with_siblings(300, 0));
+    let mut got = Vec::new();
+    for port in 1..200 {
+        let syns = [syn(port, 0), low(port)];
+        syns.into_iter()
+            .for_each(|syn| got.extend(harness.caller(syn)));
+        got.extend(harness.after(5).tick());
+    }
+    check_explained(&got);
+    let explains = |action: &&Action| matches!(action, Action::Explain { .. });
+    assert!(got.iter().filter(explains).count() > 1);
+    assert!(resets(&got).contains(&ResetReason::Overloaded));
+}
+
 /// An agent with a backend server that serves requests, and a record of what became of the flows.
 struct Simulation {
     harness: Harness,
@@ -67,6 +86,7 @@
 
 impl Simulation {
     fn check(&mut self, actions: Vec<Action>) {
+        check_explained(&actions);
         let mut actions = VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
             match action {
@@ -109,6 +129,30 @@
     }
 }
 
+/// Checks that each rejection and each pass because of overload follows its inputs, without which
+/// its log line could not state them.
+fn check_explained(actions: &[Action]) {
+    for (index, action) in actions.iter().enumerate() {
+        let before = index.checked_sub(1).map(|before| &actions[before]);
+        let explained = match before {
+            Some(Action::Explain { key, .. }) => Some(key),
+            _ => None,
+        };
+        match action {
+            Action::Reset {
+                key,
+                reason: ResetReason::Overloaded,
+                ..
+            } => assert_eq!(explained, Some(key)),
+            Action::Pass {
+                reason: PassReason::Busy | PassReason::Overloaded,
+                ..
+            } => assert!(explained.is_some(), "{actions:?}"),
+            _ => {}
+        }
+    }
+}
+
 /// Returns the packet as sent by the caller of a flow.
 fn from(key: FlowKey, segment: Segment) -> Segment {
     Segment {
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::binding::{bind_peer_socket, bind_role, listen, serve_metrics};
+use self::flow_metrics::announced_weight;
 use crate::control::Replica;
 use crate::fault::Result;
 use crate::gossip::{Gossip, Outcome, Pull};
@@ -125,6 +126,8 @@
     last_packet: Duration,
     last_offer: Offer,
     next_offer: Duration,
+    /// Time of the next update of the service time gauge.
+    next_service_time: Duration,
     log_budget: LogRateLimiter,
     actions: Vec<Action>,
     /// Inputs of the agent's latest decision about a new flow, for the log line about the next
@@ -190,6 +193,7 @@
             last_packet: Duration::ZERO,
             last_offer: Offer::default(),
             next_offer: Duration::ZERO,
+            next_service_time: Duration::ZERO,
             log_budget: LogRateLimiter::new(MAX_FLOW_LINES_PER_SECOND),
             actions: Vec::new(),
             explained: None,
@@ -371,17 +375,18 @@
         };
         let mut offer = core.offer(now, self.plans.plan());
         offer.accepts &= self.stopping.is_none();
+        let report = core.backend().last_report().map(|r| r.sequence);
+        self.set_gauges(now, offer);
         let before = self.last_offer;
-        let weight_of = |offer: Offer| if offer.accepts { offer.weight } else { 0 };
-        let public = |offer: Offer| (offer.accepts, offer.cold, weight_of(offer));
+        let public = |offer: Offer| (offer.accepts, offer.cold, announced_weight(offer));
         if public(offer) != public(before) {
             tracing::info!(
                 event = "offer",
                 accepts = offer.accepts,
                 cold = offer.cold,
                 free = offer.free,
-                weight = weight_of(offer),
-                report = core.backend().last_report().map(|r| r.sequence),
+                weight = announced_weight(offer),
+                report,
             );
         } else if offer.free == before.free || now < self.next_offer {
             return;
--- a/crates/buckthornweir_node/src/node/flow_metrics.rs
+++ b/crates/buckthornweir_node/src/node/flow_metrics.rs
@@ -1,13 +1,46 @@
 //! The metrics that count an agent's decisions about flows.
 
-use buckthornweir_events::Count;
-use buckthornweir_forward::agent::{DropReason, PassReason, ResetReason};
+use std::time::Duration;
+
+use buckthornweir_events::{Count, Gauge};
+use buckthornweir_forward::agent::{DropReason, Offer, PassReason, ResetReason};
+
+use super::{Node, Role};
+
+/// Period of updates of the service time gauge, whose computation visits all running requests.
+const SERVICE_TIME_PERIOD: Duration = Duration::from_millis(500);
+
+impl Node {
+    /// Sets the gauges of overload control.
+    pub(super) fn set_gauges(&mut self, now: Duration, offer: Offer) {
+        let Role::Agent { core, .. } = &self.role else {
+            return;
+        };
+        let waiting = i64::try_from(core.queued()).unwrap_or(i64::MAX);
+        self.metrics.set(Gauge::FlowsWaiting, waiting);
+        self.metrics
+            .set(Gauge::WeightStep, announced_weight(offer).into());
+        if now < self.next_service_time {
+            return;
+        }
+        self.next_service_time = now + SERVICE_TIME_PERIOD;
+        let service = core.service_time(now).unwrap_or_default().as_millis();
+        let service = i64::try_from(service).unwrap_or(i64::MAX);
+        self.metrics.set(Gauge::ServiceTimeMs, service);
+    }
+}
+
+/// Returns the weight step that other processes see: 0 for an agent that accepts no new flows.
+pub(super) fn announced_weight(offer: Offer) -> u8 {
+    if offer.accepts { offer.weight } else { 0 }
+}
 
 /// Returns the counter of packets that were dropped.
 pub(super) fn drop_metric(reason: DropReason) -> Count {
     match reason {
         DropReason::Held => Count::PacketsAwaitingOwner,
-        DropReason::NoOwner | DropReason::Overloaded => Count::PacketsDroppedNoOwner,
+        DropReason::NoOwner => Count::PacketsDroppedNoOwner,
+        DropReason::Overloaded => Count::PacketsDroppedOverloaded,
         DropReason::HopLimit => Count::PacketsHopLimit,
         DropReason::NoRoute => Count::PacketsDroppedWrongService,
         DropReason::LookupsFull => Count::PacketsDroppedLookupsFull,
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -203,7 +203,9 @@
                 self.metrics.count(Count::FlowsStarted);
                 self.log_opened(&key);
             }
-            Action::Queued { .. } | Action::Dequeued { .. } => {}
+            Action::Queued { .. } => {}
+            Action::Dequeued { waited, .. } => self.metrics.observe(Latency::FlowWait, waited),
+            Action::Explain { key, inputs } => self.explained = Some((key, inputs)),
             Action::Served { took, .. } => self.metrics.observe(Latency::Request, took),
             Action::OwnerNotFound {
                 key,
@@ -253,18 +255,25 @@
 
     /// Returns the agent if this process has one and the log budget allows a line about a flow.
     fn agent_within_log_budget(&mut self) -> Option<&Agent> {
-        let allowed = self.log_budget.try_acquire(self.started.elapsed());
+        match self.log_budget.try_acquire(self.started.elapsed()) {
+            true => self.agent(),
+            false => None,
+        }
+    }
+
+    fn agent(&self) -> Option<&Agent> {
         match &self.role {
-            Role::Agent { core, .. } if allowed => Some(core),
+            Role::Agent { core, .. } => Some(core),
             _ => None,
         }
     }
 
     fn log_pass(&mut self, syn: &Segment, to: SocketAddrV4, tag: Tag, reason: PassReason) {
         let key = syn.caller_flow();
-        let (revision, class) = self.revision_and_class(&key);
         let inputs = self.take_inputs(&key);
-        if let Some(core) = self.agent_within_log_budget() {
+        let allowed = self.log_budget.try_acquire(self.started.elapsed());
+        if let Some(core) = self.agent().filter(|_| allowed) {
+            let (revision, class) = self.revision_and_class(&key);
             tracing::info!(
                 event = "flow_passed_on",
                 flow = %key,
@@ -275,7 +284,8 @@
                 slots = core.backend().slots(),
                 priority = class.priority,
                 objective_ms = millis(class.objective),
-                wait_ms = millis(inputs.map(|i| i.wait)),
+                wait_ms = millis(inputs.and_then(|i| i.wait)),
+                waited_ms = millis(inputs.and_then(|i| i.waited)),
                 service_ms = millis(inputs.and_then(|i| i.service)),
                 queued = inputs.map(|i| i.queued),
                 load_age_ms = millis(inputs.and_then(|i| i.load_age)),
@@ -285,11 +295,12 @@
     }
 
     fn log_reset(&mut self, key: &FlowKey, reason: ResetReason) {
-        let (revision, class) = self.revision_and_class(key);
-        let agents = self.peers.len();
         let inputs = self.take_inputs(key);
         let sibling = inputs.and_then(|i| i.sibling);
-        if let Some(core) = self.agent_within_log_budget() {
+        let allowed = self.log_budget.try_acquire(self.started.elapsed());
+        if let Some(core) = self.agent().filter(|_| allowed) {
+            let (revision, class) = self.revision_and_class(key);
+            let agents = self.peers.len();
             let report = core.backend().last_report();
             tracing::info!(
                 event = "flow_reset",
@@ -300,7 +311,8 @@
                 report = ?report.map(|r| (r.state, r.sequence)),
                 priority = class.priority,
                 objective_ms = millis(class.objective),
-                wait_ms = millis(inputs.map(|i| i.wait)),
+                wait_ms = millis(inputs.and_then(|i| i.wait)),
+                waited_ms = millis(inputs.and_then(|i| i.waited)),
                 service_ms = millis(inputs.and_then(|i| i.service)),
                 queued = inputs.map(|i| i.queued),
                 sibling = sibling.map(tracing::field::display),
--- a/crates/buckthornweir_node/tests/node/main.rs
+++ b/crates/buckthornweir_node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod format;
 mod hedged_syns;
+mod overload;
 mod path;
 mod slow_link;
 mod support;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
@@ -21,6 +22,7 @@
 /// Number of test runs that can have distinct addresses.
 const MAX_RUNS: u32 = 251;
 pub(crate) const OUTBOUND_PORT: u16 = 17_731;
+pub(crate) const METRICS_PORT: u16 = 17_733;
 const BACKEND_PORT: u16 = 17_732;
 /// Time limit for expected events. It is generous, since loaded machines are slow and no test
 /// result depends on its length.
@@ -103,6 +105,20 @@
     }
 
     pub(crate) async fn agent(self, host: u8) -> RunningNode {
+        start(self.agent_settings(host)).await
+    }
+
+    /// Starts an agent that serves its metrics at [`METRICS_PORT`].
+    pub(crate) async fn measured_agent(self, host: u8) -> RunningNode {
+        let metrics = Some(SocketAddrV4::new(self.ip(host), METRICS_PORT));
+        start(NodeSettings {
+            metrics,
+            ..self.agent_settings(host)
+        })
+        .await
+    }
+
+    fn agent_settings(self, host: u8) -> NodeSettings {
         let role = RoleSettings::Agent(AgentSettings {
             packets: SocketAddrV4::new(self.ip(host), PACKET_PORT),
             outbound: SocketAddrV4::new(self.ip(host), OUTBOUND_PORT),
@@ -115,17 +131,27 @@
                 slack: 5.0,
             },
         });
-        start(self.settings(host, role)).await
+        self.settings(host, role)
     }
 
     /// Starts a simulated backend server that responds to packets of flows whose SYN it received,
     /// and returns all others.
     pub(crate) fn backend(self, host: u8) -> tokio::task::JoinHandle<()> {
+        self.slow_backend(host, Duration::ZERO)
+    }
+
+    /// Starts a simulated backend server that responds to requests after `service_time`.
+    pub(crate) fn slow_backend(
+        self,
+        host: u8,
+        service_time: Duration,
+    ) -> tokio::task::JoinHandle<()> {
         let address = SocketAddrV4::new(self.ip(host), BACKEND_PORT);
         let outbound = SocketAddrV4::new(self.ip(host), OUTBOUND_PORT);
         tokio::spawn(async move {
             let _health = TcpListener::bind(address).await.expect("test setup failed");
             let socket = UdpSocket::bind(address).await.expect("test setup failed");
+            let socket = Arc::new(socket);
             let mut flows = HashSet::new();
             let mut buffer = [0; 2_048];
             while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
@@ -140,10 +166,19 @@
                         ..segment
                     },
                 };
-                socket
-                    .send_to(&write(&reply), outbound)
-                    .await
-                    .expect("test setup failed");
+                let socket = socket.clone();
+                let send = async move {
+                    let sent = socket.send_to(&write(&reply), outbound).await;
+                    sent.expect("test setup failed");
+                };
+                if segment.length == 0 || service_time.is_zero() {
+                    send.await;
+                    continue;
+                }
+                tokio::spawn(async move {
+                    tokio::time::sleep(service_time).await;
+                    send.await;
+                });
             }
         })
     }
@@ -172,12 +207,12 @@
 
 /// A caller that can send through any balancer.
 pub(crate) struct Caller {
-    socket: UdpSocket,
+    pub(crate) socket: UdpSocket,
     ip: Ipv4Addr,
 }
 
 impl Caller {
-    fn packet(&self, port: u16) -> Segment {
+    pub(crate) fn packet(&self, port: u16) -> Segment {
         Segment {
             source: SocketAddrV4::new(self.ip, port),
             target: SERVICE_ADDR,
@@ -318,6 +353,12 @@
 /// First version of a configuration whose service has an overload policy and idempotent requests.
 pub(crate) const OVERLOAD_VERSION: u64 = 1_000;
 
+/// First version of a configuration whose route also states a priority and an objective.
+pub(crate) const OBJECTIVE_VERSION: u64 = 2_000;
+
+/// The objective that such a route states.
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
 /// Parses a configuration, which consists only of its version.
 fn read_plan(text: &[u8]) -> Result<Plan, smol_str::SmolStr> {
     let text = std::str::from_utf8(text).map_err(|_| "no text")?;
@@ -331,8 +372,11 @@
         service: "desk".into(),
         weight: 1,
     }];
+    let has_objective = version >= OBJECTIVE_VERSION;
     let class = Class {
         kind,
+        priority: has_objective.then_some(1),
+        objective: has_objective.then_some(OBJECTIVE),
         ..Class::default()
     };
     let route = Route { splits, class };
