--- a/crates/buckthornweir_forward/tests/forward/overload.rs
+++ b/crates/buckthornweir_forward/tests/forward/overload.rs
@@ -66,7 +66,7 @@
 }
 
 /// Returns a busy agent with two siblings that announced `free` slots.
-fn busy_with_siblings(objective: u64, free: u32) -> Harness {
+pub(crate) fn busy_with_siblings(objective: u64, free: u32) -> Harness {
     let mut harness = fill(alone(objective));
     let sibling = |node| Peer {
         free,
@@ -88,7 +88,7 @@
     [2, 3].into_iter().for_each(&mut note);
 }
 
-fn low(port: u16) -> Segment {
+pub(crate) fn low(port: u16) -> Segment {
     Segment {
         target: LOW,
         ..syn(port, 0)
