Leave margins for a reset and for hops when SYNs are rejected

Ruled out: rejecting only SYNs that no agent passed on (callers would wait 1.4 s for each other one). Change: a SYN counts as 30 ms older for each hop, a reset needs 20 ms until the caller's next copy, and a queued SYN is passed on only if the next agent has time left to decide. Conclusion: waits and resets end before a copy of the SYN can be elsewhere, unless a hop takes longer than 30 ms.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -33,6 +33,14 @@
 /// queue and the way to the caller.
 const COPY_MARGIN: Duration = Duration::from_millis(50);
 
+/// How long before a caller sends the next copy of its SYN a reset is no longer certain to arrive
+/// first.
+const RESET_MARGIN: Duration = Duration::from_millis(20);
+
+/// How long a SYN may take from one agent to the next on busy VMs. Its tag counts only the time for
+/// which agents queued it.
+const MAX_HOP_TIME: Duration = Duration::from_millis(30);
+
 /// How long a copy of a SYN may take to arrive.
 const MAX_COPY_DELAY: Duration = Duration::from_millis(25);
 
@@ -51,11 +59,13 @@
 /// Tolerance for the rounding errors of added shares.
 const SHARE_TOLERANCE: f64 = 1e-9;
 
-/// Returns when the caller sent the first copy of a SYN.
+/// Returns the earliest time at which the caller may have sent the first copy of a SYN.
 #[must_use]
 pub fn first_sent(now: Duration, segment: &Segment) -> Duration {
     let copy = segment.retransmissions().min(SEND_TIMES.len() - 1);
-    now.saturating_sub(SEND_TIMES[copy] + Tag::read(segment.tag).waited())
+    let tag = Tag::read(segment.tag);
+    let passed = tag.waited() + MAX_HOP_TIME * u32::from(tag.hops);
+    now.saturating_sub(SEND_TIMES[copy] + passed)
 }
 
 /// What a new flow requires.
@@ -149,8 +159,8 @@
         }
     }
 
-    /// Returns whether each copy that the caller has sent by now arrived here. Otherwise one may
-    /// have reached another backend server, and a reset might be untruthful.
+    /// Returns whether each copy that the caller will have sent when a reset reaches it arrived here.
+    /// Otherwise one may have reached another backend server, and a reset might be untruthful.
     #[must_use]
     pub fn has_all_copies(&self, now: Duration) -> bool {
         if self.tag.hops > 0 && !self.tag.age_known {
@@ -161,17 +171,17 @@
         if self.demand.hedged && (age >= SECOND_SYN_DELAY || self.tag.hops > 0) {
             return false;
         }
+        let age = age + RESET_MARGIN;
         let sent = SEND_TIMES.iter().filter(|at| age >= **at).count();
         let all = (1 << sent) - 1;
         self.copies & all == all
     }
 
-    /// Returns whether the caller has not yet sent a later copy than the queued one. The next agent
-    /// derives the age of the SYN from the number of its copy.
+    /// Returns whether another agent may still start or reject the flow before the caller sends a
+    /// later copy than the queued one.
     #[must_use]
     pub fn may_pass(&self, now: Duration) -> bool {
-        let next = SEND_TIMES.get(self.segment.retransmissions() + 1);
-        next.is_some_and(|next| now < self.demand.sent + *next)
+        now + MAX_HOP_TIME < self.copy_limit()
     }
 
     /// Returns whether the last copy that the caller has sent may still be on its way.
