Explain to operators where a new flow would go

Cause: operators could not see why a caller's flow goes to an agent, or what happens if that agent is full or refuses it, without sending traffic and searching the logs.

Ruled out: computing the placement in the client, which would be a copy of the decision and would not know the view of the asked process. Adding the free slots to the members of a view: each change of a backend server's load would then recompute the placement; the reply reads them from the member records instead.

Change: `buckthornweir_flows::ranking` ranks the agents of a service for a new flow; balancers and refusing agents choose with the same functions. Operator request 18 and reply 28; `buckthornweir explain` with exit codes 6 (no service at the address), 7 (no balancer) and 8 (too old: the process replies to a status request only). The holders of an idempotency key and the admission limits come from the functions that agents use.

--- a/crates/buckthornweir_cli/src/client.rs
+++ b/crates/buckthornweir_cli/src/client.rs
@@ -72,11 +72,14 @@
             Err(ExchangeError::NoReply) => last = WireError::TimedOut,
         }
     }
+    Err(unreachable(settings, last))
+}
+
+/// Returns the fault that no process of the settings replies.
+pub(crate) fn unreachable(settings: &ClientSettings, source: WireError) -> Fault {
     let tried: Vec<String> = settings.nodes.iter().map(ToString::to_string).collect();
-    Err(Fault::Unreachable {
-        tried: tried.join(", ").into(),
-        source: last,
-    })
+    let tried = tried.join(", ").into();
+    Fault::Unreachable { tried, source }
 }
 
 /// Sends a request to one process. The request must be read-only or idempotent, as the error doesn't
--- a/crates/buckthornweir_cli/src/commands/mod.rs
+++ b/crates/buckthornweir_cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod domain;
 mod drain;
+mod explain;
 mod metrics;
 mod push;
 mod status;
@@ -46,6 +47,7 @@
         Some(Command::Control(a)) => control::run(&context()?, a).await,
         Some(Command::Drain(a)) => drain::run(&context()?, a).await,
         Some(Command::Timeline(a)) => timeline::run(&context()?, a).await,
+        Some(Command::Explain(a)) => explain::run(&context()?, a).await,
         Some(Command::Metrics(a)) => metrics::run(&context()?, a).await,
     }
 }
--- a/crates/buckthornweir_cli/src/fault.rs
+++ b/crates/buckthornweir_cli/src/fault.rs
@@ -1,6 +1,7 @@
 //! The errors of commands and the exit codes of the client.
 
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use buckthornweir_wire::WireError;
@@ -23,6 +24,12 @@
     Unreachable,
     /// 5: it is not known whether the command took effect; repeating it is safe.
     Unknown,
+    /// 6: no service has the address.
+    NoService,
+    /// 7: the process places no flows.
+    NotBalancer,
+    /// 8: the process runs a release that doesn't know the request.
+    TooOld,
 }
 
 impl Exit {
@@ -34,6 +41,9 @@
             Self::Conflict => 3,
             Self::Unreachable => 4,
             Self::Unknown => 5,
+            Self::NoService => 6,
+            Self::NotBalancer => 7,
+            Self::TooOld => 8,
         }
     }
 }
@@ -142,6 +152,32 @@
             display("the reply was lost, so it is not known whether the bundle is stored; \
                      pushing the same bundle again is safe")
         }
+        /// A text is not an address with a port.
+        Address { text: SmolStr } {
+            display("\"{text}\" is not an address with a port; \
+                     allowed: such as 192.0.2.1:40000 or [2001:db8::1]:40000")
+        }
+        /// The caller and the service have addresses of different IP versions.
+        IpVersions { caller: SocketAddr, service: SocketAddr } {
+            display("{caller} and {service} are not of the same IP version, \
+                     so no flow can be between them")
+        }
+        /// A text is neither yes nor no.
+        YesNo { argument: &'static str, text: SmolStr } {
+            display("{argument} \"{text}\" is not allowed; allowed: yes, no")
+        }
+        /// No service has the address.
+        NoService { address: SocketAddr, process: SmolStr, version: u64 } {
+            display("no service has the address {address} in bundle version {version} of {process}")
+        }
+        /// The process has no balancer role.
+        NotBalancer { process: SmolStr } {
+            display("{process} is not a balancer and places no flows; name a balancer, see members")
+        }
+        /// The process replies to other requests, but not to this one.
+        TooOld { process: SmolStr } {
+            display("{process} does not answer this request; its release is too old for it")
+        }
         /// The reply isn't of the expected kind.
         Reply {
             display("the process sent a reply that this version does not support")
@@ -158,6 +194,9 @@
                 Exit::Unreachable
             }
             Self::ReplyLost => Exit::Unknown,
+            Self::NoService { .. } => Exit::NoService,
+            Self::NotBalancer { .. } => Exit::NotBalancer,
+            Self::TooOld { .. } => Exit::TooOld,
             _ => Exit::BadInput,
         }
     }
--- a/crates/buckthornweir_cli/src/lib.rs
+++ b/crates/buckthornweir_cli/src/lib.rs
@@ -3,6 +3,9 @@
 //!
 //! Every command prints text, or JSON with `--json`, and exits with one of the [`Exit`] codes.
 
+// `quick_error!` expands recursively with the number of variants of `Fault`.
+#![recursion_limit = "256"]
+
 mod client;
 mod commands;
 mod fault;
--- a/crates/buckthornweir_cli/src/options.rs
+++ b/crates/buckthornweir_cli/src/options.rs
@@ -6,7 +6,8 @@
 
 /// buckthornweir: the operators' command-line client.
 ///
-/// Exit codes: 0 done, 2 bad input, 3 conflict, 4 not reachable or no quorum, 5 outcome unknown.
+/// Exit codes: 0 done, 2 bad input, 3 conflict, 4 not reachable or no quorum, 5 outcome unknown, 6 no
+/// service at the address, 7 the process places no flows, 8 the process is too old.
 #[derive(Debug, Options)]
 pub struct Arguments {
     #[options(help = "print this text, or that of a command")]
@@ -44,6 +45,8 @@
     Timeline(TimelineArguments),
     #[options(help = "print the metrics of one process")]
     Metrics(MetricsArguments),
+    #[options(help = "explain where a caller's request would go, without sending it")]
+    Explain(ExplainArguments),
 }
 
 #[derive(Debug, Options)]
@@ -202,3 +205,26 @@
     )]
     pub(crate) name: Option<String>,
 }
+
+#[derive(Debug, Options)]
+pub(crate) struct ExplainArguments {
+    #[options(help = "print this text")]
+    pub(crate) help: bool,
+    #[options(free, help = "the caller's address and port")]
+    pub(crate) caller: Option<String>,
+    #[options(free, help = "the address and port that the caller connects to")]
+    pub(crate) service: Option<String>,
+    #[options(
+        free,
+        help = "the name of the balancer to ask; default: the first process that replies"
+    )]
+    pub(crate) name: Option<String>,
+    #[options(
+        no_short,
+        meta = "yes|no",
+        help = "whether the request's method is idempotent"
+    )]
+    pub(crate) idempotent: Option<String>,
+    #[options(no_short, meta = "KEY", help = "the request's Idempotency-Key")]
+    pub(crate) key: Option<String>,
+}
--- a/crates/buckthornweir_cli/tests/commands.rs
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -14,6 +14,7 @@
 const BAD_INPUT: i32 = 2;
 const CONFLICT: i32 = 3;
 const UNREACHABLE: i32 = 4;
+const NOT_BALANCER: i32 = 7;
 
 const BUNDLE: &str = "
 [bundle]
@@ -193,6 +194,13 @@
         buckthornweir: control-1 is not an agent; only agents drain
     "#]],
     );
+    harness.run(
+        &["explain", "192.0.2.1:40000", "10.100.0.1:80", "control-1"],
+        NOT_BALANCER,
+        &expect![[r#"
+        buckthornweir: control-1 is not a balancer and places no flows; name a balancer, see members
+    "#]],
+    );
     harness.run(
         &["timeline", "--kind", "domain-out", "--since", "0s"],
         DONE,
--- a/crates/buckthornweir_daemon/src/agent/coordinator/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/coordinator/mod.rs
@@ -318,15 +318,7 @@
     }
 
     fn configure(&mut self, service: &Service, now: Duration) {
-        let limit = LimitConfig::default()
-            .with_slots(service.slots)
-            .with_cold(service.cold);
-        let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
-        let config = AdmissionConfig::default()
-            .with_limit(limit)
-            .with_queue(queue)
-            .with_second_tries(service.second_tries);
-        self.admission.reconfigure(config, now);
+        self.admission.reconfigure(admission_config(service), now);
     }
 }
 
@@ -336,6 +328,18 @@
     }
 }
 
+/// Returns the configuration of admission for a service.
+pub(crate) fn admission_config(service: &Service) -> AdmissionConfig {
+    let limit = LimitConfig::default()
+        .with_slots(service.slots)
+        .with_cold(service.cold);
+    let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
+    AdmissionConfig::default()
+        .with_limit(limit)
+        .with_queue(queue)
+        .with_second_tries(service.second_tries)
+}
+
 /// Converts a duration to microseconds, the unit used in messages.
 pub(crate) fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
--- a/crates/buckthornweir_daemon/src/agent/idempotency.rs
+++ b/crates/buckthornweir_daemon/src/agent/idempotency.rs
@@ -143,14 +143,8 @@
     /// Updates the set of agents that may hold keys.
     pub(crate) fn update_members(&self, service: &str) {
         let members = self.board.members();
-        let is_present = |m: &&crate::board::Member| {
-            m.record.node != self.board.id && m.is_agent_of(service) && m.health != Health::Dead
-        };
-        let present: Vec<Member> = members
-            .iter()
-            .filter(is_present)
-            .map(|m| Member::new(m.record.node, m.record.domain.clone()))
-            .collect();
+        let mut present = members_of(&members, service);
+        present.retain(|member| member.node != self.board.id);
         let mut state = self.state.lock();
         let actions = state.keys.set_members(self.board.now(), &present);
         self.apply_actions(&mut state, actions);
@@ -253,8 +247,17 @@
     }
 }
 
+/// Returns the agents of a service that may hold keys.
+pub(crate) fn members_of(members: &[crate::board::Member], service: &str) -> Vec<Member> {
+    let is_present = |m: &&crate::board::Member| m.is_agent_of(service) && m.health != Health::Dead;
+    let present = members.iter().filter(is_present);
+    present
+        .map(|m| Member::new(m.record.node, m.record.domain.clone()))
+        .collect()
+}
+
 /// Returns the hash key that selects the holders of a key. It is the same at all agents.
-fn hash_key(board: &Blackboard) -> [u64; 2] {
+pub(crate) fn hash_key(board: &Blackboard) -> [u64; 2] {
     let derived = board.settings.node.key.derive("idempotency");
     let word = |at: usize| {
         let mut bytes = [0; 8];
--- a/crates/buckthornweir_daemon/src/agent/mod.rs
+++ b/crates/buckthornweir_daemon/src/agent/mod.rs
@@ -39,11 +39,12 @@
 use crate::views::placement_key;
 
 pub(crate) use backend::Backend;
-pub(crate) use coordinator::RequestCoordinator;
+pub(crate) use coordinator::{RequestCoordinator, admission_config};
 pub(crate) use flow_server::FlowServer;
 use flow_table::FlowTable;
 use flow_tasks::FlowTasks;
 use idempotency::KeyCoordinator;
+pub(crate) use idempotency::{hash_key as key_hash_key, members_of as key_members};
 use mover::Mover;
 use packet_sender::PacketSender;
 
--- a/crates/buckthornweir_daemon/src/balancer.rs
+++ b/crates/buckthornweir_daemon/src/balancer.rs
@@ -3,6 +3,7 @@
 
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use buckthornweir_events::Count;
@@ -24,10 +25,18 @@
 pub(crate) struct BalancerRole {
     board: Arc<Blackboard>,
     core: Balancer,
-    view: ArcSwap<BalancerView>,
+    held: ArcSwap<HeldView>,
     peers: Arc<PeerSocket>,
 }
 
+/// The view of a balancer and when it was built.
+#[derive(Debug, Default)]
+pub(crate) struct HeldView {
+    pub(crate) view: BalancerView,
+    /// Time since the start of the process.
+    pub(crate) built: Duration,
+}
+
 /// Starts the role; its threads run until `stop` is cancelled.
 ///
 /// # Errors
@@ -44,7 +53,7 @@
     let role = Arc::new(BalancerRole {
         board: board.clone(),
         core: Balancer::new(key, &HintLimits::default()),
-        view: ArcSwap::default(),
+        held: ArcSwap::default(),
         peers: peers.clone(),
     });
     runtime.spawn(role.clone().update_views(stop.clone()));
@@ -70,12 +79,19 @@
         }
     }
 
+    /// Returns the view on which the routes of packets are based now.
+    pub(crate) fn held_view(&self) -> Arc<HeldView> {
+        self.held.load_full()
+    }
+
     /// Rebuilds the view whenever the blackboard changes.
     async fn update_views(self: Arc<Self>, stop: CancellationToken) {
         let mut builder = ViewBuilder::new(&self.board.settings.node.key);
         let mut changes = self.board.changes();
         loop {
-            self.view.store(Arc::new(builder.balancer(&self.board)));
+            let view = builder.balancer(&self.board);
+            let built = self.board.now();
+            self.held.store(Arc::new(HeldView { view, built }));
             tokio::select! {
                 () = stop.cancelled() => return,
                 changed = changes.changed() => if changed.is_err() { return },
@@ -111,8 +127,9 @@
 
     fn route(&self, packet: &[u8], info: &PacketInfo) {
         let metrics = &self.board.metrics;
-        let view = self.view.load();
-        match self.core.route(&view, info, self.board.now()) {
+        let held = self.held.load();
+        let view = &held.view;
+        match self.core.route(view, info, self.board.now()) {
             Route::Forward {
                 address, service, ..
             } => {
@@ -135,3 +152,9 @@
         }
     }
 }
+
+impl std::fmt::Debug for BalancerRole {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("BalancerRole").finish_non_exhaustive()
+    }
+}
--- a/crates/buckthornweir_daemon/src/dispatch.rs
+++ b/crates/buckthornweir_daemon/src/dispatch.rs
@@ -5,6 +5,7 @@
 use buckthornweir_wire::{Body, Envelope, NodeId};
 
 use crate::agent::RequestCoordinator;
+use crate::balancer::BalancerRole;
 use crate::board::Blackboard;
 use crate::control::Control;
 use crate::links::LinkSender;
@@ -16,6 +17,7 @@
     board: Arc<Blackboard>,
     coordinator: OnceLock<Arc<RequestCoordinator>>,
     control: OnceLock<Arc<Control>>,
+    balancer: OnceLock<Arc<BalancerRole>>,
 }
 
 impl Dispatch {
@@ -25,6 +27,7 @@
             board,
             coordinator: OnceLock::new(),
             control: OnceLock::new(),
+            balancer: OnceLock::new(),
         })
     }
 
@@ -38,6 +41,16 @@
         let _ = self.control.set(control);
     }
 
+    /// Sets the balancer role.
+    pub(crate) fn set_balancer(&self, balancer: Arc<BalancerRole>) {
+        let _ = self.balancer.set(balancer);
+    }
+
+    /// Returns the balancer role, if the process has it.
+    pub(crate) fn balancer(&self) -> Option<&BalancerRole> {
+        self.balancer.get().map(Arc::as_ref)
+    }
+
     /// Returns the control role, if the process has it.
     pub(crate) fn control(&self) -> Option<&Arc<Control>> {
         self.control.get()
--- a/crates/buckthornweir_daemon/src/lib.rs
+++ b/crates/buckthornweir_daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod bundles;
 mod control;
 mod dispatch;
+mod explain;
 mod fault;
 mod gossip;
 mod links;
--- a/crates/buckthornweir_daemon/src/node.rs
+++ b/crates/buckthornweir_daemon/src/node.rs
@@ -77,6 +77,7 @@
         };
         if let Some(settings) = &board.settings.balancer {
             let balancer = balancer::start(&board, settings, &peers, &runtime, &stop)?;
+            dispatch.set_balancer(balancer.clone());
             let _ = roles.balancer.set(balancer);
         }
         peer_packets::start(&peers, &roles, board.settings.peer_threads(), &stop)?;
--- a/crates/buckthornweir_daemon/src/operators.rs
+++ b/crates/buckthornweir_daemon/src/operators.rs
@@ -12,6 +12,7 @@
 use crate::board::{Blackboard, Leaving, Member};
 use crate::bundles;
 use crate::dispatch::Dispatch;
+use crate::explain::explain;
 use crate::gossip::{role_names, roles_of, state_name};
 use crate::links::LinkSender;
 
@@ -33,6 +34,7 @@
         Request::Timeline(params) => Reply::Timeline(timeline(board, &params)),
         Request::Metrics(_) => Reply::Metrics(metrics(board)),
         Request::Drain(_) => Reply::Drain(drain(board)),
+        Request::Explain(params) => Reply::Explain(explain(board, dispatch.balancer(), &params)),
         Request::Push(push) => {
             let Some(control) = dispatch.control() else {
                 return reply_to(board, id, not_control(), &replies);
--- a/crates/buckthornweir_flows/src/balancer.rs
+++ b/crates/buckthornweir_flows/src/balancer.rs
@@ -17,7 +17,7 @@
 use crate::hash::shard_of;
 use crate::messages::{self, Hint};
 use crate::packet::{FiveTuple, PacketInfo};
-use crate::view::ServiceView;
+use crate::view::{Member, ServiceView};
 
 /// Number of shards of the hint cache.
 const SHARDS: usize = 16;
@@ -127,12 +127,12 @@
             return Route::Drop(RouteDrop::NoService);
         };
         if info.starts_flow() {
-            let owner = service.placement().owner(&info.tuple);
-            return forward_to(service, owner, RouteDrop::NoOwner);
+            return forward_to(service, service.new_owner(&info.tuple), RouteDrop::NoOwner);
         }
         let hinted = self.hinted(service, &info.tuple, now);
         let owner = hinted.or_else(|| likeliest_owner(service, &info.tuple));
-        forward_to(service, owner, RouteDrop::NoMembers)
+        let member = owner.and_then(|node| service.member(node));
+        forward_to(service, member, RouteDrop::NoMembers)
     }
 
     /// Caches the owner of a flow, as reported by an agent.
@@ -172,8 +172,8 @@
     owner.or_else(|| placement.order(tuple).first().copied())
 }
 
-fn forward_to(service: &ServiceView, owner: Option<NodeId>, reason: RouteDrop) -> Route {
-    let Some(member) = owner.and_then(|node| service.member(node)) else {
+fn forward_to(service: &ServiceView, member: Option<&Member>, reason: RouteDrop) -> Route {
+    let Some(member) = member else {
         return Route::Drop(reason);
     };
     Route::Forward {
--- a/crates/buckthornweir_flows/src/lib.rs
+++ b/crates/buckthornweir_flows/src/lib.rs
@@ -5,7 +5,8 @@
 //! server owns its flows ([`ownership`]) and terminates TCP in its own process, with one small
 //! stack per flow ([`stack`]). Quiet flows can move between agents ([`moving`]). Balancers and
 //! agents base their decisions on a view of the service's members ([`view`]) and exchange typed
-//! messages ([`messages`]).
+//! messages ([`messages`]). The rank of each agent for a new flow ([`ranking`]) also explains the choice
+//! to operators.
 //!
 //! This crate does no I/O, reads no clock and starts no thread. Time is a [`Duration`] since the
 //! start of the process.
@@ -20,6 +21,7 @@
 pub mod ownership;
 pub mod packet;
 pub mod placement;
+pub mod ranking;
 pub mod stack;
 pub mod view;
 
@@ -34,6 +36,7 @@
     pub use crate::ownership::{Action, DropReason, OwnerLimits, Ownership};
     pub use crate::packet::{FiveTuple, PacketInfo, parse, reset_for};
     pub use crate::placement::{Candidate, Placement};
+    pub use crate::ranking::{RankedMember, Verdict};
     pub use crate::stack::{FlowStack, ReadState, StackLimits, WriteState};
     pub use crate::view::{AgentView, Member, MemberState, ServiceView};
 }
--- a/crates/buckthornweir_flows/src/placement.rs
+++ b/crates/buckthornweir_flows/src/placement.rs
@@ -80,6 +80,12 @@
         Some(candidate.node)
     }
 
+    /// Returns the owner of each bucket that has one.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = NodeId> {
+        let indices = (0..BUCKETS as usize).filter_map(|bucket| self.owners.get(bucket));
+        indices.filter_map(|index| Some(self.candidates.get(index)?.node))
+    }
+
     /// Returns all candidates in descending order of their likelihood to own the flow.
     ///
     /// Candidates that accept no new flows are ranked by [`MAX_WEIGHT`], because a draining agent
--- a/crates/buckthornweir_flows/src/view.rs
+++ b/crates/buckthornweir_flows/src/view.rs
@@ -49,6 +49,11 @@
             MemberState::Draining | MemberState::Left => 0,
         }
     }
+
+    /// Returns whether the agent gets new flows.
+    pub(crate) fn accepts_flows(&self) -> bool {
+        self.flow_weight() > 0
+    }
 }
 
 /// A service as seen by one node.
@@ -59,6 +64,7 @@
     /// Addresses that callers connect to.
     pub addresses: Vec<SocketAddr>,
     members: Vec<Member>,
+    members_out: Vec<Member>,
     placement: Placement,
     digest: u64,
 }
@@ -77,7 +83,8 @@
         members.sort_by_key(|member| member.node);
         members.dedup_by_key(|member| member.node);
         let digest = digest(&members);
-        members.retain(|member| !domains_out.contains(&member.domain));
+        let is_out = |member: &mut Member| domains_out.contains(&member.domain);
+        let members_out = members.extract_if(.., is_out).collect();
         let candidates: Vec<_> = members
             .iter()
             .map(|member| Candidate {
@@ -90,6 +97,7 @@
             name,
             addresses,
             members,
+            members_out,
             placement,
             digest,
         }
@@ -106,6 +114,11 @@
         &self.members
     }
 
+    /// Returns the members whose failure domain is out.
+    pub fn members_out(&self) -> &[Member] {
+        &self.members_out
+    }
+
     /// Returns the member with this ID, if it may own flows.
     pub fn member(&self, node: NodeId) -> Option<&Member> {
         let index = self
@@ -197,13 +210,8 @@
 
     /// Returns the most likely owner of the flow among the other agents that accept new flows.
     pub(crate) fn other_owner(&self, tuple: &FiveTuple) -> Option<NodeId> {
-        let accepts_flows = |&node: &NodeId| {
-            let member = self.service.member(node);
-            node != self.node && member.is_some_and(|member| member.flow_weight() > 0)
-        };
-        let placement = &self.service.placement;
-        let owner = placement.owner(tuple).filter(accepts_flows);
-        owner.or_else(|| placement.order(tuple).into_iter().find(accepts_flows))
+        let next = self.service.next_owner(tuple, self.node);
+        next.map(|member| member.node)
     }
 
     fn services(&self) -> impl Iterator<Item = &ServiceView> {
--- a/crates/buckthornweir_standins/src/fabric/mod.rs
+++ b/crates/buckthornweir_standins/src/fabric/mod.rs
@@ -137,6 +137,14 @@
         self.inner.shards.len()
     }
 
+    /// Returns the address and port of the caller that the next call of [`Fabric::connect`] with
+    /// this service connects.
+    #[must_use]
+    pub fn next_caller(&self, service: SocketAddr) -> SocketAddr {
+        let number = self.inner.next_caller.load(Ordering::Relaxed);
+        caller_address(number, service.is_ipv6())
+    }
+
     /// Connects a new caller to a service.
     ///
     /// # Errors
--- a/crates/buckthornweir_wire/src/lib.rs
+++ b/crates/buckthornweir_wire/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod encapsulation;
 mod envelope;
+mod explain;
 mod fault;
 mod key;
 mod link;
@@ -25,6 +26,9 @@
 
 pub use encapsulation::{MAX_DATAGRAM_BYTES, inner_packet};
 pub use envelope::{Body, Envelope, Heartbeat, NodeId, open, seal};
+pub use explain::{
+    CandidateRow, CandidateVerdict, ExplainOutcome, ExplainReply, ExplainRequest, RequestLimits,
+};
 pub use fault::{Result, WireError};
 pub use key::{ClusterKey, TAG_BYTES};
 pub use link::{Link, LinkReader, LinkWriter, MAX_FRAME_BYTES};
--- a/crates/buckthornweir_wire/src/operator.rs
+++ b/crates/buckthornweir_wire/src/operator.rs
@@ -1,5 +1,7 @@
 //! Messages between an operator's client and a process.
 
+use crate::explain::{ExplainReply, ExplainRequest};
+
 /// A request from an operator, or the reply to it with the same `id`.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OperatorMessage {
@@ -7,10 +9,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The request, unless this is a reply.
-    #[prost(oneof = "Request", tags = "10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Request", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub request: Option<Request>,
     /// The reply, unless this is a request.
-    #[prost(oneof = "Reply", tags = "20, 21, 22, 23, 24, 25, 26, 27")]
+    #[prost(oneof = "Reply", tags = "20, 21, 22, 23, 24, 25, 26, 27, 28")]
     pub reply: Option<Reply>,
 }
 
@@ -41,6 +43,10 @@
     /// Changes or lists the control processes.
     #[prost(message, tag = "17")]
     Control(ControlChange),
+    /// Requests an explanation of where a caller's request would go. Releases before this request
+    /// send no reply to it.
+    #[prost(message, tag = "18")]
+    Explain(ExplainRequest),
 }
 
 /// The kinds of replies from a process.
@@ -70,6 +76,9 @@
     /// The control processes.
     #[prost(message, tag = "27")]
     Control(ControlReply),
+    /// Where a caller's request would go.
+    #[prost(message, tag = "28")]
+    Explain(ExplainReply),
 }
 
 /// Requests the status of the process.
--- a/crates/buckthornweir_wire/tests/datagrams.rs
+++ b/crates/buckthornweir_wire/tests/datagrams.rs
@@ -6,9 +6,11 @@
 use buckthornweir_flows::messages::{FlowBody, FlowMessage, Forward};
 use buckthornweir_wire::prelude::*;
 use buckthornweir_wire::{
+    CandidateRow, CandidateVerdict, ExplainOutcome, ExplainReply, ExplainRequest,
     MAX_DATAGRAM_BYTES, MemberRow, MembersReply, OperatorMessage, PushOutcome, PushReply,
     PushRequest, Reply, Request, TAG_BYTES, inner_packet,
 };
+use buckthornweir_wire::{RequestLimits, StatusRequest};
 use expect_test::{Expect, expect};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -30,6 +32,37 @@
     ClusterKey::new([byte; 32])
 }
 
+fn explanation() -> ExplainReply {
+    let row = CandidateRow {
+        name: "agent-1".into(),
+        node: 1,
+        domain: "a".into(),
+        state: "ready".into(),
+        weight: 16,
+        share: 1.0,
+        free: 4,
+        verdict: CandidateVerdict::Chosen.into(),
+    };
+    ExplainReply {
+        outcome: ExplainOutcome::Explained.into(),
+        process: "balancer-1".into(),
+        version: 7,
+        view_age_millis: 40,
+        service: "orders".into(),
+        candidates: vec![row],
+        next: "agent-2".into(),
+        limits: Some(RequestLimits {
+            siblings: 2,
+            ask_millis: 25,
+            queue: 10,
+            wait_millis: 500,
+            attempts: 3,
+            hedged_percent: 5,
+        }),
+        key_holders: vec!["agent-1".into()],
+    }
+}
+
 /// Returns one envelope of each kind.
 fn envelopes() -> Vec<Envelope> {
     let forward = Forward {
@@ -46,6 +79,12 @@
     };
     let rows = vec![MemberRow::default(); 3];
     let answer = OperatorMessage::answer(4, Reply::Members(MembersReply { rows }));
+    let explain = ExplainRequest {
+        caller: "192.0.2.1:40000".into(),
+        service: "198.51.100.1:80".into(),
+        key: b"order-1".to_vec(),
+    };
+    let explained = OperatorMessage::answer(5, Reply::Explain(explanation()));
     let bodies = [
         Body::Heartbeat(Heartbeat {}),
         Body::Flow(flow),
@@ -54,6 +93,8 @@
         Body::Request(Box::default()),
         Body::Operator(Box::new(OperatorMessage::ask(4, Request::Push(push)))),
         Body::Operator(Box::new(answer)),
+        Body::Operator(Box::new(OperatorMessage::ask(5, Request::Explain(explain)))),
+        Body::Operator(Box::new(explained)),
     ];
     let stamp = Stamp {
         millis: u64::MAX,
@@ -119,6 +160,48 @@
     assert_eq!(outcome.outcome(), PushOutcome::Unspecified);
 }
 
+/// Guards against changes of tags, which would break the exchange with other releases.
+#[test]
+fn explain_messages_keep_their_encoding() {
+    let request = ExplainRequest {
+        caller: "c".into(),
+        service: "s".into(),
+        key: vec![1],
+    };
+    let encoded = OperatorMessage::ask(5, Request::Explain(request)).encode_to_vec();
+    expect!["08059201090a01631201731a0101"].assert_eq(&to_hex(&encoded));
+    let reply = OperatorMessage::answer(5, Reply::Explain(explanation())).encode_to_vec();
+    expect!["0805e201610801120a62616c616e6365722d31180720282a066f726465727332240a076167656e742d3110011a016122057265616479281031000000000000f03f380440013a076167656e742d32420d08021019180a20f403280330054a076167656e742d31"].assert_eq(&to_hex(&reply));
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// The operator message of releases before the request to explain a route.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierMessage {
+    #[prost(uint64, tag = "1")]
+    id: u64,
+    #[prost(oneof = "EarlierRequest", tags = "10")]
+    request: Option<EarlierRequest>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum EarlierRequest {
+    #[prost(message, tag = "10")]
+    Status(StatusRequest),
+}
+
+/// Guards against a request that earlier releases fail to decode, which would close the link.
+#[test]
+fn earlier_releases_decode_a_request_to_explain_as_no_request() {
+    let request = Request::Explain(ExplainRequest::default());
+    let encoded = OperatorMessage::ask(5, request).encode_to_vec();
+    let earlier = EarlierMessage::decode(&encoded[..]).unwrap();
+    assert_eq!((earlier.id, earlier.request), (5, None));
+}
+
 #[test]
 fn arbitrary_bytes_do_not_panic_the_decoders() {
     let property = |bytes: Vec<u8>| {
