Rank the agents of a SYN of a forward service

Cause: the choice of a balancer of `forward` services could not be explained, as it was made inside `Balancer`.

Ruled out: answering operators' requests for these services; their processes are out of the client's reach.

Change: `Peers::choice` holds the selection that `Balancer` made itself, and `ranking::rank` returns the agents of a SYN in the order in which they are tried, with the choice and the reason for each agent.

Conclusion: the choice is unchanged and can be explained.

--- a/crates/buckthornweir_forward/src/balancer.rs
+++ b/crates/buckthornweir_forward/src/balancer.rs
@@ -8,6 +8,7 @@
 
 use crate::peers::{Peers, has_overload_policy};
 use crate::plan::Plan;
+use crate::ranking::Choice;
 use crate::segment::{FlowKey, Segment};
 use crate::tag::Tag;
 
@@ -133,8 +134,7 @@
         }
     }
 
-    /// Selects the agent of a new flow. Each retransmission of a SYN goes to the next agent in
-    /// order, as the one before it may have stopped. A flow opens at one backend server only.
+    /// Selects the agent of a new flow.
     fn place(
         &mut self,
         now: Duration,
@@ -144,19 +144,11 @@
         service: &str,
     ) -> Decision {
         let key = segment.caller_flow();
-        let chosen = match segment.retransmissions() {
-            0 => peers.first_accepting(plan, service, &self.domain, &key),
-            retransmissions => {
-                let open = peers.accepting(plan, service, &self.domain, &key);
-                let index = retransmissions.min(open.len().saturating_sub(1));
-                open.get(index).copied()
-            }
-        };
-        let primary = peers.primary(service, &self.domain, &key);
-        let Some(peer) = chosen.or(primary) else {
+        let retransmissions = segment.retransmissions();
+        let choice = peers.choice(plan, service, &self.domain, &key, retransmissions);
+        let Some(Choice { peer, aside }) = choice else {
             return Decision::Drop(Loss::NoAgent);
         };
-        let aside = primary.is_some_and(|primary| primary.node != peer.node);
         if has_overload_policy(plan, service) {
             // The balancer knows where it sent the latest SYN, and later packets are placed by
             // equal weights. Without the hint, each of them would start a lookup until the
@@ -165,7 +157,7 @@
                 true => self.hint(now, key, peer.packet_addr),
                 false => self.forget(now, &key),
             }
-        } else if !aside && segment.retransmissions() == 0 {
+        } else if !aside && retransmissions == 0 {
             // An earlier flow on the same port was held by another agent.
             self.forget(now, &key);
         }
--- a/crates/buckthornweir_forward/src/lib.rs
+++ b/crates/buckthornweir_forward/src/lib.rs
@@ -8,7 +8,7 @@
 //! ([`peers`]) selects the agent of a packet, and a bounded number of hints records the exceptions.
 //! An agent ([`agent`]) tracks the flows of its backend server ([`flows`]), admits new ones
 //! ([`backend`]), passes on those that it can't accept, and looks up the owners of unknown flows.
-//! The [`plan`] assigns services to addresses.
+//! The [`plan`] assigns services to addresses. A [`ranking`] explains the choice of an agent.
 //!
 //! This crate does no I/O, reads no clock and starts no threads. Time is a [`Duration`] since the
 //! start of the process.
@@ -27,6 +27,7 @@
 mod lookup;
 pub mod peers;
 pub mod plan;
+pub mod ranking;
 pub mod segment;
 pub mod service_times;
 pub mod speed;
@@ -49,6 +50,7 @@
     pub use crate::loads::{Load, Loads};
     pub use crate::peers::{Peer, Peers};
     pub use crate::plan::{Class, OverloadPolicy, Plan, RequestKind, Route, Service, Split};
+    pub use crate::ranking::{Choice, RankedPeer, Ranking, rank};
     pub use crate::segment::{FlowKey, Segment};
     pub use crate::speed::Speed;
     pub use crate::tag::Tag;
--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod overload;
 mod overload_runs;
 mod plan;
+mod ranking;
 mod service_times;
 mod siblings;
 mod speed;
