--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod overload_runs;
 mod overload_safety;
 mod plan;
+mod ranking;
 mod service_times;
 mod siblings;
 mod speed;
