Await a copy of a queued SYN by the time at which it is sent

Cause: the margin of a reset also shortened the time for which an overdue SYN awaits its caller's next copy. Change: the wait for a copy is counted without that margin.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -171,7 +171,11 @@
         if self.demand.hedged && (age >= SECOND_SYN_DELAY || self.tag.hops > 0) {
             return false;
         }
-        let age = age + RESET_MARGIN;
+        self.has_copies(age + RESET_MARGIN)
+    }
+
+    /// Returns whether each copy arrived here that the caller sends within `age` of the first one.
+    fn has_copies(&self, age: Duration) -> bool {
         let sent = SEND_TIMES.iter().filter(|at| age >= **at).count();
         let all = (1 << sent) - 1;
         self.copies & all == all
@@ -186,7 +190,8 @@
 
     /// Returns whether the last copy that the caller has sent may still be on its way.
     fn awaits_copy(&self, now: Duration) -> bool {
-        !self.has_all_copies(now) && self.has_all_copies(now.saturating_sub(MAX_COPY_DELAY))
+        let age = now.saturating_sub(self.demand.sent);
+        !self.has_all_copies(now) && self.has_copies(age.saturating_sub(MAX_COPY_DELAY))
     }
 
     /// Returns whether the caller may have timed out.
