Do not await copies of hedgeable SYNs beyond their wait

Cause: a hedgeable SYN that can't be rejected any more was awaited although its caller's next copy is not due. Change: only a copy that is due is awaited. Result: the tests of the forward crate pass.

--- a/crates/buckthornweir_forward/src/admission_queue.rs
+++ b/crates/buckthornweir_forward/src/admission_queue.rs
@@ -191,7 +191,8 @@
     /// Returns whether the last copy that the caller has sent may still be on its way.
     fn awaits_copy(&self, now: Duration) -> bool {
         let age = now.saturating_sub(self.demand.sent);
-        !self.has_all_copies(now) && self.has_copies(age.saturating_sub(MAX_COPY_DELAY))
+        let is_due = !self.has_copies(age + RESET_MARGIN);
+        is_due && self.has_copies(age.saturating_sub(MAX_COPY_DELAY))
     }
 
     /// Returns whether the caller may have timed out.
