Open held SYNs in one place, and list running requests from one map

Cause: the queue of cold backend servers and the admission queue opened flows by the same lines, and running requests were found in two ways. Change: one function and one map.

--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -211,19 +211,32 @@
             if known || !route.is_some_and(|route| route.allows(&self.config.service)) {
                 continue;
             }
-            self.flows.open(now, key);
-            self.denied.forget(&key);
-            self.lookups.forget(&key);
-            self.backend.note_syn(now);
-            self.flows.note_caller(now, &key, &syn.segment);
-            out.push(Action::Opened { key });
-            out.push(Action::Deliver {
-                bytes: Some(syn.bytes),
-                tag: syn.tag,
-            });
+            self.open_held_flow(now, &syn.segment, syn.bytes, syn.tag, out);
         }
     }
 
+    /// Delivers a SYN that was held.
+    pub(super) fn open_held_flow(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        bytes: Vec<u8>,
+        tag: Tag,
+        out: &mut Vec<Action>,
+    ) {
+        let key = segment.caller_flow();
+        self.flows.open(now, key);
+        self.denied.forget(&key);
+        self.lookups.forget(&key);
+        self.backend.note_syn(now);
+        self.flows.note_caller(now, &key, segment);
+        out.push(Action::Opened { key });
+        out.push(Action::Deliver {
+            bytes: Some(bytes),
+            tag,
+        });
+    }
+
     pub(super) fn admission(&mut self, now: Duration, plan: &Plan) -> Admission {
         if plan.is_out(&self.config.domain) {
             return Admission::Shut(Shut::DomainOut);
--- a/crates/buckthornweir_forward/src/agent/waiting.rs
+++ b/crates/buckthornweir_forward/src/agent/waiting.rs
@@ -108,18 +108,8 @@
     }
 
     fn start_queued(&mut self, now: Duration, syn: WaitingSyn, out: &mut Vec<Action>) {
-        let key = syn.key();
         out.push(dequeued(now, &syn));
-        self.flows.open(now, key);
-        self.denied.forget(&key);
-        self.lookups.forget(&key);
-        self.backend.note_syn(now);
-        self.flows.note_caller(now, &key, &syn.segment);
-        out.push(Action::Opened { key });
-        out.push(Action::Deliver {
-            bytes: Some(syn.bytes),
-            tag: syn.tag,
-        });
+        self.open_held_flow(now, &syn.segment, syn.bytes, syn.tag, out);
     }
 
     /// Rejects queued SYNs to addresses that the plan no longer routes to this service.
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -253,8 +253,7 @@
 
     /// Returns the running requests with the times at which they arrived.
     pub(crate) fn requests(&self) -> impl Iterator<Item = (&FlowKey, Duration)> {
-        let flows = self.map.iter();
-        flows.filter_map(|(key, flow)| Some((key, flow.pending_since?)))
+        self.running.iter().map(|(key, since)| (key, *since))
     }
 
     /// Removes and returns all flows held by the local backend server.
