Give each test of the node crate a subnet of its own

Its control processes had the addresses of slow_link's, which runs in the same process at the same time; two pairs of other tests shared a subnet as well. Ruled out: a change of the product.

--- a/crates/buckthornweir_node/tests/node/overload.rs
+++ b/crates/buckthornweir_node/tests/node/overload.rs
@@ -19,7 +19,7 @@
     wait_until,
 };
 
-const NET: TestNet = TestNet(97);
+const NET: TestNet = TestNet(86);
 const BALANCER: u8 = 11;
 const AGENTS: [u8; 2] = [21, 22];
 
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -140,7 +140,7 @@
 
 #[tokio::test]
 async fn flows_are_reset_if_the_backend_server_crashed_before_its_agent_stopped() {
-    let mut fixture = start_with_third_agent(96).await;
+    let mut fixture = start_with_third_agent(88).await;
     let caller = fixture.net.caller(31).await;
     let flows = open_flows_at_21(&fixture, &caller).await;
     fixture.servers.remove(0).abort();
@@ -270,7 +270,7 @@
 /// flow is in use.
 #[tokio::test]
 async fn malformed_messages_stop_no_process() {
-    let fixture = start(95).await;
+    let fixture = start(87).await;
     let caller = fixture.net.caller(31).await;
     let balancer = fixture.net.ip(11);
     let opened = caller.open(balancer, 7).await;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -53,7 +53,8 @@
     }
 }
 
-/// The subnet of one test. Its addresses are `127.<net>.<run>.<host>`, so that concurrent runs
+/// The subnet of one test, which no other test may use: tests of one run are in the same process.
+/// Its addresses are `127.<net>.<run>.<host>`, so that concurrent runs
 /// don't collide.
 #[derive(Clone, Copy)]
 pub(crate) struct TestNet(pub(crate) u8);
