--- a/review/lib/bw.py
+++ b/review/lib/bw.py
@@ -263,17 +263,25 @@
 
 
 def main(folder, case):
-    """Runs a case; it returns whether the rule held."""
+    """Runs a case, which returns whether the rule held; returns the exit code of the script."""
     record = Record(folder)
-    deployment = None
+    faults = []
+    threading.excepthook = lambda args: faults.append(args.exc_value)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    deployment, held = None, None
     try:
         deployment = Deployment(record)
         held = case(record, deployment)
     except CannotRun as reason:
         record("cannot run:", reason)
-        return 2
+    except Exception as fault:  # a fault of the stand-ins says nothing of the rule
+        faults.append(fault)
     finally:
         if deployment:
             deployment.close()
+    for fault in faults:
+        record("fault of a stand-in:", repr(fault))
+    if faults or held is None:
+        return 2
     record("result:", "the rule held" if held else "THE RULE WAS BROKEN")
     return 0 if held else 1
