Remove a control VM from the voters when it stops as planned

Nothing acknowledged before could be read again.

Cause: a VM that stopped as planned handed over its leadership and stayed a voter until it had been silent for 2.5 s. The set had six voters then, a quorum was four, and the stopped VM and the two emptied ones were three. A change of the voters needs a quorum too, so the emptied VMs could not be added.

Ruled out by the survivors' logs: voters_changed shows six voters and no removal after the stop, so the new VM had joined and the stopped one had not left.

A stopping VM now announces its stop to the leader, again after each change of leader, until it exits. The leader counts it as lost at once, under the policy that was there: replaced by a learner that has caught up, or removed while there are more voters than the minimum. The VM waits for the notice of its removal, 2 s at most, and only where a voter can be spared; a notice during a stop no longer empties its folder. Earlier releases ignore the message.

Related paths: the leader that stops (test), a restart in place of an end (the VM joins anew; at the minimum it stays a voter, test), a learner that stops (removed as any lost learner). The daemon's voters are changed by operators.

--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -8,7 +8,7 @@
 use buckthornweir_quorum::storage::Origin;
 use buckthornweir_quorum::{
     Action, Bundle, Command, Config, Core, Decision, Founder, MembershipPolicy, Message, NodeId,
-    Presence, Record, Reject, Storage, Token,
+    Presence, Record, Reject, Storage, Token, messages::Kind,
 };
 use sha2::{Digest, Sha256};
 use smol_str::ToSmolStr;
@@ -100,9 +100,21 @@
     next_presence: Duration,
     next_check: Duration,
     next_notice: Duration,
+    departure: Departure,
     outbox: Outbox,
 }
 
+/// Progress of a planned stop of this VM.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    /// The VM runs on.
+    None,
+    /// The VM has announced its stop to the leader.
+    Announced,
+    /// The VM was removed from the log, so that its stop loses no vote.
+    Removed,
+}
+
 impl Replica {
     /// Opens the log in the data folder. If that fails, later ticks retry it.
     pub(crate) fn new(now: Duration, node: &NodeSettings, settings: &ControlSettings) -> Self {
@@ -124,6 +136,7 @@
             next_presence: now,
             next_check: now,
             next_notice: now,
+            departure: Departure::None,
             outbox: Vec::new(),
         };
         replica.open(now);
@@ -170,6 +183,10 @@
         match Message::from_bytes(frame.bytes.into()) {
             Ok(message) => {
                 self.notify_expelled(now, frame.from, message.cluster);
+                if matches!(message.kind, Some(Kind::Leave(_))) {
+                    tracing::info!(event = "stop_announced", id = frame.from);
+                    self.next_check = now;
+                }
                 self.with_log(now, |log| log.core.handle(now, frame.from, message));
             }
             Err(error) => tracing::warn!(event = "log_message_malformed", %error),
@@ -204,7 +221,7 @@
     }
 
     /// Handles a notice that this VM was removed from the log: deletes the data folder and starts
-    /// again without a log.
+    /// again without a log, unless the VM is stopping.
     pub(crate) fn on_expelled(&mut self, now: Duration, notice: ExpelledMessage) {
         let Some(log) = &self.log else { return };
         let core = &log.core;
@@ -212,6 +229,11 @@
         if !is_addressee || !core.is_expelled_at(notice.index) {
             return;
         }
+        if self.departure != Departure::None {
+            tracing::info!(event = "left_log", index = notice.index);
+            self.departure = Departure::Removed;
+            return;
+        }
         tracing::warn!(event = "expelled", id = notice.id, index = notice.index);
         self.close(now);
         if let Err(error) = std::fs::remove_dir_all(&self.folder) {
@@ -250,12 +272,21 @@
         std::mem::take(&mut self.outbox)
     }
 
-    /// Transfers the leadership to another VM, if this one leads.
-    pub(crate) fn transfer_leadership(&mut self, now: Duration) -> Outbox {
-        self.with_log(now, |log| log.core.transfer(now));
+    /// Begins a planned stop: transfers the leadership to another VM if this one leads, and lets
+    /// the leader remove this VM from the voters.
+    pub(crate) fn begin_stop(&mut self, now: Duration) -> Outbox {
+        self.departure = Departure::Announced;
+        self.with_log(now, |log| log.core.leave(now));
         std::mem::take(&mut self.outbox)
     }
 
+    /// Returns whether this VM is stopping and can be removed from the voters, but was not yet.
+    pub(crate) fn awaits_removal(&self) -> bool {
+        let members = self.log.as_ref().map(|log| log.core.members());
+        let spare_voters = members.is_some_and(|m| m.voters().count() > self.policy.min_voters);
+        self.departure == Departure::Announced && spare_voters
+    }
+
     /// Returns the committed document if its revision is above `revision`.
     pub(crate) fn document_above(&self, revision: u64) -> Option<Document> {
         let core = &self.log.as_ref()?.core;
--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -64,6 +64,10 @@
 /// How long a stopping control VM waits for another one to become leader.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a stopping control VM waits at most until it is no longer a voter; below the grace period
+/// of platforms.
+const REMOVAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time limit for an agent's connection to its backend server, which runs on the same VM.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -274,7 +278,13 @@
                 quiet || now >= since + *grace
             }
             Role::Agent { .. } => true,
-            Role::Control(_) => now >= since + TRANSFER_TIMEOUT,
+            Role::Control(replica) => {
+                let limit = match replica.awaits_removal() {
+                    true => REMOVAL_TIMEOUT,
+                    false => TRANSFER_TIMEOUT,
+                };
+                now >= since + limit
+            }
         }
     }
 
--- a/crates/buckthornweir_node/src/node/requests.rs
+++ b/crates/buckthornweir_node/src/node/requests.rs
@@ -75,7 +75,7 @@
         tracing::info!(event = "stopping");
         self.stopping = Some(now);
         if let Role::Control(replica) = &mut self.role {
-            let outbox = replica.transfer_leadership(now);
+            let outbox = replica.begin_stop(now);
             self.send_all(outbox);
         }
         if let Role::Agent { core, .. } = &mut self.role {
--- a/crates/buckthornweir_node/tests/node/control.rs
+++ b/crates/buckthornweir_node/tests/node/control.rs
@@ -119,3 +119,26 @@
     submit(&nodes.iter().collect::<Vec<_>>(), order(5)).await;
     assert_eq!(newest_version(&nodes.iter().collect::<Vec<_>>()).await, 5);
 }
+
+/// Guards against a VM that stays a voter after its planned stop until it counts as silent: the loss
+/// of a disk meanwhile would leave two of four voters, and the log would be lost for good.
+#[tokio::test]
+async fn log_survives_a_lost_disk_right_after_a_planned_stop() {
+    let (net, data) = (TestNet(87), tempfile::tempdir().unwrap());
+    let mut nodes = Vec::new();
+    for host in 1..=3 {
+        nodes.push(net.control(host, data.path(), true).await);
+    }
+    submit(&nodes.iter().collect::<Vec<_>>(), order(3)).await;
+    nodes.push(net.control(4, data.path(), false).await);
+    // The new VM becomes the fourth voter.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    nodes.remove(2).stop().await;
+    submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
+    nodes.remove(1).kill().await;
+    std::fs::remove_dir_all(data.path().join("2")).unwrap();
+    nodes.push(net.control(2, data.path(), false).await);
+    let all: Vec<_> = nodes.iter().collect();
+    assert_eq!(newest_version(&all).await, 4);
+    submit(&all, order(5)).await;
+}
--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -95,7 +95,9 @@
                 self.cluster() == 0
             }
             Kind::Join(_) | Kind::AppendReply(_) | Kind::SnapshotReply(_) => cluster == 0,
-            Kind::PreVoteReply(_) | Kind::VoteReply(_) | Kind::Campaign(_) => false,
+            Kind::PreVoteReply(_) | Kind::VoteReply(_) | Kind::Campaign(_) | Kind::Leave(_) => {
+                false
+            }
         }
     }
 
--- a/crates/buckthornweir_quorum/src/core/membership.rs
+++ b/crates/buckthornweir_quorum/src/core/membership.rs
@@ -22,7 +22,7 @@
     /// A learner that has caught up replaces a lost voter, or is promoted if no voter is lost. A
     /// lost voter without a successor is removed while there are more than `min_voters`, since dead
     /// voters reduce the number of further losses that the quorum tolerates. Lost learners are
-    /// removed last.
+    /// removed last. A member that has announced its planned stop counts as lost at once.
     #[must_use]
     pub fn next_member_change(
         &self,
@@ -32,7 +32,10 @@
         if !matches!(self.state, State::Leader(_)) || self.has_pending_change() {
             return None;
         }
-        let lost = |id| self.silence(id, now).is_some_and(|s| s >= policy.timeout);
+        let lost = |id| {
+            let is_silent = self.silence(id, now).is_some_and(|s| s >= policy.timeout);
+            is_silent || self.is_leaving(id, now)
+        };
         let lost_voter = self.members.voters().find(|m| lost(m.id));
         let learners = || {
             self.members
--- a/crates/buckthornweir_quorum/src/core/mod.rs
+++ b/crates/buckthornweir_quorum/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod differences;
 mod election;
 mod fingerprint;
+mod leaving;
 mod membership;
 mod parts;
 mod progress;
@@ -73,6 +74,7 @@
     entry_parts: PartBuffer,
     snapshot_parts: PartBuffer,
     join: changes::JoinState,
+    departure: Option<leaving::Departure>,
     records: Vec<Record>,
     actions: Vec<Action>,
 }
@@ -144,6 +146,7 @@
             entry_parts: PartBuffer::default(),
             snapshot_parts: PartBuffer::default(),
             join: changes::JoinState::default(),
+            departure: None,
             records: Vec::new(),
             actions: Vec::new(),
         };
@@ -200,16 +203,18 @@
             _ => {}
         }
         self.tick_join(now);
+        self.tick_departure(now);
         self.take_actions()
     }
 
     /// Returns the time at which [`Core::tick`] should be called next if no event occurs before.
     #[must_use]
     pub fn next_tick(&self, now: Duration) -> Duration {
-        match self.state {
+        let next = match self.state {
             State::Leader(_) => now + self.config.heartbeat_interval / 2,
             _ => self.election_deadline.max(now + Duration::from_millis(1)),
-        }
+        };
+        self.next_announcement().map_or(next, |at| next.min(at))
     }
 
     /// Returns the identity of this member.
@@ -289,6 +294,7 @@
             Kind::SnapshotReply(reply) => self.on_snapshot_reply(now, from, term, reply),
             Kind::Campaign(_) => self.on_campaign(now, from, term),
             Kind::Join(join) => self.on_join(now, join),
+            Kind::Leave(_) => self.on_leave(now, from),
         }
     }
 
--- a/crates/buckthornweir_quorum/src/core/progress.rs
+++ b/crates/buckthornweir_quorum/src/core/progress.rs
@@ -29,6 +29,8 @@
     pub(super) tracked_since: Duration,
     /// Time of the last reply from the peer.
     pub(super) last_reply: Duration,
+    /// Time until which the announcement of the peer's planned stop is valid.
+    pub(super) leaving_until: Duration,
 }
 
 impl Progress {
@@ -45,6 +47,7 @@
             last_sent: now,
             tracked_since: now,
             last_reply: Duration::ZERO,
+            leaving_until: Duration::ZERO,
         }
     }
 
--- a/crates/buckthornweir_quorum/src/messages.rs
+++ b/crates/buckthornweir_quorum/src/messages.rs
@@ -29,7 +29,7 @@
     #[prost(uint64, tag = "3")]
     pub term: Term,
     /// Content of the message.
-    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Kind", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub kind: Option<Kind>,
 }
 
@@ -66,6 +66,9 @@
     /// Requests to be added as a learner.
     #[prost(message, tag = "13")]
     Join(Join),
+    /// Announces the planned stop of the sender to the leader.
+    #[prost(message, tag = "14")]
+    Leave(Leave),
 }
 
 /// Requests a vote or a pre-vote.
@@ -219,6 +222,11 @@
     pub address: String,
 }
 
+/// Announces the planned stop of the sender to the leader, which then need not wait until the sender
+/// counts as lost. Earlier releases ignore it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Leave {}
+
 impl Message {
     /// Returns the encoded message.
     #[must_use]
@@ -259,7 +267,8 @@
             | Kind::VoteReply(_)
             | Kind::AppendReply(_)
             | Kind::SnapshotReply(_)
-            | Kind::Campaign(_) => Ok(()),
+            | Kind::Campaign(_)
+            | Kind::Leave(_) => Ok(()),
         }
     }
 }
--- a/crates/buckthornweir_quorum/tests/quorum/membership.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::MembershipPolicy;
+use buckthornweir_quorum::{Core, MembershipPolicy};
 
 use crate::harness::{Harness, STEP};
 
@@ -105,3 +105,62 @@
         "a VM without a log is not removed"
     );
 }
+
+/// Guards against a log that is lost for good when a VM is stopped as planned and two disks are lost
+/// before the stopped VM counts as silent: with six voters, three can't be missed.
+#[test]
+fn log_survives_two_lost_disks_right_after_a_planned_stop() {
+    for stops_leader in [false, true] {
+        let mut harness = Harness::founded(6);
+        harness.push_until_accepted(1, 1);
+        let leader = harness.wait_for_leader();
+        let stopped = if stops_leader {
+            leader
+        } else {
+            (leader + 1) % 6
+        };
+        harness.act(stopped, Core::leave);
+        harness.deliver();
+        run_with_policy(&mut harness, Duration::from_millis(400));
+        harness.kill(stopped);
+        assert_eq!(voters(&mut harness).len(), 5, "leader: {stops_leader}");
+        harness.push_until_accepted(2, 2);
+        let leader = harness.wait_for_leader();
+        let others = (0..6).filter(|at| *at != stopped && *at != leader);
+        let lost: Vec<usize> = others.take(2).collect();
+        for at in lost {
+            harness.lose_disk(at, leader);
+        }
+        run_with_policy(&mut harness, Duration::from_secs(6));
+        harness.push_until_accepted(3, 3);
+        run_with_policy(&mut harness, Duration::from_secs(1));
+        harness.assert_newest_version(3);
+        assert_eq!(voters(&mut harness).len(), 5);
+    }
+}
+
+#[test]
+fn announced_stop_removes_no_voter_at_the_minimum() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let stopped = (leader + 1) % 5;
+    harness.act(stopped, Core::leave);
+    run_with_policy(&mut harness, Duration::from_secs(1));
+    harness.restart(stopped);
+    run_with_policy(&mut harness, Duration::from_secs(3));
+    assert_eq!(voters(&mut harness).len(), 5);
+}
+
+#[test]
+fn caught_up_learner_replaces_a_voter_that_announces_its_stop() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let stopped = (leader + 1) % 5;
+    let new = harness.add_vm();
+    harness.join(new, leader);
+    harness.act(stopped, Core::leave);
+    run_with_policy(&mut harness, Duration::from_millis(700));
+    let voters = voters(&mut harness);
+    assert_eq!(voters.len(), 5, "{voters:?}");
+    assert!(!voters.contains(&harness.vms[stopped].address));
+}
