Do not expel a joining control VM whose addition its log does not hold yet

The successor had deleted its folder four times in 5 s, so that the lost VM had stayed a voter.

Cause: a VM took a notice for proof of its removal when the notice's commit index was above that of its newest members.

Ruled out: additions that were reverted (voters_changed shows them as committed at the others).

A notice now counts only for a VM that its own log lists. A VM that its log does not list can't be removed, only not yet added, and asks a voter that it knows to be added. It does so after a restart as well: before, nothing sent to it if the addition had been lost with its leader.

--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -452,6 +452,9 @@
         let own = SocketAddr::V4(self.own_addr);
         let Some(log) = &mut self.log else { return };
         if log.core.cluster() != 0 {
+            if self.departure == Departure::None {
+                self.with_log(now, |log| log.core.rejoin(now));
+            }
             return;
         }
         let presence = log.founder.presence(&log.core).to_bytes().to_vec();
--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -48,6 +48,19 @@
         self.take_actions()
     }
 
+    /// Requests to be added through a voter of the own log, if that log does not list this member.
+    ///
+    /// This happens when a joining member restarts with a snapshot older than its addition, and the
+    /// addition was lost together with the leader that appended it.
+    pub fn rejoin(&mut self, now: Duration) -> Vec<Action> {
+        let voters = self.other_voters();
+        if self.is_listed() || voters.is_empty() {
+            return Vec::new();
+        }
+        let via = voters[self.rng.random_range(0..voters.len())];
+        self.join(now, via)
+    }
+
     /// Repeats the join request until this member is a voter, or a learner that knows a leader.
     ///
     /// A learner without a leader repeats it, because its addition can be lost together with the
--- a/crates/buckthornweir_quorum/src/core/membership.rs
+++ b/crates/buckthornweir_quorum/src/core/membership.rs
@@ -76,9 +76,18 @@
     /// Returns whether this member was removed, given that it is not among the members that another
     /// member has committed at `index`.
     ///
-    /// An index at or below that of the newest members known here is no proof of removal.
+    /// An index at or below that of the newest members known here is no proof of removal. Neither is
+    /// any index while the log of this member does not list it yet: a joining member may have
+    /// installed a snapshot older than its addition, and the other member may not have committed the
+    /// addition either.
     #[must_use]
     pub fn is_expelled_at(&self, index: Index) -> bool {
-        self.cluster() != 0 && index > self.members_index
+        self.is_listed() && index > self.members_index
+    }
+
+    /// Returns whether the log of this member lists it as a member.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.members.get(self.id).is_some()
     }
 }
--- a/crates/buckthornweir_quorum/tests/quorum/membership.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/membership.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::{Core, MembershipPolicy};
+use buckthornweir_quorum::messages::Kind;
+use buckthornweir_quorum::{Config, Core, MemberChange, MembershipPolicy};
 
 use crate::harness::{Harness, STEP};
 
@@ -164,3 +165,68 @@
     assert_eq!(voters.len(), 5, "{voters:?}");
     assert!(!voters.contains(&harness.vms[stopped].address));
 }
+
+/// Adds a VM that receives no entry after its snapshot, which is older than its addition; returns its
+/// position.
+fn add_vm_with_old_snapshot(harness: &mut Harness) -> usize {
+    for version in 1..=4 {
+        harness.push_until_accepted(version, 1);
+    }
+    let new = harness.add_vm();
+    let new_id = harness.vms[new].id;
+    let mut has_snapshot = false;
+    harness.copies = Some(Box::new(move |message| {
+        let is_append = matches!(message.kind, Some(Kind::Append(_)));
+        has_snapshot |= matches!(message.kind, Some(Kind::Snapshot(_)));
+        usize::from(message.to != new_id || !is_append || !has_snapshot)
+    }));
+    let leader = harness.wait_for_leader();
+    harness.join(new, leader);
+    harness.run(Duration::from_secs(1));
+    assert_ne!(harness.core(new).cluster(), 0, "the snapshot is installed");
+    assert!(!harness.core(new).is_listed());
+    new
+}
+
+fn compacting(count: usize) -> Harness {
+    Harness::with_config(count, Config::default().with_compaction(4, usize::MAX))
+}
+
+/// Guards against a joining VM that deletes its folder again and again: its snapshot is older than
+/// its addition, which a member that lags has not committed either, so that the member holds the VM
+/// for a removed one.
+#[test]
+fn joining_vm_is_not_expelled_by_a_member_that_lags() {
+    let mut harness = compacting(3);
+    let new = add_vm_with_old_snapshot(&mut harness);
+    let leader = harness.wait_for_leader();
+    let before_addition = harness.core(leader).commit() - 1;
+    assert!(!harness.core(new).is_expelled_at(before_addition));
+    harness.copies = None;
+    harness.run(Duration::from_secs(1));
+    assert!(harness.core(new).is_listed());
+    harness.assert_newest_version(4);
+}
+
+/// Guards against a VM that waits forever after a restart, since no leader knows it.
+#[test]
+fn vm_that_its_own_log_does_not_list_joins_again() {
+    let mut harness = compacting(3);
+    let new = add_vm_with_old_snapshot(&mut harness);
+    let id = harness.vms[new].id;
+    harness.copies = None;
+    harness.isolated.insert(new);
+    let leader = harness.wait_for_leader();
+    harness.act(leader, |core, now| {
+        core.change_members(now, 1, MemberChange::Remove { id })
+    });
+    harness.run(Duration::from_secs(1));
+    harness.restart(new);
+    harness.isolated.clear();
+    harness.run(Duration::from_secs(3));
+    assert!(!harness.core(new).is_listed());
+    harness.act(new, Core::rejoin);
+    harness.run(Duration::from_secs(3));
+    assert!(harness.core(new).is_listed());
+    harness.assert_newest_version(4);
+}
