Promote a learner that keeps up with pushes

Cause: a learner had to hold the leader's last entry at the moment of the check (each 250 ms in the node, at each tick for a VM that returns with an emptied disk). With pushes always on their way it never does.

A member now counts as caught up if it holds what the leader had an election timeout ago or later. Quorums are as before: the promotion is committed by a quorum of the new set. A learner that falls further behind is not promoted (test).

Related paths: Replace, Promote by operators of the daemon, and the repair of an emptied VM share the rule (tests).

--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -151,7 +151,9 @@
 
     fn next_repair(&self, now: Duration) -> Option<MemberChange> {
         let mut caught_up = self.members.iter().filter(|m| {
-            m.standing != Standing::Voter && self.is_caught_up(m.id) && self.is_active(m.id, now)
+            m.standing != Standing::Voter
+                && self.is_caught_up(m.id, now)
+                && self.is_active(m.id, now)
         });
         caught_up.find_map(|member| match member.standing {
             Standing::Pending => Some(MemberChange::Promote { id: member.id }),
@@ -191,12 +193,12 @@
             MemberChange::AddLearner { .. } | MemberChange::Remove { .. } => None,
         };
         let members = self.members.after(change).ok_or(Reject::Unfit)?;
-        if let Some(id) = promoted {
+        if let Some(id) = promoted
+            && !self.is_caught_up(id, now)
+        {
             let match_index = lead.peers.get(&id).map_or(0, |p| p.match_index);
             let behind = self.log.last_index() - match_index;
-            if behind > 0 {
-                return Err(Reject::NotCaughtUp { behind });
-            }
+            return Err(Reject::NotCaughtUp { behind });
         }
         if !members.has_quorum(|id| id == self.id || self.is_active(id, now)) {
             return Err(Reject::NoQuorum);
@@ -204,13 +206,15 @@
         Ok(members)
     }
 
-    fn is_caught_up(&self, id: NodeId) -> bool {
+    /// Returns whether a member holds the log of this leader as of an election timeout ago or later.
+    pub(super) fn is_caught_up(&self, id: NodeId, now: Duration) -> bool {
         let State::Leader(lead) = &self.state else {
             return false;
         };
+        let (last, tolerance) = (self.log.last_index(), self.config.election_timeout);
         lead.peers
             .get(&id)
-            .is_some_and(|p| p.match_index >= self.log.last_index())
+            .is_some_and(|p| p.is_caught_up(now, last, tolerance))
     }
 
     fn is_active(&self, id: NodeId, now: Duration) -> bool {
--- a/crates/buckthornweir_quorum/src/core/membership.rs
+++ b/crates/buckthornweir_quorum/src/core/membership.rs
@@ -42,7 +42,7 @@
                 .iter()
                 .filter(|m| m.standing == Standing::Learner)
         };
-        let candidate = learners().find(|m| !lost(m.id) && self.entries_behind(m.id) == Some(0));
+        let candidate = learners().find(|m| !lost(m.id) && self.is_caught_up(m.id, now));
         match (candidate, lost_voter) {
             (Some(candidate), Some(lost)) => Some(MemberChange::Replace {
                 id: lost.id,
--- a/crates/buckthornweir_quorum/src/core/progress.rs
+++ b/crates/buckthornweir_quorum/src/core/progress.rs
@@ -11,6 +11,12 @@
     pub(super) next_index: Index,
     /// Highest index known to be stored by the peer.
     pub(super) match_index: Index,
+    /// Last index of the log at `target_at`; once the peer holds it, the next target is set.
+    target_index: Index,
+    /// Time at which the target was set.
+    target_at: Duration,
+    /// Time as of which the peer is known to hold the whole log.
+    synced_at: Option<Duration>,
     /// Bytes of the current entry or snapshot that the peer has buffered.
     pub(super) offset: u64,
     /// Index of the last snapshot that was sent; zero if none was.
@@ -38,6 +44,9 @@
         Self {
             next_index,
             match_index: 0,
+            target_index: next_index - 1,
+            target_at: now,
+            synced_at: None,
             offset: 0,
             snapshot_index: 0,
             outstanding_round: None,
@@ -51,6 +60,14 @@
         }
     }
 
+    /// Returns whether the peer holds the whole log up to `last`, or did so within `tolerance`.
+    ///
+    /// While pushes follow one another, a peer that keeps up with them is always some entries behind.
+    pub(super) fn is_caught_up(&self, now: Duration, last: Index, tolerance: Duration) -> bool {
+        let is_recent = |synced| now <= synced + tolerance;
+        self.match_index >= last || self.synced_at.is_some_and(is_recent)
+    }
+
     /// Records a reply; returns whether it matches the outstanding round.
     pub(super) fn note_reply(&mut self, now: Duration, round: u64) -> bool {
         self.last_reply = now;
@@ -72,8 +89,14 @@
         lost_entries
     }
 
-    pub(super) fn note_match(&mut self, index: Index) {
+    /// Records that the peer holds the log up to `index`; `last` is the last index of the log.
+    pub(super) fn note_match(&mut self, now: Duration, index: Index, last: Index) {
         self.match_index = self.match_index.max(index);
+        if self.match_index >= self.target_index {
+            self.synced_at = Some(self.target_at);
+            self.target_index = last;
+            self.target_at = now;
+        }
         if self.next_index <= self.match_index {
             self.next_index = self.match_index + 1;
             self.offset = 0;
--- a/crates/buckthornweir_quorum/src/core/replication.rs
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -269,7 +269,7 @@
             peer.accepts_differences = reply.differences;
         }
         if reply.success {
-            peer.note_match(reply.index.min(last));
+            peer.note_match(now, reply.index.min(last), last);
         }
         if is_outstanding && reply.success {
             peer.offset = reply.offset;
--- a/crates/buckthornweir_quorum/src/core/snapshots.rs
+++ b/crates/buckthornweir_quorum/src/core/snapshots.rs
@@ -162,7 +162,7 @@
         let is_outstanding = peer.note_reply(now, reply.round);
         let before = (peer.next_index, peer.offset);
         if reply.done {
-            peer.note_match(reply.index.min(last));
+            peer.note_match(now, reply.index.min(last), last);
         } else if is_outstanding && reply.index == peer.snapshot_index {
             peer.offset = reply.offset;
         }
--- a/crates/buckthornweir_quorum/tests/quorum/membership.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/membership.rs
@@ -5,7 +5,7 @@
 use buckthornweir_quorum::messages::Kind;
 use buckthornweir_quorum::{Config, Core, MemberChange, MembershipPolicy};
 
-use crate::harness::{Harness, STEP};
+use crate::harness::{Harness, STEP, push};
 
 const POLICY: MembershipPolicy = MembershipPolicy {
     min_voters: 5,
@@ -230,3 +230,74 @@
     assert!(harness.core(new).is_listed());
     harness.assert_newest_version(4);
 }
+
+/// Runs while the leader always has a push that no other member has received when it decides.
+fn run_under_pushes(harness: &mut Harness, time: Duration) {
+    let end = harness.now + time;
+    while harness.now < end {
+        harness.now += STEP;
+        let leader = harness.leader();
+        if let Some(leader) = leader {
+            let version = harness.newest_version(leader) + 1;
+            harness.act(leader, |core, now| {
+                core.propose(now, version, push(version, 1))
+            });
+            harness.act(leader, |core, now| {
+                match core.next_member_change(now, POLICY) {
+                    Some(change) => core.change_members(now, 0, change),
+                    None => Vec::new(),
+                }
+            });
+            harness.act(leader, Core::tick);
+        }
+        harness.deliver();
+        for at in (0..harness.vms.len()).filter(|at| Some(*at) != leader) {
+            harness.act(at, Core::tick);
+            harness.deliver();
+        }
+    }
+}
+
+/// Guards against a successor that stays a learner as long as operators push, since it never holds
+/// the whole log at the moment of the check.
+#[test]
+fn joining_vm_replaces_a_lost_voter_while_operators_push() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let lost = (leader + 1) % 5;
+    harness.kill(lost);
+    let new = harness.add_vm();
+    harness.join(new, leader);
+    run_under_pushes(&mut harness, Duration::from_secs(6));
+    let voters = voters(&mut harness);
+    assert_eq!(voters.len(), 5, "{voters:?}");
+    assert!(voters.contains(&harness.vms[new].address), "{voters:?}");
+}
+
+/// The same for a VM that returns with an emptied disk.
+#[test]
+fn emptied_vm_becomes_a_voter_again_while_operators_push() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let emptied = (leader + 1) % 5;
+    harness.lose_disk(emptied, leader);
+    run_under_pushes(&mut harness, Duration::from_secs(6));
+    let id = harness.vms[emptied].id;
+    let leader = harness.wait_for_leader();
+    assert!(harness.core(leader).members().is_voter(id));
+}
+
+/// A learner that can't keep up must not become a voter.
+#[test]
+fn learner_that_falls_behind_is_not_promoted() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let new = harness.add_vm();
+    harness.join(new, leader);
+    harness.run(Duration::from_secs(1));
+    let new_id = harness.vms[new].id;
+    harness.copies = Some(Box::new(move |message| usize::from(message.to != new_id)));
+    harness.run(Duration::from_secs(2));
+    run_under_pushes(&mut harness, Duration::from_secs(1));
+    assert_eq!(voters(&mut harness).len(), 5);
+}
