Replace an emptied voter before a silent one

Callers would have seen reads answered with 503 for good after one VM was cut off for 3 s and another lost its disk, once a further disk was lost; no run of real processes showed it.

Cause: a learner that had caught up replaced the first voter that had been silent for 2.5 s. Shortly after the loss of a disk that was not the voter that had lost it, but one that was cut off. The emptied voter, which never returns, stayed in the set, and the one that would have returned was removed.

Ruled out: a wrong quorum (the members at the end explain it: {1, 2, 4, 5, 6} became {2, 4, 5, 6} while 4 had lost its disk and 1 was cut off).

A learner now replaces the voter that had its address, if there is one. The repair at each tick did so already, but only from an election timeout after the last reply of that voter on.

The new test failed before: the silent VM was no voter and the emptied identity still was.

--- a/crates/buckthornweir_quorum/src/core/membership.rs
+++ b/crates/buckthornweir_quorum/src/core/membership.rs
@@ -36,14 +36,17 @@
             let is_silent = self.silence(id, now).is_some_and(|s| s >= policy.timeout);
             is_silent || self.is_leaving(id, now)
         };
-        let lost_voter = self.members.voters().find(|m| lost(m.id));
+        let silent_voter = self.members.voters().find(|m| lost(m.id));
         let learners = || {
             self.members
                 .iter()
                 .filter(|m| m.standing == Standing::Learner)
         };
         let candidate = learners().find(|m| !lost(m.id) && self.is_caught_up(m.id, now));
-        match (candidate, lost_voter) {
+        // A voter at the address of the learner has lost its disk, while a silent one may return.
+        let emptied_voter =
+            candidate.and_then(|c| self.members.voters().find(|m| m.address == c.address));
+        match (candidate, emptied_voter.or(silent_voter)) {
             (Some(candidate), Some(lost)) => Some(MemberChange::Replace {
                 id: lost.id,
                 by: candidate.id,
--- a/crates/buckthornweir_quorum/tests/quorum/membership.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/membership.rs
@@ -231,6 +231,23 @@
     harness.assert_newest_version(4);
 }
 
+/// Guards against an emptied VM that takes the vote of another, silent one: the voter that lost its
+/// disk never returns, so that a further loss ends the log.
+#[test]
+fn emptied_vm_replaces_its_own_former_identity_and_not_a_silent_voter() {
+    let mut harness = Harness::founded(5);
+    let leader = harness.wait_for_leader();
+    let (silent, emptied) = ((leader + 1) % 5, (leader + 2) % 5);
+    harness.isolated.insert(silent);
+    run_with_policy(&mut harness, Duration::from_secs(3));
+    harness.lose_disk(emptied, leader);
+    run_with_policy(&mut harness, Duration::from_secs(1));
+    let leader = harness.wait_for_leader();
+    let members = harness.core(leader).members();
+    assert!(members.is_voter(harness.vms[silent].id), "{members:?}");
+    assert!(members.is_voter(harness.vms[emptied].id), "{members:?}");
+}
+
 /// Runs while the leader always has a push that no other member has received when it decides.
 fn run_under_pushes(harness: &mut Harness, time: Duration) {
     let end = harness.now + time;
