Keep a quorum when an even set of voters loses disks

Cause: the successor is the sixth voter, so four must agree. The killed VM stays a voter for 2.5 s (longer if it led), and with two lost disks three are left. They hold every committed entry, but can't elect a leader or change the voters.

Ruled out: five voters with a learner (two of five are left in the same case); half of an even set as a quorum, or not counting silent voters (two halves that are cut off would have a leader each; tests).

A VM without a log at a voter's address proves that the voter's disk is lost, since the identity is on it. An even set of four or more then counts as the odd set without that voter. Node and daemon report presences to the core; each logs the first proof (disk_lost).

Related paths: all VMs lose power and one does not come back; the leader among the killed or emptied; a restart in between. An odd set is as before.

Tests: lost_disks::* and control::log_survives_a_lost_disk_right_after_an_abrupt_end.

--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -155,6 +155,9 @@
             }
             Some(QuorumBody::Presence(bytes)) => {
                 if let Ok(presence) = Presence::from_bytes(bytes.into()) {
+                    if let Some(lost) = self.core.note_presence(now, &presence) {
+                        tracing::warn!(id = lost, "a control VM lost its disk");
+                    }
                     self.founder.note_presence(now, presence);
                 }
                 Ok(())
--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -212,6 +212,9 @@
             self.addresses.insert(presence.id, address);
         }
         let lacks_log = presence.cluster == 0;
+        if let Some(lost) = log.core.note_presence(now, &presence) {
+            tracing::warn!(event = "disk_lost", id = lost, successor = presence.id);
+        }
         log.founder.note_presence(now, presence);
         if let (true, true, Ok(sender)) = (lacks_log, log.core.cluster() != 0, sender) {
             let own = log.founder.presence(&log.core).to_bytes().to_vec();
@@ -226,12 +229,15 @@
         let Some(log) = &self.log else { return };
         let core = &log.core;
         let is_addressee = notice.id == core.id() && notice.cluster == core.cluster();
-        if !is_addressee || !core.is_expelled_at(notice.index) {
+        if !is_addressee {
             return;
         }
-        if self.departure != Departure::None {
+        let is_removed = core.is_expelled_at(notice.index);
+        if self.departure != Departure::None && (is_removed || !core.is_listed()) {
             tracing::info!(event = "left_log", index = notice.index);
             self.departure = Departure::Removed;
+        }
+        if self.departure != Departure::None || !is_removed {
             return;
         }
         tracing::warn!(event = "expelled", id = notice.id, index = notice.index);
--- a/crates/buckthornweir_node/tests/node/control.rs
+++ b/crates/buckthornweir_node/tests/node/control.rs
@@ -120,25 +120,46 @@
     assert_eq!(newest_version(&nodes.iter().collect::<Vec<_>>()).await, 5);
 }
 
-/// Guards against a VM that stays a voter after its planned stop until it counts as silent: the loss
-/// of a disk meanwhile would leave two of four voters, and the log would be lost for good.
-#[tokio::test]
-async fn log_survives_a_lost_disk_right_after_a_planned_stop() {
-    let (net, data) = (TestNet(87), tempfile::tempdir().unwrap());
+/// Starts three control VMs and a fourth, which becomes the fourth voter.
+async fn start_four(net: TestNet, data: &std::path::Path) -> Vec<RunningNode> {
     let mut nodes = Vec::new();
     for host in 1..=3 {
-        nodes.push(net.control(host, data.path(), true).await);
+        nodes.push(net.control(host, data, true).await);
     }
     submit(&nodes.iter().collect::<Vec<_>>(), order(3)).await;
-    nodes.push(net.control(4, data.path(), false).await);
-    // The new VM becomes the fourth voter.
+    nodes.push(net.control(4, data, false).await);
     tokio::time::sleep(Duration::from_secs(3)).await;
-    nodes.remove(2).stop().await;
-    submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
+    nodes
+}
+
+/// Kills the second VM and starts it again with an emptied disk; the log must go on.
+async fn check_lost_disk(net: TestNet, data: &std::path::Path, mut nodes: Vec<RunningNode>) {
     nodes.remove(1).kill().await;
-    std::fs::remove_dir_all(data.path().join("2")).unwrap();
-    nodes.push(net.control(2, data.path(), false).await);
+    std::fs::remove_dir_all(data.join("2")).expect("the VM has data");
+    nodes.push(net.control(2, data, false).await);
     let all: Vec<_> = nodes.iter().collect();
     assert_eq!(newest_version(&all).await, 4);
     submit(&all, order(5)).await;
 }
+
+/// Guards against a VM that stays a voter after its planned stop until it counts as silent: the loss
+/// of a disk meanwhile would leave two of four voters, and the log would be lost for good.
+#[tokio::test]
+async fn log_survives_a_lost_disk_right_after_a_planned_stop() {
+    let (net, data) = (TestNet(87), tempfile::tempdir().unwrap());
+    let mut nodes = start_four(net, data.path()).await;
+    nodes.remove(2).stop().await;
+    submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
+    check_lost_disk(net, data.path(), nodes).await;
+}
+
+/// Guards against the same loss when the VM ends without a planned stop, so that it is still a voter:
+/// two of four voters go on once the third is known to have lost its disk.
+#[tokio::test]
+async fn log_survives_a_lost_disk_right_after_an_abrupt_end() {
+    let (net, data) = (TestNet(88), tempfile::tempdir().unwrap());
+    let mut nodes = start_four(net, data.path()).await;
+    submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
+    nodes.remove(2).kill().await;
+    check_lost_disk(net, data.path(), nodes).await;
+}
--- a/crates/buckthornweir_quorum/src/core/changes.rs
+++ b/crates/buckthornweir_quorum/src/core/changes.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use smol_str::SmolStr;
 
+use super::electorate::Electorate;
 use super::progress::Progress;
 use super::{Action, Core, Reject, State, Token};
 use crate::entry::{ClusterId, Payload};
@@ -200,7 +201,8 @@
             let behind = self.log.last_index() - match_index;
             return Err(Reject::NotCaughtUp { behind });
         }
-        if !members.has_quorum(|id| id == self.id || self.is_active(id, now)) {
+        let electorate = Electorate::new(&members, Some(self.members.clone()), &lead.lost);
+        if !electorate.has_quorum(|id| id == self.id || self.is_active(id, now)) {
             return Err(Reject::NoQuorum);
         }
         Ok(members)
@@ -227,14 +229,17 @@
             .is_some_and(|p| p.last_reply > Duration::ZERO && now < p.last_reply + timeout)
     }
 
-    /// Adds and removes tracked peers to match the newest members.
+    /// Adds and removes tracked peers to match the newest members. A removed voter whose agreement may
+    /// be needed stays until the removal is committed.
     pub(super) fn update_peers(&mut self, now: Duration) {
         let next = self.log.last_index() + 1;
+        let electors = self.other_electors();
         let (own, members) = (self.id, &self.members);
         let State::Leader(lead) = &mut self.state else {
             return;
         };
-        lead.peers.retain(|id, _| members.get(*id).is_some());
+        lead.peers
+            .retain(|id, _| members.get(*id).is_some() || electors.contains(id));
         for member in members.iter().filter(|m| m.id != own) {
             lead.peers
                 .entry(member.id)
@@ -242,6 +247,20 @@
         }
     }
 
+    /// Stops tracking removed peers once the removal is committed, after telling them so: a removed
+    /// member that does not know it may campaign.
+    pub(super) fn release_removed_peers(&mut self, now: Duration) {
+        let State::Leader(lead) = &self.state else {
+            return;
+        };
+        let is_removed = |id: &&NodeId| self.members.get(**id).is_none();
+        let removed: Vec<_> = lead.peers.keys().filter(is_removed).copied().collect();
+        for id in removed {
+            self.send_peer(now, id);
+        }
+        self.update_peers(now);
+    }
+
     /// Steps down once the removal of this leader is committed.
     pub(super) fn step_down_if_removed(&mut self, now: Duration) {
         let is_leader = matches!(self.state, State::Leader(_));
--- a/crates/buckthornweir_quorum/src/core/election.rs
+++ b/crates/buckthornweir_quorum/src/core/election.rs
@@ -1,10 +1,11 @@
 //! Elections: pre-vote, vote, quorum check and leadership transfer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
 
+use super::electorate::Votes;
 use super::progress::Progress;
 use super::{Action, Core, Leadership, State, Transfer};
 use crate::entry::{Payload, Snapshot, Term};
@@ -12,9 +13,6 @@
 use crate::messages::{Campaign, Kind, VoteReply, VoteRequest};
 use crate::storage::Record;
 
-/// Members that granted a vote or pre-vote.
-pub(super) type Votes = BTreeSet<NodeId>;
-
 impl Core {
     /// Starts a leadership transfer to the most up-to-date voter, for a planned stop.
     pub fn transfer(&mut self, now: Duration) -> Vec<Action> {
@@ -65,16 +63,18 @@
             return;
         }
         let was_candidate = matches!(self.state, State::PreCandidate(_));
-        self.state = State::PreCandidate(Votes::from([self.id]));
+        let votes = self.own_vote(now);
+        let is_elected = self.is_elected(&votes);
+        self.state = State::PreCandidate(votes);
         if had_leader || !was_candidate {
             self.report_role();
         }
-        if self.members.has_quorum(|id| id == self.id) {
+        if is_elected {
             self.start_election(now, false);
             return;
         }
         let request = self.vote_request(false);
-        for to in self.other_voters() {
+        for to in self.other_electors() {
             self.send_with_term(to, self.term + 1, Kind::PreVote(request.clone()));
         }
     }
@@ -121,8 +121,9 @@
         let State::PreCandidate(votes) = &mut self.state else {
             return;
         };
-        votes.insert(from);
-        if self.members.has_quorum(|id| votes.contains(&id)) {
+        votes.granted.insert(from);
+        let votes = votes.clone();
+        if self.is_elected(&votes) {
             self.start_election(now, false);
         }
     }
@@ -137,14 +138,16 @@
         });
         self.leader = None;
         self.reset_election_deadline(now);
-        self.state = State::Candidate(Votes::from([self.id]));
+        let votes = self.own_vote(now);
+        let is_elected = self.is_elected(&votes);
+        self.state = State::Candidate(votes.clone());
         self.report_role();
-        if self.members.has_quorum(|id| id == self.id) {
-            self.become_leader(now);
+        if is_elected {
+            self.become_leader(now, votes);
             return;
         }
         let request = self.vote_request(transfer);
-        for to in self.other_voters() {
+        for to in self.other_electors() {
             self.send(to, Kind::Vote(request.clone()));
         }
     }
@@ -190,13 +193,14 @@
         let State::Candidate(votes) = &mut self.state else {
             return;
         };
-        votes.insert(from);
-        if self.members.has_quorum(|id| votes.contains(&id)) {
-            self.become_leader(now);
+        votes.granted.insert(from);
+        let votes = votes.clone();
+        if self.is_elected(&votes) {
+            self.become_leader(now, votes);
         }
     }
 
-    fn become_leader(&mut self, now: Duration) {
+    fn become_leader(&mut self, now: Duration, votes: Votes) {
         let next = self.log.last_index() + 1;
         let others = self.members.iter().filter(|m| m.id != self.id);
         let peers: BTreeMap<_, _> = others.map(|m| (m.id, Progress::new(next, now))).collect();
@@ -205,6 +209,7 @@
             elected_at: now,
             round: 0,
             peers,
+            lost: votes.lost,
             proposals: BTreeMap::new(),
             reads: Vec::new(),
             transfer: None,
@@ -258,7 +263,7 @@
                 .map(|p| p.last_reply.max(lead.elected_at));
             id == self.id || peer.is_some_and(|contact| now < contact + timeout)
         };
-        self.members.has_quorum(is_active)
+        self.electorate(&lead.lost).has_quorum(is_active)
     }
 
     /// Installs the founding snapshot of a log that lists this member, which has no log, as a
--- a/crates/buckthornweir_quorum/src/core/mod.rs
+++ b/crates/buckthornweir_quorum/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod config;
 mod differences;
 mod election;
+mod electorate;
 mod fingerprint;
 mod leaving;
 mod membership;
@@ -19,7 +20,7 @@
 mod replication;
 mod snapshots;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -27,7 +28,7 @@
 
 pub use self::actions::{Action, Reject, Role, Token};
 pub use self::config::Config;
-use self::election::Votes;
+use self::electorate::{LostDisks, Votes};
 pub use self::membership::MembershipPolicy;
 use self::parts::PartBuffer;
 use self::progress::Progress;
@@ -75,6 +76,7 @@
     snapshot_parts: PartBuffer,
     join: changes::JoinState,
     departure: Option<leaving::Departure>,
+    lost_disks: LostDisks,
     records: Vec<Record>,
     actions: Vec<Action>,
 }
@@ -94,6 +96,8 @@
     elected_at: Duration,
     round: u64,
     peers: BTreeMap<NodeId, Progress>,
+    /// Voters known to have lost their disks when this leader became a candidate.
+    lost: BTreeSet<NodeId>,
     proposals: BTreeMap<Index, Proposal>,
     reads: Vec<Read>,
     transfer: Option<Transfer>,
@@ -147,6 +151,7 @@
             snapshot_parts: PartBuffer::default(),
             join: changes::JoinState::default(),
             departure: None,
+            lost_disks: LostDisks::new(),
             records: Vec::new(),
             actions: Vec::new(),
         };
@@ -188,6 +193,7 @@
             ..
         } = message;
         let Some(kind) = kind else { return Vec::new() };
+        self.lost_disks.remove(&from);
         if cluster != self.cluster() && !self.is_join_traffic(&kind, cluster) {
             return Vec::new();
         }
--- a/crates/buckthornweir_quorum/src/core/proposals.rs
+++ b/crates/buckthornweir_quorum/src/core/proposals.rs
@@ -66,17 +66,18 @@
 
     /// Completes the reads whose round a quorum has confirmed.
     pub(super) fn complete_reads(&mut self) {
-        let State::Leader(lead) = &mut self.state else {
+        let State::Leader(lead) = &self.state else {
             return;
         };
-        if self.commit < lead.first_index {
+        if self.commit < lead.first_index || lead.reads.is_empty() {
             return;
         }
-        let (own, members, peers) = (self.id, &self.members, &lead.peers);
-        let confirmed = |read: &Read| {
-            members.has_quorum(|id| {
-                id == own
-                    || peers
+        let electorate = self.electorate(&lead.lost);
+        let confirmed = |read: &&Read| {
+            electorate.has_quorum(|id| {
+                id == self.id
+                    || lead
+                        .peers
                         .get(&id)
                         .is_some_and(|p| p.confirmed_round >= read.round)
             })
@@ -84,18 +85,17 @@
         let ready: Vec<_> = lead
             .reads
             .iter()
-            .filter(|r| confirmed(r))
-            .copied()
+            .filter(confirmed)
+            .map(|r| r.token)
             .collect();
-        lead.reads
-            .retain(|r| !ready.iter().any(|done| done.token == r.token));
-        for read in ready {
-            let commit = self.commit;
-            self.actions.push(Action::ReadReady {
-                token: read.token,
-                commit,
-            });
+        if let State::Leader(lead) = &mut self.state {
+            lead.reads.retain(|r| !ready.contains(&r.token));
         }
+        let commit = self.commit;
+        let actions = ready
+            .into_iter()
+            .map(|token| Action::ReadReady { token, commit });
+        self.actions.extend(actions);
     }
 
     /// Returns why this member cannot accept a proposal now, if so.
--- a/crates/buckthornweir_quorum/src/core/replication.rs
+++ b/crates/buckthornweir_quorum/src/core/replication.rs
@@ -325,13 +325,21 @@
                     .is_some_and(|p: &Progress| p.match_index >= index)
         };
         let lowest = lead.first_index.max(self.commit + 1);
+        if last < lowest {
+            return;
+        }
+        let electorate = self.electorate(&lead.lost);
         let committed = (lowest..=last)
             .rev()
-            .find(|i| self.members.has_quorum(|id| holds(id, *i)));
+            .find(|i| electorate.has_quorum(|id| holds(id, *i)));
         let Some(commit) = committed else {
             return;
         };
+        let had_pending_change = self.has_pending_change();
         self.apply_to(commit);
+        if had_pending_change && !self.has_pending_change() {
+            self.release_removed_peers(now);
+        }
         self.complete_reads();
         self.step_down_if_removed(now);
         self.maybe_compact();
--- a/crates/buckthornweir_quorum/tests/quorum/harness.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/harness.rs
@@ -271,8 +271,31 @@
         }
     }
 
+    /// Lets VMs without a log report their presence to all others that they reach.
+    fn report_presence(&mut self) {
+        let blank = |at: &usize| {
+            let core = self.vms[*at].core.as_ref();
+            core.is_some_and(|core| core.cluster() == 0) && !self.isolated.contains(at)
+        };
+        for from in (0..self.vms.len()).filter(blank).collect::<Vec<_>>() {
+            let vm = &self.vms[from];
+            let presence = Presence {
+                id: vm.id,
+                address: vm.address.clone(),
+                ..Presence::default()
+            };
+            for to in (0..self.vms.len()).filter(|to| !self.isolated.contains(to)) {
+                let is_open = !self.blocked_links.contains(&(from, to));
+                if let Some(core) = self.vms[to].core.as_mut().filter(|_| is_open) {
+                    core.note_presence(self.now, &presence);
+                }
+            }
+        }
+    }
+
     /// Makes VMs without a log join through a VM that has one, as the daemon does.
     pub(crate) fn rejoin(&mut self) {
+        self.report_presence();
         for at in 0..self.vms.len() {
             let has_log = |at: &usize| {
                 let core = self.vms[*at].core.as_ref();
--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod founding;
 mod harness;
+mod lost_disks;
 mod membership;
 mod properties;
 mod replication;
