Hear a backend server again after an odd heartbeat

A backend server that started again with its clock set back was not heard either.

Cause: reports are ordered by start and number so that late ones have no effect. One figure beyond all later ones made those stale for good, and stale reports were acknowledged.

Three older reports of one start that come half an interval or more apart, with none of the known start between, are trusted in place of it; late ones arrive together or between others. Flows are reset then only for another id. The addition to born that overflow checks would end the process at saturates.

Related paths: a huge number under the same start, a start set back, another id, reports without a start. The daemon has no such registrations: its backend servers come from settings and health checks.

Tests that compared handle.report with true now compare it with ReportOutcome::Taken, which is as strict.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -53,7 +53,7 @@
         let margin = START_MARGIN.as_millis() as u64;
         match self.backend.last_report() {
             _ if self.backendless_start => false,
-            Some(report) => report.born + margin < self.config.started_ms,
+            Some(report) => report.born.saturating_add(margin) < self.config.started_ms,
             None => true,
         }
     }
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -37,6 +37,10 @@
 /// Number of report intervals without a report after which the backend server counts as lost.
 const MAX_MISSED_REPORTS: u32 = 3;
 
+/// Number of successive older reports after which they are trusted in place of the last one that was
+/// taken: a single report may be late, and a single one may state a wrong start or number.
+const MAX_STALE_REPORTS: u32 = 3;
+
 /// Whether a backend server is draining.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportState {
@@ -51,7 +55,7 @@
 pub struct Report {
     /// Name of the backend server, which may stay the same across restarts.
     pub id: SmolStr,
-    /// Start time, in milliseconds of the backend server's own clock.
+    /// Start time, in milliseconds of the backend server's own clock; 0 if it does not state it.
     pub born: u64,
     /// Number of the report since that start.
     pub sequence: u64,
@@ -122,6 +126,16 @@
     pub slack: f64,
 }
 
+/// Older reports of one start that have arrived since a report was last taken.
+#[derive(Clone, Debug)]
+struct StaleReports {
+    id: SmolStr,
+    born: u64,
+    sequence: u64,
+    count: u32,
+    counted_at: Duration,
+}
+
 /// The state of an agent's backend server.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -129,6 +143,7 @@
     report_period: Duration,
     report: Option<Report>,
     reported_at: Duration,
+    stale: Option<StaleReports>,
     gone: bool,
     cold_until: Duration,
     /// Since when the backend server may have turned cold without having reported it.
@@ -150,6 +165,7 @@
             report_period,
             report: None,
             reported_at: Duration::ZERO,
+            stale: None,
             gone: false,
             cold_until: Duration::ZERO,
             suspected_since: None,
@@ -168,15 +184,27 @@
     }
 
     /// Handles a report.
+    ///
+    /// A report that is older than the last one is stale, unless reports like it keep coming: then the
+    /// clock of the backend server was set back before a restart, or the last report that was taken
+    /// stated a wrong start or number.
     pub fn report(&mut self, now: Duration, report: Report) -> Reported {
         let order = |r: &Report| (r.born, r.sequence);
         let known = self.report.as_ref();
-        if known.is_some_and(|known| order(&report) <= order(known)) {
+        let is_older = known.is_some_and(|known| order(&report) <= order(known));
+        let is_repeated = known.is_some_and(|known| order(&report) == order(known));
+        if is_repeated || (is_older && !self.outnumbers_known(now, &report)) {
             return Reported::Stale;
         }
-        let restarted = known.is_some_and(|known| known.born != report.born);
+        self.stale = None;
+        let known = self.report.as_ref();
+        let restarted = known.is_some_and(|known| match is_older {
+            // The flows of a start that was stated wrongly go on.
+            true => known.id != report.id,
+            false => known.born != report.born,
+        });
         let first = known.is_none();
-        if restarted {
+        if restarted || is_older {
             self.gone = false;
             self.cold_until = Duration::ZERO;
         }
@@ -202,6 +230,33 @@
         }
     }
 
+    /// Records an older report; returns whether reports like it are to be trusted from now on.
+    ///
+    /// Reports that arrive together count once: late ones do, those of a living backend server do not.
+    fn outnumbers_known(&mut self, now: Duration, report: &Report) -> bool {
+        let same_start = |s: &&mut StaleReports| s.born == report.born && s.id == report.id;
+        let Some(stale) = self.stale.as_mut().filter(same_start) else {
+            self.stale = Some(StaleReports {
+                id: report.id.clone(),
+                born: report.born,
+                sequence: report.sequence,
+                count: 1,
+                counted_at: now,
+            });
+            return false;
+        };
+        if report.sequence <= stale.sequence {
+            return false;
+        }
+        stale.sequence = report.sequence;
+        if now < stale.counted_at + self.report_period / 2 {
+            return false;
+        }
+        stale.count += 1;
+        stale.counted_at = now;
+        stale.count >= MAX_STALE_REPORTS
+    }
+
     /// Records that the backend server `id` announced that it has left.
     pub fn note_left(&mut self, id: &str) {
         if self.report.as_ref().is_some_and(|r| r.id == id) {
--- a/crates/buckthornweir_forward/tests/forward/backend.rs
+++ b/crates/buckthornweir_forward/tests/forward/backend.rs
@@ -214,3 +214,73 @@
     );
     assert!(!backend.is_cold(ms(4_270)));
 }
+
+/// Guards against a backend server that is not heard until its agent restarts: the last report that was
+/// taken stated a start or a number beyond all later ones, or the clock of the backend server was set
+/// back before it started again.
+#[test]
+fn older_reports_that_keep_coming_are_taken() {
+    let other = |id: &str, born, sequence| Report {
+        id: id.into(),
+        born,
+        ..report(sequence)
+    };
+    let odd_start = other("i-1", 5_000_000, 4);
+    let odd_number = other("i-1", 1_000_000, 1 << 50);
+    let cases = [
+        ("odd start", odd_start, "i-1", 1_000_000, Reported::Known),
+        ("odd number", odd_number, "i-1", 1_000_000, Reported::Known),
+        ("clock set back", report(4), "i-1", 900_000, Reported::Known),
+        ("new server", report(4), "i-2", 900_000, Reported::Restarted),
+        (
+            "no start",
+            other("i-1", 0, 9),
+            "i-2",
+            0,
+            Reported::Restarted,
+        ),
+    ];
+    for (name, last, id, born, expected) in cases {
+        let mut backend = backend();
+        let mut now = ms(1_000);
+        backend.report(now, last.clone());
+        for sequence in 5..=7 {
+            now += REPORT_PERIOD * 9 / 10;
+            let reported = backend.report(now, other(id, born, sequence));
+            let expected = if sequence < 7 {
+                Reported::Stale
+            } else {
+                expected
+            };
+            assert_eq!(reported, expected, "{name}: {sequence}");
+            // The report that was taken before may arrive again.
+            if sequence < 7 {
+                assert_eq!(backend.report(now, last.clone()), Reported::Stale, "{name}");
+            }
+        }
+        let next = backend.report(now, other(id, born, 8));
+        assert_eq!(next, Reported::Known, "{name}");
+        assert_eq!(backend.admission(now, None, 0), Admission::Open, "{name}");
+    }
+}
+
+/// Guards against late reports of an earlier start that are taken for a restart, which would reset all
+/// open flows.
+#[test]
+fn older_reports_that_arrive_together_or_between_others_are_stale() {
+    let late = |sequence| Report {
+        born: 900_000,
+        ..report(sequence)
+    };
+    let mut backend = backend();
+    let mut now = ms(1_000);
+    backend.report(now, report(1));
+    for sequence in 1..=20 {
+        assert_eq!(backend.report(now, late(sequence)), Reported::Stale);
+    }
+    for sequence in 2..=10 {
+        now += REPORT_PERIOD;
+        assert_eq!(backend.report(now, late(sequence + 20)), Reported::Stale);
+        assert_eq!(backend.report(now, report(sequence)), Reported::Known);
+    }
+}
--- a/crates/buckthornweir_node/src/handle.rs
+++ b/crates/buckthornweir_node/src/handle.rs
@@ -29,10 +29,21 @@
     },
 }
 
+/// What became of a report of the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// It is in force, or was already.
+    Taken,
+    /// It is older than the last one and has no effect.
+    Stale,
+    /// The process is stopping.
+    Unavailable,
+}
+
 /// A request from the adapter to the event loop.
 #[derive(Debug)]
 pub(crate) enum Request {
-    Report(Report, oneshot::Sender<()>),
+    Report(Report, oneshot::Sender<bool>),
     Deregister(SmolStr, oneshot::Sender<()>),
     Order(Order, oneshot::Sender<OrderOutcome>),
     Read(oneshot::Sender<ReadOutcome>),
@@ -54,11 +65,13 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Passes on a report of the backend server. Returns whether the process received it.
-    pub async fn report(&self, report: Report) -> bool {
-        self.call(|reply| Request::Report(report, reply))
-            .await
-            .is_some()
+    /// Passes on a report of the backend server.
+    pub async fn report(&self, report: Report) -> ReportOutcome {
+        match self.call(|reply| Request::Report(report, reply)).await {
+            Some(true) => ReportOutcome::Taken,
+            Some(false) => ReportOutcome::Stale,
+            None => ReportOutcome::Unavailable,
+        }
     }
 
     /// Records that the backend server has left. Returns whether the process received the message.
--- a/crates/buckthornweir_node/src/lib.rs
+++ b/crates/buckthornweir_node/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use control::{OrderOutcome, ReadOutcome};
 pub use fault::{NodeError, Result};
-pub use handle::{Handle, Order};
+pub use handle::{Handle, Order, ReportOutcome};
 pub use http_server::{HttpRequest, HttpResponse, serve_http};
 pub use node::Node;
 pub use packets::PacketFormat;
@@ -34,6 +34,6 @@
 pub mod prelude {
     pub use crate::{
         AgentSettings, BalancerSettings, ControlSettings, Handle, Node, NodeSettings, Order,
-        OrderOutcome, PacketFormat, PlanReader, ReadOutcome, RoleSettings,
+        OrderOutcome, PacketFormat, PlanReader, ReadOutcome, ReportOutcome, RoleSettings,
     };
 }
--- a/crates/buckthornweir_node/src/node/requests.rs
+++ b/crates/buckthornweir_node/src/node/requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use buckthornweir_forward::backend::Reported;
+
 use super::{Node, Role, agent_view};
 use crate::control::{OrderOutcome, ReadOutcome};
 use crate::handle::Request;
@@ -12,6 +14,7 @@
         let now = self.now();
         match request {
             Request::Report(report, reply) => {
+                let mut taken = false;
                 if let Role::Agent { core, .. } = &mut self.role {
                     let mut actions = std::mem::take(&mut self.actions);
                     let before = core.backend().last_report().cloned();
@@ -19,14 +22,16 @@
                     let unchanged = before.as_ref().is_some_and(|b| {
                         b.born == report.born && b.state == report.state && b.id == report.id
                     });
-                    if !unchanged {
+                    // The same report again means that the answer to it was lost.
+                    taken = reported != Reported::Stale || before.as_ref() == Some(&report);
+                    if !unchanged || !taken {
                         tracing::info!(event = "backend_report", ?report, ?reported);
                     }
                     self.execute_all(actions, &mut [], None);
                     self.announce_offer(now);
                 }
                 // The backend server may have disconnected.
-                let _ = reply.send(());
+                let _ = reply.send(taken);
             }
             Request::Deregister(id, reply) => {
                 if let Role::Agent { core, .. } = &mut self.role {
--- a/crates/buckthornweir_node/tests/node/hedged_syns.rs
+++ b/crates/buckthornweir_node/tests/node/hedged_syns.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use buckthornweir_forward::backend::ReportState;
+use buckthornweir_node::ReportOutcome;
 
 use crate::support::{Caller, OVERLOAD_VERSION, TestNet, order, report, submit, wait_until};
 
@@ -28,7 +29,10 @@
     let agents = [net.agent(21).await, net.agent(22).await];
     submit(&control.iter().collect::<Vec<_>>(), order(OVERLOAD_VERSION)).await;
     for agent in &agents {
-        assert!(agent.handle.report(report(1, ReportState::Ready)).await);
+        assert_eq!(
+            agent.handle.report(report(1, ReportState::Ready)).await,
+            ReportOutcome::Taken
+        );
     }
     wait_until("ready balancer", || balancer.handle.is_ready()).await;
     let caller = net.caller(31).await;
--- a/crates/buckthornweir_node/tests/node/overload.rs
+++ b/crates/buckthornweir_node/tests/node/overload.rs
@@ -7,6 +7,7 @@
 
 use buckthornweir_forward::backend::ReportState;
 use buckthornweir_forward::segment::Segment;
+use buckthornweir_node::ReportOutcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tracing::field::{Field, Visit};
@@ -217,7 +218,10 @@
     let all: Vec<_> = control.iter().collect();
     submit(&all, order(OBJECTIVE_VERSION)).await;
     for agent in &agents {
-        assert!(agent.handle.report(report(1, ReportState::Ready)).await);
+        assert_eq!(
+            agent.handle.report(report(1, ReportState::Ready)).await,
+            ReportOutcome::Taken
+        );
     }
     wait_until("ready balancer", || balancer.handle.is_ready()).await;
     let caller = NET.caller(31).await;
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -5,6 +5,7 @@
 
 use buckthornweir_forward::backend::ReportState;
 use buckthornweir_forward::segment::Segment;
+use buckthornweir_node::ReportOutcome;
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use tokio::io::AsyncWriteExt;
@@ -53,7 +54,10 @@
     }
     submit(&fixture.control.iter().collect::<Vec<_>>(), order(1)).await;
     for agent in &fixture.agents {
-        assert!(agent.handle.report(report(1, ReportState::Ready)).await);
+        assert_eq!(
+            agent.handle.report(report(1, ReportState::Ready)).await,
+            ReportOutcome::Taken
+        );
     }
     wait_until("ready balancers", || {
         fixture.balancers.iter().all(|b| b.handle.is_ready())
@@ -117,7 +121,10 @@
     fixture.net.backend(23);
     fixture.agents.push(fixture.net.agent(23).await);
     let third = &fixture.agents[2].handle;
-    assert!(third.report(report(1, ReportState::Ready)).await);
+    assert_eq!(
+        third.report(report(1, ReportState::Ready)).await,
+        ReportOutcome::Taken
+    );
     fixture
 }
 
