Do not reset flows when a backend server states its start for the first time

Cause: a report without born has the start 0, and any other start was a restart.

Ruled out: to refuse heartbeats without born, since the platform's first pages have none.

A start that was not stated before is no restart now. If it was one, the packets that the backend server returns reset their flows as before.

Test: backend::start_that_is_stated_later_is_no_restart failed before (Restarted in place of Known).

--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -201,7 +201,7 @@
         let restarted = known.is_some_and(|known| match is_older {
             // The flows of a start that was stated wrongly go on.
             true => known.id != report.id,
-            false => known.born != report.born,
+            false => known.born != 0 && known.born != report.born,
         });
         let first = known.is_none();
         if restarted || is_older {
--- a/crates/buckthornweir_forward/tests/forward/backend.rs
+++ b/crates/buckthornweir_forward/tests/forward/backend.rs
@@ -284,3 +284,20 @@
         assert_eq!(backend.report(now, report(sequence)), Reported::Known);
     }
 }
+
+/// Guards against open flows that are reset when a backend server states its start for the first time.
+#[test]
+fn start_that_is_stated_later_is_no_restart() {
+    let mut backend = backend();
+    let without_start = Report {
+        born: 0,
+        ..report(1)
+    };
+    assert_eq!(backend.report(ms(1_000), without_start), Reported::Known);
+    assert_eq!(backend.report(ms(2_000), report(2)), Reported::Known);
+    let restarted = Report {
+        born: 2_000_000,
+        ..report(1)
+    };
+    assert_eq!(backend.report(ms(3_000), restarted), Reported::Restarted);
+}
