Open a failed control folder of the daemon again

It happens in the daemon: with three control processes whose folders failed and recovered in turn, no push was accepted from the second on.

Cause: the thread that owns the log ended at the first failed write, while the process ran on.

The thread now opens the folder again every 500 ms, refuses events meanwhile and publishes the role closed.

--- a/crates/buckthornweir_daemon/src/board.rs
+++ b/crates/buckthornweir_daemon/src/board.rs
@@ -65,7 +65,7 @@
 /// The quorum state that the control role publishes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QuorumState {
-    /// Leader, follower, candidate or learner.
+    /// Leader, follower, candidate or learner; closed while the data folder cannot be opened.
     pub role: &'static str,
     /// The term of the control log.
     pub term: u64,
--- a/crates/buckthornweir_daemon/src/control/mod.rs
+++ b/crates/buckthornweir_daemon/src/control/mod.rs
@@ -71,8 +71,8 @@
         links: &Arc<Links>,
         stop: &CancellationToken,
     ) -> Result<Arc<Self>> {
-        let folder = board.settings.node.data.clone().unwrap_or_default();
-        let (storage, restored) = Storage::open(folder.join("log")).map_err(|source| {
+        let folder = replica::log_folder(board);
+        let (storage, restored) = Storage::open(&folder).map_err(|source| {
             let path = folder.display().to_smolstr();
             DaemonError::Log {
                 path,
--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -4,8 +4,9 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthornweir_bundle::SignedBundle;
 use buckthornweir_events::{Count, EventKind, Gauge};
@@ -19,7 +20,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame::{QuorumBody, QuorumFrame};
-use super::push::{invalid_reply, push_reply, reject_reply, reject_text, version_too_high};
+use super::push::{
+    invalid_reply, push_reply, refuse_event, reject_reply, reject_text, version_too_high,
+};
 use super::{ChangeDone, Event, PushDone};
 use crate::board::{Blackboard, QuorumState};
 use crate::bundles;
@@ -35,6 +38,12 @@
 /// How often a control VM sends its address to each other one.
 const INTRODUCTION_PERIOD: Duration = Duration::from_secs(1);
 
+/// The delay before a failed data folder is opened again.
+const REOPEN_DELAY: Duration = Duration::from_millis(500);
+
+/// The role that is published while the data folder cannot be opened.
+const CLOSED: &str = "closed";
+
 /// The maximum difference between a pushed version and the newest one.
 const MAX_VERSION_STEP: u64 = 1_000_000;
 
@@ -45,8 +54,10 @@
 pub(super) struct Replica {
     board: Arc<Blackboard>,
     links: Arc<Links>,
+    settings: ControlSettings,
     core: Core,
-    storage: Storage,
+    /// The open data folder, or `None` after it failed.
+    storage: Option<Storage>,
     founder: Founder,
     peers: Vec<SocketAddr>,
     addresses: HashMap<NodeId, SocketAddr>,
@@ -69,18 +80,15 @@
         restored: Restored,
     ) -> Self {
         let own = board.settings.node.control.announced;
-        let listed = settings.peers.iter().map(ToString::to_string);
-        let founder =
-            Founder::new(restored.id, own.to_string(), listed).with_permission(settings.found);
-        let config = Config::default().with_address(own.to_string());
-        let core = Core::new(config, restored, rand::random(), board.now());
         let peers = settings.peers.iter().copied().filter(|p| *p != own);
+        let (core, founder) = restore(&board, settings, restored);
         Self {
             peers: peers.collect(),
+            settings: settings.clone(),
             board,
             links,
             core,
-            storage,
+            storage: Some(storage),
             founder,
             addresses: HashMap::new(),
             introduced: HashMap::new(),
@@ -91,16 +99,38 @@
         }
     }
 
-    /// Handles events until `stop` is cancelled, or until the disk fails.
+    /// Handles events until `stop` is cancelled. When the disk fails, the content of the data folder is
+    /// unknown until it is opened again, which is repeated until it succeeds.
     pub(super) fn run(mut self, inbox: &Receiver<Event>, stop: &CancellationToken) {
-        self.put_in_force();
-        self.publish_role();
         while !stop.is_cancelled() {
-            if self.step(inbox).is_err() {
-                // The content of the disk is unknown until the log is opened again.
-                tracing::error!("the data folder failed; stopping the control role");
-                self.reject_all();
-                return;
+            self.put_in_force();
+            self.publish_role();
+            while !stop.is_cancelled() {
+                if self.step(inbox).is_err() {
+                    tracing::error!("the data folder failed; opening it again");
+                    self.reject_all();
+                    self.reopen(inbox, stop);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Opens the data folder again, and refuses events until that succeeds or `stop` is cancelled.
+    fn reopen(&mut self, inbox: &Receiver<Event>, stop: &CancellationToken) {
+        // The folder is locked while it is open.
+        self.storage = None;
+        self.publish(CLOSED);
+        while !stop.is_cancelled() {
+            refuse_events(inbox, REOPEN_DELAY, stop);
+            match Storage::open(log_folder(&self.board)) {
+                Ok((storage, restored)) => {
+                    tracing::info!(origin = ?restored.origin, "the data folder is open again");
+                    (self.core, self.founder) = restore(&self.board, &self.settings, restored);
+                    self.storage = Some(storage);
+                    return;
+                }
+                Err(error) => tracing::warn!(%error, "the data folder cannot be opened"),
             }
         }
     }
@@ -236,7 +266,8 @@
     }
 
     fn persist(&mut self, records: &[buckthornweir_quorum::Record]) -> Result<(), DiskFailed> {
-        self.storage.persist(records).map_err(|error| {
+        let storage = self.storage.as_mut().ok_or(DiskFailed)?;
+        storage.persist(records).map_err(|error| {
             tracing::error!(%error);
             DiskFailed
         })
@@ -300,6 +331,10 @@
             Role::Candidate => "candidate",
             Role::Leader => "leader",
         };
+        self.publish(role);
+    }
+
+    fn publish(&self, role: &'static str) {
         let term = self.core.term();
         let before = self.board.quorum();
         self.board.set_quorum(QuorumState { role, term });
@@ -344,3 +379,29 @@
         self.board.settings.node.control.announced.to_string()
     }
 }
+
+/// Returns the folder of the log.
+pub(super) fn log_folder(board: &Blackboard) -> PathBuf {
+    let data = board.settings.node.data.clone().unwrap_or_default();
+    data.join("log")
+}
+
+/// Creates the core and the founder from the state in the data folder.
+fn restore(board: &Blackboard, settings: &ControlSettings, restored: Restored) -> (Core, Founder) {
+    let own = board.settings.node.control.announced.to_string();
+    let listed = settings.peers.iter().map(ToString::to_string);
+    let founder = Founder::new(restored.id, own.as_str(), listed).with_permission(settings.found);
+    let config = Config::default().with_address(own);
+    let core = Core::new(config, restored, rand::random(), board.now());
+    (core, founder)
+}
+
+/// Refuses events for some time, or until `stop` is cancelled.
+fn refuse_events(inbox: &Receiver<Event>, time: Duration, stop: &CancellationToken) {
+    let deadline = Instant::now() + time;
+    while Instant::now() < deadline && !stop.is_cancelled() {
+        if let Ok(event) = inbox.recv_deadline(deadline.min(Instant::now() + MAX_TICK_DELAY)) {
+            refuse_event(event);
+        }
+    }
+}
--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -5,7 +5,9 @@
 
 mod support;
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use buckthornweir_bundle::prelude::*;
@@ -51,6 +53,10 @@
         self.nodes[at].planned.control
     }
 
+    fn log_folder(&self, at: usize) -> PathBuf {
+        self.folder.path().join(format!("control-{at}")).join("log")
+    }
+
     async fn role(&self, at: usize) -> String {
         let status = status(self.address(at), self.plan.cluster_key()).await;
         status.map(|s| s.quorum).unwrap_or_default()
@@ -121,6 +127,54 @@
     assert_eq!(cluster.push(2, "").await, PushOutcome::Same);
 }
 
+/// Returns the names of the snapshots in the folder of a log.
+fn snapshots(folder: &Path) -> Vec<OsString> {
+    let names = std::fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().file_name());
+    let is_snapshot = |name: &OsString| name.to_string_lossy().starts_with("snapshot-");
+    let mut names: Vec<_> = names.filter(is_snapshot).collect();
+    names.sort();
+    names
+}
+
+/// Guards against a control role that ends for good when its disk fails, while its process runs on: the
+/// folders of all control processes fail, one after another and never two at once, and recover.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn control_roles_resume_after_their_disks_failed_one_after_another() {
+    let cluster = Cluster::start(3).await;
+    let mut version = 0;
+    for at in 0..3 {
+        // The folder of the log is moved away and a file is in its place, so that no file can be
+        // created there.
+        let folder = cluster.log_folder(at);
+        let away = folder.with_extension("away");
+        std::fs::rename(&folder, &away).unwrap();
+        std::fs::write(&folder, "").unwrap();
+        // The members compact their logs at the same entry, so this one has failed once another one
+        // has a new snapshot.
+        let other = cluster.log_folder((at + 1) % 3);
+        let before = snapshots(&other);
+        wait_for("a compaction", async || {
+            version += 1;
+            cluster.push(version, "").await;
+            snapshots(&other) != before
+        })
+        .await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        std::fs::remove_file(&folder).unwrap();
+        std::fs::rename(&away, &folder).unwrap();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    version += 1;
+    wait_for("an accepted push", async || {
+        let outcome = cluster.push(version, "").await;
+        matches!(outcome, PushOutcome::Accepted | PushOutcome::Same)
+    })
+    .await;
+    cluster.wait_for_all(version).await;
+}
+
 /// Two of three control processes crash. The remaining one must step down, reject a push and keep the
 /// old bundle in force.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
