Show that changes go on after disks of control VMs were full in turn

The fake disk can be out of space across restarts, and the harness can close a log without a loss of power.

--- a/crates/buckthornweir_quorum/tests/quorum/disk.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/disk.rs
@@ -35,6 +35,8 @@
     fault: Option<(usize, Fault)>,
     killed: bool,
     full: bool,
+    /// Whether there is no room, which outlasts a restart.
+    out_of_space: bool,
     ignore_syncs: bool,
 }
 
@@ -80,6 +82,7 @@
         *state = State {
             files: durable.clone(),
             durable,
+            out_of_space: state.out_of_space,
             ..State::default()
         };
     }
@@ -91,13 +94,23 @@
         *state = State {
             durable: files.clone(),
             files,
+            out_of_space: state.out_of_space,
             ..State::default()
         };
     }
 
+    /// Sets whether the disk is out of space: writes then fail, some after a part of their data.
+    pub(crate) fn set_out_of_space(&self, out_of_space: bool) {
+        self.state().out_of_space = out_of_space;
+    }
+
     /// Empties the disk.
     pub(crate) fn wipe(&self) {
-        *self.state() = State::default();
+        let mut state = self.state();
+        *state = State {
+            out_of_space: state.out_of_space,
+            ..State::default()
+        };
     }
 
     /// Returns the names of all files.
@@ -143,7 +156,7 @@
         if state.killed {
             return Err(Error::other("killed"));
         }
-        if state.full {
+        if state.full || state.out_of_space {
             return Err(ErrorKind::StorageFull.into());
         }
         let step = state.step;
@@ -193,6 +206,10 @@
     }
 
     fn append(&mut self, name: &str, data: &[u8]) -> Result<()> {
+        let is_full = self.state().out_of_space;
+        if is_full && let Some(file) = self.state().files.get_mut(name) {
+            file.data.extend_from_slice(&data[..data.len() / 2]);
+        }
         let torn = self.step()?;
         let written = if torn { &data[..data.len() / 2] } else { data };
         let mut state = self.state();
--- a/crates/buckthornweir_quorum/tests/quorum/harness.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/harness.rs
@@ -48,6 +48,8 @@
     pub(crate) accepted: BTreeMap<Version, [u8; 32]>,
     pub(crate) regressed: Vec<NodeId>,
     pub(crate) config: Config,
+    /// Whether a process whose disk fails goes on and keeps what it wrote, in place of a power loss.
+    pub(crate) keeps_writes: bool,
     next_id: NodeId,
 }
 
@@ -142,6 +144,13 @@
         self.vms[at].disk.crash(|_| 0);
     }
 
+    /// Closes the log of a VM whose process goes on.
+    fn close(&mut self, at: usize) {
+        self.vms[at].core = None;
+        self.vms[at].storage = None;
+        self.vms[at].disk.restart_process();
+    }
+
     pub(crate) fn restart(&mut self, at: usize) {
         self.kill(at);
         assert!(self.start(at));
@@ -173,7 +182,10 @@
         let actions = call(core, now);
         for action in actions {
             if !self.carry_out(at, action) {
-                self.kill(at);
+                match self.keeps_writes {
+                    true => self.close(at),
+                    false => self.kill(at),
+                }
                 return;
             }
         }
--- a/crates/buckthornweir_quorum/tests/quorum/main.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/main.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod faults;
 mod founding;
+mod full_disks;
 mod harness;
 mod lost_disks;
 mod membership;
