--- a/crates/buckthornweir_quorum/tests/quorum/full_disks.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/full_disks.rs
@@ -2,17 +2,12 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::{Config, Core, MembershipPolicy};
+use buckthornweir_quorum::{Config, Core};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::harness::{Harness, STEP, push};
 
-const POLICY: MembershipPolicy = MembershipPolicy {
-    min_voters: 5,
-    timeout: Duration::from_millis(2_500),
-};
-
 /// Number of seeds, and of disks that fill up in each.
 const SEEDS: u64 = 12;
 const FULL_DISKS: usize = 10;
@@ -45,12 +40,7 @@
                 harness.vms[at].disk.wipe();
             }
         }
-        harness.act(leader, |core, now| {
-            match core.next_member_change(now, POLICY) {
-                Some(change) => core.change_members(now, 0, change),
-                None => Vec::new(),
-            }
-        });
+        harness.change_by_policy(leader);
     }
     harness.rejoin();
     for at in 0..harness.vms.len() {
--- a/crates/buckthornweir_quorum/tests/quorum/harness.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/harness.rs
@@ -5,7 +5,7 @@
 
 use buckthornweir_quorum::messages::Message;
 use buckthornweir_quorum::prelude::*;
-use buckthornweir_quorum::{NodeId, Term, Token, Version};
+use buckthornweir_quorum::{MembershipPolicy, NodeId, Term, Token, Version};
 
 use crate::disk::FakeDisk;
 
@@ -14,6 +14,12 @@
 
 pub(crate) const STEP: Duration = Duration::from_millis(100);
 
+/// The policy for the member changes of [`Harness::change_by_policy`].
+const POLICY: MembershipPolicy = MembershipPolicy {
+    min_voters: 5,
+    timeout: Duration::from_millis(2_500),
+};
+
 /// Returns how many copies of a message are delivered.
 pub(crate) type CopyCount = Box<dyn FnMut(&Message) -> usize>;
 
@@ -324,6 +330,14 @@
         }
     }
 
+    /// Makes the member change that a VM, if it leads, has to make next.
+    pub(crate) fn change_by_policy(&mut self, at: usize) {
+        self.act(at, |core, now| match core.next_member_change(now, POLICY) {
+            Some(change) => core.change_members(now, 0, change),
+            None => Vec::new(),
+        });
+    }
+
     /// Advances the time in steps, ticking all VMs and delivering their messages.
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
--- a/crates/buckthornweir_quorum/tests/quorum/lost_disks.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/lost_disks.rs
@@ -2,18 +2,13 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::{Core, MemberChange, MembershipPolicy, Role};
+use buckthornweir_quorum::{Core, MemberChange, Role};
 use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::harness::{Answer, Harness, STEP, push};
 
-const POLICY: MembershipPolicy = MembershipPolicy {
-    min_voters: 5,
-    timeout: Duration::from_millis(2_500),
-};
-
 /// Advances the time as [`Harness::run`]; VMs without a log report their presence and join, and the
 /// leader makes the changes that its policy requires.
 fn run(harness: &mut Harness, time: Duration) {
@@ -22,12 +17,7 @@
         harness.rejoin();
         harness.run(STEP);
         if let Some(leader) = harness.leader() {
-            harness.act(leader, |core, now| {
-                match core.next_member_change(now, POLICY) {
-                    Some(change) => core.change_members(now, 0, change),
-                    None => Vec::new(),
-                }
-            });
+            harness.change_by_policy(leader);
             harness.deliver();
         }
     }
--- a/crates/buckthornweir_quorum/tests/quorum/membership.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/membership.rs
@@ -3,15 +3,10 @@
 use std::time::Duration;
 
 use buckthornweir_quorum::messages::Kind;
-use buckthornweir_quorum::{Config, Core, MemberChange, MembershipPolicy};
+use buckthornweir_quorum::{Config, Core, MemberChange};
 
 use crate::harness::{Harness, STEP, push};
 
-const POLICY: MembershipPolicy = MembershipPolicy {
-    min_voters: 5,
-    timeout: Duration::from_millis(2_500),
-};
-
 /// Advances the time; the leader makes the changes that its policy requires.
 fn run_with_policy(harness: &mut Harness, time: Duration) {
     let end = harness.now + time;
@@ -21,10 +16,7 @@
             if harness.vms[at].core.is_none() {
                 continue;
             }
-            harness.act(at, |core, now| match core.next_member_change(now, POLICY) {
-                Some(change) => core.change_members(now, 0, change),
-                None => Vec::new(),
-            });
+            harness.change_by_policy(at);
         }
         harness.deliver();
     }
@@ -259,12 +251,7 @@
             harness.act(leader, |core, now| {
                 core.propose(now, version, push(version, 1))
             });
-            harness.act(leader, |core, now| {
-                match core.next_member_change(now, POLICY) {
-                    Some(change) => core.change_members(now, 0, change),
-                    None => Vec::new(),
-                }
-            });
+            harness.change_by_policy(leader);
             harness.act(leader, Core::tick);
         }
         harness.deliver();
