Believe an agent without a backend server only as long as it promises

Requests that may not be repeated were lost.

Cause: the answer Empty ("no backend server since my start, so no flows") was believed without a limit and by address. An agent that had answered so in its first seconds, then got flows and was stopped as planned, was neither asked for a denial nor awaited, and neither was its next start.

Ruled out: the membership table (it shows the owner as absent); the time for which absent agents are awaited (8 s, the stop took 0.5 s); not believing Empty at all (a_silent_agent_without_flows_delays_no_reset: flows lost in a power failure would wait for VMs that are taken away); believing it until the agent announces that it accepts flows (the announcement may arrive after the first flow).

Fix: Empty is a promise to start no flows, believed for 3 s from the start of the lookup on and for one start of one agent. An agent that gets a backend server withdraws its promises, and starts no flow until each is acknowledged or has expired. So whatever is late, lost, doubled or reordered, no flow starts while somebody believes that there is none. An Empty without a promise (earlier releases) is a denial of that flow only.

Regression test: lost_flows:: an_agent_that_once_had_no_backend_server_may_own_flows_later and no_flow_starts_before_promises_are_withdrawn fail with the former rule. In a_silent_agent_without_flows_delays_no_reset the promise now answers a question: an answer that nobody asked for counts for nothing, which promise_of_an_unasked_agent_does_not_count checks; cases and outcomes are the same.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -7,18 +7,18 @@
 mod overload;
 mod overload_inputs;
 mod owners;
+mod promises;
 pub mod siblings;
 mod speeds;
 mod types;
 mod waiting;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use self::overload::Overload;
 use self::owners::Considered;
-use crate::NodeId;
+use self::promises::{Given, Received};
 use crate::backend::{Backend, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::loads::{Load, Loads};
@@ -30,6 +30,7 @@
 use crate::tag::Tag;
 
 pub use self::overload_inputs::OverloadInputs;
+pub use self::promises::EMPTY_TTL;
 pub use self::types::{
     Action, AgentConfig, Answer, DropReason, Offer, PassReason, Placement, Question, Reply,
     ResetReason, View,
@@ -66,8 +67,10 @@
     lookups: Lookups,
     considered: Considered,
     denied: DeniedFlows,
-    /// Agents whose last answer was [`Reply::Empty`], by packet address.
-    flowless: BTreeMap<SocketAddrV4, NodeId>,
+    /// Promises given with [`Reply::Empty`].
+    given: Given,
+    /// Promises of agents that answered [`Reply::Empty`].
+    received: Received,
     /// Whether no backend server was present when this agent started.
     backendless_start: bool,
     syn_queue: SynQueue,
@@ -94,7 +97,8 @@
             lookups: Lookups::default(),
             considered: Considered::default(),
             denied: DeniedFlows::default(),
-            flowless: BTreeMap::new(),
+            given: Given::default(),
+            received: Received::default(),
             backendless_start: false,
             syn_queue: SynQueue::default(),
             loads: Loads::default(),
@@ -124,6 +128,7 @@
         let running = u32::try_from(self.flows.load()).unwrap_or(u32::MAX);
         Offer {
             accepts: self.backend.accepts(now)
+                && self.given.is_empty(now)
                 && !plan.is_out(&self.config.domain)
                 && !self.overload.stopping,
             cold: self.backend.is_cold(now),
@@ -142,9 +147,38 @@
             self.reset_local_flows(now, out);
             self.overload.times.clear();
         }
+        self.withdraw_promises(now, out);
         reported
     }
 
+    /// Returns whether the backend server has reported, but promises to start no flows are left.
+    fn is_withdrawing(&self) -> bool {
+        !self.holds_no_flows() && !self.given.is_forgotten()
+    }
+
+    /// Withdraws the promises to start no flows that are not acknowledged yet.
+    fn withdraw_promises(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.holds_no_flows() {
+            return;
+        }
+        let started_ms = self.config.started_ms;
+        let due = self.given.due_withdrawals(now).into_iter();
+        out.extend(due.map(|to| Action::Withdraw { to, started_ms }));
+    }
+
+    /// Records that `asker` has acknowledged a withdrawal that stated `started_ms`.
+    pub fn note_acknowledged(&mut self, asker: &SocketAddrV4, started_ms: u64) {
+        // An acknowledgement for an earlier start of this agent says nothing about this one.
+        if started_ms == self.config.started_ms {
+            self.given.remove(asker);
+        }
+    }
+
+    /// Records that the agent with this packet address withdraws its promise to start no flows.
+    pub fn note_withdrawn(&mut self, now: Duration, agent: SocketAddrV4) {
+        self.received.withdraw(now, agent);
+    }
+
     /// Records the load that another agent reported.
     pub fn note_load(&mut self, now: Duration, agent: SocketAddrV4, load: Load) {
         self.loads.note(now, agent, load);
@@ -293,6 +327,7 @@
         }
         self.reconsider_lookups(now, view, out);
         self.retry_lookups(now, view, out);
+        self.withdraw_promises(now, out);
         if self.syn_queue.len() > 0 {
             self.release_queued_syns(now, plan, out);
         }
@@ -301,9 +336,8 @@
             self.next_sweep = now + SWEEP_PERIOD;
             self.flows.sweep(now, plan.idle);
             self.denied.sweep(now);
-            let is_away = |node: &NodeId| view.peers.away().any(|away| away == *node);
-            self.flowless
-                .retain(|agent, node| view.peers.has(agent) || is_away(node));
+            self.given.sweep(now);
+            self.received.sweep(now);
             self.backend.sweep(now);
             self.loads.sweep(now);
             self.note_overdue(now, plan);
@@ -313,7 +347,10 @@
     /// Returns whether [`Agent::tick`] has work to do soon.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
-        self.lookups.is_waiting() || self.syn_queue.len() > 0 || self.queued() > 0
+        self.is_withdrawing()
+            || self.lookups.is_waiting()
+            || self.syn_queue.len() > 0
+            || self.queued() > 0
     }
 
     fn deliver(
--- a/crates/buckthornweir_forward/src/agent/new_flows.rs
+++ b/crates/buckthornweir_forward/src/agent/new_flows.rs
@@ -241,6 +241,9 @@
         if plan.is_out(&self.config.domain) {
             return Admission::Shut(Shut::DomainOut);
         }
+        if !self.given.is_empty(now) {
+            return Admission::Shut(Shut::Unknown);
+        }
         let cold_rate = self.cold_rate(plan);
         self.expire_fresh(now, plan);
         let ahead = self.policy(plan).map_or(0, |_| AHEAD as usize);
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::{
-    Action, Agent, Answer, Arrival, DropReason, PassReason, Question, Reply, ResetReason, View,
+    Action, Agent, Answer, Arrival, DropReason, EMPTY_TTL, PassReason, Question, Reply,
+    ResetReason, View,
 };
 use crate::flows::Holder;
 use crate::lookup::{HeldPacket, LookupOutcome, LookupRequest, OwnerNotFound, ResolvedLookup};
@@ -31,11 +32,20 @@
 }
 
 impl Agent {
-    /// Answers another agent's question.
+    /// Answers the question of the agent whose question address is `asker`.
     #[must_use]
-    pub fn answer(&self, question: &Question) -> Reply {
+    pub fn answer(&mut self, now: Duration, asker: SocketAddrV4, question: &Question) -> Reply {
+        if self.holds_no_flows() {
+            return match self.given.give(now, asker) {
+                true => Reply::Empty,
+                false => Reply::NeverOwned,
+            };
+        }
+        self.answer_with_backend(question)
+    }
+
+    fn answer_with_backend(&self, question: &Question) -> Reply {
         match self.flows.get(&question.key) {
-            _ if self.holds_no_flows() => Reply::Empty,
             Some(flow) if flow.holder != Holder::Local => Reply::NotOwned,
             _ if self.denied.contains(&question.key) && self.may_have_missed() => Reply::NotOwned,
             _ if self.denied.contains(&question.key) => Reply::NeverOwned,
@@ -60,7 +70,7 @@
 
     /// Returns whether the backend server certainly holds no flow: none was present when this agent
     /// started, and none has reported since.
-    fn holds_no_flows(&self) -> bool {
+    pub(super) fn holds_no_flows(&self) -> bool {
         self.backendless_start && self.backend.last_report().is_none()
     }
 
@@ -74,10 +84,12 @@
         out: &mut Vec<Action>,
     ) {
         let agent = answer.agent;
-        let no_flows = answer.reply == Reply::Empty;
-        match no_flows.then(|| view.peers.by_address(&agent)).flatten() {
-            Some(peer) => drop(self.flowless.insert(agent, peer.node)),
-            None => drop(self.flowless.remove(&agent)),
+        // The question was sent after the lookup had started, so the promise lasts at least until then.
+        let until = self.lookups.first_started(&key).map(|at| at + EMPTY_TTL);
+        match (answer.reply, view.peers.by_address(&agent), until) {
+            (Reply::Empty, Some(peer), Some(until)) => self.received.insert(now, peer, until),
+            (Reply::Empty, _, _) => {}
+            _ => self.received.remove(&agent),
         }
         let outcome = match answer.reply {
             Reply::Owned => {
@@ -162,7 +174,10 @@
             key,
             acknowledged: segment.acknowledged,
         };
-        let reply = self.answer(&question);
+        let reply = match self.holds_no_flows() {
+            true => Reply::NeverOwned,
+            false => self.answer_with_backend(&question),
+        };
         if !matches!(reply, Reply::Owned | Reply::MaybeOwned) || !self.backend.is_present() {
             let reply = Reply::NotOwned;
             out.push(Action::AnswerProbe {
@@ -285,7 +300,7 @@
     /// lost flows get a reset without retransmitting.
     pub(super) fn retry_lookups(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
         let may_conclude = view.grace_elapsed || view.peers_synced && !self.may_have_missed();
-        if !may_conclude || self.awaits_absent(view) {
+        if !may_conclude || self.awaits_absent(now, view) {
             return;
         }
         for (key, request) in self.lookups.due_retries(now) {
@@ -339,7 +354,7 @@
         let LookupOutcome::NotFound(not_found) = outcome else {
             return;
         };
-        let same_view = self.is_denied(view, &key, Some(view.peers));
+        let same_view = self.is_denied(now, view, &key, Some(view.peers));
         if self.may_reset(now, view, &key, &not_found, same_view) {
             return out.push(Action::Reset {
                 key,
@@ -376,7 +391,7 @@
             self.conclude(now, view, key, outcome, out);
         }
         for (key, not_found) in self.lookups.undecided() {
-            let same_view = self.is_denied(view, &key, Some(view.peers));
+            let same_view = self.is_denied(now, view, &key, Some(view.peers));
             if self.may_reset(now, view, &key, &not_found, same_view) {
                 self.lookups.decide(&key);
                 out.push(Action::Reset {
@@ -388,11 +403,10 @@
         }
     }
 
-    /// Returns whether an absent agent may return with flows. An agent whose last answer was
-    /// [`Reply::Empty`] returns with none.
-    fn awaits_absent(&self, view: View<'_>) -> bool {
+    /// Returns whether an absent agent may return with flows.
+    fn awaits_absent(&self, now: Duration, view: View<'_>) -> bool {
         let mut away = view.peers.away();
-        away.any(|node| !self.flowless.values().any(|flowless| *flowless == node))
+        away.any(|node| !self.received.covers_absent(now, node))
     }
 
     /// Returns whether a flow without a known owner is certainly lost. `same_view` is set if all
@@ -415,19 +429,25 @@
         let all_known = same_view
             || view.peers_synced
                 && now >= not_found.first_started + DISCOVERY_TIMEOUT
-                && self.is_denied(view, key, None);
+                && self.is_denied(now, view, key, None);
         let all_present = view.grace_elapsed
             || view.peers_synced && not_found.conclusive && !self.may_have_missed();
-        let certain = all_known && all_present && !self.awaits_absent(view);
+        let certain = all_known && all_present && !self.awaits_absent(now, view);
         certain && self.denied.contains(key)
     }
 
     /// Returns whether all other agents have denied a flow. If `known` is given, a denial counts only
-    /// if its agent knew no agent that is not among these. Agents whose last answer was
-    /// [`Reply::Empty`] and that accept no new flows are skipped.
-    fn is_denied(&self, view: View<'_>, key: &FlowKey, known: Option<&Peers>) -> bool {
+    /// if its agent knew no agent that is not among these. Agents that have promised to start no
+    /// flows and accept none are skipped.
+    fn is_denied(
+        &self,
+        now: Duration,
+        view: View<'_>,
+        key: &FlowKey,
+        known: Option<&Peers>,
+    ) -> bool {
         let own = self.config.node;
-        let is_idle = |peer: &&Peer| self.flowless.contains_key(&peer.packet_addr) && !peer.accepts;
+        let is_idle = |peer: &&Peer| !peer.accepts && self.received.covers(now, peer);
         let others = view.peers.iter().filter(|peer| peer.node != own);
         let others = others.filter(|peer| !is_idle(peer));
         self.lookups.is_denied_by(key, others, known)
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -101,7 +101,9 @@
     /// The local backend server does not hold the flow and never did: the agent has seen all its
     /// flows.
     NeverOwned,
-    /// No backend server has been present since the agent started, so it holds no flows.
+    /// No backend server has been present since the agent started, so it holds no flows. The agent
+    /// promises to start none before the asker has acknowledged an [`Action::Withdraw`], or
+    /// [`EMPTY_TTL`](super::EMPTY_TTL) has passed.
     Empty,
     /// The local backend server may hold the flow from before the agent started.
     MaybeOwned,
@@ -162,6 +164,13 @@
         /// Whether the local backend server holds the flow.
         reply: Reply,
     },
+    /// Withdraws the promise of an earlier [`Reply::Empty`].
+    Withdraw {
+        /// Question address of the agent that asked.
+        to: SocketAddrV4,
+        /// Start time of this agent, by which acknowledgements are matched.
+        started_ms: u64,
+    },
     /// Informs the sender of a packet about the agent that owns the flow.
     Hint {
         /// Packet address of the sender.
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -266,6 +266,11 @@
         self.map.get(key).map(|lookup| lookup.request.acknowledged)
     }
 
+    /// Returns when the first lookup in the series for this flow started.
+    pub(crate) fn first_started(&self, key: &FlowKey) -> Option<Duration> {
+        self.map.get(key).map(|lookup| lookup.first_started)
+    }
+
     /// Returns whether all these agents have denied the flow. If `known` is given, a denial counts
     /// only if its agent knew no agent that is not among these.
     pub(crate) fn is_denied_by<'a>(
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use buckthornweir_forward::agent::{Action, Agent, AgentConfig, Answer, Reply, View};
+use buckthornweir_forward::agent::{Action, Agent, AgentConfig, Answer, Question, Reply, View};
 use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
 use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_forward::plan::{Plan, Route, Service, Split};
@@ -232,6 +232,11 @@
         out
     }
 
+    /// Answers a question of agent 2.
+    pub(crate) fn ask(&mut self, question: &Question) -> Reply {
+        self.agent.answer(self.now, ask_addr(2), question)
+    }
+
     pub(crate) fn tick(&mut self) -> Vec<Action> {
         let mut out = Vec::new();
         let view = View {
@@ -280,6 +285,7 @@
         | Action::Explain { .. }
         | Action::Queued { .. }
         | Action::Dequeued { .. }
+        | Action::Withdraw { .. }
         | Action::Served { .. } => None,
     })
 }
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -225,39 +225,30 @@
     };
     let mut harness = Harness::reported();
     assert_eq!(
-        harness.agent.answer(&question(SYN_ACK_SEQUENCE + 1)),
+        harness.ask(&question(SYN_ACK_SEQUENCE + 1)),
         Reply::NeverOwned
     );
     harness.caller(syn(40_000, 0));
     assert_eq!(
-        harness.agent.answer(&question(SYN_ACK_SEQUENCE + 1)),
+        harness.ask(&question(SYN_ACK_SEQUENCE + 1)),
         Reply::NotOwned,
         "its backend server has not answered"
     );
     harness.backend(syn_ack(40_000));
+    assert_eq!(harness.ask(&question(SYN_ACK_SEQUENCE + 1)), Reply::Owned);
     assert_eq!(
-        harness.agent.answer(&question(SYN_ACK_SEQUENCE + 1)),
-        Reply::Owned
-    );
-    assert_eq!(
-        harness
-            .agent
-            .answer(&question(SYN_ACK_SEQUENCE.wrapping_sub(1 << 30))),
+        harness.ask(&question(SYN_ACK_SEQUENCE.wrapping_sub(1 << 30))),
         Reply::NotOwned,
         "the caller acknowledged another backend server"
     );
     // An agent that started long after its backend server may have missed flows.
     let mut late = Harness::new();
-    assert_eq!(
-        late.agent.answer(&question(0)),
-        Reply::MaybeOwned,
-        "no report yet"
-    );
+    assert_eq!(late.ask(&question(0)), Reply::MaybeOwned, "no report yet");
     late.report(buckthornweir_forward::backend::Report {
         born: 10,
         ..report(1)
     });
-    assert_eq!(late.agent.answer(&question(0)), Reply::MaybeOwned);
+    assert_eq!(late.ask(&question(0)), Reply::MaybeOwned);
 }
 
 #[test]
@@ -325,10 +316,10 @@
         key: key(40_000),
         acknowledged: 0,
     };
-    assert_eq!(harness.agent.answer(&question), Reply::MaybeOwned);
+    assert_eq!(harness.ask(&question), Reply::MaybeOwned);
     harness.caller(data(40_000, 90));
     harness.backend(returned(data(40_000, 90)));
-    assert_eq!(harness.agent.answer(&question), Reply::NotOwned);
+    assert_eq!(harness.ask(&question), Reply::NotOwned);
     // The same port may open a flow here later.
     harness.report(report(1));
     harness.caller(syn(40_000, 0));
@@ -337,7 +328,7 @@
         acknowledged: SYN_ACK_SEQUENCE + 1,
         ..question
     };
-    assert_eq!(harness.agent.answer(&question), Reply::Owned);
+    assert_eq!(harness.ask(&question), Reply::Owned);
 }
 
 #[test]
@@ -347,9 +338,9 @@
         acknowledged: 0,
     };
     let mut harness = Harness::new();
-    assert_eq!(harness.agent.answer(&question), Reply::MaybeOwned);
+    assert_eq!(harness.ask(&question), Reply::MaybeOwned);
     harness.agent.note_backendless_start();
-    assert_eq!(harness.agent.answer(&question), Reply::Empty);
+    assert_eq!(harness.ask(&question), Reply::Empty);
     // The other agents are asked immediately, and if all deny the flow, it is lost.
     assert_eq!(questions(&harness.caller(data(50_000, 90))), 2);
     answer_from(&mut harness, 2, 50_000, Reply::NotOwned);
@@ -360,9 +351,9 @@
         born: 10,
         ..report(1)
     });
-    assert_eq!(harness.agent.answer(&question), Reply::NeverOwned);
+    assert_eq!(harness.ask(&question), Reply::NeverOwned);
     harness.open(40_000);
-    assert_eq!(harness.agent.answer(&question), Reply::Owned);
+    assert_eq!(harness.ask(&question), Reply::Owned);
 }
 
 /// While control is unavailable, the owner of an open flow may not be found for many seconds, and
--- a/crates/buckthornweir_forward/tests/forward/lost_flows.rs
+++ b/crates/buckthornweir_forward/tests/forward/lost_flows.rs
@@ -1,12 +1,12 @@
 //! Flows that no backend server holds any more, and when they are reset.
 
-use buckthornweir_forward::agent::{Action, Answer, Reply, ResetReason, View};
+use buckthornweir_forward::agent::{Action, Answer, Question, Reply, ResetReason, View};
 use buckthornweir_forward::peers::Peers;
 use buckthornweir_forward::segment::Segment;
 
 use crate::common::{
-    Harness, Outcome, SYN_ACK_SEQUENCE, answer_from, answer_from_with_known, data,
-    harness_with_lookup, key, ms, outcome, peer, questions, report, returned,
+    Harness, Outcome, SYN_ACK_SEQUENCE, answer_from, answer_from_with_known, ask_addr, data,
+    harness_with_lookup, key, ms, outcome, packet_addr, peer, questions, report, returned, syn,
 };
 
 /// A flow is reset only if all agents deny it and no agent may be missing.
@@ -312,23 +312,153 @@
     ];
     for (reply, accepts, expected) in cases {
         let mut harness = Harness::reported();
-        let with_third = |accepts| {
-            let third = buckthornweir_forward::peers::Peer {
-                accepts,
-                ..peer(3, "a", "desk")
-            };
-            Peers::new([peer(1, "a", "desk"), peer(2, "a", "desk"), third])
-        };
-        harness.peers = with_third(false);
-        answer_from(&mut harness, 3, 41_000, reply);
-        harness.peers = with_third(accepts);
-        harness.caller(data(40_000, 90));
-        harness.backend(returned(data(40_000, 90)));
-        answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+        harness.peers = with_third(false, 1);
+        ask_agent_3(&mut harness, 41_000, reply);
+        harness.peers = with_third(accepts, 1);
         assert_eq!(
-            outcome(&harness.after(200).tick()),
+            outcome_without_agent_3(&mut harness),
             Some(expected),
             "{reply:?} {accepts}"
         );
     }
 }
+
+/// Agents 1, 2 and 3, of which the last may accept new flows.
+fn with_third(accepts: bool, instance: u32) -> Peers {
+    let third = buckthornweir_forward::peers::Peer {
+        accepts,
+        instance,
+        ..peer(3, "a", "desk")
+    };
+    Peers::new([peer(1, "a", "desk"), peer(2, "a", "desk"), third])
+}
+
+/// Looks up the flow of the caller at `port`, which agent 2 denies, and lets agent 3 answer last.
+fn ask_agent_3(harness: &mut Harness, port: u16, reply: Reply) {
+    harness.caller(data(port, 90));
+    harness.backend(returned(data(port, 90)));
+    answer_from(harness, 2, port, Reply::NotOwned);
+    answer_from(harness, 3, port, reply);
+}
+
+/// Looks up the flow of the caller at port 40,000, which agent 2 denies and about which agent 3 does
+/// not answer.
+fn outcome_without_agent_3(harness: &mut Harness) -> Option<Outcome> {
+    harness.caller(data(40_000, 90));
+    harness.backend(returned(data(40_000, 90)));
+    answer_from(harness, 2, 40_000, Reply::NotOwned);
+    outcome(&harness.after(200).tick())
+}
+
+/// Guards against resets of flows that a backend server got after its agent had answered that it has
+/// none: the answer was believed without a limit, also after that agent had been restarted.
+#[test]
+fn an_agent_that_once_had_no_backend_server_may_own_flows_later() {
+    type Change = fn(&mut Harness);
+    let cases: [(&str, Change); 4] = [
+        ("it is stopped seconds later", |harness| {
+            harness.after(3_000).peers = with_third(false, 1).with_away([3]);
+        }),
+        ("it has restarted", |harness| {
+            harness.peers = with_third(false, 2);
+        }),
+        ("it withdrew the promise", |harness| {
+            let now = harness.now;
+            harness.agent.note_withdrawn(now, packet_addr(3));
+        }),
+        (
+            "it answers late, after it withdrew the promise",
+            |harness| {
+                let now = harness.now;
+                harness.agent.note_withdrawn(now, packet_addr(3));
+                answer_from(harness, 3, 41_000, Reply::Empty);
+            },
+        ),
+    ];
+    for (name, change) in cases {
+        let mut harness = Harness::reported();
+        harness.peers = with_third(false, 1);
+        ask_agent_3(&mut harness, 41_000, Reply::Empty);
+        change(&mut harness);
+        assert_eq!(
+            outcome_without_agent_3(&mut harness),
+            Some(Outcome::Dropped),
+            "{name}"
+        );
+    }
+}
+
+/// An answer may arrive long after the question, so a promise counts from the question on, and one
+/// that nobody asked for does not count.
+#[test]
+fn promise_of_an_unasked_agent_does_not_count() {
+    let mut harness = Harness::reported();
+    harness.peers = with_third(false, 1);
+    answer_from(&mut harness, 3, 41_000, Reply::Empty);
+    assert_eq!(
+        outcome_without_agent_3(&mut harness),
+        Some(Outcome::Dropped)
+    );
+}
+
+/// Returns the agents to which promises are withdrawn.
+fn withdrawals(actions: &[Action]) -> Vec<std::net::SocketAddrV4> {
+    let to = actions.iter().filter_map(|action| match action {
+        Action::Withdraw { to, .. } => Some(*to),
+        _ => None,
+    });
+    to.collect()
+}
+
+/// Guards against a flow that starts while another agent still believes that there are none.
+#[test]
+fn no_flow_starts_before_promises_are_withdrawn() {
+    let question = Question {
+        key: key(40_000),
+        acknowledged: 0,
+    };
+    let promised = || {
+        let mut harness = Harness::new();
+        harness.agent.note_backendless_start();
+        assert_eq!(harness.ask(&question), Reply::Empty);
+        harness
+    };
+    let started_ms = 1_000_100;
+    let accepts = |harness: &mut Harness| harness.agent.offer(harness.now, &harness.plan).accepts;
+    // The withdrawal is repeated until it is acknowledged; a SYN waits.
+    let mut harness = promised();
+    let got = harness.report(report(1));
+    assert_eq!(withdrawals(&got), [ask_addr(2)]);
+    assert_eq!(harness.ask(&question), Reply::NeverOwned);
+    assert!(!accepts(&mut harness));
+    assert!(harness.agent.is_waiting());
+    assert_ne!(
+        outcome(&harness.caller(syn(40_000, 0))),
+        Some(Outcome::Delivered)
+    );
+    assert_eq!(withdrawals(&harness.after(60).tick()), [ask_addr(2)]);
+    harness
+        .agent
+        .note_acknowledged(&ask_addr(2), started_ms - 1);
+    assert!(!accepts(&mut harness), "an earlier start's");
+    harness.agent.note_acknowledged(&ask_addr(2), started_ms);
+    assert!(accepts(&mut harness));
+    assert_eq!(
+        outcome(&harness.caller(syn(41_000, 0))),
+        Some(Outcome::Delivered)
+    );
+    assert!(withdrawals(&harness.after(60).tick()).is_empty());
+    // Without an acknowledgement the promise ends after its time.
+    let mut harness = promised();
+    harness.report(report(1));
+    harness.after(2_900);
+    harness.report(report(2));
+    assert!(!accepts(&mut harness));
+    harness.after(200);
+    assert!(accepts(&mut harness));
+    // An agent that nobody asked starts flows at once.
+    let mut harness = Harness::new();
+    harness.agent.note_backendless_start();
+    harness.report(report(1));
+    assert!(accepts(&mut harness));
+}
--- a/crates/buckthornweir_forward/tests/forward/mass_restart.rs
+++ b/crates/buckthornweir_forward/tests/forward/mass_restart.rs
@@ -12,7 +12,7 @@
 use buckthornweir_forward::segment::{FlowKey, Segment};
 
 use crate::common::{
-    BALANCER, REPORT_PERIOD, data, ms, packet_addr, peer, plan, reply, report, returned,
+    BALANCER, REPORT_PERIOD, ask_addr, data, ms, packet_addr, peer, plan, reply, report, returned,
 };
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -217,7 +217,8 @@
                 self.stats.responded.entry(port).or_insert(self.now);
             }
             Event::Ask { to, from, question } => {
-                let reply = self.agents[usize::from(to) - 1].answer(&question);
+                let asker = ask_addr(from);
+                let reply = self.agents[usize::from(to) - 1].answer(self.now, asker, &question);
                 let known = self.peers.fingerprint();
                 let answer = Answer {
                     agent: packet_addr(to),
--- a/crates/buckthornweir_forward/tests/overload/network.rs
+++ b/crates/buckthornweir_forward/tests/overload/network.rs
@@ -135,9 +135,10 @@
     }
 
     pub(crate) fn answer_question(&mut self, at: usize, from: usize, question: &Question) {
-        let site = &self.sites[at];
+        let now = self.now;
+        let site = &mut self.sites[at];
         if site.down_since.is_none() {
-            let reply = site.agent.answer(question);
+            let reply = site.agent.answer(now, packet_addr(from), question);
             self.send_answer(at, from, question.key, reply);
         }
     }
--- a/crates/buckthornweir_node/src/messages.rs
+++ b/crates/buckthornweir_node/src/messages.rs
@@ -24,7 +24,7 @@
 /// A message from one process to another.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct PeerMessage {
-    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "PeerBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -64,6 +64,12 @@
     /// Members that the requester lacks, over a connection.
     #[prost(message, tag = "11")]
     Roster(RosterMessage),
+    /// An agent's withdrawal of its promise to start no flows. Earlier releases don't read it.
+    #[prost(message, tag = "12")]
+    Withdraw(WithdrawMessage),
+    /// The acknowledgement of a withdrawal.
+    #[prost(message, tag = "13")]
+    Withdrawn(WithdrawnMessage),
 }
 
 /// A request for the members that the sender lacks.
@@ -137,6 +143,44 @@
     /// Fingerprint of the starts of these agents. 0 in releases that don't send it.
     #[prost(fixed64, tag = "4")]
     pub(crate) instances: u64,
+    /// Whether a [`Reply::Empty`] is a promise to start no flows. Earlier releases make none.
+    #[prost(bool, tag = "5")]
+    pub(crate) promises: bool,
+}
+
+impl TellMessage {
+    /// Returns the reply in an answer, if it is known.
+    pub(crate) fn reply(&self, told: &ToldFlow) -> Option<Reply> {
+        match reply_from_code(told.reply) {
+            Some(Reply::Empty) if !self.promises => Some(Reply::NeverOwned),
+            reply => reply,
+        }
+    }
+}
+
+/// Withdraws the promise of an agent that has answered [`Reply::Empty`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct WithdrawMessage {
+    /// Packet address of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) agent: u64,
+    /// Address on which the sender receives peer messages.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) sender: u64,
+    /// Start time of the sender.
+    #[prost(fixed64, tag = "3")]
+    pub(crate) started_ms: u64,
+}
+
+/// Acknowledges a [`WithdrawMessage`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(crate) struct WithdrawnMessage {
+    /// Address on which the sender receives peer messages.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) asker: u64,
+    /// Start time in the withdrawal.
+    #[prost(fixed64, tag = "2")]
+    pub(crate) started_ms: u64,
 }
 
 /// The answer about a flow.
@@ -375,7 +419,7 @@
 }
 
 /// Returns the reply with the given code, if it is known.
-pub(crate) fn reply_from_code(code: u32) -> Option<Reply> {
+fn reply_from_code(code: u32) -> Option<Reply> {
     match code {
         0 => Some(Reply::NotOwned),
         1 => Some(Reply::Owned),
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -13,7 +13,7 @@
 use crate::links::{self, Incoming};
 use crate::messages::{
     AskMessage, AskedFlow, LoadMessage, MAX_DATAGRAM_BYTES, MAX_FLOWS_PER_MESSAGE, PeerBody,
-    PeerMessage, PlanMessage, TellMessage, flow_answer, pack, reply_from_code, unpack,
+    PeerMessage, PlanMessage, TellMessage, WithdrawnMessage, flow_answer, pack, unpack,
 };
 use crate::packets::MAX_BATCH;
 
@@ -95,8 +95,10 @@
             (Role::Agent { core, .. }, PeerBody::Ask(ask)) => {
                 let agent =
                     packet_addr(&self.settings).map(|own| self.settings.announced_addr(own));
-                let answer =
-                    |asked: &AskedFlow| flow_answer(asked.flow, core.answer(&(*asked).into()));
+                let asker = unpack(ask.asker);
+                let answer = |asked: &AskedFlow| {
+                    flow_answer(asked.flow, core.answer(now, asker, &(*asked).into()))
+                };
                 let tell = TellMessage {
                     agent: agent.map_or(0, pack),
                     known: self.peers.fingerprint(),
@@ -107,11 +109,32 @@
                         .take(MAX_FLOWS_PER_MESSAGE)
                         .map(answer)
                         .collect(),
+                    promises: true,
                 };
-                let to = SocketAddr::V4(unpack(ask.asker));
-                return self.send(to, &PeerMessage::new(PeerBody::Tell(tell)));
+                return self.send(
+                    SocketAddr::V4(asker),
+                    &PeerMessage::new(PeerBody::Tell(tell)),
+                );
             }
             (Role::Agent { .. }, PeerBody::Tell(tell)) => return self.handle_answers(now, &tell),
+            (Role::Agent { core, .. }, PeerBody::Withdraw(withdrawal)) => {
+                let agent = unpack(withdrawal.agent);
+                core.note_withdrawn(now, agent);
+                if self.log_budget.try_acquire(now) {
+                    tracing::info!(event = "promise_withdrawn", %agent);
+                }
+                let acknowledgement = WithdrawnMessage {
+                    asker: pack(self.settings.announced_peer_addr()),
+                    started_ms: withdrawal.started_ms,
+                };
+                let to = SocketAddr::V4(unpack(withdrawal.sender));
+                let body = PeerBody::Withdrawn(acknowledgement);
+                return self.send(to, &PeerMessage::new(body));
+            }
+            (Role::Agent { core, .. }, PeerBody::Withdrawn(acknowledgement)) => {
+                let WithdrawnMessage { asker, started_ms } = acknowledgement;
+                return core.note_acknowledged(&unpack(asker), started_ms);
+            }
             (Role::Agent { core, .. }, PeerBody::Hint(hint)) => {
                 if let Some((agent, load)) = hint.load.map(LoadMessage::read) {
                     core.note_load(now, agent, load);
@@ -141,7 +164,7 @@
         let view = agent_view(&self.plans, &self.peers, &self.gossip, now);
         let mut actions = std::mem::take(&mut self.actions);
         for answered in &tell.flows {
-            if let Some(reply) = reply_from_code(answered.reply) {
+            if let Some(reply) = tell.reply(answered) {
                 let answer = Answer {
                     agent: unpack(tell.agent),
                     reply,
@@ -183,6 +206,7 @@
                 known,
                 instances,
                 flows,
+                promises: true,
             };
             self.send(SocketAddr::V4(to), &PeerMessage::new(PeerBody::Tell(tell)));
         }
--- a/crates/buckthornweir_node/src/node/traffic.rs
+++ b/crates/buckthornweir_node/src/node/traffic.rs
@@ -14,7 +14,9 @@
 
 use super::flow_metrics::{drop_metric, pass_metric, reset_metric};
 use super::{Node, Role, agent_view, packet_addr, packet_port};
-use crate::messages::{HintMessage, LoadMessage, PeerBody, PeerMessage, flow_answer, pack};
+use crate::messages::{
+    HintMessage, LoadMessage, PeerBody, PeerMessage, WithdrawMessage, flow_answer, pack,
+};
 use crate::packets::MAX_BATCH;
 
 /// Maximum number of silent agents listed in a log line about a lookup.
@@ -180,6 +182,16 @@
                 self.log_reset(&key, reason);
             }
             Action::Ask { to, question } => self.questions.push((to, question)),
+            Action::Withdraw { to, started_ms } => {
+                let own = packet_addr(&self.settings).map(|own| self.settings.announced_addr(own));
+                let withdrawal = WithdrawMessage {
+                    agent: own.map_or(0, pack),
+                    sender: pack(self.settings.announced_peer_addr()),
+                    started_ms,
+                };
+                let body = PeerBody::Withdraw(withdrawal);
+                self.send(SocketAddr::V4(to), &PeerMessage::new(body));
+            }
             Action::AnswerProbe { to, key, reply } => {
                 let to = SocketAddrV4::new(*to.ip(), self.settings.peer_port);
                 self.answers.push((to, flow_answer(key.into(), reply)));
