Ask a backend server whose agent was restarted soon after it

Callers would see an open flow reset when its backend server had started less than 1.5 s before its agent was rolled (planned work).

Cause: START_MARGIN (1.5 s) decides whether agent and backend server started together. It also decided whether the agent had seen all flows.

Ruled out: the number of the first report (after a power loss the first call often fails, so that reports of a new backend server begin with 2).

Fix: for one flow the margin is 100 ms, less than a platform waits before it restarts a process; above it the backend server is asked by a copy of the packet. Whether absent agents are awaited depends on 1.5 s as before.

The new test fails with the former margin.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -13,9 +13,14 @@
 use crate::peers::{Peer, Peers};
 use crate::segment::FlowKey;
 
-/// How much later than its backend server an agent must have started to have missed flows.
+/// How much later than its backend server an agent must have started to count as restarted, rather
+/// than as started with it.
 const START_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// How much later than its backend server an agent must have started for an earlier agent to have
+/// opened flows: less than the platform waits before it restarts a process.
+const EARLIER_AGENT_MARGIN: Duration = Duration::from_millis(100);
+
 /// Maximum time after its start until an agent is known to all others.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -53,17 +58,30 @@
             Some(flow) if flow.confirmed => Reply::Owned,
             Some(flow) if flow.acknowledges_syn_ack(question.acknowledged) => Reply::Owned,
             Some(_) => Reply::NotOwned,
-            None if self.may_have_missed() => Reply::MaybeOwned,
+            None if self.may_have_predecessor() => Reply::MaybeOwned,
             None => Reply::NeverOwned,
         }
     }
 
-    /// Returns whether the backend server may hold flows that began before this agent started.
+    /// Returns whether this agent has started so much later than its backend server that others which
+    /// are absent may return with flows too.
     pub(super) fn may_have_missed(&self) -> bool {
-        let margin = START_MARGIN.as_millis() as u64;
+        self.started_later_than(START_MARGIN)
+    }
+
+    /// Returns whether the backend server may hold flows that an earlier agent opened.
+    fn may_have_predecessor(&self) -> bool {
+        self.started_later_than(EARLIER_AGENT_MARGIN)
+    }
+
+    /// Returns whether this agent started by more than `margin` later than its backend server, or may
+    /// have.
+    fn started_later_than(&self, margin: Duration) -> bool {
+        let margin = margin.as_millis() as u64;
+        let started = self.config.started_ms;
         match self.backend.last_report() {
             _ if self.backendless_start => false,
-            Some(report) => report.born.saturating_add(margin) < self.config.started_ms,
+            Some(report) => report.born.saturating_add(margin) < started,
             None => true,
         }
     }
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -1,6 +1,6 @@
 //! Handling of new and known flows by one agent.
 
-use buckthornweir_forward::agent::{Action, PassReason, ResetReason};
+use buckthornweir_forward::agent::{Action, PassReason, Question, Reply, ResetReason};
 use buckthornweir_forward::backend::{Report, ReportState};
 use buckthornweir_forward::peers::Peers;
 
@@ -430,3 +430,26 @@
         }
     }
 }
+
+/// Guards against a denial by an agent that was restarted soon after its backend server had started:
+/// an earlier agent may have opened the flow in between.
+#[test]
+fn an_agent_restarted_soon_after_its_backend_server_may_own_flows() {
+    for (born, expected) in [
+        (1_000_100 - 600, Reply::MaybeOwned),
+        (1_000_100 - 150, Reply::MaybeOwned),
+        // They started together.
+        (1_000_100 - 50, Reply::NeverOwned),
+    ] {
+        let mut harness = Harness::new();
+        harness.report(Report { born, ..report(1) });
+        assert_eq!(harness.ask(&question(40_000)), expected, "{born}");
+    }
+}
+
+fn question(port: u16) -> Question {
+    Question {
+        key: key(port),
+        acknowledged: SYN_ACK_SEQUENCE + 1,
+    }
+}
