Keep flows that began after a restart of their backend server

Callers would see a new flow reset if its backend server had restarted and taken the SYN before its first report: the report ended all flows of the agent. A flow that was not confirmed yet was forgotten and then denied, and another agent reset it.

Cause: a report of another start ended flows whenever they began.

Ruled out: waiting for the backend server to return a packet of each flow (flows that are certainly gone are to be reset at once).

Fix: flows that began until the stated start are reset, later ones stay. The backend server returns packets of those that it doesn't hold, which resets them.

The new test fails before: both flows are reset.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -19,7 +19,7 @@
 use self::overload::Overload;
 use self::owners::Considered;
 use self::promises::{Given, Received};
-use crate::backend::{Backend, Report, Reported};
+use crate::backend::{Backend, MAX_MISSED_REPORTS, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::loads::{Load, Loads};
 use crate::lookup::{DeniedFlows, Lookups};
@@ -46,6 +46,9 @@
 /// Interval between sweeps for expired state.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// Precision of times that two processes of a VM state in whole milliseconds.
+const CLOCK_PRECISION: Duration = Duration::from_millis(2);
+
 /// A packet being handled, with the context for the decision.
 #[derive(Clone, Copy, Debug)]
 struct Arrival<'a> {
@@ -144,7 +147,7 @@
     pub fn report(&mut self, now: Duration, report: Report, out: &mut Vec<Action>) -> Reported {
         let reported = self.backend.report(now, report);
         if reported == Reported::Restarted {
-            self.reset_local_flows(now, out);
+            self.reset_local_flows(now, self.backend_started(now), out);
             self.overload.times.clear();
         }
         self.withdraw_promises(now, out);
@@ -207,9 +210,25 @@
         self.had_plan |= plan.is_known();
     }
 
-    /// Resets the active flows that ended with a restart of the backend server.
-    fn reset_local_flows(&mut self, now: Duration, out: &mut Vec<Action>) {
-        for (key, flow) in self.flows.take_local() {
+    /// Returns when the backend server started at the earliest, by this agent's time.
+    fn backend_started(&self, now: Duration) -> Duration {
+        let born = self.backend.last_report().map_or(0, |report| report.born);
+        let elapsed = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        let clock = self.config.started_ms.saturating_add(elapsed);
+        // Each start of a backend server is reported within a few periods, however far the clock of
+        // the VM has been set since.
+        let age = Duration::from_millis(clock.saturating_sub(born));
+        let age = age.min(self.config.report_period * MAX_MISSED_REPORTS);
+        match age {
+            Duration::ZERO => now,
+            age => now.saturating_sub(age + CLOCK_PRECISION),
+        }
+    }
+
+    /// Resets the active flows that ended with a restart of the backend server: those that began
+    /// until `started`. It returns the packets of any later flow that it doesn't hold.
+    fn reset_local_flows(&mut self, now: Duration, started: Duration, out: &mut Vec<Action>) {
+        for (key, flow) in self.flows.take_local(started) {
             let active = flow.confirmed && !flow.has_ended();
             if active && now < flow.last_seen + SWEEP_PERIOD * 10 {
                 out.push(Action::Reset {
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -35,7 +35,7 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Number of report intervals without a report after which the backend server counts as lost.
-const MAX_MISSED_REPORTS: u32 = 3;
+pub(crate) const MAX_MISSED_REPORTS: u32 = 3;
 
 /// Number of successive older reports after which they are trusted in place of the last one that was
 /// taken: a single report may be late, and a single one may state a wrong start or number.
--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -256,13 +256,15 @@
         self.running.iter().map(|(key, since)| (key, *since))
     }
 
-    /// Removes and returns all flows held by the local backend server.
-    pub(crate) fn take_local(&mut self) -> Vec<(FlowKey, Flow)> {
-        let local = self.map.extract_if(|_, flow| flow.holder == Holder::Local);
-        let local = local.collect();
-        self.running.clear();
-        self.fresh = 0;
-        local
+    /// Removes and returns the flows held by the local backend server that were added until `until`.
+    pub(crate) fn take_local(&mut self, until: Duration) -> Vec<(FlowKey, Flow)> {
+        let local = self.map.iter();
+        let local = local.filter(|(_, flow)| flow.holder == Holder::Local && flow.since <= until);
+        let keys: Vec<FlowKey> = local.map(|(key, _)| *key).collect();
+        let removed = keys.into_iter();
+        removed
+            .filter_map(|key| self.remove(&key).map(|flow| (key, flow)))
+            .collect()
     }
 
     /// Removes flows that have ended or have been idle for longer than `idle` and a margin.
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -431,6 +431,35 @@
     }
 }
 
+/// Guards against resets of flows that a restarted backend server has taken before its first report:
+/// its agent delivers SYNs to it while the earlier one still counts as present.
+#[test]
+fn a_restart_resets_no_flow_that_began_after_it() {
+    let mut harness = Harness::reported();
+    harness.open(40_000);
+    harness.after(700).open(40_001);
+    // The agent started at 1,000,100 by the clock of its VM, and the test at 100 ms of its time.
+    let restarted = Report {
+        born: 1_000_100 + 600,
+        id: "i-2".into(),
+        ..report(1)
+    };
+    let resets = harness.after(50).report(restarted);
+    let keys = resets.iter().filter_map(|action| match action {
+        Action::Reset { key, .. } => Some(*key),
+        _ => None,
+    });
+    assert_eq!(keys.collect::<Vec<_>>(), [key(40_000)]);
+    assert_eq!(
+        harness.ask(&question(40_001)),
+        Reply::Owned,
+        "it is not denied either"
+    );
+    // A flow that the restarted backend server doesn't hold after all is reset at its next packet.
+    let got = harness.backend(returned(data(40_001, 90)));
+    assert_eq!(outcome(&got), Some(Outcome::Reset));
+}
+
 /// Guards against a denial by an agent that was restarted soon after its backend server had started:
 /// an earlier agent may have opened the flow in between.
 #[test]
