Do not trust clocks for the age of a backend server seen at the start

An agent that was restarted after the clock of its VM had been set back took its backend server for a later one and denied flows that an earlier start had opened, so that another agent could reset them.

Cause: two readings of a clock decided which of the two is older.

Fix: the agent looks for its backend server at its start anyway.

The new test fails before (NeverOwned).

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -76,6 +76,8 @@
     received: Received,
     /// Whether no backend server was present when this agent started.
     backendless_start: bool,
+    /// Whether the present backend server was there when this agent started.
+    backend_at_start: bool,
     syn_queue: SynQueue,
     /// Loads of other agents.
     loads: Loads,
@@ -103,6 +105,7 @@
             given: Given::default(),
             received: Received::default(),
             backendless_start: false,
+            backend_at_start: false,
             syn_queue: SynQueue::default(),
             loads: Loads::default(),
             speed: Speed::default(),
@@ -147,6 +150,7 @@
     pub fn report(&mut self, now: Duration, report: Report, out: &mut Vec<Action>) -> Reported {
         let reported = self.backend.report(now, report);
         if reported == Reported::Restarted {
+            self.backend_at_start = false;
             self.reset_local_flows(now, self.backend_started(now), out);
             self.overload.times.clear();
         }
@@ -193,6 +197,12 @@
         self.backendless_start = true;
     }
 
+    /// Records that a backend server was present when this agent started, whatever start time it
+    /// states: the clock of the VM may have been set since.
+    pub fn note_backend_at_start(&mut self) {
+        self.backend_at_start = true;
+    }
+
     /// Records that the backend server `id` announced that it has left.
     pub fn note_left(&mut self, id: &str) {
         self.backend.note_left(id);
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -81,6 +81,12 @@
         let started = self.config.started_ms;
         match self.backend.last_report() {
             _ if self.backendless_start => false,
+            // The clock was set back between the two starts.
+            Some(report)
+                if self.backend_at_start && report.born > started.saturating_add(margin) =>
+            {
+                true
+            }
             Some(report) => report.born.saturating_add(margin) < started,
             None => true,
         }
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -476,6 +476,24 @@
     }
 }
 
+/// Guards against a denial by an agent that was restarted after the clock of its VM had been set back:
+/// it takes its backend server, which was there at its start, for a later one.
+#[test]
+fn an_agent_restarted_after_its_clock_was_set_back_may_own_flows() {
+    let later = |id: &str, born| Report {
+        born,
+        id: id.into(),
+        ..report(1)
+    };
+    let mut harness = Harness::new();
+    harness.agent.note_backend_at_start();
+    harness.report(later("i-1", 1_004_000));
+    assert_eq!(harness.ask(&question(40_000)), Reply::MaybeOwned);
+    // All flows of a backend server that starts after the agent are known to it.
+    harness.after(5_000).report(later("i-2", 1_009_000));
+    assert_eq!(harness.ask(&question(40_000)), Reply::NeverOwned);
+}
+
 fn question(port: u16) -> Question {
     Question {
         key: key(port),
--- a/crates/buckthornweir_node/src/node/fetching.rs
+++ b/crates/buckthornweir_node/src/node/fetching.rs
@@ -118,8 +118,10 @@
             Fetched::Plan(document) => self.handle_plan(document),
             Fetched::Backend(found) => {
                 tracing::info!(event = "backend_looked_for", ?found);
-                if let (Role::Agent { core, .. }, Presence::Gone) = (&mut self.role, found) {
-                    core.note_backendless_start();
+                match (&mut self.role, found) {
+                    (Role::Agent { core, .. }, Presence::Gone) => core.note_backendless_start(),
+                    (Role::Agent { core, .. }, Presence::Reporting) => core.note_backend_at_start(),
+                    _ => {}
                 }
             }
             Fetched::Roster(from, roster) => {
