Connect to a backend server whose reports are overdue before leaving

Callers saw open flows reset when an agent was stopped as planned while the reports of its living backend server were overdue. Found by the random test of agents.

Cause: overdue reports counted as a departure, and only otherwise the agent connected to its backend server. It announced that it had left, so nobody asked or awaited it.

Ruled out: longer overdue times, which a slow backend server exceeds too.

Fix: unless the backend server announced its departure, the connection decides: refused means gone. Without an answer nothing is announced.

The new test of real nodes fails before: the flow's caller gets an RST.

--- a/crates/buckthornweir_node/src/node.rs
+++ b/crates/buckthornweir_node/src/node.rs
@@ -293,8 +293,13 @@
         // If the backend server keeps running, the agent suspends itself, since it will return with
         // its flows. If it is unknown whether the backend server keeps running, the agent announces
         // nothing, like a control VM, and the other processes wait a short time for its return.
+        let can_probe = health_addr(&self.settings).is_some();
         let reported = match &self.role {
-            Role::Agent { core, .. } => core.backend().presence(now),
+            Role::Agent { core, .. } => match core.backend().presence(now) {
+                // Its reports may have stopped while it keeps its flows.
+                Presence::Gone if core.backend().is_present() && can_probe => Presence::Unknown,
+                presence => presence,
+            },
             Role::Balancer { .. } => Presence::Gone,
             Role::Control(_) => Presence::Unknown,
         };
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -199,6 +199,46 @@
     fixture.agents.push(agent);
 }
 
+/// Guards against an agent that announced at its planned stop that it had left for good, since the
+/// reports of its backend server were overdue, so that others reset the flows still open there.
+#[tokio::test]
+async fn flows_survive_a_planned_stop_while_reports_are_overdue() {
+    let mut fixture = start_with_third_agent(101).await;
+    let caller = fixture.net.caller(31).await;
+    let balancer = fixture.net.ip(11);
+    let period = Duration::from_millis(700);
+    fixture.agents.remove(0).stop().await;
+    let agent = fixture.net.agent_with_reports(21, period).await;
+    agent.handle.report(report(2, ReportState::Ready)).await;
+    let reports = async {
+        for sequence in 3.. {
+            tokio::time::sleep(period).await;
+            agent
+                .handle
+                .report(report(sequence, ReportState::Ready))
+                .await;
+        }
+    };
+    let flows = tokio::select! {
+        flows = open_flows_at_21(&fixture, &caller) => flows,
+        () = reports => unreachable!("reports have no end"),
+    };
+    tokio::time::sleep(period * 4).await;
+    agent.stop().await;
+    let restart = async {
+        tokio::time::sleep(LONG_STOP).await;
+        fixture.net.agent(21).await
+    };
+    let requests = async {
+        for (port, opened) in &flows {
+            let response = caller.request(balancer, *port, opened).await;
+            assert_eq!((response.sequence, response.rst), (opened.sequence, false));
+        }
+    };
+    let (agent, ()) = tokio::join!(restart, requests);
+    fixture.agents.push(agent);
+}
+
 #[tokio::test]
 async fn draining_backend_server_gets_no_new_flows_and_keeps_its_own() {
     let fixture = start(92).await;
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -109,6 +109,15 @@
         start(self.agent_settings(host)).await
     }
 
+    /// Starts an agent whose backend server reports at this interval.
+    pub(crate) async fn agent_with_reports(self, host: u8, period: Duration) -> RunningNode {
+        let mut settings = self.agent_settings(host);
+        if let RoleSettings::Agent(agent) = &mut settings.role {
+            agent.report_period = period;
+        }
+        start(settings).await
+    }
+
     /// Starts an agent that serves its metrics at [`METRICS_PORT`].
     pub(crate) async fn measured_agent(self, host: u8) -> RunningNode {
         let metrics = Some(SocketAddrV4::new(self.ip(host), METRICS_PORT));
