Count a flow from its SYN-ACK when a backend server has restarted

The report of a restarted backend server still reset a flow that had opened there if the first SYN had been lost with the earlier start: the flow counted from that SYN on.

Fix: a flow begins with the backend server's SYN-ACK.

--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -44,6 +44,8 @@
     pub assumed: bool,
     /// Sequence number of the local backend server's SYN-ACK.
     pub syn_ack_seq: Option<u32>,
+    /// When the local backend server sent its last SYN-ACK.
+    pub syn_ack_at: Option<Duration>,
     /// Agent that probed for the flow and awaits an answer.
     pub prober: Option<SocketAddrV4>,
     /// Agent that received a retransmission of the SYN.
@@ -69,6 +71,7 @@
             confirmed: false,
             assumed: false,
             syn_ack_seq: None,
+            syn_ack_at: None,
             prober: None,
             alternate: None,
             pending_since: None,
@@ -237,6 +240,7 @@
         flow.backend_ended |= segment.fin;
         if segment.syn {
             flow.syn_ack_seq = Some(segment.sequence);
+            flow.syn_ack_at = Some(now);
         } else if !segment.rst {
             // Only a backend server that holds the flow sends data or acknowledgements.
             flow.confirmed = true;
@@ -256,10 +260,12 @@
         self.running.iter().map(|(key, since)| (key, *since))
     }
 
-    /// Removes and returns the flows held by the local backend server that were added until `until`.
+    /// Removes and returns the flows held by the local backend server that began until `until`. A flow
+    /// begins with the SYN-ACK, since the SYN before may have been lost.
     pub(crate) fn take_local(&mut self, until: Duration) -> Vec<(FlowKey, Flow)> {
+        let began = |flow: &Flow| flow.syn_ack_at.unwrap_or(flow.since);
         let local = self.map.iter();
-        let local = local.filter(|(_, flow)| flow.holder == Holder::Local && flow.since <= until);
+        let local = local.filter(|(_, f)| f.holder == Holder::Local && began(f) <= until);
         let keys: Vec<FlowKey> = local.map(|(key, _)| *key).collect();
         let removed = keys.into_iter();
         removed
