Ask a backend server that had reported for long when its agent started

Fix: the number of the first report that an agent gets tells without a clock that its backend server is older.

an_agent_restarted_after_its_clock_was_set_back_may_own_flows has the case.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -49,6 +49,10 @@
 /// Precision of times that two processes of a VM state in whole milliseconds.
 const CLOCK_PRECISION: Duration = Duration::from_millis(2);
 
+/// Highest number of the first report that an agent gets from a backend server that started with it:
+/// the first ones may be sent before the agent receives any.
+const MAX_FIRST_REPORT: u64 = 3;
+
 /// A packet being handled, with the context for the decision.
 #[derive(Clone, Copy, Debug)]
 struct Arrival<'a> {
@@ -78,6 +82,8 @@
     backendless_start: bool,
     /// Whether the present backend server was there when this agent started.
     backend_at_start: bool,
+    /// Whether the present backend server had reported several times when this agent first heard it.
+    backend_reported: bool,
     syn_queue: SynQueue,
     /// Loads of other agents.
     loads: Loads,
@@ -106,6 +112,7 @@
             received: Received::default(),
             backendless_start: false,
             backend_at_start: false,
+            backend_reported: false,
             syn_queue: SynQueue::default(),
             loads: Loads::default(),
             speed: Speed::default(),
@@ -148,9 +155,14 @@
 
     /// Handles a report of the backend server; a restart resets its flows.
     pub fn report(&mut self, now: Duration, report: Report, out: &mut Vec<Action>) -> Reported {
+        let (is_first, number) = (self.backend.last_report().is_none(), report.sequence);
         let reported = self.backend.report(now, report);
+        if is_first {
+            self.backend_reported = number > MAX_FIRST_REPORT;
+        }
         if reported == Reported::Restarted {
             self.backend_at_start = false;
+            self.backend_reported = false;
             self.reset_local_flows(now, self.backend_started(now), out);
             self.overload.times.clear();
         }
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -71,7 +71,7 @@
 
     /// Returns whether the backend server may hold flows that an earlier agent opened.
     fn may_have_predecessor(&self) -> bool {
-        self.started_later_than(EARLIER_AGENT_MARGIN)
+        self.backend_reported || self.started_later_than(EARLIER_AGENT_MARGIN)
     }
 
     /// Returns whether this agent started by more than `margin` later than its backend server, or may
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -437,7 +437,10 @@
 fn a_restart_resets_no_flow_that_began_after_it() {
     let mut harness = Harness::reported();
     harness.open(40_000);
-    harness.after(700).open(40_001);
+    // The SYN of the third flow is lost with the earlier start, its copy opens the flow.
+    harness.after(200).caller(syn(40_002, 0));
+    harness.after(500).open(40_001);
+    harness.open(40_002);
     // The agent started at 1,000,100 by the clock of its VM, and the test at 100 ms of its time.
     let restarted = Report {
         born: 1_000_100 + 600,
@@ -451,9 +454,9 @@
     });
     assert_eq!(keys.collect::<Vec<_>>(), [key(40_000)]);
     assert_eq!(
-        harness.ask(&question(40_001)),
-        Reply::Owned,
-        "it is not denied either"
+        [40_001, 40_002].map(|port| harness.ask(&question(port))),
+        [Reply::Owned, Reply::Owned],
+        "they are not denied either"
     );
     // A flow that the restarted backend server doesn't hold after all is reset at its next packet.
     let got = harness.backend(returned(data(40_001, 90)));
@@ -489,6 +492,13 @@
     harness.agent.note_backend_at_start();
     harness.report(later("i-1", 1_004_000));
     assert_eq!(harness.ask(&question(40_000)), Reply::MaybeOwned);
+    // By their clocks they started together, but it has reported for long.
+    let mut late = Harness::new();
+    late.report(Report {
+        sequence: 8,
+        ..later("i-1", 1_000_100)
+    });
+    assert_eq!(late.ask(&question(40_000)), Reply::MaybeOwned);
     // All flows of a backend server that starts after the agent are known to it.
     harness.after(5_000).report(later("i-2", 1_009_000));
     assert_eq!(harness.ask(&question(40_000)), Reply::NeverOwned);
