Test agents with random planned work and failures, without a network

A seeded random test over the agents' cores: up to six VMs whose agents are rolled, killed, taken away and replaced at their address, backend servers that start late, restart, drain and stop reporting, entry agents that change with each packet, and questions, answers and announcements that are late, lost, doubled and reordered. No open flow of a living backend server is reset, the callers of open flows are answered, and those of lost flows are told in the end.

--- a/crates/buckthornweir_forward/tests/forward/main.rs
+++ b/crates/buckthornweir_forward/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod changing_views;
 mod cold_start;
 mod common;
+mod fleet;
 mod hedging;
 mod lookup;
 mod lost_flows;
