--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -128,13 +128,17 @@
     fixture
 }
 
-/// Opens five flows at agent 21. The balancer assigns it flows only once it has heard that the
-/// agent accepts them.
 async fn open_flows_at_21(fixture: &Fixture, caller: &Caller) -> Vec<(u16, Segment)> {
+    open_flows_at(21, fixture, caller).await
+}
+
+/// Opens five flows at an agent. The balancer assigns it flows only once it has heard that the
+/// agent accepts them.
+async fn open_flows_at(host: u32, fixture: &Fixture, caller: &Caller) -> Vec<(u16, Segment)> {
     let mut flows = Vec::new();
     for port in 1..10_000 {
         let opened = caller.open(fixture.net.ip(11), port).await;
-        if opened.sequence == 21 << 16 {
+        if opened.sequence == host << 16 {
             flows.push((port, opened));
         }
         if flows.len() == 5 {
@@ -199,6 +203,40 @@
     fixture.agents.push(agent);
 }
 
+/// Guards against resets by agents that were told, before the backend server of another one started,
+/// that it had none. They went on believing this when that agent had flows and was stopped.
+#[tokio::test]
+async fn flows_survive_a_planned_stop_of_an_agent_that_once_had_no_backend_server() {
+    let mut fixture = start(102).await;
+    let caller = fixture.net.caller(31).await;
+    let balancer = fixture.net.ip(11);
+    fixture.agents.push(fixture.net.agent(23).await);
+    let opened = caller.open(balancer, 20_000).await;
+    // Agents 21 and 22 look up flows that nobody holds, and ask agent 23.
+    for port in 20_001..20_020 {
+        assert!(caller.request(balancer, port, &opened).await.rst);
+    }
+    fixture.servers.push(fixture.net.backend(23));
+    let late = fixture.agents.pop().expect("there are three agents");
+    late.handle.report(report(1, ReportState::Ready)).await;
+    let flows = open_flows_at(23, &fixture, &caller).await;
+    late.stop().await;
+    let restart = async {
+        tokio::time::sleep(LONG_STOP).await;
+        let agent = fixture.net.agent(23).await;
+        agent.handle.report(report(2, ReportState::Ready)).await;
+        agent
+    };
+    let requests = async {
+        for (port, opened) in &flows {
+            let response = caller.request(balancer, *port, opened).await;
+            assert_eq!((response.sequence, response.rst), (opened.sequence, false));
+        }
+    };
+    let (agent, ()) = tokio::join!(restart, requests);
+    fixture.agents.push(agent);
+}
+
 /// Guards against an agent that announced at its planned stop that it had left for good, since the
 /// reports of its backend server were overdue, so that others reset the flows still open there.
 #[tokio::test]
