--- a/crates/buckthornweir_forward/tests/forward/fleet/mod.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! Random planned work and failures over agents without a network: whatever the order of changes and
 //! messages, no open flow of a living backend server is reset, and the caller of a lost flow is told.
 
+mod callers;
 mod members;
 mod model;
+mod processes;
 mod work;
 
 use self::model::Fleet;
--- a/crates/buckthornweir_forward/tests/forward/fleet/model.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/model.rs
@@ -1,62 +1,49 @@
-//! Agents, backend servers, callers and a balancer, with the messages between them.
+//! The fleet: its VMs, flows and messages in flight, and what they lead to.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use buckthornweir_forward::NodeId;
-use buckthornweir_forward::agent::{Action, Agent, AgentConfig, Answer, Question, Reply, View};
-use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
+use buckthornweir_forward::agent::{Action, Agent, Answer, Question, Reply, View};
+use buckthornweir_forward::backend::ReportState;
 use buckthornweir_forward::plan::Plan;
 use buckthornweir_forward::segment::{FlowKey, Segment};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::members::{Directory, Member, State, domain};
+use super::callers::{FIRST_PORT, LAST_REQUESTS};
+use super::members::{Directory, Member};
 use super::work::Work;
-use crate::common::{
-    BALANCER, REPORT_PERIOD, ask_addr, data, key, ms, packet_addr, plan, reply, returned, syn,
-    syn_ack,
-};
+use crate::common::{BALANCER, ask_addr, data, key, ms, packet_addr, plan};
 
-/// Clock of all VMs at the start, in milliseconds.
-const START_MS: u64 = 1_000_000_000;
-const TICK_PERIOD: Duration = Duration::from_millis(25);
-/// Interval at which a process compares its members with another one.
-const SYNC_PERIOD: Duration = Duration::from_millis(500);
 /// Time after its start by which a process knows all agents that started with it.
 const GRACE_PERIOD: Duration = Duration::from_millis(1_500);
-/// First port of the callers; each flow uses a new one.
-const FIRST_PORT: u16 = 20_000;
-const FLOW_PERIOD: Duration = Duration::from_millis(40);
-const SYN_COPIES: [u64; 3] = [200, 600, 1_400];
 /// How long a caller repeats a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Until when callers open flows and changes begin.
 pub(super) const BUSY_TIME: Duration = Duration::from_secs(20);
-/// When each caller of an open flow sends a last request, long after the last change.
-const LAST_REQUESTS: Duration = Duration::from_secs(32);
 const END: Duration = Duration::from_secs(40);
 
 /// An agent's process.
 #[derive(Debug)]
 pub(super) struct Process {
     pub(super) agent: Agent,
-    directory: Directory,
-    instance: u32,
-    started: Duration,
-    accepts: bool,
+    pub(super) directory: Directory,
+    pub(super) instance: u32,
+    pub(super) started: Duration,
+    pub(super) accepts: bool,
 }
 
 /// A backend server.
 #[derive(Debug)]
 pub(super) struct Server {
-    start: u32,
-    born: u64,
-    sequence: u64,
+    pub(super) start: u32,
+    pub(super) born: u64,
+    pub(super) sequence: u64,
     pub(super) state: ReportState,
     /// Sequence numbers of the SYN-ACKs of its flows, and whether they are open.
-    flows: BTreeMap<u16, (u32, bool)>,
+    pub(super) flows: BTreeMap<u16, (u32, bool)>,
     /// Until when it sends no reports.
     pub(super) mute_until: Duration,
 }
@@ -79,7 +66,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Caller {
+pub(super) enum Caller {
     Opening {
         copies: u32,
     },
@@ -93,12 +80,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Flow {
-    caller: Caller,
+pub(super) struct Flow {
+    pub(super) caller: Caller,
     /// Since when a request is unanswered.
-    asked: Option<Duration>,
+    pub(super) asked: Option<Duration>,
     /// Agent that a hint named.
-    hint: Option<u8>,
+    pub(super) hint: Option<u8>,
 }
 
 #[derive(Clone, Debug)]
@@ -190,22 +177,22 @@
 pub(super) struct Fleet {
     pub(super) rng: ChaCha8Rng,
     pub(super) now: Duration,
-    queue: BTreeMap<(Duration, u64), Event>,
-    events: u64,
+    pub(super) queue: BTreeMap<(Duration, u64), Event>,
+    pub(super) events: u64,
     pub(super) vms: BTreeMap<u8, Vm>,
     /// Members known to the balancer.
-    balancer: Directory,
-    plan: Plan,
-    flows: BTreeMap<u16, Flow>,
-    next_port: u16,
-    starts: u32,
-    versions: u64,
+    pub(super) balancer: Directory,
+    pub(super) plan: Plan,
+    pub(super) flows: BTreeMap<u16, Flow>,
+    pub(super) next_port: u16,
+    pub(super) starts: u32,
+    pub(super) versions: u64,
     /// Whether agents are also killed, backend servers crash and clocks jump.
     pub(super) unplanned: bool,
-    log: Vec<(Duration, String)>,
+    pub(super) log: Vec<(Duration, String)>,
     /// The first open flow of a living backend server that was reset.
-    broken: Option<String>,
-    resets: usize,
+    pub(super) broken: Option<String>,
+    pub(super) resets: usize,
 }
 
 /// What a run has shown.
@@ -274,7 +261,7 @@
         self.log.push((self.now, text.into()));
     }
 
-    fn fail(&mut self, port: u16, reason: &str) {
+    pub(super) fn fail(&mut self, port: u16, reason: &str) {
         let of_port = format!("flow {port} ");
         let lines = self
             .log
@@ -287,22 +274,6 @@
             .get_or_insert(format!("{reason}\n{}", lines.join("\n")));
     }
 
-    /// Checks that each caller of an open flow got an answer, and each caller of a lost one a reset.
-    fn check_end(&mut self) {
-        for (port, flow) in self.flows.clone() {
-            if let Caller::Open { .. } = flow.caller
-                && flow.asked.is_some()
-            {
-                let lost = !self.is_held(&flow.caller, port);
-                let reason = match lost {
-                    true => "the caller of a lost flow was not told",
-                    false => "the caller of an open flow got no answer",
-                };
-                self.fail(port, reason);
-            }
-        }
-    }
-
     pub(super) fn push(&mut self, after: Duration, event: Event) {
         self.events += 1;
         self.queue.insert((self.now + after, self.events), event);
@@ -313,7 +284,7 @@
     }
 
     /// Sends a message between agents, which may be late, lost or doubled.
-    fn send(&mut self, event: Event) {
+    pub(super) fn send(&mut self, event: Event) {
         if self.now > BUSY_TIME {
             let delay = self.between(1, 20);
             return self.push(delay, event);
@@ -332,175 +303,7 @@
         }
     }
 
-    /// Returns the clock of a VM in milliseconds.
-    fn clock(&self, vm: u8) -> u64 {
-        let now = START_MS + self.now.as_millis() as u64;
-        now.saturating_add_signed(self.vms[&vm].clock)
-    }
-
-    pub(super) fn add_vm(&mut self, vm: u8) {
-        self.starts += 1;
-        let node = u64::from(self.starts) * 1_000 + u64::from(vm);
-        let vm_state = Vm {
-            node,
-            process: None,
-            server: None,
-            clock: 0,
-            leaving: false,
-        };
-        self.vms.insert(vm, vm_state);
-    }
-
-    pub(super) fn start_server(&mut self, vm: u8) {
-        if self.vms[&vm].server.is_some() {
-            return;
-        }
-        self.starts += 1;
-        let (start, born) = (self.starts, self.clock(vm));
-        self.note(format!("backend server {start} starts at VM {vm}"));
-        if let Some(vm) = self.vms.get_mut(&vm) {
-            vm.server = Some(Server {
-                start,
-                born,
-                sequence: 0,
-                state: ReportState::Ready,
-                flows: BTreeMap::new(),
-                mute_until: Duration::ZERO,
-            });
-        }
-        let delay = self.between(5, 60);
-        self.push(delay, Event::Report { vm, start });
-    }
-
-    pub(super) fn start_agent(&mut self, vm: u8) {
-        if !self.vms.contains_key(&vm) || self.vms[&vm].process.is_some() {
-            return;
-        }
-        self.starts += 1;
-        let instance = self.starts;
-        let config = AgentConfig {
-            node: self.vms[&vm].node,
-            packet_addr: packet_addr(vm),
-            domain: domain(vm).into(),
-            service: "desk".into(),
-            cold_bound: ColdBound {
-                factor: 1.5,
-                slack: 5.0,
-            },
-            report_period: REPORT_PERIOD,
-            started_ms: self.clock(vm),
-        };
-        self.note(format!("agent {instance} starts at VM {vm}"));
-        let process = Process {
-            agent: Agent::new(config),
-            directory: Directory::default(),
-            instance,
-            started: self.now,
-            accepts: false,
-        };
-        if let Some(vm) = self.vms.get_mut(&vm) {
-            vm.process = Some(process);
-        }
-        self.announce(vm, State::Running);
-        let (look, sync) = (self.between(0, 5), self.between(10, 150));
-        self.push(look, Event::Look { vm, instance });
-        self.push(sync, Event::Sync { vm, instance });
-        self.push(TICK_PERIOD, Event::Tick { vm, instance });
-    }
-
-    /// Ends an agent's process as planned.
-    pub(super) fn stop_agent(&mut self, vm: u8) {
-        if self.vms[&vm].process.is_none() {
-            return;
-        }
-        self.with_agent(vm, None, |agent, now, view, out| {
-            agent.set_stopping(now, view, out);
-        });
-        let Some(process) = &self.vms[&vm].process else {
-            return;
-        };
-        // An agent connects to its backend server to find out whether it is present.
-        let left = !process.agent.backend().is_present();
-        let state = match self.vms[&vm].server {
-            Some(_) if !left => State::Stopped,
-            _ => State::Left,
-        };
-        self.note(format!("agent at VM {vm} stops: {state:?}"));
-        self.announce(vm, state);
-        self.end_agent(vm);
-    }
-
-    /// Ends an agent's process. The other processes consider it dead after a while.
-    pub(super) fn end_agent(&mut self, vm: u8) {
-        let node = self.vms[&vm].node;
-        let ended = self.vms.get_mut(&vm).and_then(|vm| vm.process.take());
-        let Some(ended) = ended else {
-            return;
-        };
-        let instance = ended.instance;
-        for to in self.processes() {
-            let delay = self.between(900, 2_000);
-            self.push(delay, Event::Suspect { to, node, instance });
-        }
-    }
-
-    /// Returns the VMs with a running agent, and 0 for the balancer.
-    fn processes(&self) -> Vec<u8> {
-        let running = self.vms.iter().filter(|(_, vm)| vm.process.is_some());
-        std::iter::once(0)
-            .chain(running.map(|(vm, _)| *vm))
-            .collect()
-    }
-
-    fn process(&mut self, vm: u8) -> Option<&mut Process> {
-        self.vms.get_mut(&vm)?.process.as_mut()
-    }
-
-    fn process_time(&self, vm: u8) -> Duration {
-        let process = self.vms.get(&vm).and_then(|vm| vm.process.as_ref());
-        process.map_or(Duration::ZERO, |process| self.now - process.started)
-    }
-
-    fn directory(&mut self, at: u8) -> Option<&mut Directory> {
-        match at {
-            0 => Some(&mut self.balancer),
-            vm => self.process(vm).map(|process| &mut process.directory),
-        }
-    }
-
-    /// Announces the state of an agent to all processes.
-    fn announce(&mut self, vm: u8, state: State) {
-        self.versions += 1;
-        let (node, version) = (self.vms[&vm].node, self.versions);
-        let Some(process) = self.process(vm) else {
-            return;
-        };
-        let member = Member {
-            vm,
-            node,
-            instance: process.instance,
-            version,
-            accepts: process.accepts,
-            state,
-            dead: false,
-        };
-        process.directory.merge(&member);
-        for to in self.processes() {
-            let delay = match self.rng.random_range(0..100) {
-                0..5 => self.between(150, 400),
-                _ => self.between(2, 150),
-            };
-            self.push(
-                delay,
-                Event::Learn {
-                    to,
-                    member: member.clone(),
-                },
-            );
-        }
-    }
-
-    fn with_agent(
+    pub(super) fn with_agent(
         &mut self,
         vm: u8,
         segment: Option<Segment>,
@@ -527,7 +330,7 @@
         }
     }
 
-    fn act(&mut self, vm: u8, current: Option<Segment>, action: Action) {
+    pub(super) fn act(&mut self, vm: u8, current: Option<Segment>, action: Action) {
         let packet = |bytes: Option<Vec<u8>>, tag: buckthornweir_forward::tag::Tag| {
             let segment = match bytes {
                 Some(bytes) => decode(&bytes),
@@ -610,17 +413,7 @@
         }
     }
 
-    /// Returns whether a living backend server holds the flow.
-    fn is_held(&self, caller: &Caller, port: u16) -> bool {
-        let Caller::Open { vm, start, .. } = caller else {
-            return false;
-        };
-        let server = self.vms.get(vm).and_then(|vm| vm.server.as_ref());
-        let server = server.filter(|server| server.start == *start);
-        server.is_some_and(|server| server.flows.get(&port).is_some_and(|(_, open)| *open))
-    }
-
-    fn answer(&mut self, vm: u8, to: u8, key: FlowKey, reply: Reply) {
+    pub(super) fn answer(&mut self, vm: u8, to: u8, key: FlowKey, reply: Reply) {
         let Some(process) = self.process(vm) else {
             return;
         };
@@ -638,7 +431,7 @@
         self.send(Event::Answer { to, key, answer });
     }
 
-    fn handle(&mut self, event: Event) {
+    pub(super) fn handle(&mut self, event: Event) {
         match event {
             Event::Packet { to, from, segment } => {
                 let bytes = encode(&segment);
@@ -742,288 +535,6 @@
             Event::Work(work) => self.begin(work),
         }
     }
-
-    /// Lets an agent that has just started connect to its backend server.
-    fn look(&mut self, vm: u8, instance: u32) {
-        let present = self.vms.get(&vm).is_some_and(|vm| vm.server.is_some());
-        let process = self.process(vm);
-        let Some(process) = process.filter(|process| process.instance == instance) else {
-            return;
-        };
-        if present {
-            return process.agent.note_backend_at_start();
-        }
-        process.agent.note_backendless_start();
-        self.note(format!("agent {instance} finds no backend server"));
-    }
-
-    fn tick(&mut self, vm: u8, instance: u32) {
-        if self
-            .process(vm)
-            .is_none_or(|process| process.instance != instance)
-        {
-            return;
-        }
-        self.with_agent(vm, None, Agent::tick);
-        let plan = self.plan.clone();
-        let now = self.process_time(vm);
-        if let Some(process) = self.process(vm) {
-            let accepts = process.agent.offer(now, &plan).accepts;
-            if std::mem::replace(&mut process.accepts, accepts) != accepts {
-                self.announce(vm, State::Running);
-            }
-        }
-        let now = self.now;
-        self.balancer.refresh(now);
-        self.push(TICK_PERIOD, Event::Tick { vm, instance });
-    }
-
-    /// Exchanges members with another process.
-    fn sync(&mut self, vm: u8, instance: u32) {
-        if self
-            .process(vm)
-            .is_none_or(|process| process.instance != instance)
-        {
-            return;
-        }
-        let others: Vec<u8> = self
-            .processes()
-            .into_iter()
-            .filter(|other| *other != vm)
-            .collect();
-        let other = others[self.rng.random_range(0..others.len())];
-        let members = |directory: &mut Directory| {
-            let all = directory.members().cloned().collect::<Vec<_>>();
-            (all, directory.synced)
-        };
-        let (theirs, synced) = self.directory(other).map(members).unwrap_or_default();
-        let (ours, _) = self.directory(vm).map(members).unwrap_or_default();
-        for (at, members) in [(vm, theirs), (other, ours)] {
-            if let Some(directory) = self.directory(at) {
-                members.iter().for_each(|member| directory.merge(member));
-            }
-        }
-        if let Some(process) = self.process(vm) {
-            process.directory.synced |= synced;
-        }
-        let period = match synced {
-            true => SYNC_PERIOD,
-            false => self.between(10, 100),
-        };
-        self.push(period, Event::Sync { vm, instance });
-    }
-
-    fn report(&mut self, vm: u8, start: u32) {
-        let now = self.now;
-        let period = self.between(850, 1_050);
-        let server = self.vms.get_mut(&vm).and_then(|vm| vm.server.as_mut());
-        let Some(server) = server.filter(|server| server.start == start) else {
-            return;
-        };
-        let mute = now < server.mute_until;
-        server.sequence += 1;
-        let report = Report {
-            id: server.id().into(),
-            born: server.born,
-            sequence: server.sequence,
-            state: server.state,
-            cold: Duration::ZERO,
-            slots: 50,
-        };
-        if !mute {
-            self.with_agent(vm, None, |agent, now, _, out| {
-                agent.report(now, report, out);
-            });
-        }
-        let retry = self.process(vm).is_none();
-        self.push(
-            if retry { period / 4 } else { period },
-            Event::Report { vm, start },
-        );
-    }
-
-    /// Handles a packet at a backend server.
-    fn serve(&mut self, vm: u8, segment: Segment) {
-        let port = segment.source.port();
-        let sequence = self.rng.random();
-        let server = self.vms.get_mut(&vm).and_then(|vm| vm.server.as_mut());
-        let Some(server) = server else {
-            return;
-        };
-        let answer = if segment.syn {
-            let (sequence, _) = *server.flows.entry(port).or_insert((sequence, false));
-            Some(Segment {
-                sequence,
-                ..syn_ack(port)
-            })
-        } else {
-            let flow = server.flows.get_mut(&port);
-            let holds = |(sequence, _): &(u32, bool)| {
-                segment.acknowledged.wrapping_sub(*sequence) < 1 << 16
-            };
-            match flow.filter(|flow| holds(flow)) {
-                Some(flow) => {
-                    flow.1 = true;
-                    let sequence = segment.acknowledged;
-                    (segment.length > 0).then(|| Segment {
-                        sequence,
-                        ..reply(port, 500)
-                    })
-                }
-                None => Some(returned(segment)),
-            }
-        };
-        if let Some(segment) = answer {
-            let delay = self.between(0, 6);
-            self.push(delay, Event::FromServer { vm, segment });
-        }
-    }
-
-    fn receive(&mut self, segment: Segment, vm: u8) {
-        let port = segment.target.port();
-        let server = self.vms.get(&vm).and_then(|vm| vm.server.as_ref());
-        let start = server.map_or(0, |server| server.start);
-        let Some(flow) = self.flows.get_mut(&port) else {
-            return;
-        };
-        match flow.caller {
-            Caller::Opening { .. } if segment.syn => {
-                let acknowledged = segment.sequence.wrapping_add(1);
-                flow.caller = Caller::Open {
-                    vm,
-                    start,
-                    acknowledged,
-                };
-                self.note(format!(
-                    "flow {port} opens at VM {vm}, backend server {start}"
-                ));
-                self.send_data(port, 0);
-                let pause = self.between(1, 400);
-                self.push(pause, Event::Request { port });
-            }
-            Caller::Open { .. }
-                if segment.length > 0 && flow.asked.take().is_some() && self.now < BUSY_TIME =>
-            {
-                let pause = self.between(300, 3_000);
-                self.push(pause, Event::Request { port });
-            }
-            _ => {}
-        }
-    }
-
-    fn open_flow(&mut self) {
-        if self.now > BUSY_TIME {
-            return;
-        }
-        let port = self.next_port;
-        self.next_port += 1;
-        let flow = Flow {
-            caller: Caller::Opening { copies: 0 },
-            asked: None,
-            hint: None,
-        };
-        self.flows.insert(port, flow);
-        self.send_syn(port);
-        self.push(FLOW_PERIOD, Event::Open);
-        self.push(LAST_REQUESTS - self.now, Event::Request { port });
-    }
-
-    fn send_syn(&mut self, port: u16) {
-        let Some(flow) = self.flows.get_mut(&port) else {
-            return;
-        };
-        let Caller::Opening { copies } = flow.caller else {
-            return;
-        };
-        if copies as usize == SYN_COPIES.len() {
-            flow.caller = Caller::Closed;
-            return;
-        }
-        flow.caller = Caller::Opening { copies: copies + 1 };
-        let before = if copies == 0 {
-            0
-        } else {
-            SYN_COPIES[copies as usize - 1]
-        };
-        self.push(
-            ms(SYN_COPIES[copies as usize] - before),
-            Event::CopySyn { port },
-        );
-        let accepting = self.balancer.peers().iter().filter(|peer| peer.accepts);
-        let accepting: Vec<u8> = accepting.map(|peer| vm_of(peer.packet_addr)).collect();
-        if !accepting.is_empty() {
-            let to = accepting[self.rng.random_range(0..accepting.len())];
-            let segment = syn(port, copies);
-            let delay = self.between(1, 4);
-            self.push(
-                delay,
-                Event::Packet {
-                    to,
-                    from: BALANCER,
-                    segment,
-                },
-            );
-        }
-    }
-
-    fn request(&mut self, port: u16) {
-        let now = self.now;
-        let Some(flow) = self.flows.get_mut(&port) else {
-            return;
-        };
-        if !matches!(flow.caller, Caller::Open { .. }) || flow.asked.is_some() {
-            return;
-        }
-        flow.asked = Some(now);
-        self.send_data(port, 90);
-        self.push(
-            ms(200),
-            Event::Repeat {
-                port,
-                asked: now,
-                gap: 200,
-            },
-        );
-    }
-
-    /// Sends a caller's packet through the flow's agent or any other one, as routers select another
-    /// balancer after each change of theirs.
-    fn send_data(&mut self, port: u16, length: u16) {
-        let flow = self.flows[&port];
-        let Caller::Open {
-            vm, acknowledged, ..
-        } = flow.caller
-        else {
-            return;
-        };
-        let known: Vec<u8> = self
-            .balancer
-            .peers()
-            .iter()
-            .map(|p| vm_of(p.packet_addr))
-            .collect();
-        if known.is_empty() {
-            return;
-        }
-        let hinted = Some(flow.hint.unwrap_or(vm)).filter(|vm| known.contains(vm));
-        let to = match hinted.filter(|_| self.rng.random_bool(0.5)) {
-            Some(vm) => vm,
-            None => known[self.rng.random_range(0..known.len())],
-        };
-        let segment = Segment {
-            acknowledged,
-            ..data(port, length)
-        };
-        let delay = self.between(1, 4);
-        self.push(
-            delay,
-            Event::Packet {
-                to,
-                from: BALANCER,
-                segment,
-            },
-        );
-    }
 }
 
 /// Returns the caller's port of the flow that an action is about, or 0.
@@ -1045,7 +556,7 @@
     }
 }
 
-fn vm_of(address: SocketAddrV4) -> u8 {
+pub(super) fn vm_of(address: SocketAddrV4) -> u8 {
     let [_, _, _, vm] = address.ip().octets();
     debug_assert!(address == packet_addr(vm) || address == ask_addr(vm));
     vm
