Bound the withdrawals that an agent remembers

An agent remembered each withdrawal for 3 s by the address that the message names, without a bound: messages between processes are not authenticated, so one sender could fill its memory. Found by reading the change again.

Fix: 4,096 are remembered, more than agents can be asked. A withdrawal beyond that is not acknowledged, since a late answer from before it could not be told apart; the promise then ends after 3 s by itself.

Ruled out: acknowledging it all the same (a late Empty would be believed while flows start); dropping the oldest (as before, for that agent).

number_of_remembered_withdrawals_is_bounded guards it: 5,000 would be taken without the bound.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -193,9 +193,11 @@
         }
     }
 
-    /// Records that the agent with this packet address withdraws its promise to start no flows.
-    pub fn note_withdrawn(&mut self, now: Duration, agent: SocketAddrV4) {
-        self.received.withdraw(now, agent);
+    /// Records that the agent with this packet address withdraws its promise to start no flows. Returns
+    /// whether the withdrawal may be acknowledged; otherwise the promise ends after [`EMPTY_TTL`].
+    #[must_use]
+    pub fn note_withdrawn(&mut self, now: Duration, agent: SocketAddrV4) -> bool {
+        self.received.withdraw(now, agent)
     }
 
     /// Records the load that another agent reported.
--- a/crates/buckthornweir_forward/src/agent/promises.rs
+++ b/crates/buckthornweir_forward/src/agent/promises.rs
@@ -22,8 +22,8 @@
 /// Interval at which an unacknowledged withdrawal is repeated.
 const WITHDRAW_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Maximum number of agents that a promise is given to.
-const MAX_PROMISES: usize = 4_096;
+/// Maximum number of agents that promises are given to, and of those whose withdrawals are remembered.
+const MAX_AGENTS: usize = 4_096;
 
 /// The promises that an agent has given, by the question address of the agent that asked.
 #[derive(Debug, Default)]
@@ -35,7 +35,7 @@
 impl Given {
     /// Gives or extends a promise. Returns whether it is given.
     pub(super) fn give(&mut self, now: Duration, asker: SocketAddrV4) -> bool {
-        if self.until.len() >= MAX_PROMISES && !self.until.contains_key(&asker) {
+        if self.until.len() >= MAX_AGENTS && !self.until.contains_key(&asker) {
             return false;
         }
         self.until.insert(asker, now + EMPTY_TTL + KEEP_MARGIN);
@@ -111,10 +111,15 @@
         self.promises.remove(agent);
     }
 
-    /// Discards the promise of an agent that withdraws it.
-    pub(super) fn withdraw(&mut self, now: Duration, agent: SocketAddrV4) {
+    /// Discards the promise of an agent that withdraws it. Returns whether an answer from before the
+    /// withdrawal will be recognized, which must be so before the withdrawal is acknowledged.
+    pub(super) fn withdraw(&mut self, now: Duration, agent: SocketAddrV4) -> bool {
         self.promises.remove(&agent);
+        if self.withdrawn.len() >= MAX_AGENTS && !self.withdrawn.contains_key(&agent) {
+            return false;
+        }
         self.withdrawn.insert(agent, now);
+        true
     }
 
     /// Returns whether the agent certainly holds no flows.
--- a/crates/buckthornweir_forward/tests/forward/fleet/model.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/model.rs
@@ -473,8 +473,8 @@
                 started_ms,
             } => {
                 let time = self.process_time(to);
-                if let Some(process) = self.process(to) {
-                    process.agent.note_withdrawn(time, packet_addr(from));
+                let process = self.process(to);
+                if process.is_some_and(|p| p.agent.note_withdrawn(time, packet_addr(from))) {
                     self.send(Event::Acknowledge {
                         to: from,
                         from: to,
--- a/crates/buckthornweir_forward/tests/forward/lost_flows.rs
+++ b/crates/buckthornweir_forward/tests/forward/lost_flows.rs
@@ -364,13 +364,13 @@
         }),
         ("it withdrew the promise", |harness| {
             let now = harness.now;
-            harness.agent.note_withdrawn(now, packet_addr(3));
+            assert!(harness.agent.note_withdrawn(now, packet_addr(3)));
         }),
         (
             "it answers late, after it withdrew the promise",
             |harness| {
                 let now = harness.now;
-                harness.agent.note_withdrawn(now, packet_addr(3));
+                assert!(harness.agent.note_withdrawn(now, packet_addr(3)));
                 answer_from(harness, 3, 41_000, Reply::Empty);
             },
         ),
@@ -462,3 +462,20 @@
     harness.report(report(1));
     assert!(accepts(&mut harness));
 }
+
+/// Guards against a table that grows with each address that a message names. A withdrawal that can't
+/// be remembered is not acknowledged, so the promise ends by its time.
+#[test]
+fn number_of_remembered_withdrawals_is_bounded() {
+    let agent = |index: u16| {
+        let [high, low] = index.to_be_bytes();
+        std::net::SocketAddrV4::new(std::net::Ipv4Addr::new(10, 1, high, low), 7_000)
+    };
+    let mut harness = Harness::reported();
+    let now = harness.now;
+    let taken = (0..5_000).filter(|index| harness.agent.note_withdrawn(now, agent(*index)));
+    assert_eq!(taken.count(), 4_096);
+    assert!(harness.agent.note_withdrawn(now, agent(0)), "a repetition");
+    harness.after(3_100).tick();
+    assert!(harness.agent.note_withdrawn(harness.now, agent(4_999)));
+}
--- a/crates/buckthornweir_node/src/node/peer_messages.rs
+++ b/crates/buckthornweir_node/src/node/peer_messages.rs
@@ -119,7 +119,9 @@
             (Role::Agent { .. }, PeerBody::Tell(tell)) => return self.handle_answers(now, &tell),
             (Role::Agent { core, .. }, PeerBody::Withdraw(withdrawal)) => {
                 let agent = unpack(withdrawal.agent);
-                core.note_withdrawn(now, agent);
+                if !core.note_withdrawn(now, agent) {
+                    return;
+                }
                 if self.log_budget.try_acquire(now) {
                     tracing::info!(event = "promise_withdrawn", %agent);
                 }
