Count the share of an earlier agent towards the bound of a cold backend server

Cause: `Backend::recent_syns` is in the memory of the agent. A restarted agent began with an empty window and delivered a whole share on the first report, although up to a whole share had been delivered less than a second before.

Ruled out: storing the count (a write before each delivery, and agents have no folder on the platform); a smaller share for each start (restarts in series add up all the same).

Evidence: the record of the case lists the arrivals of the broken seconds: one share up to the kill, the next from the first report of the new start on.

Why this works: an agent that may have had an earlier start counts the share as used until one window after its own start. The earlier process had ended by then, so nothing that it delivered is within a window of what the new one delivers. Agents that start with or before their backend server, and warm backend servers, are not affected.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -159,6 +159,10 @@
         let reported = self.backend.report(now, report);
         if is_first {
             self.backend_reported = number > MAX_FIRST_REPORT;
+            if self.may_have_predecessor() {
+                // Its process ended before this one started.
+                self.backend.note_earlier_agent(Duration::ZERO);
+            }
         }
         if reported == Reported::Restarted {
             self.backend_at_start = false;
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns whether the backend server may hold flows that an earlier agent opened.
-    fn may_have_predecessor(&self) -> bool {
+    pub(super) fn may_have_predecessor(&self) -> bool {
         self.backend_reported || self.started_later_than(EARLIER_AGENT_MARGIN)
     }
 
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -149,6 +149,8 @@
     /// Since when the backend server may have turned cold without having reported it.
     suspected_since: Option<Duration>,
     recent_syns: VecDeque<Duration>,
+    /// Until when new flows that an earlier agent delivered may count towards the cold bound.
+    earlier_syns_until: Duration,
     unanswered: u32,
     unanswered_since: Duration,
     silent: bool,
@@ -170,6 +172,7 @@
             cold_until: Duration::ZERO,
             suspected_since: None,
             recent_syns: VecDeque::new(),
+            earlier_syns_until: Duration::ZERO,
             unanswered: 0,
             unanswered_since: Duration::ZERO,
             silent: false,
@@ -279,6 +282,13 @@
         self.recent_syns.push_back(now);
     }
 
+    /// Records that an earlier agent may have delivered new flows until `ended`.
+    ///
+    /// Their number is unknown, so a cold backend server counts as having got all it bears.
+    pub fn note_earlier_agent(&mut self, ended: Duration) {
+        self.earlier_syns_until = ended + COLD_WINDOW;
+    }
+
     /// Records a packet of the backend server.
     pub fn note_packet(&mut self) {
         self.unanswered = 0;
@@ -382,7 +392,12 @@
         let Some(rate) = cold_rate else {
             return Duration::ZERO;
         };
-        let ahead = (self.recent_syns.len() + waiting).checked_sub(self.cold_capacity(rate).max(1));
+        let capacity = self.cold_capacity(rate).max(1);
+        if now < self.earlier_syns_until {
+            let windows = u32::try_from(waiting / capacity).unwrap_or(u32::MAX);
+            return (self.earlier_syns_until - now).saturating_add(COLD_WINDOW * windows);
+        }
+        let ahead = (self.recent_syns.len() + waiting).checked_sub(capacity);
         let Some(ahead) = ahead else {
             return Duration::ZERO;
         };
@@ -410,7 +425,7 @@
         {
             self.recent_syns.pop_front();
         }
-        self.recent_syns.len() < self.cold_capacity(rate)
+        now >= self.earlier_syns_until && self.recent_syns.len() < self.cold_capacity(rate)
     }
 
     /// Removes new flows that are outside the window of the cold bound.
--- a/crates/buckthornweir_forward/tests/forward/common.rs
+++ b/crates/buckthornweir_forward/tests/forward/common.rs
@@ -160,6 +160,11 @@
 
 impl Harness {
     pub(crate) fn new() -> Self {
+        Self::started(1_000_100)
+    }
+
+    /// Returns a harness whose agent started at `started_ms` by the clock of its VM.
+    pub(crate) fn started(started_ms: u64) -> Self {
         let config = AgentConfig {
             node: 1,
             packet_addr: packet_addr(1),
@@ -170,7 +175,7 @@
                 slack: 5.0,
             },
             report_period: REPORT_PERIOD,
-            started_ms: 1_000_100,
+            started_ms,
         };
         Self {
             agent: Agent::new(config),
