Keep flows from after the last report when a restart is reported late

After the clock of the VM was set forward, the first report reset all flows.

Cause: `Agent::backend_started` took a start of at most three report intervals ago, which says nothing if no report arrives for longer, and a start in the future as one just now.

Ruled out: no bound at all (a clock that was set back would keep flows of the earlier start, whose callers wait); probing each flow on a restart (their callers would wait as well).

Why this works: the earlier start was running when it sent its last report, so the new one began after that, whatever the clocks say. A flow from before is certainly gone and is reset at once; one from after stays, and the backend server returns its next packet if it doesn't hold it.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -19,7 +19,7 @@
 use self::overload::Overload;
 use self::owners::Considered;
 use self::promises::{Given, Received};
-use crate::backend::{Backend, MAX_MISSED_REPORTS, Report, Reported};
+use crate::backend::{Backend, MAX_REPORT_DELAY, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::loads::{Load, Loads};
 use crate::lookup::{DeniedFlows, Lookups};
@@ -156,6 +156,7 @@
     /// Handles a report of the backend server; a restart resets its flows.
     pub fn report(&mut self, now: Duration, report: Report, out: &mut Vec<Action>) -> Reported {
         let (is_first, number) = (self.backend.last_report().is_none(), report.sequence);
+        let last = self.backend.reported_at();
         let reported = self.backend.report(now, report);
         if is_first {
             self.backend_reported = number > MAX_FIRST_REPORT;
@@ -167,7 +168,7 @@
         if reported == Reported::Restarted {
             self.backend_at_start = false;
             self.backend_reported = false;
-            self.reset_local_flows(now, self.backend_started(now), out);
+            self.reset_local_flows(now, self.backend_started(now, last), out);
             self.overload.times.clear();
         }
         self.withdraw_promises(now, out);
@@ -238,18 +239,18 @@
         self.had_plan |= plan.is_known();
     }
 
-    /// Returns when the backend server started at the earliest, by this agent's time.
-    fn backend_started(&self, now: Duration) -> Duration {
+    /// Returns when the restarted backend server started at the earliest, by this agent's time. `last` is
+    /// when its earlier start was last heard.
+    fn backend_started(&self, now: Duration, last: Duration) -> Duration {
+        let earliest = last.saturating_sub(MAX_REPORT_DELAY);
         let born = self.backend.last_report().map_or(0, |report| report.born);
         let elapsed = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         let clock = self.config.started_ms.saturating_add(elapsed);
-        // Each start of a backend server is reported within a few periods, however far the clock of
-        // the VM has been set since.
-        let age = Duration::from_millis(clock.saturating_sub(born));
-        let age = age.min(self.config.report_period * MAX_MISSED_REPORTS);
-        match age {
+        match Duration::from_millis(clock.saturating_sub(born)) {
+            // The clock of the VM has been set since this agent started.
+            _ if Duration::from_millis(born.saturating_sub(clock)) > CLOCK_PRECISION => earliest,
             Duration::ZERO => now,
-            age => now.saturating_sub(age + CLOCK_PRECISION),
+            age => now.saturating_sub(age + CLOCK_PRECISION).max(earliest),
         }
     }
 
--- a/crates/buckthornweir_forward/src/backend.rs
+++ b/crates/buckthornweir_forward/src/backend.rs
@@ -23,7 +23,7 @@
 
 /// Maximum transit time of a report. A report that arrives later than this after a suspicion arose
 /// was sent after it.
-const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
 
 /// How long SYNs may go without any packet of the backend server before it counts as silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -35,7 +35,7 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Number of report intervals without a report after which the backend server counts as lost.
-pub(crate) const MAX_MISSED_REPORTS: u32 = 3;
+const MAX_MISSED_REPORTS: u32 = 3;
 
 /// Number of successive older reports after which they are trusted in place of the last one that was
 /// taken: a single report may be late, and a single one may state a wrong start or number.
@@ -186,6 +186,11 @@
         self.report.as_ref()
     }
 
+    /// Returns when the last report arrived that was not stale.
+    pub(crate) fn reported_at(&self) -> Duration {
+        self.reported_at
+    }
+
     /// Handles a report.
     ///
     /// A report that is older than the last one is stale, unless reports like it keep coming: then the
