Ask agents that start, and keep the packets of lookups without a result

Cause: a lookup whose owner was down had no result. Its retries waited until no agent at all was away, which never happens in such rounds, and started without a packet, so that an owner that came back and might own the flow was sent nothing. For 350 ms after each retry the caller's own retransmissions were held and sent nowhere.

Ruled out: retries while others are away (they are few, and are what resets a lost flow at once when all are back); sending each retransmission to all agents (more packets at backend servers that don't hold the flow).

Why this works: the packet stays held with the lookup, and an agent is asked as soon as its start is known, whoever else is away. The owner gets the packet then, and not only if the caller happens to repeat it while the owner is up.

--- a/crates/buckthornweir_forward/src/agent.rs
+++ b/crates/buckthornweir_forward/src/agent.rs
@@ -13,12 +13,14 @@
 mod types;
 mod waiting;
 
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use self::overload::Overload;
 use self::owners::Considered;
 use self::promises::{Given, Received};
+use crate::NodeId;
 use crate::backend::{Backend, MAX_REPORT_DELAY, Report, Reported};
 use crate::flows::{Flows, Holder};
 use crate::loads::{Load, Loads};
@@ -73,6 +75,8 @@
     flows: Flows,
     lookups: Lookups,
     considered: Considered,
+    /// Starts of the agents when lookups were last reconsidered.
+    known_starts: HashMap<NodeId, u32>,
     denied: DeniedFlows,
     /// Promises given with [`Reply::Empty`].
     given: Given,
@@ -107,6 +111,7 @@
             flows: Flows::default(),
             lookups: Lookups::default(),
             considered: Considered::default(),
+            known_starts: HashMap::new(),
             denied: DeniedFlows::default(),
             given: Given::default(),
             received: Received::default(),
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -296,6 +296,8 @@
         if view.peers.iter().all(|peer| peer.node == self.config.node) {
             return out.push(Action::Drop(DropReason::NoOwner));
         }
+        // The agents that are asked now are not asked again until they restart.
+        self.reconsider_lookups(now, view, out);
         if !self.lookups.start(now, key, request, Some(held)) {
             return out.push(Action::Drop(DropReason::LookupsFull));
         }
@@ -411,6 +413,7 @@
             return;
         }
         self.considered = considered;
+        self.ask_started_agents(now, view, out);
         for (key, outcome) in self.lookups.drop_unknown(view.peers) {
             self.conclude(now, view, key, outcome, out);
         }
@@ -427,6 +430,24 @@
         }
     }
 
+    /// Asks the agents that have started about the flows that are being looked up.
+    ///
+    /// The owner of a flow may have been down when its packet came, and again whenever the caller
+    /// retransmits it.
+    fn ask_started_agents(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
+        let own = self.config.node;
+        let started = |peer: &&Peer| self.known_starts.get(&peer.node) != Some(&peer.instance);
+        let others = view.peers.iter().filter(|peer| peer.node != own);
+        for peer in others.filter(started) {
+            let near = peer.domain == self.config.domain;
+            for key in self.lookups.ask_started(now, peer, near, view.peers) {
+                self.push_questions(&[peer], key, out);
+            }
+        }
+        let starts = view.peers.iter().map(|peer| (peer.node, peer.instance));
+        self.known_starts = starts.collect();
+    }
+
     /// Returns whether an absent agent may return with flows.
     fn awaits_absent(&self, now: Duration, view: View<'_>) -> bool {
         let mut away = view.peers.away();
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -190,8 +190,8 @@
         true
     }
 
-    /// Starts a lookup, continuing the series if the flow was looked up recently. Returns `false`
-    /// if there are too many lookups.
+    /// Starts a lookup, continuing the series if the flow was looked up recently. Without a new packet
+    /// those of the series stay held. Returns `false` if there are too many lookups.
     pub(crate) fn start(
         &mut self,
         now: Duration,
@@ -200,17 +200,25 @@
         held: Option<HeldPacket>,
     ) -> bool {
         let prior = self.map.remove(&key);
-        let prior =
+        let mut prior =
             prior.filter(|prior| is_same_flow(prior.request.acknowledged, request.acknowledged));
         if self.map.len() >= MAX_LOOKUPS {
             return false;
         }
+        // A retry without a new packet goes on with what is held and asked.
+        let (earlier, pending) = match (&mut prior, &held) {
+            (Some(prior), None) => (
+                std::mem::take(&mut prior.held),
+                std::mem::take(&mut prior.pending),
+            ),
+            _ => (Vec::new(), Vec::new()),
+        };
         let lookup = Lookup {
             request,
             started: now,
             first_started: prior.as_ref().map_or(now, |prior| prior.first_started),
             asked: now,
-            pending: Vec::new(),
+            pending,
             conclusive: prior.as_ref().is_none_or(|prior| prior.conclusive),
             deniers: prior.map(|prior| prior.deniers).unwrap_or_default(),
             probed: Vec::new(),
@@ -218,7 +226,7 @@
             undecided: false,
             retry_pending: false,
             missing: Vec::new(),
-            held: held.into_iter().collect(),
+            held: held.map_or(earlier, |held| vec![held]),
         };
         self.map.insert(key, lookup);
         true
@@ -240,7 +248,8 @@
         let mut asked = agents;
         asked.retain(|peer| {
             let denial = lookup.denial(&peer.packet_addr);
-            !denial.is_some_and(|denier| denier.is_covered(peers))
+            let is_asked = lookup.pending.contains(&peer.packet_addr);
+            !is_asked && !denial.is_some_and(|denier| denier.is_covered(peers))
         });
         lookup
             .pending
@@ -248,6 +257,36 @@
         asked
     }
 
+    /// Records that an agent that has just started is asked in the lookups whose turn for its failure
+    /// domain has come. `near` is set if that is the own failure domain. Returns the flows of these
+    /// lookups.
+    pub(crate) fn ask_started(
+        &mut self,
+        now: Duration,
+        peer: &Peer,
+        near: bool,
+        peers: &Peers,
+    ) -> Vec<FlowKey> {
+        let agent = peer.packet_addr;
+        let mut flows = Vec::new();
+        for (key, lookup) in &mut self.map {
+            let is_open = lookup.undecided || !lookup.pending.is_empty();
+            let has_denied = lookup
+                .denial(&agent)
+                .is_some_and(|denier| denier.is_covered(peers));
+            if !is_open || has_denied || !near && !lookup.asked_all {
+                continue;
+            }
+            // Its earlier start may have got the question or the probe and not have answered.
+            lookup.pending.retain(|pending| *pending != agent);
+            lookup.probed.retain(|probed| *probed != agent);
+            lookup.pending.push(agent);
+            lookup.asked = now;
+            flows.push(*key);
+        }
+        flows
+    }
+
     /// Records that there are no further agents to ask. Returns the outcome if no answers are
     /// outstanding.
     pub(crate) fn finish_asking(&mut self, key: &FlowKey) -> LookupOutcome {
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -1,7 +1,7 @@
 //! Flows that are unknown to the agent, and lookups of their owners.
 
 use buckthornweir_forward::agent::{Action, Question, Reply};
-use buckthornweir_forward::peers::Peers;
+use buckthornweir_forward::peers::{Peer, Peers};
 use buckthornweir_forward::segment::Segment;
 use buckthornweir_forward::tag::Tag;
 
@@ -395,3 +395,69 @@
         Some(Outcome::Delivered)
     );
 }
+
+/// Agents 2 and 3 after agent 3 has started again.
+fn after_restart_of_agent_3() -> Peers {
+    let restarted = Peer {
+        instance: 2,
+        ..peer(3, "a", "desk")
+    };
+    Peers::new([peer(1, "a", "desk"), peer(2, "a", "desk"), restarted])
+}
+
+/// Guards against an open flow whose packets never reach its backend server: its owner was down when the
+/// packet came, and later finds nothing to deliver in the retries of the lookup.
+#[test]
+fn a_retry_copies_the_held_packet_to_agents_that_may_own_the_flow() {
+    let mut harness = harness_with_lookup();
+    answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    assert_eq!(outcome(&harness.after(200).tick()), Some(Outcome::Dropped));
+    assert_eq!(questions(&harness.after(200).tick()), 1, "the retry");
+    let got = answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+    assert_eq!(probed(&got), [packet_addr(3)]);
+    assert!(answer_from(&mut harness, 3, 40_000, Reply::Owned).is_empty());
+    // A packet that came meanwhile follows it.
+    let mut harness = harness_with_lookup();
+    answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    harness.after(200).tick();
+    harness.caller(data(40_000, 91));
+    harness.after(200).tick();
+    answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+    let found = answer_from(&mut harness, 3, 40_000, Reply::Owned);
+    assert_eq!(outcome(&found), Some(Outcome::PassedTo(3)));
+}
+
+/// While agents are restarted in turn, another one is always away.
+#[test]
+fn an_agent_that_starts_is_asked_at_once_while_others_are_away() {
+    // After a lookup without a result, and during one.
+    for wait in [200, 20] {
+        let mut harness = harness_with_lookup();
+        answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+        harness.peers = harness.peers.with_away([3]);
+        harness.after(wait).tick();
+        harness.peers = after_restart_of_agent_3().with_away([9]);
+        assert_eq!(questions(&harness.after(10).tick()), 1, "{wait}");
+        assert_eq!(questions(&harness.after(10).tick()), 0, "{wait}");
+        let got = answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+        assert_eq!(probed(&got), [packet_addr(3)], "{wait}");
+    }
+}
+
+/// A lookup in another failure domain's turn asks no agent of that domain yet.
+#[test]
+fn an_agent_that_starts_in_another_failure_domain_waits_for_its_turn() {
+    let mut harness = Harness::reported();
+    let agents = [(1, "a"), (2, "a"), (3, "b")];
+    harness.peers = Peers::new(agents.map(|(node, domain)| peer(node, domain, "desk")));
+    harness.caller(data(40_000, 90));
+    harness.backend(returned(data(40_000, 90)));
+    let restarted = Peer {
+        instance: 2,
+        ..peer(3, "b", "desk")
+    };
+    harness.peers = Peers::new([peer(1, "a", "desk"), peer(2, "a", "desk"), restarted]);
+    assert_eq!(questions(&harness.after(10).tick()), 0);
+    let got = answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    assert_eq!(questions(&got), 1);
+}
