Pass held packets on when an agent stops

Cause: a planned stop passed queued SYNs on, but not the packets that wait for an owner.

Ruled out: finishing lookups before the stop; an owner may be away for seconds, and the platform ends a process that does not stop.

Why this works: another agent of the service that is not away goes on with the lookup. The packet counts as passed on, so that it can't circle.

Measured: the new test fails on the code before.

--- a/crates/buckthornweir_forward/src/agent/overload.rs
+++ b/crates/buckthornweir_forward/src/agent/overload.rs
@@ -122,10 +122,12 @@
         })
     }
 
-    /// Begins a planned stop: each queued SYN is passed on or rejected, and no flow starts here.
+    /// Begins a planned stop: each queued SYN is passed on or rejected, packets held for lookups are
+    /// passed on, and no flow starts here.
     pub fn set_stopping(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
         self.overload.stopping = true;
         self.handle_queue(now, view, out);
+        self.hand_over_held(view, out);
     }
 
     pub(super) fn expected(&self, now: Duration) -> Expected<'_> {
--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -1,17 +1,19 @@
 //! Flows that are unknown to the agent: lookups of their owners, and packets that the backend
 //! server returned.
 
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use super::{
-    Action, Agent, Answer, Arrival, DropReason, EMPTY_TTL, PassReason, Question, Reply,
+    Action, Agent, Answer, Arrival, DropReason, EMPTY_TTL, HOP_LIMIT, PassReason, Question, Reply,
     ResetReason, View,
 };
+use crate::NodeId;
 use crate::flows::Holder;
 use crate::lookup::{HeldPacket, LookupOutcome, LookupRequest, OwnerNotFound, ResolvedLookup};
 use crate::peers::{Peer, Peers};
-use crate::segment::FlowKey;
+use crate::segment::{FlowKey, mix};
 
 /// How much later than its backend server an agent must have started to count as restarted, rather
 /// than as started with it.
@@ -448,6 +450,35 @@
         self.known_starts = starts.collect();
     }
 
+    /// Passes the packets that are held for lookups to other agents of the service, which look for the
+    /// owners in turn.
+    pub(super) fn hand_over_held(&mut self, view: View<'_>, out: &mut Vec<Action>) {
+        let away: HashSet<NodeId> = view.peers.away().collect();
+        let own = self.config.node;
+        let peers = view.peers.in_service(&self.config.service);
+        let present: Vec<&Peer> = peers
+            .filter(|peer| peer.node != own && !away.contains(&peer.node))
+            .collect();
+        for (key, held) in self.lookups.take_held() {
+            let hash = key.hash();
+            let preference = |peer: &&&Peer| {
+                let is_near = peer.domain == self.config.domain;
+                (is_near, mix(hash, peer.node))
+            };
+            let Some(peer) = present.iter().max_by_key(preference) else {
+                return;
+            };
+            let held = held.into_iter();
+            let held = held.filter(|held| held.tag.hops < HOP_LIMIT);
+            out.extend(held.map(|held| Action::Pass {
+                bytes: Some(held.bytes),
+                to: peer.packet_addr,
+                tag: held.tag.passed_on(),
+                reason: PassReason::Stopping,
+            }));
+        }
+    }
+
     /// Returns whether an absent agent may return with flows.
     fn awaits_absent(&self, now: Duration, view: View<'_>) -> bool {
         let mut away = view.peers.away();
--- a/crates/buckthornweir_forward/src/agent/types.rs
+++ b/crates/buckthornweir_forward/src/agent/types.rs
@@ -208,7 +208,7 @@
     },
     /// Drops the current packet.
     Drop(DropReason),
-    /// Drops the packets held for a lookup that found no owner.
+    /// Records that a lookup found no owner. Its packets stay held for agents that start later.
     OwnerNotFound {
         /// The flow.
         key: FlowKey,
@@ -236,6 +236,8 @@
     Unanswered,
     /// The request would not complete in time at the local backend server.
     Overloaded,
+    /// This agent stops while it looks for the flow's owner.
+    Stopping,
 }
 
 /// The reason why a flow was reset.
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -415,6 +415,16 @@
             .collect()
     }
 
+    /// Removes the packets that are held for flows whose owners are not known, and returns them.
+    pub(crate) fn take_held(&mut self) -> Vec<(FlowKey, Vec<HeldPacket>)> {
+        let open = self
+            .map
+            .iter_mut()
+            .filter(|(_, lookup)| lookup.undecided || !lookup.pending.is_empty());
+        open.map(|(key, lookup)| (*key, std::mem::take(&mut lookup.held)))
+            .collect()
+    }
+
     /// Records that a lookup is conclusive after all.
     pub(crate) fn decide(&mut self, key: &FlowKey) {
         if let Some(lookup) = self.map.get_mut(key) {
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -10,6 +10,7 @@
     harness_with_lookup, key, outcome, packet_addr, peer, questions, reply, report, returned, syn,
     syn_ack, with_hops,
 };
+use crate::overload::stop;
 
 #[test]
 fn held_packets_are_passed_to_the_owner() {
@@ -461,3 +462,26 @@
     let got = answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
     assert_eq!(questions(&got), 1);
 }
+
+/// Guards against packets that are lost with the agent that looks for their owner.
+#[test]
+fn an_agent_that_stops_passes_held_packets_on() {
+    for (away, expected) in [(2, packet_addr(3)), (3, packet_addr(2))] {
+        let mut harness = harness_with_lookup();
+        harness.caller(data(40_000, 91));
+        harness.peers = harness.peers.with_away([away]);
+        let got = stop(&mut harness);
+        let passed = got.iter().filter_map(|action| match action {
+            Action::Pass { to, tag, .. } if !tag.probe && tag.hops == 1 => Some(*to),
+            _ => None,
+        });
+        assert_eq!(passed.collect::<Vec<_>>(), [expected; 2]);
+    }
+    // Nothing is passed on for a flow whose owner is known, or that is reset.
+    for reply in [Reply::Owned, Reply::NotOwned] {
+        let mut harness = harness_with_lookup();
+        answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+        answer_from(&mut harness, 3, 40_000, reply);
+        assert!(stop(&mut harness).is_empty(), "{reply:?}");
+    }
+}
--- a/crates/buckthornweir_node/src/node/flow_metrics.rs
+++ b/crates/buckthornweir_node/src/node/flow_metrics.rs
@@ -52,7 +52,7 @@
 /// Returns the counter of new flows that were passed on; `None` for packets of existing flows.
 pub(super) fn pass_metric(reason: PassReason) -> Option<Count> {
     match reason {
-        PassReason::Owner | PassReason::MayOwn => None,
+        PassReason::Owner | PassReason::MayOwn | PassReason::Stopping => None,
         PassReason::Busy => Some(Count::FlowsPassedOnBusy),
         PassReason::Overloaded => Some(Count::FlowsPassedOnOverloaded),
         PassReason::Shut(_) => Some(Count::FlowsPassedOnShut),
