Ask silent agents again, and no backend server twice

Cause: the owner had got a copy of the packet, but its backend server was busy and did not answer within 150 ms. It was not asked again until the caller's next packet; each agent that started meanwhile got a copy. An agent that had denied the flow and had restarted since could get one too, if it had known other agents than the asking one.

Ruled out: a longer wait for answers (a request may run for seconds); no copies to agents that start (the owner may be one of them).

Evidence: logs of the flow 100.66.0.31:1043: a copy at its backend server at 39.763 s, `owner_not_found` at 39.916 s with the owner among the silent ones, then nine packets at other backend servers until 41.951 s.

Why this works: an agent that got a copy and neither confirmed nor denied the flow is the likely owner, and is asked again together with those that start. A denial stays true over a restart, since a backend server can't become the owner of a flow that is open elsewhere; the new answer only tells which agents are known there. An answer that is late counts as long as the lookup has no result, and starts do not put off a lookup's result.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -126,6 +126,10 @@
             }
             Reply::NotOwned => self.lookups.deny(&key, answer, false),
             Reply::NeverOwned | Reply::Empty => self.lookups.deny(&key, answer, true),
+            // An earlier start of the agent has asked the backend server.
+            Reply::MaybeOwned if self.lookups.has_denied(&key, &agent) => {
+                self.lookups.deny(&key, answer, false)
+            }
             Reply::MaybeOwned => {
                 let probe = self.lookups.probe(now, &key, agent);
                 out.extend(probe.map(|held| Action::Pass {
@@ -438,12 +442,14 @@
     /// retransmits it.
     fn ask_started_agents(&mut self, now: Duration, view: View<'_>, out: &mut Vec<Action>) {
         let own = self.config.node;
-        let started = |peer: &&Peer| self.known_starts.get(&peer.node) != Some(&peer.instance);
+        let is_started = |peer: &&Peer| self.known_starts.get(&peer.node) != Some(&peer.instance);
         let others = view.peers.iter().filter(|peer| peer.node != own);
-        for peer in others.filter(started) {
-            let near = peer.domain == self.config.domain;
-            for key in self.lookups.ask_started(now, peer, near, view.peers) {
-                self.push_questions(&[peer], key, out);
+        let started: Vec<&Peer> = others.filter(is_started).collect();
+        if !started.is_empty() {
+            let domain = &self.config.domain;
+            let questions = self.lookups.ask_started(now, &started, domain, view.peers);
+            for (key, asked) in questions {
+                self.push_questions(&asked, key, out);
             }
         }
         let starts = view.peers.iter().map(|peer| (peer.node, peer.instance));
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -245,46 +245,48 @@
             return Vec::new();
         };
         lookup.asked = now;
-        let mut asked = agents;
-        asked.retain(|peer| {
-            let denial = lookup.denial(&peer.packet_addr);
-            let is_asked = lookup.pending.contains(&peer.packet_addr);
-            !is_asked && !denial.is_some_and(|denier| denier.is_covered(peers))
-        });
-        lookup
-            .pending
-            .extend(asked.iter().map(|peer| peer.packet_addr));
-        asked
+        lookup.ask(agents, peers)
     }
 
-    /// Records that an agent that has just started is asked in the lookups whose turn for its failure
-    /// domain has come. `near` is set if that is the own failure domain. Returns the flows of these
-    /// lookups.
-    pub(crate) fn ask_started(
+    /// Records that agents that have just started are asked in all open lookups, except in those that
+    /// have not come to the agents of other failure domains than `domain`. Agents that got a copy of the
+    /// packet and did not answer are asked again too: their backend servers may hold the flow.
+    ///
+    /// Returns the agents to be sent a question, by flow.
+    pub(crate) fn ask_started<'a>(
         &mut self,
         now: Duration,
-        peer: &Peer,
-        near: bool,
-        peers: &Peers,
-    ) -> Vec<FlowKey> {
-        let agent = peer.packet_addr;
-        let mut flows = Vec::new();
+        started: &[&'a Peer],
+        domain: &str,
+        peers: &'a Peers,
+    ) -> Vec<(FlowKey, Vec<&'a Peer>)> {
+        let mut questions = Vec::new();
         for (key, lookup) in &mut self.map {
-            let is_open = lookup.undecided || !lookup.pending.is_empty();
-            let has_denied = lookup
-                .denial(&agent)
-                .is_some_and(|denier| denier.is_covered(peers));
-            if !is_open || has_denied || !near && !lookup.asked_all {
+            if !lookup.is_open() {
                 continue;
             }
-            // Its earlier start may have got the question or the probe and not have answered.
-            lookup.pending.retain(|pending| *pending != agent);
-            lookup.probed.retain(|probed| *probed != agent);
-            lookup.pending.push(agent);
-            lookup.asked = now;
-            flows.push(*key);
+            let silent = match lookup.pending.is_empty() {
+                true => {
+                    lookup.asked = now;
+                    std::mem::take(&mut lookup.probed)
+                }
+                false => Vec::new(),
+            };
+            let is_started = |agent: &SocketAddrV4| started.iter().any(|s| s.packet_addr == *agent);
+            // An earlier start may have got the question or the packet and can't answer any more.
+            lookup.pending.retain(|agent| !is_started(agent));
+            lookup.probed.retain(|agent| !is_started(agent));
+            let silent = silent.iter().filter(|agent| !is_started(agent));
+            let silent = silent.filter_map(|agent| peers.by_address(agent));
+            let turn = started
+                .iter()
+                .copied()
+                .filter(|peer| lookup.asked_all || peer.domain == domain);
+            let agents = turn.chain(silent).collect();
+            questions.push((*key, lookup.ask(agents, peers)));
         }
-        flows
+        questions.retain(|(_, asked)| !asked.is_empty());
+        questions
     }
 
     /// Records that there are no further agents to ask. Returns the outcome if no answers are
@@ -327,6 +329,12 @@
         })
     }
 
+    /// Returns whether the agent has denied the flow.
+    pub(crate) fn has_denied(&self, key: &FlowKey, agent: &SocketAddrV4) -> bool {
+        let lookup = self.map.get(key);
+        lookup.is_some_and(|lookup| lookup.denial(agent).is_some())
+    }
+
     /// Forgets a flow whose port is reused.
     pub(crate) fn forget(&mut self, key: &FlowKey) {
         self.map.remove(key);
@@ -352,9 +360,16 @@
         agent: SocketAddrV4,
     ) -> Option<HeldPacket> {
         let lookup = self.map.get_mut(key)?;
-        if !lookup.pending.contains(&agent) || lookup.probed.contains(&agent) {
+        if lookup.probed.contains(&agent) {
             return None;
         }
+        if !lookup.pending.contains(&agent) {
+            if !lookup.undecided {
+                return None;
+            }
+            // The answer is late.
+            lookup.pending.push(agent);
+        }
         lookup.probed.push(agent);
         lookup.asked = now;
         lookup.held.first().cloned()
@@ -417,10 +432,7 @@
 
     /// Removes the packets that are held for flows whose owners are not known, and returns them.
     pub(crate) fn take_held(&mut self) -> Vec<(FlowKey, Vec<HeldPacket>)> {
-        let open = self
-            .map
-            .iter_mut()
-            .filter(|(_, lookup)| lookup.undecided || !lookup.pending.is_empty());
+        let open = self.map.iter_mut().filter(|(_, lookup)| lookup.is_open());
         open.map(|(key, lookup)| (*key, std::mem::take(&mut lookup.held)))
             .collect()
     }
@@ -454,12 +466,29 @@
 
     /// Returns whether answers or retries are outstanding.
     pub(crate) fn is_waiting(&self) -> bool {
-        let is_waiting = |lookup: &Lookup| lookup.undecided || !lookup.pending.is_empty();
-        self.map.values().any(is_waiting)
+        self.map.values().any(Lookup::is_open)
     }
 }
 
 impl Lookup {
+    /// Returns whether answers are outstanding, or the lookup found no owner and was inconclusive.
+    fn is_open(&self) -> bool {
+        self.undecided || !self.pending.is_empty()
+    }
+
+    /// Records that these agents are asked. Returns those that have to be sent a question.
+    fn ask<'a>(&mut self, agents: Vec<&'a Peer>, peers: &Peers) -> Vec<&'a Peer> {
+        let mut asked = agents;
+        asked.retain(|peer| {
+            let denial = self.denial(&peer.packet_addr);
+            let is_asked = self.pending.contains(&peer.packet_addr);
+            !is_asked && !denial.is_some_and(|denier| denier.is_covered(peers))
+        });
+        let addresses = asked.iter().map(|peer| peer.packet_addr);
+        self.pending.extend(addresses);
+        asked
+    }
+
     /// Returns the agent's last denial of the flow, if any.
     fn denial(&self, agent: &SocketAddrV4) -> Option<&Denier> {
         let index = self
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -6,9 +6,9 @@
 use buckthornweir_forward::tag::Tag;
 
 use crate::common::{
-    BALANCER, Harness, Outcome, SYN_ACK_SEQUENCE, answer_from, answer_from_with_known, data,
-    harness_with_lookup, key, outcome, packet_addr, peer, questions, reply, report, returned, syn,
-    syn_ack, with_hops,
+    BALANCER, Harness, Outcome, SYN_ACK_SEQUENCE, answer_from, answer_from_with_known, ask_addr,
+    data, harness_with_lookup, key, ms, outcome, packet_addr, peer, questions, reply, report,
+    returned, syn, syn_ack, with_hops,
 };
 use crate::overload::stop;
 
@@ -463,6 +463,77 @@
     assert_eq!(questions(&got), 1);
 }
 
+/// Agents that start one after the other must not keep a lookup from its result.
+#[test]
+fn agents_that_start_delay_no_result() {
+    let mut harness = harness_with_lookup();
+    let mut known = vec![
+        peer(1, "a", "desk"),
+        peer(2, "a", "desk"),
+        peer(3, "a", "desk"),
+    ];
+    let mut concluded = Vec::new();
+    for node in 4..12 {
+        known.push(peer(node, "a", "desk"));
+        harness.peers = Peers::new(known.clone());
+        let got = harness.after(50).tick();
+        let found_none = |a: &Action| matches!(a, Action::OwnerNotFound { .. });
+        concluded.extend(got.iter().any(found_none).then_some(harness.now));
+    }
+    assert_eq!(
+        concluded.first(),
+        Some(&ms(250)),
+        "150 ms after the questions"
+    );
+}
+
+/// Guards against a flow that is delivered to all others but its owner, whose backend server works on the
+/// request and does not answer the copy.
+#[test]
+fn an_agent_that_got_a_copy_and_is_silent_is_asked_again() {
+    let mut harness = harness_with_lookup();
+    answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+    assert_eq!(outcome(&harness.after(200).tick()), Some(Outcome::Dropped));
+    let more = [1, 2, 3, 4].map(|node| peer(node, "a", "desk"));
+    harness.peers = Peers::new(more).with_away([9]);
+    let got = harness.after(10).tick();
+    let asked = got.iter().filter_map(|action| match action {
+        Action::Ask { to, .. } => Some(*to),
+        _ => None,
+    });
+    let mut asked: Vec<_> = asked.collect();
+    asked.sort_unstable();
+    // Agent 2 denied the flow while it knew no agent 4.
+    assert_eq!(asked, [ask_addr(3), ask_addr(4)]);
+    let got = answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+    assert_eq!(probed(&got), [packet_addr(3)]);
+}
+
+/// A backend server that has returned a packet of a flow is not tried again after its agent restarts.
+#[test]
+fn a_denial_lasts_over_a_restart_of_its_agent() {
+    let mut harness = harness_with_lookup();
+    answer_from_with_known(&mut harness, 2, 40_000, Reply::NotOwned, 77);
+    harness.after(200).tick();
+    // It knew other agents, so it is asked again.
+    assert_eq!(questions(&harness.after(200).tick()), 2);
+    let got = answer_from(&mut harness, 2, 40_000, Reply::MaybeOwned);
+    assert!(probed(&got).is_empty());
+    let got = answer_from(&mut harness, 3, 40_000, Reply::NotOwned);
+    assert_eq!(outcome(&got), Some(Outcome::Reset));
+}
+
+#[test]
+fn a_late_answer_of_an_agent_that_may_own_the_flow_counts() {
+    let mut harness = harness_with_lookup();
+    answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    assert_eq!(outcome(&harness.after(200).tick()), Some(Outcome::Dropped));
+    let got = answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned);
+    assert_eq!(probed(&got), [packet_addr(3)]);
+    assert!(probed(&answer_from(&mut harness, 3, 40_000, Reply::MaybeOwned)).is_empty());
+}
+
 /// Guards against packets that are lost with the agent that looks for their owner.
 #[test]
 fn an_agent_that_stops_passes_held_packets_on() {
