Let the random test of agents check that packets don't go astray

The random test counts the packets of unanswered requests while the owner's agent has been up for 1.5 s, in the seeds with planned work only.

--- a/crates/buckthornweir_forward/tests/forward/fleet/callers.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/callers.rs
@@ -14,6 +14,11 @@
 const SYN_COPIES: [u64; 3] = [200, 600, 1_400];
 /// When each caller of an open flow sends a last request, long after the last change.
 pub(super) const LAST_REQUESTS: Duration = Duration::from_secs(32);
+/// Packets that reach other backend servers, and for how long, until a flow counts as astray.
+const MAX_STRAYS: u32 = 3;
+const ASTRAY_TIME: Duration = Duration::from_secs(2);
+/// How long an agent may take from its start until it gets packets of its flows again.
+const RETURN_TIME: Duration = Duration::from_millis(1_500);
 
 impl Fleet {
     /// Checks that each caller of an open flow got an answer, and each caller of a lost one a reset.
@@ -42,6 +47,37 @@
         server.is_some_and(|server| server.flows.get(&port).is_some_and(|(_, open)| *open))
     }
 
+    /// Records that a backend server got a packet of a caller that waits for an answer, and checks that the
+    /// packets of an open flow don't reach only others although the agent of its own is there.
+    pub(super) fn note_arrival(&mut self, port: u16, vm: u8) {
+        let now = self.now;
+        let Some(flow) = self.flows.get(&port).copied() else {
+            return;
+        };
+        let Caller::Open { vm: owner, .. } = flow.caller else {
+            return;
+        };
+        if flow.asked.is_none() {
+            return;
+        }
+        self.note(format!("flow {port} has a packet at VM {vm}"));
+        let is_back = self.process_time(owner) >= RETURN_TIME;
+        let strays = match flow.strays {
+            _ if vm == owner || !is_back => (0, now),
+            (0, _) => (1, now),
+            (count, first) => (count + 1, first),
+        };
+        let (count, first) = strays;
+        let is_astray = count >= MAX_STRAYS && now >= first + ASTRAY_TIME;
+        // An agent that is killed may lose packets more often than a caller repeats them in that time.
+        if is_astray && !self.unplanned && self.is_held(&flow.caller, port) {
+            self.fail(port, "the packets of an open flow went astray");
+        }
+        if let Some(flow) = self.flows.get_mut(&port) {
+            flow.strays = strays;
+        }
+    }
+
     pub(super) fn receive(&mut self, segment: Segment, vm: u8) {
         let port = segment.target.port();
         let server = self.vms.get(&vm).and_then(|vm| vm.server.as_ref());
@@ -84,6 +120,7 @@
             caller: Caller::Opening { copies: 0 },
             asked: None,
             hint: None,
+            strays: (0, Duration::ZERO),
         };
         self.flows.insert(port, flow);
         self.send_syn(port);
@@ -138,6 +175,7 @@
             return;
         }
         flow.asked = Some(now);
+        flow.strays = (0, now);
         self.send_data(port, 90);
         self.push(
             ms(200),
--- a/crates/buckthornweir_forward/tests/forward/fleet/mod.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Random planned work and failures over agents without a network: whatever the order of changes and
-//! messages, no open flow of a living backend server is reset, and the caller of a lost flow is told.
+//! messages, no open flow of a living backend server is reset, and the caller of a lost flow is told. While
+//! agents are only stopped as planned, packets of an open flow don't go astray for long either.
 
 mod callers;
 mod members;
--- a/crates/buckthornweir_forward/tests/forward/fleet/model.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/model.rs
@@ -86,6 +86,9 @@
     pub(super) asked: Option<Duration>,
     /// Agent that a hint named.
     pub(super) hint: Option<u8>,
+    /// Packets of an unanswered request that other backend servers got since the flow's own last got
+    /// one, and when the first of them came.
+    pub(super) strays: (u32, Duration),
 }
 
 #[derive(Clone, Debug)]
--- a/crates/buckthornweir_forward/tests/forward/fleet/processes.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/processes.rs
@@ -289,6 +289,9 @@
     /// Handles a packet at a backend server.
     pub(super) fn serve(&mut self, vm: u8, segment: Segment) {
         let port = segment.source.port();
+        if !segment.syn {
+            self.note_arrival(port, vm);
+        }
         let sequence = self.rng.random();
         let server = self.vms.get_mut(&vm).and_then(|vm| vm.server.as_mut());
         let Some(server) = server else {
