Wait for voters in the tests of control VMs, and give each test its own subnet

Cause: the tests, not the product. `start_five` took it that all five VMs are voters once an order is accepted. A log is founded by the VMs that were heard when nobody new has come for 0.8 s; later ones join. With three founders, two of five VMs are a quorum and rightly accept what the test forbids. `lost_control_vm_is_replaced` gave the replacement 5 s, `start_four` a fourth voter 3 s; two VMs killed before that leave no quorum.

Change: `Handle::voters` tells which control VMs vote by the committed log, and the tests wait until the expected ones do, before they kill any. Subnets are claimed. No check is removed; `lost_control_vm_is_replaced` now fails if the lost VM is not replaced, and not only if the quorum is lost.

--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -11,7 +11,7 @@
     Presence, Record, Reject, Storage, Token, messages::Kind,
 };
 use sha2::{Digest, Sha256};
-use smol_str::ToSmolStr;
+use smol_str::{SmolStr, ToSmolStr};
 use tokio::sync::oneshot;
 
 use crate::gossip::as_v4;
@@ -293,6 +293,13 @@
         self.departure == Departure::Announced && spare_voters
     }
 
+    /// Returns the addresses of the committed voters.
+    pub(crate) fn voters(&self) -> Vec<SmolStr> {
+        let members = self.log.as_ref().map(|log| log.core.committed_members());
+        let members = members.unwrap_or_default();
+        members.voters().map(|m| m.address.clone()).collect()
+    }
+
     /// Returns the committed document if its revision is above `revision`.
     pub(crate) fn document_above(&self, revision: u64) -> Option<Document> {
         let core = &self.log.as_ref()?.core;
--- a/crates/buckthornweir_node/src/handle.rs
+++ b/crates/buckthornweir_node/src/handle.rs
@@ -47,6 +47,7 @@
     Deregister(SmolStr, oneshot::Sender<()>),
     Order(Order, oneshot::Sender<OrderOutcome>),
     Read(oneshot::Sender<ReadOutcome>),
+    Voters(oneshot::Sender<Vec<SmolStr>>),
     Reload(Box<NodeSettings>),
     Stop,
 }
@@ -93,6 +94,12 @@
         answer.unwrap_or(ReadOutcome::Unavailable)
     }
 
+    /// Returns the addresses of the voting control VMs in the log that this process has committed; empty
+    /// if it has no log.
+    pub async fn voters(&self) -> Vec<SmolStr> {
+        self.call(Request::Voters).await.unwrap_or_default()
+    }
+
     /// Applies those changed settings that can change without a restart.
     pub async fn reload(&self, settings: NodeSettings) {
         // The process may have terminated.
--- a/crates/buckthornweir_node/src/node/requests.rs
+++ b/crates/buckthornweir_node/src/node/requests.rs
@@ -59,6 +59,14 @@
                 // The operator may have disconnected.
                 _ => drop(reply.send(ReadOutcome::Unavailable)),
             },
+            Request::Voters(reply) => {
+                let voters = match &self.role {
+                    Role::Control(replica) => replica.voters(),
+                    Role::Agent { .. } | Role::Balancer { .. } => Vec::new(),
+                };
+                // The requester may have given up.
+                let _ = reply.send(voters);
+            }
             Request::Reload(settings) => self.reload(*settings),
             Request::Stop => self.begin_stop(now),
         }
--- a/crates/buckthornweir_node/tests/node/control.rs
+++ b/crates/buckthornweir_node/tests/node/control.rs
@@ -4,7 +4,7 @@
 
 use buckthornweir_node::prelude::*;
 
-use crate::support::{RunningNode, TestNet, newest_version, order, submit};
+use crate::support::{RunningNode, TestNet, await_voters, newest_version, order, submit};
 
 async fn start_five(net: TestNet, data: &std::path::Path) -> Vec<RunningNode> {
     let mut nodes = Vec::new();
@@ -12,12 +12,14 @@
         nodes.push(net.control(host, data, true).await);
         tokio::time::sleep(Duration::from_millis(30)).await;
     }
+    // The log may be founded by fewer VMs, if the others start late.
+    await_voters(net, &nodes, &[1, 2, 3, 4, 5]).await;
     nodes
 }
 
 #[tokio::test]
 async fn orders_survive_a_restart_of_all_nodes_with_two_lost_disks() {
-    let (net, data) = (TestNet(81), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let mut nodes = start_five(net, data.path()).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(7)).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(9)).await;
@@ -44,7 +46,7 @@
 
 #[tokio::test]
 async fn minority_refuses_reads_and_orders() {
-    let (net, data) = (TestNet(82), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let mut nodes = start_five(net, data.path()).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(3)).await;
     for node in nodes.drain(2..) {
@@ -81,7 +83,7 @@
 
 #[tokio::test]
 async fn orders_take_a_failure_domain_out_and_bring_it_back() {
-    let (net, data) = (TestNet(83), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let nodes = start_five(net, data.path()).await;
     let all: Vec<_> = nodes.iter().collect();
     submit(&all, order(3)).await;
@@ -106,12 +108,12 @@
 /// A new VM at another address replaces a lost one, after which the log tolerates two more losses.
 #[tokio::test]
 async fn lost_control_vm_is_replaced() {
-    let (net, data) = (TestNet(84), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let mut nodes = start_five(net, data.path()).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(3)).await;
     nodes.remove(4).kill().await;
     nodes.push(net.control(6, data.path(), false).await);
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    await_voters(net, &nodes, &[1, 2, 3, 4, 6]).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
     for _ in 0..2 {
         nodes.remove(0).kill().await;
@@ -128,7 +130,7 @@
     }
     submit(&nodes.iter().collect::<Vec<_>>(), order(3)).await;
     nodes.push(net.control(4, data, false).await);
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    await_voters(net, &nodes, &[1, 2, 3, 4]).await;
     nodes
 }
 
@@ -146,7 +148,7 @@
 /// of a disk meanwhile would leave two of four voters, and the log would be lost for good.
 #[tokio::test]
 async fn log_survives_a_lost_disk_right_after_a_planned_stop() {
-    let (net, data) = (TestNet(87), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let mut nodes = start_four(net, data.path()).await;
     nodes.remove(2).stop().await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
@@ -157,7 +159,7 @@
 /// two of four voters go on once the third is known to have lost its disk.
 #[tokio::test]
 async fn log_survives_a_lost_disk_right_after_an_abrupt_end() {
-    let (net, data) = (TestNet(88), tempfile::tempdir().unwrap());
+    let (net, data) = (TestNet::claim(), tempfile::tempdir().unwrap());
     let mut nodes = start_four(net, data.path()).await;
     submit(&nodes.iter().collect::<Vec<_>>(), order(4)).await;
     nodes.remove(2).kill().await;
--- a/crates/buckthornweir_node/tests/node/hedged_syns.rs
+++ b/crates/buckthornweir_node/tests/node/hedged_syns.rs
@@ -69,7 +69,7 @@
 #[tokio::test]
 async fn hedged_syn_opens_the_flow_at_another_backend_server() {
     assert_eq!(
-        respondent(TestNet(98), 0.2, RESPONSE_TIMEOUT).await,
+        respondent(TestNet::claim(), 0.2, RESPONSE_TIMEOUT).await,
         Some(22)
     );
 }
@@ -77,5 +77,5 @@
 /// Guards against hedged SYNs that nobody enabled.
 #[tokio::test]
 async fn nothing_is_hedged_without_a_limit() {
-    assert_eq!(respondent(TestNet(99), 0.0, HEDGE_TIMEOUT).await, None);
+    assert_eq!(respondent(TestNet::claim(), 0.0, HEDGE_TIMEOUT).await, None);
 }
--- a/crates/buckthornweir_node/tests/node/path.rs
+++ b/crates/buckthornweir_node/tests/node/path.rs
@@ -27,9 +27,9 @@
 }
 
 /// Starts control VMs 1 to 3, balancers 11 and 12, and agents 21 and 22 with their backend servers.
-async fn start(net: u8) -> Fixture {
+async fn start() -> Fixture {
     let (net, data) = (
-        TestNet(net),
+        TestNet::claim(),
         tempfile::tempdir().expect("test setup failed"),
     );
     let mut fixture = Fixture {
@@ -68,7 +68,7 @@
 
 #[tokio::test]
 async fn flows_stay_at_their_backend_server() {
-    let mut fixture = start(91).await;
+    let mut fixture = start().await;
     let caller = fixture.net.caller(31).await;
     let (first, second) = (fixture.net.ip(11), fixture.net.ip(12));
     // Each balancer prefers the agent of its own failure domain, once it has heard that the agent
@@ -116,8 +116,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Like [`start`], with a third agent, 23, in the failure domain of 21.
-async fn start_with_third_agent(net: u8) -> Fixture {
-    let mut fixture = start(net).await;
+async fn start_with_third_agent() -> Fixture {
+    let mut fixture = start().await;
     fixture.net.backend(23);
     fixture.agents.push(fixture.net.agent(23).await);
     let third = &fixture.agents[2].handle;
@@ -151,7 +151,7 @@
 
 #[tokio::test]
 async fn flows_are_reset_if_the_backend_server_crashed_before_its_agent_stopped() {
-    let mut fixture = start_with_third_agent(88).await;
+    let mut fixture = start_with_third_agent().await;
     let caller = fixture.net.caller(31).await;
     let flows = open_flows_at_21(&fixture, &caller).await;
     fixture.servers.remove(0).abort();
@@ -168,7 +168,7 @@
 /// lost.
 #[tokio::test]
 async fn flows_are_reset_if_the_agent_restarts_without_its_backend_server() {
-    let mut fixture = start_with_third_agent(97).await;
+    let mut fixture = start_with_third_agent().await;
     let caller = fixture.net.caller(31).await;
     let flows = open_flows_at_21(&fixture, &caller).await;
     fixture.servers.remove(0).abort();
@@ -207,7 +207,7 @@
 
 #[tokio::test]
 async fn flows_survive_a_long_planned_stop_of_their_agent() {
-    let mut fixture = start_with_third_agent(95).await;
+    let mut fixture = start_with_third_agent().await;
     let caller = fixture.net.caller(31).await;
     let flows = open_flows_at_21(&fixture, &caller).await;
     fixture.agents.remove(0).stop().await;
@@ -218,7 +218,7 @@
 /// that it had none. They went on believing this when that agent had flows and was stopped.
 #[tokio::test]
 async fn flows_survive_a_planned_stop_of_an_agent_that_once_had_no_backend_server() {
-    let mut fixture = start(102).await;
+    let mut fixture = start().await;
     let caller = fixture.net.caller(31).await;
     let balancer = fixture.net.ip(11);
     fixture.agents.push(fixture.net.agent(23).await);
@@ -239,7 +239,7 @@
 /// reports of its backend server were overdue, so that others reset the flows still open there.
 #[tokio::test]
 async fn flows_survive_a_planned_stop_while_reports_are_overdue() {
-    let mut fixture = start_with_third_agent(101).await;
+    let mut fixture = start_with_third_agent().await;
     let caller = fixture.net.caller(31).await;
     let period = Duration::from_millis(700);
     fixture.agents.remove(0).stop().await;
@@ -265,7 +265,7 @@
 
 #[tokio::test]
 async fn draining_backend_server_gets_no_new_flows_and_keeps_its_own() {
-    let fixture = start(92).await;
+    let fixture = start().await;
     let caller = fixture.net.caller(31).await;
     let balancer = fixture.net.ip(11);
     let mut flows = Vec::new();
@@ -292,7 +292,7 @@
 
 #[tokio::test]
 async fn flows_continue_without_control() {
-    let mut fixture = start(93).await;
+    let mut fixture = start().await;
     let caller = fixture.net.caller(31).await;
     let opened = caller.open(fixture.net.ip(11), 1).await;
     for node in fixture.control.drain(..) {
@@ -306,7 +306,7 @@
 
 #[tokio::test]
 async fn flows_are_refused_while_all_backend_servers_are_draining() {
-    let fixture = start(94).await;
+    let fixture = start().await;
     let caller = fixture.net.caller(31).await;
     fixture.agents[0]
         .handle
@@ -341,7 +341,7 @@
 /// flow is in use.
 #[tokio::test]
 async fn malformed_messages_stop_no_process() {
-    let fixture = start(87).await;
+    let fixture = start().await;
     let caller = fixture.net.caller(31).await;
     let balancer = fixture.net.ip(11);
     let opened = caller.open(balancer, 7).await;
--- a/crates/buckthornweir_node/tests/node/slow_link.rs
+++ b/crates/buckthornweir_node/tests/node/slow_link.rs
@@ -148,7 +148,7 @@
 /// longer than the time limit for the first byte.
 #[tokio::test]
 async fn large_plan_is_fetched_only_once_over_a_slow_link() {
-    let net = TestNet(85);
+    let net = TestNet::claim();
     let fetches = Arc::new(Fetches::default());
     let peer_addr = |host| SocketAddr::from((net.ip(host), PEER_PORT));
     let local = run_control(peer_addr(1), "odd", false, peer_addr(11), fetches.clone());
--- a/crates/buckthornweir_node/tests/node/support.rs
+++ b/crates/buckthornweir_node/tests/node/support.rs
@@ -1,9 +1,10 @@
 //! Nodes, backend servers and callers on the loopback addresses of a test.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use buckthornweir_forward::backend::{ColdBound, Report, ReportState};
@@ -27,6 +28,8 @@
 /// Time limit for expected events. It is generous, since loaded machines are slow and no test
 /// result depends on its length.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// The same for a change of the voters, which takes several rounds of messages for each VM.
+const VOTERS_TIMEOUT: Duration = Duration::from_secs(60);
 const SERVICE_ADDR: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
 /// A running node.
@@ -53,18 +56,29 @@
     }
 }
 
-/// The subnet of one test, which no other test may use: tests of one run are in the same process.
+/// The subnet of one test, which no other test uses: tests of one run are in the same process.
 /// Its addresses are `127.<net>.<run>.<host>`, so that concurrent runs
 /// don't collide.
 #[derive(Clone, Copy)]
-pub(crate) struct TestNet(pub(crate) u8);
+pub(crate) struct TestNet(u8);
+
+/// The next subnet to be claimed.
+static NEXT_NET: AtomicU8 = AtomicU8::new(81);
 
 impl TestNet {
+    pub(crate) fn claim() -> Self {
+        Self(NEXT_NET.fetch_add(1, Ordering::Relaxed))
+    }
+
     pub(crate) fn ip(self, host: u8) -> Ipv4Addr {
         let run = std::process::id() % MAX_RUNS;
         Ipv4Addr::new(127, self.0, run as u8, host)
     }
 
+    fn peer_addr(self, host: u8) -> String {
+        SocketAddrV4::new(self.ip(host), PEER_PORT).to_string()
+    }
+
     fn settings(self, host: u8, role: RoleSettings) -> NodeSettings {
         NodeSettings {
             name: format!("node-{host}").into(),
@@ -420,6 +434,26 @@
     }
 }
 
+/// Waits until each of these nodes knows that the control VMs with these hosts are the voters.
+pub(crate) async fn await_voters(net: TestNet, nodes: &[RunningNode], hosts: &[u8]) {
+    let addresses = hosts.iter().map(|host| net.peer_addr(*host));
+    let expected: BTreeSet<String> = addresses.collect();
+    let agreed = async {
+        for node in nodes {
+            let is_known = async || {
+                let voters = node.handle.voters().await.into_iter();
+                voters.map(String::from).collect::<BTreeSet<_>>() == expected
+            };
+            while !is_known().await {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    };
+    tokio::time::timeout(VOTERS_TIMEOUT, agreed)
+        .await
+        .expect("the VMs did not become the voters");
+}
+
 /// Submits an order to each node in turn until one accepts it, as an operator does.
 pub(crate) async fn submit(nodes: &[&RunningNode], order: Order) {
     let accepted = async {
