Keep events of the node's log test enabled for all threads

Cause: while there is one subscriber, tracing-core 0.1.36 asks only the subscriber of the present thread when an event is reached for the first time. If a thread of another test, which has none, comes first, the event is disabled for all threads.

Ruled out: the budget of lines (`lines_left_out` counted 0) and the product's own settings; a process has one global subscriber, which all threads see.

Why this works: with a second subscriber tracing-core asks all of them.

--- a/crates/buckthornweir_node/tests/node/overload.rs
+++ b/crates/buckthornweir_node/tests/node/overload.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::time::Duration;
 
 use buckthornweir_forward::backend::ReportState;
@@ -20,7 +20,7 @@
     wait_until,
 };
 
-const NET: TestNet = TestNet(86);
+static NET: LazyLock<TestNet> = LazyLock::new(TestNet::claim);
 const BALANCER: u8 = 11;
 const AGENTS: [u8; 2] = [21, 22];
 
@@ -205,6 +205,8 @@
 #[tokio::test]
 async fn overload_shows_in_metrics_and_log_lines() {
     let lines = Lines::default();
+    // With one subscriber only, an event that a thread without one reaches first is disabled for all.
+    let _second = tracing::Dispatch::new(lines.clone());
     let _guard = tracing::subscriber::set_default(lines.clone());
     let data = tempfile::tempdir().expect("test setup failed");
     let mut control = Vec::new();
