--- a/crates/buckthornweir_daemon/src/control/push.rs
+++ b/crates/buckthornweir_daemon/src/control/push.rs
@@ -22,7 +22,7 @@
         PushResult::Stale { newest } => reply(PushOutcome::Stale, *newest),
         PushResult::Overtaken { newest } => reply(PushOutcome::Same, *newest),
         // Never the result of a push: changes of failure domains are separate commands.
-        PushResult::Domain { .. } => reply(PushOutcome::Unknown, 0),
+        PushResult::Domain { .. } | PushResult::Full { .. } => reply(PushOutcome::Unknown, 0),
     }
 }
 
--- a/crates/buckthornweir_node/src/control.rs
+++ b/crates/buckthornweir_node/src/control.rs
@@ -8,7 +8,7 @@
 use buckthornweir_quorum::storage::Origin;
 use buckthornweir_quorum::{
     Action, Bundle, Command, Config, Core, Decision, Founder, MembershipPolicy, Message, NodeId,
-    Presence, Record, Reject, Storage, Token, messages::Kind,
+    Presence, PushResult, Record, Reject, Storage, Token, messages::Kind,
 };
 use sha2::{Digest, Sha256};
 use smol_str::{SmolStr, ToSmolStr};
@@ -58,6 +58,8 @@
     Unknown,
     /// It exceeds a size limit of the log.
     TooLarge,
+    /// Nothing was done, since as many failure domains are out as the log can hold.
+    DomainsFull,
 }
 
 /// The outcome of a read.
@@ -374,7 +376,11 @@
                 } => {
                     tracing::info!(event = "order_applied", index, ?result);
                     if let Some(token) = token {
-                        self.finish_order(token, OrderOutcome::Accepted);
+                        let outcome = match result {
+                            PushResult::Full { .. } => OrderOutcome::DomainsFull,
+                            _ => OrderOutcome::Accepted,
+                        };
+                        self.finish_order(token, outcome);
                     }
                 }
                 Action::MembersChanged { index, members, .. } => {
--- a/crates/buckthornweir_quorum/src/bundles.rs
+++ b/crates/buckthornweir_quorum/src/bundles.rs
@@ -110,13 +110,21 @@
         /// Whether the command changed its state.
         changed: bool,
     },
+    /// As many failure domains are out as the list holds, so that no further one is taken out.
+    Full {
+        /// Maximum number of failure domains that are out.
+        limit: usize,
+    },
 }
 
 impl PushResult {
     /// Returns whether the command succeeded, so that the sender need not act further.
     #[must_use]
     pub fn is_accepted(&self) -> bool {
-        !matches!(self, Self::Conflict { .. } | Self::Stale { .. })
+        !matches!(
+            self,
+            Self::Conflict { .. } | Self::Stale { .. } | Self::Full { .. }
+        )
     }
 }
 
@@ -188,6 +196,10 @@
     }
 
     fn apply_domain(&mut self, index: Index, name: &SmolStr, out: bool) -> PushResult {
+        // A snapshot with more of them is not read back.
+        if out && self.out.len() >= MAX_DOMAINS && !self.out.contains(name) {
+            return PushResult::Full { limit: MAX_DOMAINS };
+        }
         let changed = match out {
             true => self.out.insert(name.clone()),
             false => self.out.remove(name),
--- a/crates/buckthornweir_quorum/tests/quorum/commands.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/commands.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use buckthornweir_quorum::PushResult;
 use buckthornweir_quorum::prelude::*;
+use buckthornweir_quorum::{MAX_DOMAINS, PushResult};
 
 use crate::harness::{Answer, Harness, bundle, push};
 
@@ -62,6 +62,33 @@
     assert_eq!(bundles.newest().map(|b| b.digest), Some([5; 32]));
 }
 
+/// Guards against a snapshot that no member can read back, which would keep a VM from starting.
+#[test]
+fn no_more_failure_domains_are_out_than_a_snapshot_holds() {
+    let mut bundles = Bundles::default();
+    let limit = MAX_DOMAINS;
+    let take_out = |bundles: &mut Bundles, index: usize| {
+        bundles.apply(index as u64 + 1, &domain(&format!("d-{index}"), true))
+    };
+    for index in 0..limit {
+        let taken = take_out(&mut bundles, index);
+        assert_eq!(taken, PushResult::Domain { changed: true });
+    }
+    let full = take_out(&mut bundles, limit);
+    assert_eq!(full, PushResult::Full { limit });
+    assert!(!full.is_accepted());
+
+    assert_eq!(bundles.revision(), limit as u64, "nothing has changed");
+    let again = take_out(&mut bundles, 7);
+    assert_eq!(again, PushResult::Domain { changed: false });
+    assert_eq!(Bundles::decode(bundles.encode()), Ok(bundles.clone()));
+    // One that is brought back makes room.
+    bundles.apply(1_000, &domain("d-7", false));
+    let taken = take_out(&mut bundles, limit);
+    assert_eq!(taken, PushResult::Domain { changed: true });
+    assert_eq!(Bundles::decode(bundles.encode()), Ok(bundles));
+}
+
 #[test]
 fn revision_advances_on_each_change_and_each_domain_brought_back() {
     let mut bundles = Bundles::default();
