Drop expired presences when the founder's table is full

What operators would see: found by reading. A control VM without a log that has heard 32 other addresses, of VMs that were replaced in the meantime, records no further one: it waits for a seed that speaks to it, and neither founds nor joins.

Cause: `Founder::note_presence` never dropped a presence, and ignored new ones at its bound.

While 32 VMs are there, a further one is ignored as before.

Measured: the new test fails on the code before (waits for the seed instead of joining). Quorum `founding` passed.

--- a/crates/buckthornweir_quorum/src/founding.rs
+++ b/crates/buckthornweir_quorum/src/founding.rs
@@ -188,15 +188,19 @@
     pub fn note_presence(&mut self, now: Duration, presence: Presence) {
         let address = SmolStr::from(presence.address.as_str());
         let is_expected = self.is_seeded || self.listed.contains(&address);
-        let is_full = self.peers.len() >= MAX_MEMBERS;
-        if address == self.address
-            || !is_expected
-            || (is_full && !self.peers.contains_key(&address))
-        {
+        if address == self.address || !is_expected {
             return;
         }
+        let is_known = self.peers.contains_key(&address);
+        if !is_known && self.peers.len() >= MAX_MEMBERS {
+            // VMs that were replaced must not keep out the ones in their place.
+            self.peers.retain(|_, p| now < p.received_at + PRESENCE_TTL);
+            if self.peers.len() >= MAX_MEMBERS {
+                return;
+            }
+        }
         self.note_version(presence.newest);
-        if !self.peers.contains_key(&address) {
+        if !is_known {
             self.quiet_until = now + DISCOVERY_QUIET_PERIOD;
         }
         self.peers.insert(
--- a/crates/buckthornweir_quorum/tests/quorum/founding.rs
+++ b/crates/buckthornweir_quorum/tests/quorum/founding.rs
@@ -233,3 +233,21 @@
         Decision::NotAllowed
     );
 }
+
+/// Guards against a control VM that neither founds nor joins: addresses of VMs that were replaced fill
+/// the table of presences.
+#[test]
+fn replaced_vms_make_room_for_presences_of_new_ones() {
+    let mut founder = Founder::from_seeds(1, A, [A, B]).with_permission(true);
+    let other = |host: u64| format!("192.0.2.{}:7000", 100 + host);
+    for host in 0..40 {
+        founder.note_presence(NOW, presence(100 + host, &other(host), 0));
+    }
+    // While they are there, no further one is recorded.
+    founder.note_presence(NOW, presence(2, B, 7));
+    assert_eq!(founder.decide(NOW, 9), wait(&[B]));
+    let later = NOW + PRESENCE_TTL;
+    founder.note_presence(later, presence(2, B, 7));
+    assert_eq!(founder.decide(later, 9), Decision::Join { via: 2 });
+    assert!(!founder.lacks_log(later, &other(3)));
+}
