Let each new flow on a port hold its place for its own time

What callers would see: found by reading. A flow is reset and its caller opens the next one on the same port. The new flow stops counting as load when the time of the earlier one is over, up to 100 ms (40 ms under an overload policy) before its request is due, and its slot is given to another flow, whose request then waits.

Cause: `Flows::expire_fresh` looked only at the key of its queue's entries.

Why this works: an entry ends the flow that it was made for, as in `Flows::fresh`.

Measured: the new test fails on the code before (2 slots free instead of 1).

--- a/crates/buckthornweir_forward/src/flows.rs
+++ b/crates/buckthornweir_forward/src/flows.rs
@@ -181,9 +181,12 @@
         while let Some((at, key)) = self.fresh_queue.front()
             && now >= *at + ttl
         {
-            let key = *key;
+            let (at, key) = (*at, *key);
             self.fresh_queue.pop_front();
-            self.clear_fresh(&key);
+            // A later flow on the same port has an entry of its own.
+            if self.map.get(&key).is_some_and(|flow| flow.since == at) {
+                self.clear_fresh(&key);
+            }
         }
     }
 
--- a/crates/buckthornweir_forward/tests/forward/agent.rs
+++ b/crates/buckthornweir_forward/tests/forward/agent.rs
@@ -3,6 +3,7 @@
 use buckthornweir_forward::agent::{Action, PassReason, Question, Reply, ResetReason};
 use buckthornweir_forward::backend::{Report, ReportState};
 use buckthornweir_forward::peers::Peers;
+use buckthornweir_forward::segment::Segment;
 
 use crate::common::{
     BALANCER, Harness, Outcome, SYN_ACK_SEQUENCE, data, key, ms, outcome, packet_addr, peer, plan,
@@ -497,6 +498,25 @@
     }
 }
 
+/// Guards against a place that is given away early: a flow is reset, and the next one on its port counts
+/// until its own request is due.
+#[test]
+fn a_new_flow_on_a_used_port_holds_its_place() {
+    let mut harness = Harness::reported();
+    harness.caller(syn(40_000, 0));
+    let reset = Segment {
+        rst: true,
+        ..reply(40_000, 0)
+    };
+    harness.after(80).backend(reset);
+    harness.caller(syn(40_000, 0));
+    let mut free = |wait| {
+        let now = harness.after(wait).now;
+        harness.agent.offer(now, &harness.plan).free
+    };
+    assert_eq!([free(30), free(60), free(20)], [1, 1, 2]);
+}
+
 /// Guards against a denial by an agent that was restarted soon after its backend server had started:
 /// an earlier agent may have opened the flow in between.
 #[test]
