Report a control change whose reply is lost as not known

What operators saw: found by reading. `control promote`, `replace` and `remove` ended with code 4 and "the control processes were not changed" when the reply was lost or the leader ended while the change was under way, although the change may have been made. Who then chose another change could remove a second voter.

Why this works: the reply states whether the change may have been made, and such a reply or none at all leads to code 5, as for a push, unless another process confirms the change. A process of an earlier release doesn't state it; its text is shown as before.

Measured: the new test fails on the code before (code 4 instead of 5). `control list` changes nothing and ends as before.

--- a/crates/buckthornweir_cli/src/commands/control.rs
+++ b/crates/buckthornweir_cli/src/commands/control.rs
@@ -7,7 +7,7 @@
 
 use super::push::control_addresses;
 use super::{Context, needed};
-use crate::client::ask;
+use crate::client::{ExchangeError, exchange};
 use crate::fault::{Fault, Result};
 use crate::options::{ControlArguments, ControlCommand};
 use crate::output::table;
@@ -59,28 +59,36 @@
         fault: "no control process answers".into(),
         ..ControlReply::default()
     };
+    // A later reply without success doesn't tell what became of an earlier request.
+    let mut is_unknown = false;
     for node in control_addresses(context).await? {
-        if let Ok(new_reply) = follow_leader(context, node, change).await {
-            reply = new_reply;
-            if reply.fault.is_empty() {
-                break;
+        match follow_leader(context, node, change).await {
+            Ok(new_reply) if new_reply.fault.is_empty() => return Ok(new_reply),
+            Ok(new_reply) => {
+                is_unknown |= new_reply.unknown;
+                reply = new_reply;
             }
+            Err(ExchangeError::NotSent(_)) => {}
+            Err(ExchangeError::NoReply) => is_unknown = true,
         }
     }
-    Ok(reply)
+    match is_unknown && change != ControlChange::default() {
+        true => Err(Fault::ChangeUnknown),
+        false => Ok(reply),
+    }
 }
 
 async fn follow_leader(
     context: &Context,
     node: SocketAddr,
     change: ControlChange,
-) -> Result<ControlReply> {
+) -> std::result::Result<ControlReply, ExchangeError> {
     let mut node = node;
     let mut last = ControlReply::default();
     for _ in 0..MAX_LEADER_REQUESTS {
-        last = match ask(&context.settings, node, Request::Control(change)).await? {
+        last = match exchange(&context.settings, node, Request::Control(change)).await? {
             Reply::Control(reply) => reply,
-            _ => return Err(Fault::Reply),
+            _ => return Err(ExchangeError::NoReply),
         };
         match last.leader.parse() {
             Ok(leader) => node = leader,
--- a/crates/buckthornweir_cli/src/fault.rs
+++ b/crates/buckthornweir_cli/src/fault.rs
@@ -147,6 +147,11 @@
         NotChanged { fault: String } {
             display("the control processes were not changed: {fault}")
         }
+        /// No reply to a change of the control processes arrived, or none that says what became of it.
+        ChangeUnknown {
+            display("the reply was lost, so it is not known whether the control processes were \
+                     changed; making the same change again is safe")
+        }
         /// No reply to a push arrived, so it is not known whether the bundle is stored.
         ReplyLost {
             display("the reply was lost, so it is not known whether the bundle is stored; \
@@ -193,7 +198,7 @@
             Self::NotChanged { .. } | Self::Unreachable { .. } | Self::NoQuorum | Self::Reply => {
                 Exit::Unreachable
             }
-            Self::ReplyLost => Exit::Unknown,
+            Self::ReplyLost | Self::ChangeUnknown => Exit::Unknown,
             Self::NoService { .. } => Exit::NoService,
             Self::NotBalancer { .. } => Exit::NotBalancer,
             Self::TooOld { .. } => Exit::TooOld,
--- a/crates/buckthornweir_cli/tests/commands.rs
+++ b/crates/buckthornweir_cli/tests/commands.rs
@@ -4,16 +4,25 @@
 
 use std::path::Path;
 use std::process::{Command, Output};
+use std::time::Duration;
 
 use buckthornweir_daemon::prelude::*;
 use buckthornweir_standins::prelude::*;
+use buckthornweir_wire::{
+    Body, ClusterKey, ControlReply, Envelope, Link, MemberRow, MembersReply, OperatorMessage,
+    Reply, Request,
+};
 use expect_test::{Expect, expect};
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 
+/// Longest wait for a message of the program.
+const LIMIT: Duration = Duration::from_secs(20);
 const DONE: i32 = 0;
 const BAD_INPUT: i32 = 2;
 const CONFLICT: i32 = 3;
 const UNREACHABLE: i32 = 4;
+const UNKNOWN: i32 = 5;
 const NOT_BALANCER: i32 = 7;
 
 const BUNDLE: &str = "
@@ -210,6 +219,84 @@
     );
 }
 
+/// What a control process does with a request for a change.
+#[derive(Clone, Copy)]
+enum OnChange {
+    /// It ends the link without a reply.
+    LosesReply,
+    /// It replies, and states whether the change may have been made.
+    Rejects { unknown: bool },
+}
+
+/// Answers requests for members, and treats changes of the control processes as `on_change` says.
+async fn serve_changes(listener: TcpListener, key: ClusterKey, on_change: OnChange) {
+    let address = listener.local_addr().unwrap().to_string();
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut link = Link::accept(stream, &key, LIMIT).await.unwrap();
+        let Some(Body::Operator(message)) = link.receive(LIMIT).await.unwrap().body else {
+            continue;
+        };
+        let row = MemberRow {
+            name: "control-1".into(),
+            roles: "control".into(),
+            control: address.clone(),
+            ..MemberRow::default()
+        };
+        let reply = match (message.request, on_change) {
+            (Some(Request::Members(_)), _) => Reply::Members(MembersReply { rows: vec![row] }),
+            (_, OnChange::LosesReply) => continue,
+            (_, OnChange::Rejects { unknown }) => Reply::Control(ControlReply {
+                fault: "rejected".into(),
+                unknown,
+                ..ControlReply::default()
+            }),
+        };
+        let reply = OperatorMessage {
+            id: message.id,
+            request: None,
+            reply: Some(reply),
+        };
+        let envelope = Envelope::new(0, Body::Operator(Box::new(reply)));
+        link.send(&envelope).await.unwrap();
+    }
+}
+
+/// Guards against a change of the control processes that was made and is reported as not made: the
+/// operator would choose another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_whose_reply_is_lost_is_not_reported_as_not_made() {
+    for (on_change, code, text) in [
+        (OnChange::LosesReply, UNKNOWN, "it is not known whether"),
+        (
+            OnChange::Rejects { unknown: true },
+            UNKNOWN,
+            "it is not known whether",
+        ),
+        (
+            OnChange::Rejects { unknown: false },
+            UNREACHABLE,
+            "the control processes were not changed: rejected",
+        ),
+    ] {
+        let folder = tempfile::tempdir().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let key = "11".repeat(32);
+        let settings = format!("[client]\nnodes = {address}\nkey = {key}\n");
+        std::fs::write(folder.path().join("client.ini"), settings).unwrap();
+        let server = tokio::spawn(serve_changes(
+            listener,
+            ClusterKey::new([0x11; 32]),
+            on_change,
+        ));
+        let output = run(folder.path(), &["control", "remove", "00000000000000aa"]);
+        let errors = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(code), "{errors}");
+        assert!(errors.contains(text), "{errors}");
+        server.abort();
+    }
+}
+
 #[test]
 fn bad_input_and_unreachable_processes_have_distinct_exit_codes() {
     let harness = Harness {
--- a/crates/buckthornweir_daemon/src/control/replica.rs
+++ b/crates/buckthornweir_daemon/src/control/replica.rs
@@ -299,6 +299,7 @@
             done(ControlReply {
                 fault: reject_text(reason),
                 leader: leader.into(),
+                unknown: matches!(reason, Reject::Interrupted | Reject::TimedOut),
                 ..ControlReply::default()
             });
         }
--- a/crates/buckthornweir_wire/src/operator.rs
+++ b/crates/buckthornweir_wire/src/operator.rs
@@ -327,6 +327,9 @@
     /// The address where the leader accepts links, when another process is the leader.
     #[prost(string, tag = "3")]
     pub leader: String,
+    /// Whether the change may have been made although `fault` is set.
+    #[prost(bool, tag = "4")]
+    pub unknown: bool,
 }
 
 /// One control process.
