Let a lookup that waits for an agent that restarts have a result

An agent that was asked again restarts; its earlier denial counts once this agent knows the same agents, and it was taken off the list of those that the lookup waits for. If it was the only one, the lookup ended without a result: no reset of a lost flow and no retry until the caller's next packet.

Why this works: such an agent stays on the list, answers or is silent, and the lookup ends.

Measured: the new test fails on the code before.

--- a/crates/buckthornweir_forward/src/agent/owners.rs
+++ b/crates/buckthornweir_forward/src/agent/owners.rs
@@ -126,7 +126,7 @@
             }
             Reply::NotOwned => self.lookups.deny(&key, answer, false),
             Reply::NeverOwned | Reply::Empty => self.lookups.deny(&key, answer, true),
-            // An earlier start of the agent has asked the backend server.
+            // Its earlier start denied the flow, and no backend server becomes the owner of an open flow.
             Reply::MaybeOwned if self.lookups.has_denied(&key, &agent) => {
                 self.lookups.deny(&key, answer, false)
             }
--- a/crates/buckthornweir_forward/src/lookup.rs
+++ b/crates/buckthornweir_forward/src/lookup.rs
@@ -245,7 +245,14 @@
             return Vec::new();
         };
         lookup.asked = now;
-        lookup.ask(agents, peers)
+        let mut asked = agents;
+        asked.retain(|peer| {
+            let is_asked = lookup.pending.contains(&peer.packet_addr);
+            !is_asked && lookup.awaits_denial(peer, peers)
+        });
+        let addresses = asked.iter().map(|peer| peer.packet_addr);
+        lookup.pending.extend(addresses);
+        asked
     }
 
     /// Records that agents that have just started are asked in all open lookups, except in those that
@@ -273,19 +280,22 @@
                 false => Vec::new(),
             };
             let is_started = |agent: &SocketAddrV4| started.iter().any(|s| s.packet_addr == *agent);
-            // An earlier start may have got the question or the packet and can't answer any more.
-            lookup.pending.retain(|agent| !is_started(agent));
+            // The packet may have reached an earlier start, which can't answer any more.
             lookup.probed.retain(|agent| !is_started(agent));
             let silent = silent.iter().filter(|agent| !is_started(agent));
             let silent = silent.filter_map(|agent| peers.by_address(agent));
-            let turn = started
-                .iter()
-                .copied()
-                .filter(|peer| lookup.asked_all || peer.domain == domain);
-            let agents = turn.chain(silent).collect();
-            questions.push((*key, lookup.ask(agents, peers)));
+            let in_turn = |peer: &&&Peer| lookup.asked_all || peer.domain == domain;
+            let started = started.iter().filter(in_turn).copied();
+            let mut agents: Vec<&Peer> = started.chain(silent).collect();
+            agents.retain(|peer| lookup.awaits_denial(peer, peers));
+            for peer in &agents {
+                if !lookup.pending.contains(&peer.packet_addr) {
+                    lookup.pending.push(peer.packet_addr);
+                }
+            }
+            questions.push((*key, agents));
         }
-        questions.retain(|(_, asked)| !asked.is_empty());
+        questions.retain(|(_, agents)| !agents.is_empty());
         questions
     }
 
@@ -476,17 +486,10 @@
         self.undecided || !self.pending.is_empty()
     }
 
-    /// Records that these agents are asked. Returns those that have to be sent a question.
-    fn ask<'a>(&mut self, agents: Vec<&'a Peer>, peers: &Peers) -> Vec<&'a Peer> {
-        let mut asked = agents;
-        asked.retain(|peer| {
-            let denial = self.denial(&peer.packet_addr);
-            let is_asked = self.pending.contains(&peer.packet_addr);
-            !is_asked && !denial.is_some_and(|denier| denier.is_covered(peers))
-        });
-        let addresses = asked.iter().map(|peer| peer.packet_addr);
-        self.pending.extend(addresses);
-        asked
+    /// Returns whether the agent has yet to deny the flow while it knows no agent that is unknown here.
+    fn awaits_denial(&self, peer: &Peer, peers: &Peers) -> bool {
+        let denial = self.denial(&peer.packet_addr);
+        !denial.is_some_and(|denier| denier.is_covered(peers))
     }
 
     /// Returns the agent's last denial of the flow, if any.
--- a/crates/buckthornweir_forward/tests/forward/lookup.rs
+++ b/crates/buckthornweir_forward/tests/forward/lookup.rs
@@ -487,6 +487,24 @@
     );
 }
 
+/// Guards against a lookup that ends without a result: the agent that it waits for restarts, and its earlier
+/// denial counts once this agent knows the same agents.
+#[test]
+fn a_lookup_that_waits_for_an_agent_that_restarts_has_a_result() {
+    let mut harness = harness_with_lookup();
+    let later = after_restart_of_agent_3().with_away([9]);
+    let known = later.fingerprint();
+    answer_from(&mut harness, 2, 40_000, Reply::NotOwned);
+    answer_from_with_known(&mut harness, 3, 40_000, Reply::NotOwned, known);
+    // It knew agents that are unknown here, so it is asked again.
+    assert_eq!(questions(&harness.after(400).tick()), 1);
+    harness.peers = later;
+    harness.after(10).tick();
+    let got = harness.after(200).tick();
+    let has_result = |a: &Action| matches!(a, Action::OwnerNotFound { .. } | Action::Reset { .. });
+    assert!(got.iter().any(has_result), "{got:?}");
+}
+
 /// Guards against a flow that is delivered to all others but its owner, whose backend server works on the
 /// request and does not answer the copy.
 #[test]
