Count only packets that go astray after the owner's agent is back

The check was meant for packets while the owner's agent has been there for 1.5 s, as the description of the check says, but counted the earlier ones if no packet arrived at all while it was down.

--- a/crates/buckthornweir_forward/tests/forward/fleet/callers.rs
+++ b/crates/buckthornweir_forward/tests/forward/fleet/callers.rs
@@ -61,11 +61,12 @@
             return;
         }
         self.note(format!("flow {port} has a packet at VM {vm}"));
-        let is_back = self.process_time(owner) >= RETURN_TIME;
+        let up = self.process_time(owner);
         let strays = match flow.strays {
-            _ if vm == owner || !is_back => (0, now),
-            (0, _) => (1, now),
-            (count, first) => (count + 1, first),
+            _ if vm == owner || up < RETURN_TIME => (0, now),
+            (count, first) if count > 0 && now - first <= up - RETURN_TIME => (count + 1, first),
+            // The earlier ones came before the owner's agent was back.
+            _ => (1, now),
         };
         let (count, first) = strays;
         let is_astray = count >= MAX_STRAYS && now >= first + ASTRAY_TIME;
