Keep the link of a client open while it waits for a reply

Cause: a process closes a link after 3 s of silence. Clients send nothing while they wait, and a push that no quorum stores in time is answered after 3 s.

Ruled out: the 1 s for accepting a link (the link had opened in 0.3 ms); heartbeats by clients (those of earlier releases would send none).

Why this works: 10 s of silence are accepted after an operator's request, longer than any request takes. Links of other processes are closed after 3 s as before.

Measured: the new test fails on the code before (the link is closed) and passes.

--- a/crates/buckthornweir_daemon/src/links.rs
+++ b/crates/buckthornweir_daemon/src/links.rs
@@ -29,6 +29,10 @@
 /// How long the peer may be silent before the link counts as lost.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The same for an operator's client, which sends nothing while it waits for a reply. It is longer than
+/// any request takes.
+const CLIENT_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How long dialing or accepting a link may take, authentication included.
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -108,12 +112,17 @@
     }
 
     async fn receive_all(&self, mut reader: LinkReader) {
+        let mut silence_timeout = SILENCE_TIMEOUT;
         loop {
-            let received = match timeout(SILENCE_TIMEOUT, reader.receive()).await {
+            let received = match timeout(silence_timeout, reader.receive()).await {
                 Ok(Ok(envelope)) => envelope,
                 Ok(Err(error)) => return count_if_forged(&self.board, &error),
                 Err(_) => return,
             };
+            silence_timeout = match received.body {
+                Some(Body::Operator(_)) => CLIENT_SILENCE_TIMEOUT,
+                _ => SILENCE_TIMEOUT,
+            };
             self.board.observe(&received);
             if !matches!(received.body, Some(Body::Heartbeat(_))) {
                 self.activity.record();
--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -16,7 +16,7 @@
 use buckthornweir_standins::Plan;
 use buckthornweir_wire::{
     Body, BundleReply, BundleRequest, ClusterKey, ControlChange, ControlReply, Envelope, Link,
-    MetricsRequest, OperatorMessage, PushOutcome, Reply, Request,
+    MetricsRequest, OperatorMessage, PushOutcome, Reply, Request, StatusRequest,
 };
 use support::deployment::bundle;
 use support::{Process, WAIT_TIMEOUT, ask, plan, push, signed, status, wait_for};
@@ -175,6 +175,32 @@
     cluster.wait_for_all(version).await;
 }
 
+/// Guards against replies that are lost because their request takes 3 s: the process took the client, which
+/// sends nothing meanwhile, for gone and closed the link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn link_of_a_waiting_client_stays_open() {
+    let cluster = Cluster::start(1).await;
+    cluster.leader().await;
+    let key = ClusterKey::new(value::hex(cluster.plan.cluster_key()).unwrap());
+    let mut link = Link::dial(cluster.address(0), &key, WAIT_TIMEOUT)
+        .await
+        .unwrap();
+    // The second wait is longer than a process may be silent.
+    for (id, wait) in [(1, Duration::ZERO), (2, Duration::from_millis(3_500))] {
+        tokio::time::sleep(wait).await;
+        let message = OperatorMessage::ask(id, Request::Status(StatusRequest {}));
+        let envelope = Envelope::new(0, Body::Operator(Box::new(message)));
+        link.send(&envelope).await.unwrap();
+        let reply = loop {
+            let received = link.receive(WAIT_TIMEOUT).await.unwrap();
+            if let Some(Body::Operator(message)) = received.body {
+                break message;
+            }
+        };
+        assert_eq!(reply.id, id);
+    }
+}
+
 /// Two of three control processes crash. The remaining one must step down, reject a push and keep the
 /// old bundle in force.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
