Push again in the tests of control if the outcome is unknown

What was seen: `concurrent_pushes_of_one_version_have_one_winner` and `voter_with_lost_disk_is_replaced_before_next_crash` got `Unknown` at a load of 12 and more.

Cause: read from the code: a proposal that a change of the leader interrupts, or that no quorum stores within 3 s, has that outcome, which is true. The client pushes the same bundle again then; the tests' operator did not.

Change: it does, as after `NotLeader`. If its first try was stored, the second one's `Same` counts as `Accepted`, unless the version was in force before. All outcomes that the tests require stay required.

--- a/crates/buckthornweir_daemon/tests/control.rs
+++ b/crates/buckthornweir_daemon/tests/control.rs
@@ -82,15 +82,23 @@
         leader.unwrap()
     }
 
-    /// Pushes a bundle to the leader and returns the outcome.
+    /// Pushes a bundle to the leader and returns the outcome. As the client does, it pushes the bundle
+    /// again if a change of the leader leaves the outcome unknown.
     async fn push(&self, version: u64, out: &str) -> PushOutcome {
         let deadline = std::time::Instant::now() + WAIT_TIMEOUT;
+        let mut stored_by_earlier_try = false;
         loop {
             let leader = self.leader().await;
+            let is_new = self.version(leader).await < version;
             let text = signed(&bundle(version, out));
             let reply = push(self.address(leader), self.plan.cluster_key(), text).await;
-            if reply.outcome() != PushOutcome::NotLeader || std::time::Instant::now() > deadline {
-                return reply.outcome();
+            match reply.outcome() {
+                PushOutcome::NotLeader if std::time::Instant::now() < deadline => {}
+                PushOutcome::Unknown if std::time::Instant::now() < deadline => {
+                    stored_by_earlier_try |= is_new;
+                }
+                PushOutcome::Same if stored_by_earlier_try => return PushOutcome::Accepted,
+                outcome => return outcome,
             }
         }
     }
